--- /dev/null
+++ b/brpeer/mux.go
@@ -0,0 +1,58 @@
+package brpeer
+
+import (
+	"context"
+	"fmt"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+)
+
+// Mux maps message names to handlers. Its zero value is an empty mux. All
+// handlers are added before the mux serves its first connection.
+type Mux struct {
+	calls  map[string]func(context.Context, *Conn, brwire.RawMessage) ([]byte, error)
+	pushes map[string]func(*Conn, brwire.RawMessage) error
+}
+
+// HandleCall registers f for calls of name. Each call runs in its own goroutine;
+// ctx ends with the connection. HandleCall panics if name was registered before.
+func HandleCall[Req, Resp any](m *Mux, name string, f func(ctx context.Context, c *Conn, req Req) (Resp, error)) {
+	if _, ok := m.calls[name]; ok {
+		panic("brpeer: call handler registered twice: " + name)
+	}
+	if m.calls == nil {
+		m.calls = map[string]func(context.Context, *Conn, brwire.RawMessage) ([]byte, error){}
+	}
+	m.calls[name] = func(ctx context.Context, c *Conn, body brwire.RawMessage) ([]byte, error) {
+		req, err := brwire.Decode[Req](body)
+		if err != nil {
+			return nil, brerror.New(brerror.InvalidRequest, "decode %s: %w", name, err)
+		}
+		resp, err := f(ctx, c, req)
+		if err != nil {
+			return nil, err
+		}
+		return brwire.Encode(resp)
+	}
+}
+
+// HandlePush registers f for pushes of name. Pushes of one connection run one
+// after the other in the order of their arrival and hold up the connection, so
+// f must not block. HandlePush panics if name was registered before.
+func HandlePush[T any](m *Mux, name string, f func(c *Conn, msg T)) {
+	if _, ok := m.pushes[name]; ok {
+		panic("brpeer: push handler registered twice: " + name)
+	}
+	if m.pushes == nil {
+		m.pushes = map[string]func(*Conn, brwire.RawMessage) error{}
+	}
+	m.pushes[name] = func(c *Conn, body brwire.RawMessage) error {
+		msg, err := brwire.Decode[T](body)
+		if err != nil {
+			return fmt.Errorf("brpeer: push %s: %w", name, err)
+		}
+		f(c, msg)
+		return nil
+	}
+}
--- /dev/null
+++ b/brpeer/peer_test.go
@@ -0,0 +1,103 @@
+package brpeer
+
+import (
+	"context"
+	"errors"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brerror"
+	"go.uber.org/goleak"
+)
+
+type echo struct {
+	Text string `cbor:"text"`
+}
+
+func newTestServer(t *testing.T, keys Keys, mux *Mux) (address string) {
+	t.Helper()
+	s := &Server{Mux: mux, Keys: keys}
+	h := httptest.NewServer(s)
+	t.Cleanup(func() {
+		s.Close()
+		h.Close()
+	})
+	return strings.TrimPrefix(h.URL, "http://")
+}
+
+// Guards against calls in the two directions of one link that get each other's
+// answers, and against an error kind that is lost on the way.
+func TestCallBothWays(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var serverMux, clientMux Mux
+	HandleCall(&clientMux, "name", func(ctx context.Context, c *Conn, e echo) (echo, error) {
+		return echo{e.Text + " from client"}, nil
+	})
+	HandleCall(&serverMux, "ask", func(ctx context.Context, c *Conn, e echo) (echo, error) {
+		return Call[echo, echo](ctx, c, "name", e)
+	})
+	HandleCall(&serverMux, "fail", func(ctx context.Context, c *Conn, e echo) (echo, error) {
+		return echo{}, brerror.New(brerror.NotOwner, "pool moved").WithRetryAfter(time.Second)
+	})
+	s := &Server{Mux: &serverMux, Keys: Keys{"new", "old"}}
+	h := httptest.NewServer(s)
+	defer h.Close()
+	defer s.Close()
+	address := strings.TrimPrefix(h.URL, "http://")
+
+	c, err := Dial(ctx, address, Keys{"old"}, &clientMux)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	got, err := Call[echo, echo](ctx, c, "ask", echo{"x"})
+	if err != nil || got.Text != "x from client" {
+		t.Errorf("ask = %q, %v", got.Text, err)
+	}
+	_, err = Call[echo, echo](ctx, c, "fail", echo{})
+	if !brerror.Is(err, brerror.NotOwner) || brerror.From(err).RetryAfter != time.Second {
+		t.Errorf("fail = %v, want not_owner with a retry time", err)
+	}
+	if _, err := Dial(ctx, address, Keys{"wrong"}, nil); err == nil {
+		t.Error("a link with a wrong key was accepted")
+	}
+}
+
+// Guards against a pending call that waits forever when its connection ends,
+// and against a Link that doesn't come back.
+func TestLinkReconnects(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var mux Mux
+	HandleCall(&mux, "hang", func(ctx context.Context, c *Conn, e echo) (echo, error) {
+		c.Abort(ErrClosed)
+		<-ctx.Done()
+		return echo{}, ctx.Err()
+	})
+	HandleCall(&mux, "echo", func(ctx context.Context, c *Conn, e echo) (echo, error) { return e, nil })
+	l := NewLink(newTestServer(t, nil, &mux), nil, nil, nil)
+	defer l.Close()
+	c, err := l.Wait(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Call[echo, echo](ctx, c, "hang", echo{}); !errors.Is(err, ErrClosed) {
+		t.Errorf("call on an ended connection = %v, want ErrClosed", err)
+	}
+	<-c.Done()
+	for {
+		if c, err = l.Wait(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Call[echo, echo](ctx, c, "echo", echo{"again"}); err == nil {
+			return
+		}
+		if ctx.Err() != nil {
+			t.Fatal("link did not come back")
+		}
+	}
+}
--- /dev/null
+++ b/brpeer/server.go
@@ -0,0 +1,133 @@
+package brpeer
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+)
+
+// Path is the HTTP path at which a daemon accepts links.
+const Path = "/v1/link"
+
+// Keys are the shared keys that a daemon accepts; the first is the one it sends.
+// Two keys are listed while a key is replaced. An empty list accepts everyone.
+type Keys []string
+
+// Accepts reports whether the Authorization header of r carries one of the keys.
+func (k Keys) Accepts(r *http.Request) bool {
+	if len(k) == 0 {
+		return true
+	}
+	got := []byte(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer "))
+	ok := 0
+	for _, key := range k {
+		ok |= subtle.ConstantTimeCompare(got, []byte(key))
+	}
+	return ok == 1
+}
+
+// Header returns the Authorization header that a client with these keys sends.
+func (k Keys) Header() http.Header {
+	h := http.Header{}
+	if len(k) > 0 {
+		h.Set("Authorization", "Bearer "+k[0])
+	}
+	return h
+}
+
+// Server accepts links. Its zero value accepts every caller and has no handlers.
+type Server struct {
+	Mux  *Mux
+	Keys Keys
+
+	mu     sync.Mutex
+	conns  map[*Conn]struct{}
+	closed bool
+}
+
+// ServeHTTP upgrades a request to a link and serves it until the link ends.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.Keys.Accepts(r) {
+		http.Error(w, "peer key missing or unknown", http.StatusUnauthorized)
+		return
+	}
+	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		return // Accept has answered the request
+	}
+	mux := s.Mux
+	if mux == nil {
+		mux = &Mux{}
+	}
+	c := newConn(ws, mux)
+	if !s.add(c) {
+		c.Close()
+		return
+	}
+	<-c.Done()
+	c.Close()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+}
+
+// Conns returns the open links.
+func (s *Server) Conns() []*Conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := make([]*Conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Close ends all links, waits for their handlers and refuses new ones.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	for _, c := range s.Conns() {
+		c.Close()
+	}
+}
+
+func (s *Server) add(c *Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	if s.conns == nil {
+		s.conns = map[*Conn]struct{}{}
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// dialTimeout bounds the connection and the upgrade of one dial.
+const dialTimeout = 2 * time.Second
+
+// Dial opens a link to the daemon at address (host:port). Calls and pushes from
+// the other end go to mux, which may be nil.
+func Dial(ctx context.Context, address string, keys Keys, mux *Mux) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	ws, _, err := websocket.Dial(ctx, "ws://"+address+Path, &websocket.DialOptions{
+		HTTPHeader:      keys.Header(),
+		CompressionMode: websocket.CompressionDisabled,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("brpeer: dial %s: %w", address, err)
+	}
+	if mux == nil {
+		mux = &Mux{}
+	}
+	return newConn(ws, mux), nil
+}
--- /dev/null
+++ b/brwire/control.go
@@ -0,0 +1,101 @@
+package brwire
+
+import (
+	"bramleyroute/brerror"
+	"time"
+)
+
+// Names of the messages between daemons and control replicas.
+const (
+	NameHeartbeat = "heartbeat"
+	NameWatch     = "watch"
+	NameChange    = "change"
+	NamePropose   = "propose"
+	NameLog       = "log"
+	NameConfirmed = "confirmed"
+	NameSamples   = "samples"
+	NameTimeline  = "timeline"
+)
+
+// Role is a part that a daemon plays.
+type Role string
+
+// The roles.
+const (
+	RoleEntry     Role = "entry"
+	RoleScheduler Role = "scheduler"
+	RoleControl   Role = "control"
+)
+
+// Daemon describes one process of the system.
+type Daemon struct {
+	ID            string `cbor:"id" json:"id"`
+	Incarnation   string `cbor:"incarnation" json:"incarnation"` // new at each start
+	Roles         []Role `cbor:"roles" json:"roles"`
+	PeerAddress   string `cbor:"peer_address" json:"peer_address"` // host:port
+	CallerAddress string `cbor:"caller_address" json:"caller_address"`
+	Region        string `cbor:"region" json:"region"`
+	FailureDomain string `cbor:"failure_domain" json:"failure_domain"`
+}
+
+// Heartbeat keeps a daemon's session with a control replica and asks it to
+// confirm the daemon's revision.
+type Heartbeat struct {
+	Daemon   Daemon `cbor:"daemon"`
+	Revision uint64 `cbor:"revision"` // last applied
+	Leaving  bool   `cbor:"leaving"`
+}
+
+// HeartbeatReply confirms a revision. A daemon whose applied revision is at
+// least Revision was up to date Age before the reply was sent.
+type HeartbeatReply struct {
+	Confirmed bool          `cbor:"confirmed"` // the replica was in contact with a leader
+	Revision  uint64        `cbor:"revision"`  // committed as far as the replica knows
+	Age       time.Duration `cbor:"age"`       // since the replica's contact with the leader
+}
+
+// Watch asks a control replica to push every change after revision From.
+type Watch struct {
+	From uint64 `cbor:"from"`
+}
+
+// Propose carries a command to the control group. The same CommandID gets the
+// first answer again.
+type Propose struct {
+	CommandID string     `cbor:"command_id"`
+	Command   RawMessage `cbor:"command"` // an encoded brstate command
+}
+
+// ProposeReply answers Propose once the command is committed and applied.
+type ProposeReply struct {
+	Revision uint64         `cbor:"revision"`
+	Result   RawMessage     `cbor:"result,omitempty"`
+	Error    *brerror.Error `cbor:"error,omitempty"`
+}
+
+// ConfirmedQuery asks another daemon whether it is confirmed at present.
+type ConfirmedQuery struct {
+	DaemonID string `cbor:"daemon_id"`
+}
+
+// ConfirmedReply answers ConfirmedQuery.
+type ConfirmedReply struct {
+	Confirmed bool   `cbor:"confirmed"`
+	Revision  uint64 `cbor:"revision"`
+}
+
+// Samples reports what a scheduler saw of one rollout on one route and version
+// during one period.
+type Samples struct {
+	RolloutID   string        `cbor:"rollout_id"`
+	Pool        string        `cbor:"pool"`
+	Route       string        `cbor:"route"`
+	Version     string        `cbor:"version"`
+	Period      time.Duration `cbor:"period"`
+	Requests    int           `cbor:"requests"` // ended in the period
+	Errors      int           `cbor:"errors"`
+	SlowFirst   int           `cbor:"slow_first"`  // first token over the route's target
+	SlowTokens  int           `cbor:"slow_tokens"` // mean time between tokens over the route's target
+	Outstanding int           `cbor:"outstanding"` // tokens, at the end of the period
+	Tripped     bool          `cbor:"tripped"`     // the scheduler's breaker stopped the version
+}
--- /dev/null
+++ b/brwire/request.go
@@ -0,0 +1,135 @@
+package brwire
+
+import (
+	"bramleyroute/brerror"
+	"time"
+)
+
+// Names of the messages between entries and schedulers.
+const (
+	NameSubmit     = "submit"
+	NameGrant      = "grant"
+	NameRefuse     = "refuse"
+	NameWithdraw   = "withdraw"
+	NameStarted    = "started"
+	NameFirstToken = "first_token"
+	NameDone       = "done"
+	NameJoin       = "join"
+	NameRecover    = "recover"
+	NameLocate     = "locate"
+	NameReport     = "report"
+)
+
+// Submit asks the scheduler of a pool for a grant. The entry keeps the body and
+// the caller's connection.
+type Submit struct {
+	RequestID     string        `cbor:"request_id"`
+	Assigned      bool          `cbor:"assigned"` // the id was made by the entry, so no other entry can hold it
+	Pool          string        `cbor:"pool"`
+	Customer      string        `cbor:"customer"`
+	Route         string        `cbor:"route"`
+	Tier          int           `cbor:"tier"`     // 1 (highest) to 5
+	Deadline      time.Duration `cbor:"deadline"` // until the first token, from the sending of Submit
+	PromptTokens  int           `cbor:"prompt_tokens"`
+	MaxTokens     int           `cbor:"max_tokens"`
+	PrefixHashes  []uint64      `cbor:"prefix_hashes,omitempty"` // one per block of PrefixBlockTokens, each over the whole prefix up to its end
+	NonIdempotent bool          `cbor:"non_idempotent"`
+}
+
+// PrefixBlockTokens is the length in tokens of the blocks that prefix hashes
+// and cache events speak of.
+const PrefixBlockTokens = 64
+
+// Grant allows the entry one dispatch of one request to one endpoint.
+type Grant struct {
+	RequestID  string        `cbor:"request_id"`
+	Epoch      uint64        `cbor:"epoch"`
+	EndpointID string        `cbor:"endpoint_id"`
+	Address    string        `cbor:"address"` // host:port
+	Version    string        `cbor:"version"`
+	Window     time.Duration `cbor:"window"` // the dispatch must start within this time of the grant's arrival
+}
+
+// Refuse ends a submit without a grant.
+type Refuse struct {
+	RequestID string        `cbor:"request_id"`
+	Epoch     uint64        `cbor:"epoch"`
+	Error     brerror.Error `cbor:"error"`
+}
+
+// Withdraw takes a queued or granted request back before it was dispatched.
+type Withdraw struct {
+	RequestID string `cbor:"request_id"`
+	Epoch     uint64 `cbor:"epoch"`
+}
+
+// Started tells that the dispatch passed the boundary: from here the request
+// may have run.
+type Started struct {
+	RequestID string `cbor:"request_id"`
+	Epoch     uint64 `cbor:"epoch"`
+}
+
+// FirstToken tells that the first token of the answer arrived.
+type FirstToken struct {
+	RequestID string        `cbor:"request_id"`
+	Epoch     uint64        `cbor:"epoch"`
+	Elapsed   time.Duration `cbor:"elapsed"` // since the dispatch
+}
+
+// Done ends a granted request. Outcome NotRun returns the grant unused.
+type Done struct {
+	RequestID    string          `cbor:"request_id"`
+	Epoch        uint64          `cbor:"epoch"`
+	OK           bool            `cbor:"ok"`
+	Outcome      brerror.Outcome `cbor:"outcome"`
+	Kind         brerror.Kind    `cbor:"kind"` // meaningful when OK is false
+	PromptTokens int             `cbor:"prompt_tokens"`
+	CachedTokens int             `cbor:"cached_tokens"` // of PromptTokens, served from the prefix cache
+	OutputTokens int             `cbor:"output_tokens"`
+	FirstToken   time.Duration   `cbor:"first_token"` // since the dispatch; 0 when none came
+	Duration     time.Duration   `cbor:"duration"`    // since the dispatch
+}
+
+// Join is the scheduler's call to an entry after it took a pool over. The entry
+// answers with Recover and from then on accepts no grant of an older epoch.
+type Join struct {
+	Pool  string `cbor:"pool"`
+	Epoch uint64 `cbor:"epoch"`
+}
+
+// Recover tells a new owner what an entry holds for its pool.
+type Recover struct {
+	EntryID  string       `cbor:"entry_id"`
+	Pool     string       `cbor:"pool"`
+	Epoch    uint64       `cbor:"epoch"`
+	Queued   []Submit     `cbor:"queued"`
+	Running  []RunningRef `cbor:"running"`
+	Finished []string     `cbor:"finished"` // request ids dispatched and ended within the retention
+}
+
+// RunningRef names a dispatched request that has not ended.
+type RunningRef struct {
+	Submit     Submit `cbor:"submit"`
+	EndpointID string `cbor:"endpoint_id"`
+	Address    string `cbor:"address"`
+	Version    string `cbor:"version"`
+}
+
+// Locate asks a scheduler where a request was dispatched.
+type Locate struct {
+	Pool      string `cbor:"pool"`
+	RequestID string `cbor:"request_id"`
+}
+
+// Located answers Locate.
+type Located struct {
+	Found      bool   `cbor:"found"`
+	Finished   bool   `cbor:"finished"`
+	EntryID    string `cbor:"entry_id"`
+	EndpointID string `cbor:"endpoint_id"`
+	Address    string `cbor:"address"`
+}
+
+// Ack is the empty answer of a call.
+type Ack struct{}
