--- a/brwire/request.go
+++ b/brwire/request.go
@@ -133,3 +133,18 @@
 
 // Ack is the empty answer of a call.
 type Ack struct{}
+
+// NameHello is the first push on every link between daemons.
+const NameHello = "hello"
+
+// Hello names the daemon that dialled.
+type Hello struct {
+	DaemonID string `cbor:"daemon_id"`
+}
+
+// Pooled carries a message to or from the scheduler of one pool; a daemon may
+// own several.
+type Pooled[T any] struct {
+	Pool    string `cbor:"pool"`
+	Message T      `cbor:"message"`
+}
