brmember: sessions, leader's majorities and the daemon's standing

Cause: one cut-off daemon must stop, the loss of the whole control group must stop nobody, and a pool must not get two owners. Change: three reducers. Confirmations are acknowledged (brwire.HeartbeatAck), so that the leader knows them before a pool lease lapses, and a revision counts as accepted when a majority of the registered daemons has applied it.

--- /dev/null
+++ b/brmember/member_test.go
@@ -0,0 +1,154 @@
+package brmember
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleyroute/brlease"
+	"bramleyroute/brwire"
+	"github.com/google/go-cmp/cmp"
+)
+
+var zero = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return zero.Add(time.Duration(ms) * time.Millisecond) }
+
+// confirmed returns daemon a of a, b, c, confirmed at 0 with revision 5, that
+// asks at 2,900 ms.
+func confirmed() *Daemon {
+	d := NewDaemon(zero, "a")
+	d.Step(zero, Registered{[]string{"a", "b", "c"}})
+	d.Step(zero, Applied{5})
+	d.Step(zero, Tick{})
+	d.Step(zero, ReplyReceived{brwire.HeartbeatReply{Sequence: 1, Confirmed: true, Revision: 5}})
+	d.Step(zero, LeaseGranted{brlease.Lease{Name: "p", Holder: "a", Epoch: 4, Duration: 3 * time.Second}, zero})
+	d.Step(at(2900), Tick{})
+	return d
+}
+
+// Guards against an answer that is counted although it must not be.
+func TestAnswers(t *testing.T) {
+	unconfirmed := brwire.ConfirmedReply{Ready: true, Revision: 5}
+	for _, c := range []struct {
+		name     string
+		from     string
+		round    uint64
+		at       int // of the arrival, ms
+		reply    brwire.ConfirmedReply
+		standing Standing // at 3,100 ms
+		holds    bool     // at 3,100 ms
+	}{
+		{"unconfirmed", "b", 1, 2950, unconfirmed, Exempt, true},
+		{"older revision", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Revision: 4}, Exempt, true},
+		{"newer revision", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Revision: 6}, Unconfirmed, true},
+		{"confirmed", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Confirmed: true, Revision: 5}, Unconfirmed, false},
+		{"just started", "b", 1, 2950, brwire.ConfirmedReply{Revision: 5}, Unconfirmed, false},
+		{"not registered", "x", 1, 2950, unconfirmed, Unconfirmed, false},
+		{"other question", "b", 9, 2950, unconfirmed, Unconfirmed, false},
+		{"after the lease", "b", 1, 2975, unconfirmed, Exempt, false},
+	} {
+		d := confirmed()
+		d.Step(at(c.at), AnswerReceived{c.round, c.from, c.reply})
+		if _, holds := d.Holds(at(3100), "p"); d.Standing(at(3100)) != c.standing || holds != c.holds {
+			t.Errorf("%s: %v, holds %v", c.name, d.Standing(at(3100)), holds)
+		}
+		if d.Standing(at(2900+1500)) != Unconfirmed || d.TakesWork(at(4400)) {
+			t.Errorf("%s: outlives the extension", c.name)
+		}
+	}
+}
+
+// Guards against a frozen process that acts on a lease, and against one that
+// waits for its next step before it notices.
+func TestFreeze(t *testing.T) {
+	d := confirmed()
+	d.Step(at(2950), AnswerReceived{1, "b", brwire.ConfirmedReply{Ready: true, Revision: 5}})
+	d.Step(at(2960), LeaseGranted{brlease.Lease{Name: "long", Holder: "a", Epoch: 2, Duration: time.Minute}, at(2960)})
+	if _, ok := d.Holds(at(5960), "long"); ok {
+		t.Error("holds a lease 3 s after the last step")
+	}
+	got := d.Step(at(5960), LeaseRenewed{brlease.Lease{Name: "long", Epoch: 2, Duration: time.Minute}, at(2960)})
+	if diff := cmp.Diff(Effect(Frozen{3 * time.Second, []string{"long", "p"}}), got[0]); diff != "" {
+		t.Error(diff)
+	}
+	if _, ok := d.Holds(at(5961), "long"); ok {
+		t.Error("holds a lease after the freeze")
+	}
+}
+
+// Guards against a run of confirmation that goes on after the daemon told an
+// owner that it is unconfirmed, and against a leader that counts a short run.
+func TestRunStartsAgain(t *testing.T) {
+	d, s, l := confirmed(), &Sessions{}, NewLeader(zero)
+	d.Step(at(2950), Asked{"b"})
+	s.Step(at(2960), HeartbeatReceived{brwire.Heartbeat{Daemon: brwire.Daemon{ID: "a"}, Sequence: 2}})
+	s.Step(at(2960), Replied{"a", 2})
+	for _, ef := range d.Step(at(2970), ReplyReceived{brwire.HeartbeatReply{Sequence: 2, Confirmed: true, Revision: 5}}) {
+		if ack, ok := ef.(SendAck); ok {
+			s.Step(at(2980), AckReceived(ack))
+		}
+	}
+	l.Report(at(2990), s.Reports(at(2995)))
+	if l.daemons["a"].run != 20*time.Millisecond || l.Confirmed(at(3000), []string{"a"}) || !l.Live(at(3000), []string{"a"}) {
+		t.Errorf("leader knows %+v", l.daemons["a"])
+	}
+}
+
+// Guards against a replica that reports its own network's fault as lost daemons,
+// and against one that reports a single lost daemon late.
+func TestSessions(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		silent []int // of 12 daemons, four per failure domain
+		want   map[int][]SessionEffect
+	}{
+		{"one", []int{0}, map[int][]SessionEffect{3000: {Lost{[]string{"d00"}}}}},
+		{"one per domain", []int{0, 4, 8}, map[int][]SessionEffect{3000: {Lost{[]string{"d00", "d04", "d08"}}}}},
+		{"half of a domain", []int{0, 1}, map[int][]SessionEffect{3000: {Calm{true}}, 8000: {Lost{[]string{"d00", "d01"}}}, 8100: {Calm{false}}}},
+		{"a third of all", []int{0, 4, 8, 9}, map[int][]SessionEffect{3000: {Calm{true}}, 8000: {Lost{[]string{"d00", "d04", "d08", "d09"}}}, 8100: {Calm{false}}}},
+	} {
+		s, got := &Sessions{}, map[int][]SessionEffect{}
+		for ms := 0; ms <= 9000; ms += 100 {
+			for i := range 12 {
+				quiet := false
+				for _, j := range c.silent {
+					quiet = quiet || i == j && ms > 0
+				}
+				if !quiet {
+					id := fmt.Sprintf("d%02d", i)
+					s.Step(at(ms), HeartbeatReceived{brwire.Heartbeat{Daemon: brwire.Daemon{ID: id, FailureDomain: fmt.Sprint(i / 4)}}})
+				}
+			}
+			if ef := s.Step(at(ms), SessionTick{}); ef != nil {
+				got[ms] = ef
+			}
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: %s", c.name, diff)
+		}
+	}
+}
+
+// Guards against removing daemons while the leader itself may be cut off.
+func TestRemovable(t *testing.T) {
+	l, ids := NewLeader(zero), []string{"a", "b", "c"}
+	late := at(10 * 60 * 1000)
+	l.Report(late, []Report{{DaemonID: "a"}})
+	if got := l.Removable(late, ids); got != nil {
+		t.Errorf("without a majority: %v", got)
+	}
+	l.Report(late, []Report{{DaemonID: "b"}})
+	if diff := cmp.Diff([]string{"c"}, l.Removable(late, ids)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func Example() {
+	d := NewDaemon(zero, "vm-1")
+	d.Step(zero, Registered{[]string{"vm-1", "vm-2", "vm-3"}})
+	d.Step(zero, Tick{}) // asks for SendHeartbeat
+	d.Step(at(3), ReplyReceived{brwire.HeartbeatReply{Sequence: 1, Confirmed: true}})
+	fmt.Println(d.Standing(at(2999)), d.Standing(at(3000)))
+	// Output: confirmed unconfirmed
+}
--- /dev/null
+++ b/brmember/simulation_test.go
@@ -0,0 +1,328 @@
+package brmember
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bramleyroute/brlease"
+	"bramleyroute/brwire"
+	"pgregory.net/rapid"
+)
+
+const (
+	pool = "pool"
+	step = 10 * time.Millisecond
+)
+
+// simulation runs daemons 0..n-1 against one control node, number n, over links
+// with delays and cuts. Each daemon's clock runs at its own rate.
+type simulation struct {
+	n         int
+	now       time.Duration
+	rate      []int // clock, per mille
+	daemons   []*Daemon
+	queue     []delivery
+	cut       map[[2]int]bool
+	delay     func() time.Duration
+	sessions  Sessions
+	leader    *Leader
+	table     *brlease.Table
+	timers    *brlease.Timers
+	committed uint64
+	accepted  map[uint64]time.Duration
+	next      []time.Duration // next renewal or acquisition of each daemon
+	asked     time.Duration
+	grants    int
+	dead      map[int]bool
+}
+
+type delivery struct {
+	due      time.Duration
+	from, to int
+	run      func()
+}
+
+func name(i int) string { return fmt.Sprint("d", i) }
+
+func (s *simulation) clock(i int) time.Time {
+	return time.Unix(1000, 0).Add(s.now * time.Duration(s.rate[i]) / 1000)
+}
+
+func newSimulation(n int, delay func() time.Duration) *simulation {
+	s := &simulation{n: n, rate: make([]int, n+1), daemons: make([]*Daemon, n), cut: map[[2]int]bool{}, delay: delay, committed: 1,
+		table: brlease.NewTable(nil), accepted: map[uint64]time.Duration{}, next: make([]time.Duration, n), dead: map[int]bool{}}
+	for i := range s.rate {
+		s.rate[i] = 1000
+	}
+	s.elect()
+	for i := range n {
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *simulation) elect() {
+	s.leader, s.timers = NewLeader(s.clock(s.n)), brlease.NewTimers(s.clock(s.n), s.table.List())
+}
+
+func (s *simulation) registered() (ids []string) {
+	for i := range s.n {
+		ids = append(ids, name(i))
+	}
+	return ids
+}
+
+func (s *simulation) restart(i int) {
+	s.daemons[i] = NewDaemon(s.clock(i), name(i))
+	s.step(i, Registered{s.registered()})
+}
+
+func (s *simulation) send(from, to int, run func()) {
+	if !s.cut[[2]int{from, to}] {
+		s.queue = append(s.queue, delivery{s.now + s.delay(), from, to, run})
+	}
+}
+
+func (s *simulation) isolate(i int, peers []int, cut bool) {
+	for _, j := range peers {
+		s.cut[[2]int{i, j}], s.cut[[2]int{j, i}] = cut, cut
+	}
+}
+
+func (s *simulation) step(i int, ev Event) (reply brwire.ConfirmedReply) {
+	for _, ef := range s.daemons[i].Step(s.clock(i), ev) {
+		switch e := ef.(type) {
+		case SendHeartbeat:
+			s.send(i, s.n, func() { s.heartbeat(i, e) })
+		case SendAck:
+			s.send(i, s.n, func() { s.sessions.Step(s.clock(s.n), AckReceived(e)) })
+		case Ask:
+			for _, id := range e.To {
+				j := slices.Index(s.registered(), id)
+				s.send(i, j, func() {
+					r := s.step(j, Asked{name(i)})
+					s.send(j, i, func() { s.step(i, AnswerReceived{e.Round, id, r}) })
+				})
+			}
+		case Answer:
+			reply = e.Reply
+		case Behind:
+			if j := slices.Index(s.registered(), e.From); j >= 0 {
+				s.send(i, j, func() { r := s.daemons[j].revision; s.send(j, i, func() { s.step(i, Applied{r}) }) })
+			} else {
+				s.send(i, s.n, func() { r := s.committed; s.send(s.n, i, func() { s.step(i, Applied{r}) }) })
+			}
+		}
+	}
+	return reply
+}
+
+func (s *simulation) heartbeat(i int, h SendHeartbeat) {
+	now := s.clock(s.n)
+	s.sessions.Step(now, HeartbeatReceived{brwire.Heartbeat{Daemon: brwire.Daemon{ID: name(i)}, Revision: h.Revision, Sequence: h.Sequence}})
+	s.sessions.Step(now, Replied{name(i), h.Sequence})
+	r := brwire.HeartbeatReply{Sequence: h.Sequence, Confirmed: true, Revision: s.committed}
+	s.send(s.n, i, func() { s.step(i, ReplyReceived{r}) })
+}
+
+// lease renews the pool's lease or tries to acquire it.
+func (s *simulation) lease(i int) {
+	d, sent := s.daemons[i], s.clock(i)
+	s.next[i] = s.now + time.Second
+	if epoch, ok := d.Holds(sent, pool); ok {
+		s.send(i, s.n, func() {
+			if l, err := s.table.Renew(brlease.Renew{Name: pool, Holder: name(i), Epoch: epoch}); err == nil {
+				s.timers.Applied(s.clock(s.n), l)
+				s.send(s.n, i, func() { s.step(i, LeaseRenewed{l, sent}) })
+			}
+		})
+	} else if d.Standing(sent) == Confirmed {
+		s.next[i] = s.now + 200*time.Millisecond
+		s.send(i, s.n, func() { s.acquire(i, d, sent) })
+	}
+}
+
+func (s *simulation) acquire(i int, d *Daemon, sent time.Time) {
+	now, a := s.clock(s.n), brlease.Acquire{Name: pool, Holder: name(i), Duration: 3 * time.Second}
+	if t, ok := s.timers.Lapsed(now, pool); ok && s.leader.Confirmed(now, s.registered()) {
+		a.Lapsed = &t
+	}
+	if l, err := s.table.Acquire(a); err == nil {
+		s.grants++
+		s.timers.Applied(now, l)
+		s.send(s.n, i, func() {
+			if s.daemons[i] == d { // not restarted since
+				s.step(i, LeaseGranted{l, sent})
+			}
+		})
+	}
+}
+
+func (s *simulation) propose() {
+	if !s.leader.Live(s.clock(s.n), s.registered()) {
+		return
+	}
+	s.committed++
+	for i, r := range slices.Repeat([]uint64{s.committed}, s.n) {
+		s.send(s.n, i, func() { s.step(i, Applied{r}) })
+	}
+}
+
+// run advances by d and checks the promises at each step; extra checks more.
+func (s *simulation) run(t rapid.TB, d time.Duration, extra func()) {
+	for end := s.now + d; s.now < end; s.now += step {
+		due := s.queue
+		s.queue = nil
+		for _, m := range due {
+			switch {
+			case m.due > s.now:
+				s.queue = append(s.queue, m)
+			case !s.cut[[2]int{m.from, m.to}] && !s.dead[m.to]:
+				m.run()
+			}
+		}
+		for i := range s.n {
+			if !s.dead[i] && (s.now/step+time.Duration(7*i))%5 == 0 {
+				s.step(i, Tick{})
+			}
+			if !s.dead[i] && s.now >= s.next[i] {
+				s.lease(i)
+			}
+		}
+		if s.now%(100*time.Millisecond) == 0 {
+			s.leader.Report(time.Unix(1000, 0).Add(s.asked), s.sessions.Reports(s.clock(s.n)))
+			s.asked = s.now
+			s.sessions.Step(s.clock(s.n), SessionTick{})
+		}
+		if _, ok := s.accepted[s.committed]; !ok && s.leader.Applied(s.committed, s.registered()) {
+			s.accepted[s.committed] = s.now
+		}
+		s.check(t)
+		extra()
+	}
+}
+
+func (s *simulation) check(t rapid.TB) {
+	var owners []int
+	for i, d := range s.daemons {
+		if s.dead[i] {
+			continue
+		}
+		if _, ok := d.Holds(s.clock(i), pool); ok {
+			owners = append(owners, i)
+		}
+		for r, at := range s.accepted {
+			if d.TakesWork(s.clock(i)) && d.revision < r && s.now-at > 4*time.Second {
+				t.Fatalf("at %v %s serves revision %d, %d was accepted at %v", s.now, name(i), d.revision, r, at)
+			}
+		}
+	}
+	if len(owners) > 1 {
+		t.Fatalf("at %v the pool has the owners %v", s.now, owners)
+	}
+}
+
+// Guards against a daemon that serves an outdated configuration and against two
+// owners of a pool, over schedules of cuts, delays, restarts and elections.
+func TestSafety(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "daemons")
+		most := time.Duration(rapid.SampledFrom([]int{5, 300, 2500}).Draw(t, "most delay, ms")) * time.Millisecond
+		seed := rapid.Uint64().Draw(t, "seed")
+		s := newSimulation(n, func() time.Duration { // splitmix64, so that a schedule replays
+			seed += 0x9e3779b97f4a7c15
+			z := (seed ^ seed>>30) * 0xbf58476d1ce4e5b9
+			return time.Duration((z ^ z>>27) % uint64(most))
+		})
+		for i := range s.rate {
+			s.rate[i] = 1000 + rapid.IntRange(-4, 4).Draw(t, "rate")
+		}
+		s.run(t, 5*time.Second, func() {})
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			i, j := rapid.IntRange(0, n-1).Draw(t, "daemon"), rapid.IntRange(0, n).Draw(t, "peer")
+			switch rapid.SampledFrom([]string{"cut", "cut", "heal", "heal all", "change", "restart", "elect", "lose control", "cut one way"}).Draw(t, "event") {
+			case "cut":
+				s.isolate(i, []int{j}, true)
+			case "cut one way":
+				s.cut[[2]int{j, i}] = true
+			case "heal":
+				s.isolate(i, []int{j}, false)
+			case "heal all":
+				clear(s.cut)
+			case "change":
+				s.propose()
+			case "restart":
+				s.restart(i)
+			case "elect":
+				s.elect()
+			case "lose control":
+				for k := range n {
+					s.isolate(n, []int{k}, true)
+				}
+			}
+			s.run(t, time.Duration(rapid.IntRange(0, 400).Draw(t, "wait"))*step, func() {})
+		}
+	})
+}
+
+func warm(t *rapid.T, n int) *simulation {
+	s := newSimulation(n, func() time.Duration { return 5 * time.Millisecond })
+	for i := range n { // heartbeats and renewals at any phase
+		s.dead[i] = true
+	}
+	for i := range n {
+		s.run(t, time.Duration(rapid.IntRange(0, 25).Draw(t, "phase"))*step, func() {})
+		s.dead[i] = false
+		s.restart(i)
+	}
+	s.run(t, 10*time.Second+time.Duration(rapid.IntRange(0, 100).Draw(t, "loss"))*step, func() {})
+	return s
+}
+
+// Guards against daemons and owners that stop when the whole control group is
+// lost, however their heartbeats and renewals lie in time.
+func TestLossOfControlStopsNobody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := warm(t, rapid.IntRange(1, 5).Draw(t, "daemons"))
+		for i := range s.n {
+			s.isolate(s.n, []int{i}, true)
+		}
+		s.run(t, 20*time.Second, func() {
+			owned := false
+			for i, d := range s.daemons {
+				_, ok := d.Holds(s.clock(i), pool)
+				owned = owned || ok
+				if !d.TakesWork(s.clock(i)) {
+					t.Fatalf("at %v %s is %v", s.now, name(i), d.Standing(s.clock(i)))
+				}
+			}
+			if !owned {
+				t.Fatalf("at %v the pool has no owner", s.now)
+			}
+		})
+	})
+}
+
+// Guards against a daemon that goes on without the control group while others
+// are confirmed, and against a pool that stays without an owner after it.
+func TestCutOffOwnerStops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := warm(t, rapid.IntRange(3, 5).Draw(t, "daemons"))
+		l, _ := s.table.Get(pool)
+		i, since := slices.Index(s.registered(), l.Holder), s.now
+		s.isolate(i, []int{s.n}, true)
+		if rapid.Bool().Draw(t, "also from daemons") {
+			s.isolate(i, []int{0, 1, 2, 3, 4}, true)
+		}
+		s.run(t, 12*time.Second, func() {
+			if s.now-since > 3100*time.Millisecond && s.daemons[i].TakesWork(s.clock(i)) {
+				t.Fatalf("%v after the cut %s takes work", s.now-since, name(i))
+			}
+			if got, _ := s.table.Get(pool); s.now-since > 4*time.Second && got.Epoch == l.Epoch {
+				t.Fatalf("%v after the cut the pool has no new owner", s.now-since)
+			}
+		})
+	})
+}
--- a/brwire/control.go
+++ b/brwire/control.go
@@ -7,14 +7,15 @@
 
 // Names of the messages between daemons and control replicas.
 const (
-	NameHeartbeat = "heartbeat"
-	NameWatch     = "watch"
-	NameChange    = "change"
-	NamePropose   = "propose"
-	NameLog       = "log"
-	NameConfirmed = "confirmed"
-	NameSamples   = "samples"
-	NameTimeline  = "timeline"
+	NameHeartbeat    = "heartbeat"
+	NameHeartbeatAck = "heartbeat_ack"
+	NameWatch        = "watch"
+	NameChange       = "change"
+	NamePropose      = "propose"
+	NameLog          = "log"
+	NameConfirmed    = "confirmed"
+	NameSamples      = "samples"
+	NameTimeline     = "timeline"
 )
 
 // Role is a part that a daemon plays.
@@ -44,16 +45,31 @@
 	Daemon   Daemon `cbor:"daemon"`
 	Revision uint64 `cbor:"revision"` // last applied
 	Leaving  bool   `cbor:"leaving"`
+	Sequence uint64 `cbor:"sequence"` // grows by one with each heartbeat of one start of the daemon
 }
 
 // HeartbeatReply confirms a revision. A daemon whose applied revision is at
-// least Revision was up to date Age before the reply was sent.
+// least Revision was up to date Age before the reply was sent. Age is counted
+// from the sending of the replica's last question that the leader answered, so
+// that the transit time of the answer is included.
 type HeartbeatReply struct {
+	Sequence  uint64        `cbor:"sequence"`  // of the heartbeat
 	Confirmed bool          `cbor:"confirmed"` // the replica was in contact with a leader
 	Revision  uint64        `cbor:"revision"`  // committed as far as the replica knows
 	Age       time.Duration `cbor:"age"`       // since the replica's contact with the leader
 }
 
+// HeartbeatAck tells the replica, right after the daemon was confirmed, what the
+// daemon knows. Without it the replica would learn this a heartbeat later, when
+// it is too old to decide on a lapsed pool lease.
+type HeartbeatAck struct {
+	DaemonID string        `cbor:"daemon_id"`
+	Sequence uint64        `cbor:"sequence"` // of the last reply that was received
+	Revision uint64        `cbor:"revision"` // last applied
+	Age      time.Duration `cbor:"age"`      // since the daemon's last confirmation
+	Run      time.Duration `cbor:"run"`      // time for which it has been confirmed without interruption
+}
+
 // Watch asks a control replica to push every change after revision From.
 type Watch struct {
 	From uint64 `cbor:"from"`
@@ -82,6 +98,7 @@
 type ConfirmedReply struct {
 	Confirmed bool   `cbor:"confirmed"`
 	Revision  uint64 `cbor:"revision"`
+	Ready     bool   `cbor:"ready"` // confirmed at least once since its start; otherwise the answer doesn't count
 }
 
 // Samples reports what a scheduler saw of one rollout on one route and version
