brstate: state machine, views and changes of the control group

Cause: the control replicas need one deterministic state, and daemons need the changes of it instead of copies.

--- /dev/null
+++ b/brstate/command.go
@@ -0,0 +1,140 @@
+package brstate
+
+import (
+	"reflect"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+	"bramleyroute/brlease"
+	"bramleyroute/brledger"
+	"bramleyroute/brwire"
+)
+
+// MaxIDBytes bounds the ids of commands, rollouts, orders and daemons.
+const MaxIDBytes = 128
+
+// Command is one entry of the log, encoded by brwire. Exactly one body is set.
+type Command struct {
+	ID string    `cbor:"id"`
+	At time.Time `cbor:"at"` // wall time, stamped by the leader
+
+	PutConfiguration *PutConfiguration `cbor:"put_configuration,omitempty"`
+	RegisterDaemon   *RegisterDaemon   `cbor:"register_daemon,omitempty"`
+	DeregisterDaemon *DeregisterDaemon `cbor:"deregister_daemon,omitempty"`
+	AcquireLease     *brlease.Acquire  `cbor:"acquire_lease,omitempty"`
+	RenewLease       *brlease.Renew    `cbor:"renew_lease,omitempty"`
+	ReleaseLease     *brlease.Release  `cbor:"release_lease,omitempty"`
+	BeginRequest     *brledger.Begin   `cbor:"begin_request,omitempty"`
+	FinishRequest    *brledger.Finish  `cbor:"finish_request,omitempty"`
+	ReleaseRequest   *brledger.Release `cbor:"release_request,omitempty"`
+	StartRollout     *StartRollout     `cbor:"start_rollout,omitempty"`
+	UpdateRollout    *UpdateRollout    `cbor:"update_rollout,omitempty"`
+	FinishRollout    *FinishRollout    `cbor:"finish_rollout,omitempty"`
+	PlaceOrder       *PlaceOrder       `cbor:"place_order,omitempty"`
+	FinishOrder      *FinishOrder      `cbor:"finish_order,omitempty"`
+}
+
+// PutConfiguration changes the configuration if its revision is Expected. One
+// of Change and Document is set. The result is a PutResult.
+type PutConfiguration struct {
+	Expected uint64             `cbor:"expected"`
+	Change   *brconfig.Change   `cbor:"change,omitempty"`
+	Document *brconfig.Document `cbor:"document,omitempty"` // replaces the whole configuration
+}
+
+// PutResult lists what a PutConfiguration changed or why it was refused.
+type PutResult struct {
+	Lines    []string           `cbor:"lines,omitempty" json:"lines,omitempty"`
+	Problems []brconfig.Problem `cbor:"problems,omitempty" json:"problems,omitempty"`
+}
+
+// RegisterDaemon adds a daemon or replaces its row.
+type RegisterDaemon struct {
+	Daemon brwire.Daemon `cbor:"daemon"`
+}
+
+// DeregisterDaemon removes a daemon, if it still has the incarnation; an empty
+// one matches any. Removing an absent daemon succeeds.
+type DeregisterDaemon struct {
+	DaemonID    string `cbor:"daemon_id"`
+	Incarnation string `cbor:"incarnation,omitempty"`
+}
+
+// BeginResult answers BeginRequest. The request may be dispatched only if Begun
+// is set; otherwise the record holds the kept answer.
+type BeginResult struct {
+	Begun  bool            `cbor:"begun"`
+	Record brledger.Record `cbor:"record"`
+}
+
+// StartRollout starts a version change of a model. The model must have no
+// rollout without an outcome.
+type StartRollout struct {
+	ID       string    `cbor:"id"`
+	Model    string    `cbor:"model"`
+	Pool     string    `cbor:"pool,omitempty"` // empty: all pools of the model
+	From     string    `cbor:"from"`
+	To       string    `cbor:"to"`
+	FinishBy time.Time `cbor:"finish_by"`
+}
+
+// UpdateRollout sets the stage, the share and the tripped routes of a rollout
+// without an outcome, if its revision is Expected.
+type UpdateRollout struct {
+	ID            string   `cbor:"id"`
+	Expected      uint64   `cbor:"expected"`
+	Stage         int      `cbor:"stage"`
+	SharePerMille int      `cbor:"share_per_mille"`
+	Tripped       []string `cbor:"tripped,omitempty"`
+}
+
+// FinishRollout sets the single outcome of a rollout, if its revision is
+// Expected.
+type FinishRollout struct {
+	ID       string  `cbor:"id"`
+	Expected uint64  `cbor:"expected"`
+	Outcome  Outcome `cbor:"outcome"`
+	Reason   string  `cbor:"reason"`
+}
+
+// PlaceOrder records an order to an endpoint before it is sent. Holder must hold
+// the lease in the epoch, which is the order's fencing token.
+type PlaceOrder struct {
+	ID         string `cbor:"id" json:"id"`
+	Lease      string `cbor:"lease" json:"lease"`
+	Holder     string `cbor:"holder" json:"holder"`
+	Epoch      uint64 `cbor:"epoch" json:"epoch"`
+	EndpointID string `cbor:"endpoint_id" json:"endpoint_id"`
+	Kind       string `cbor:"kind" json:"kind"`
+	Version    string `cbor:"version,omitempty" json:"version,omitempty"`
+	Adapter    string `cbor:"adapter,omitempty" json:"adapter,omitempty"`
+	Role       string `cbor:"role,omitempty" json:"role,omitempty"`
+}
+
+// FinishOrder records the result of an order. Of two results the first counts.
+type FinishOrder struct {
+	ID      string `cbor:"id"`
+	OK      bool   `cbor:"ok"`
+	Message string `cbor:"message,omitempty"`
+}
+
+// Encode returns the log entry of c.
+func (c Command) Encode() ([]byte, error) { return brwire.Encode(c) }
+
+// Kind returns the snake case name of the body, or an error of the kind
+// invalid_request when not exactly one is set.
+func (c Command) Kind() (string, error) {
+	kind, n := "", 0
+	v := reflect.ValueOf(c)
+	for i := range v.NumField() {
+		if f := v.Field(i); f.Kind() == reflect.Pointer && !f.IsNil() {
+			tag := v.Type().Field(i).Tag.Get("cbor")
+			kind, n = tag[:len(tag)-len(",omitempty")], n+1
+		}
+	}
+	if n != 1 {
+		return "", brerror.New(brerror.InvalidRequest, "command has %d bodies instead of one", n)
+	}
+	return kind, nil
+}
--- /dev/null
+++ b/brstate/snapshot.go
@@ -0,0 +1,150 @@
+package brstate
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brlease"
+	"bramleyroute/brledger"
+	"bramleyroute/brwire"
+)
+
+// A snapshot is a sequence of frames: length as a uvarint, then a CBOR encoded
+// frame. The first frame has the header. Frames are kept below frameBytes, as
+// far as single rows allow, because brwire.Decode refuses large messages.
+const frameBytes = 1 << 20
+
+type frame struct {
+	Header    *header           `cbor:"header,omitempty"`
+	Items     *brconfig.Change  `cbor:"items,omitempty"`
+	Owners    []Owner           `cbor:"owners,omitempty"`
+	Daemons   []brwire.Daemon   `cbor:"daemons,omitempty"`
+	Rollouts  []Rollout         `cbor:"rollouts,omitempty"`
+	Leases    []brlease.Lease   `cbor:"leases,omitempty"`
+	Records   []brledger.Record `cbor:"records,omitempty"`
+	Orders    []Order           `cbor:"orders,omitempty"`
+	Results   []result          `cbor:"results,omitempty"`
+	LastFrame bool              `cbor:"last_frame,omitempty"`
+}
+
+type header struct {
+	Format                int       `cbor:"format"`
+	Index                 uint64    `cbor:"index"`
+	Now                   time.Time `cbor:"now"`
+	Revision              uint64    `cbor:"revision"`
+	ConfigurationRevision uint64    `cbor:"configuration_revision"`
+}
+
+const snapshotFormat = 1
+
+// Snapshot returns the state as bytes, the same on each replica that applied
+// the same entries.
+func (s *State) Snapshot() []byte {
+	v := s.view
+	w := &frameWriter{}
+	w.frame(frame{Header: &header{snapshotFormat, s.index, s.now, v.Revision, v.ConfigurationRevision}})
+	writeRows(w, v.Configuration.Models, func(rows []brconfig.Model) frame { return frame{Items: &brconfig.Change{Models: rows}} })
+	writeRows(w, v.Configuration.Templates, func(rows []brconfig.Template) frame { return frame{Items: &brconfig.Change{Templates: rows}} })
+	writeRows(w, v.Configuration.Customers, func(rows []brconfig.Customer) frame { return frame{Items: &brconfig.Change{Customers: rows}} })
+	writeRows(w, v.Owners, func(rows []Owner) frame { return frame{Owners: rows} })
+	writeRows(w, v.Daemons, func(rows []brwire.Daemon) frame { return frame{Daemons: rows} })
+	writeRows(w, v.Rollouts, func(rows []Rollout) frame { return frame{Rollouts: rows} })
+	writeRows(w, s.leases.List(), func(rows []brlease.Lease) frame { return frame{Leases: rows} })
+	writeRows(w, s.ledger.Records(), func(rows []brledger.Record) frame { return frame{Records: rows} })
+	writeRows(w, s.orders.list(), func(rows []Order) frame { return frame{Orders: rows} })
+	writeRows(w, s.results.list(), func(rows []result) frame { return frame{Results: rows} })
+	w.frame(frame{LastFrame: true})
+	return w.data
+}
+
+// Restore returns the state of a snapshot, with an empty history. It returns an
+// error when data is not a whole snapshot of a known format.
+func Restore(data []byte) (*State, error) {
+	s := New()
+	var records []brledger.Record
+	var leases []brlease.Lease
+	var items brconfig.Change
+	for n := 0; ; n++ {
+		f, rest, err := readFrame(data)
+		if err != nil {
+			return nil, fmt.Errorf("brstate: restore frame %d: %w", n, err)
+		}
+		data = rest
+		if (n == 0) != (f.Header != nil) || f.Header != nil && f.Header.Format != snapshotFormat {
+			return nil, fmt.Errorf("brstate: restore frame %d: header missing, misplaced or of an unknown format", n)
+		}
+		if h := f.Header; h != nil {
+			s.index, s.now = h.Index, h.Now
+			s.view.Revision, s.view.ConfigurationRevision = h.Revision, h.ConfigurationRevision
+		}
+		if f.Items != nil {
+			items.Models = append(items.Models, f.Items.Models...)
+			items.Templates = append(items.Templates, f.Items.Templates...)
+			items.Customers = append(items.Customers, f.Items.Customers...)
+		}
+		s.view.Owners = append(s.view.Owners, f.Owners...)
+		s.view.Daemons = append(s.view.Daemons, f.Daemons...)
+		s.view.Rollouts = append(s.view.Rollouts, f.Rollouts...)
+		leases, records = append(leases, f.Leases...), append(records, f.Records...)
+		for _, o := range f.Orders {
+			s.orders.put(o)
+		}
+		for _, r := range f.Results {
+			s.results.put(r)
+		}
+		if f.LastFrame {
+			break
+		}
+	}
+	if len(data) > 0 {
+		return nil, fmt.Errorf("brstate: restore: %d bytes after the last frame", len(data))
+	}
+	s.view.Configuration = s.view.Configuration.With(items)
+	s.leases, s.ledger = brlease.NewTable(leases), brledger.New(brledger.DefaultLimits, records)
+	return s, nil
+}
+
+type frameWriter struct{ data []byte }
+
+func (w *frameWriter) frame(f frame) {
+	w.append(mustEncode(f))
+}
+
+func (w *frameWriter) append(b []byte) {
+	w.data = binary.AppendUvarint(w.data, uint64(len(b)))
+	w.data = append(w.data, b...)
+}
+
+// writeRows writes rows in frames, halving a batch that is too large.
+func writeRows[T any](w *frameWriter, rows []T, wrap func([]T) frame) {
+	const batch = 512
+	for len(rows) > 0 {
+		n := min(batch, len(rows))
+		b := mustEncode(wrap(rows[:n]))
+		for len(b) > frameBytes && n > 1 {
+			n /= 2
+			b = mustEncode(wrap(rows[:n]))
+		}
+		w.append(b)
+		rows = rows[n:]
+	}
+}
+
+func readFrame(data []byte) (frame, []byte, error) {
+	n, k := binary.Uvarint(data)
+	if k <= 0 || n > uint64(len(data)-k) {
+		return frame{}, nil, fmt.Errorf("snapshot is truncated")
+	}
+	f, err := brwire.Decode[frame](data[k : k+int(n)])
+	return f, data[k+int(n):], err
+}
+
+func mustEncode[T any](v T) []byte {
+	b, err := brwire.Encode(v)
+	if err != nil {
+		panic("brstate: encode: " + err.Error()) // the rows hold only types that CBOR has
+	}
+	return b
+}
--- /dev/null
+++ b/brstate/state.go
@@ -0,0 +1,274 @@
+package brstate
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+	"bramleyroute/brlease"
+	"bramleyroute/brledger"
+	"bramleyroute/brwire"
+)
+
+// MaxDaemons bounds the number of registered daemons.
+const MaxDaemons = 10_000
+
+// State is the state of the control group. New makes it. It is not safe for
+// concurrent use; the values that it returns are.
+type State struct {
+	index   uint64
+	now     time.Time // largest stamped time
+	view    View
+	leases  *brlease.Table
+	ledger  *brledger.Ledger
+	orders  orders
+	results results
+	history History
+
+	// ignoreExpected turns the comparison of revisions off, so that a test can
+	// show that the linearizability check notices.
+	ignoreExpected bool
+}
+
+// New returns the empty state with the default limits of the ledger.
+func New() *State {
+	return &State{leases: brlease.NewTable(nil), ledger: brledger.New(brledger.DefaultLimits, nil)}
+}
+
+// Apply applies the log entry at index. The change is nil when nothing changed
+// that daemons watch. A command that fails, also one that can't be decoded,
+// changes nothing and gets a reply with an error; the reply to a conflict has
+// the current revision. Apply panics if index is not larger than that of the
+// entry before, since the state would then differ from the other replicas'.
+func (s *State) Apply(index uint64, data []byte) (brwire.ProposeReply, *Change) {
+	if index <= s.index {
+		panic(fmt.Sprintf("brstate: entry %d applied after entry %d", index, s.index))
+	}
+	s.index = index
+	c, err := brwire.Decode[Command](data)
+	if err != nil {
+		return s.refuse(brerror.New(brerror.InvalidRequest, "decode command: %w", err)), nil
+	}
+	if at := c.At.UTC(); at.After(s.now) && at.Year() <= 9998 {
+		s.now = at
+	}
+	s.ledger.Expire(s.now)
+	s.results.expire(s.now)
+	s.orders.expire(s.now)
+	if err := checkIDs("id", c.ID); err != nil {
+		return s.refuse(err), nil
+	}
+	if r, ok := s.results.get(c.ID); ok {
+		return r, nil
+	}
+	if _, err := c.Kind(); err != nil {
+		return s.refuse(err), nil
+	}
+	reply, change := s.dispatch(c)
+	if change != nil {
+		change.Revision, change.Previous = index, s.view.Revision
+		s.view = s.view.With(*change)
+		s.history.Add(*change)
+		reply.Revision = index
+	}
+	s.results.add(c, s.now, reply)
+	return reply, change
+}
+
+// Index returns the index of the last entry that was applied.
+func (s *State) Index() uint64 { return s.index }
+
+// Now returns the largest time that was stamped on a command.
+func (s *State) Now() time.Time { return s.now }
+
+// View returns what daemons watch.
+func (s *State) View() View { return s.view }
+
+// ChangesAfter returns the changes that follow the view of a revision, and false
+// when the watcher needs the whole view.
+func (s *State) ChangesAfter(revision uint64) ([]Change, bool) {
+	if revision == s.view.Revision {
+		return nil, true
+	}
+	return s.history.After(revision)
+}
+
+// Leases returns all leases, sorted by name.
+func (s *State) Leases() []brlease.Lease { return s.leases.List() }
+
+// Lease returns the row of a lease. The leader passes it to its timers after
+// each acquisition, renewal and release.
+func (s *State) Lease(name string) (brlease.Lease, bool) { return s.leases.Get(name) }
+
+// Request returns the ledger's record of a request.
+func (s *State) Request(id string) (brledger.Record, bool) { return s.ledger.Get(id) }
+
+// Order returns an order.
+func (s *State) Order(id string) (Order, bool) { return s.orders.get(id) }
+
+// OpenOrders returns the orders without a result, in the order of their placing.
+func (s *State) OpenOrders() []Order { return s.orders.open() }
+
+func (s *State) dispatch(c Command) (brwire.ProposeReply, *Change) {
+	switch {
+	case c.PutConfiguration != nil:
+		return s.putConfiguration(*c.PutConfiguration)
+	case c.RegisterDaemon != nil:
+		return s.registerDaemon(c.RegisterDaemon.Daemon)
+	case c.DeregisterDaemon != nil:
+		return s.deregisterDaemon(*c.DeregisterDaemon)
+	case c.AcquireLease != nil:
+		l, err := s.leases.Acquire(*c.AcquireLease)
+		return s.leaseReply(l, err, true)
+	case c.RenewLease != nil:
+		l, err := s.leases.Renew(*c.RenewLease)
+		return s.leaseReply(l, err, false)
+	case c.ReleaseLease != nil:
+		l, err := s.leases.Release(*c.ReleaseLease)
+		return s.leaseReply(l, err, true)
+	case c.BeginRequest != nil:
+		return s.beginRequest(*c.BeginRequest), nil
+	case c.FinishRequest != nil:
+		_, err := s.ledger.Finish(*c.FinishRequest)
+		return s.reply(struct{}{}, err), nil
+	case c.ReleaseRequest != nil:
+		return s.reply(struct{}{}, s.ledger.Release(*c.ReleaseRequest)), nil
+	case c.StartRollout != nil:
+		r, err := s.startRollout(*c.StartRollout)
+		return s.rolloutReply(r, err)
+	case c.UpdateRollout != nil:
+		r, err := s.updateRollout(*c.UpdateRollout)
+		return s.rolloutReply(r, err)
+	case c.FinishRollout != nil:
+		r, err := s.finishRollout(*c.FinishRollout)
+		return s.rolloutReply(r, err)
+	case c.PlaceOrder != nil:
+		o, err := s.placeOrder(*c.PlaceOrder)
+		return s.reply(o, err), nil
+	case c.FinishOrder != nil:
+		o, err := s.orders.finish(*c.FinishOrder, s.now)
+		return s.reply(o, err), nil
+	}
+	panic("brstate: command without a body") // Kind was checked
+}
+
+func (s *State) putConfiguration(c PutConfiguration) (brwire.ProposeReply, *Change) {
+	current := s.view.ConfigurationRevision
+	if c.Expected != current && !s.ignoreExpected {
+		r := s.refuse(brerror.New(brerror.RevisionConflict, "configuration has revision %d, expected %d", current, c.Expected))
+		r.Revision = current
+		return r, nil
+	}
+	if (c.Change == nil) == (c.Document == nil) {
+		return s.refuse(brerror.New(brerror.InvalidRequest, "one of change and document must be given")), nil
+	}
+	// A whole document is checked as it was sent: its problems have the paths
+	// that the operator knows, and duplicates are not merged away.
+	next := brconfig.Document{}
+	if c.Document != nil {
+		next = *c.Document
+	} else {
+		next = s.view.Configuration.With(*c.Change)
+	}
+	if ps := brconfig.Check(next); len(ps) > 0 {
+		r := s.reply(PutResult{Problems: ps}, nil)
+		r.Error = brerror.New(brerror.InvalidRequest, "configuration has %d problems, first %s", len(ps), ps[0].Message).WithField(ps[0].Path)
+		r.Revision = current
+		return r, nil
+	}
+	diff := brconfig.Diff(s.view.Configuration, next)
+	change := &Change{Configuration: &diff, Revision: s.index, Previous: s.view.Revision}
+	after := s.view.With(*change)
+	change.Rollouts = s.followMoves(after)
+	return s.reply(PutResult{Lines: diff.Lines(s.view.Configuration)}, nil), change
+}
+
+func (s *State) registerDaemon(d brwire.Daemon) (brwire.ProposeReply, *Change) {
+	if err := checkIDs("daemon.id", d.ID); err != nil {
+		return s.refuse(err), nil
+	}
+	old, ok := s.view.Daemon(d.ID)
+	if !ok && len(s.view.Daemons) >= MaxDaemons {
+		return s.refuse(brerror.New(brerror.Overloaded, "%d daemons are registered", MaxDaemons)), nil
+	}
+	if ok && sameDaemon(old, d) {
+		return s.reply(struct{}{}, nil), nil
+	}
+	return s.reply(struct{}{}, nil), &Change{Daemons: []brwire.Daemon{d}}
+}
+
+func (s *State) deregisterDaemon(c DeregisterDaemon) (brwire.ProposeReply, *Change) {
+	d, ok := s.view.Daemon(c.DaemonID)
+	if !ok {
+		return s.reply(struct{}{}, nil), nil
+	}
+	if c.Incarnation != "" && c.Incarnation != d.Incarnation {
+		return s.refuse(brerror.New(brerror.RevisionConflict, "daemon %s was started again", d.ID)), nil
+	}
+	return s.reply(struct{}{}, nil), &Change{RemovedDaemons: []string{d.ID}}
+}
+
+// leaseReply passes the lease on; watchers hear of it when the owner changed.
+func (s *State) leaseReply(l brlease.Lease, err error, ownerChanged bool) (brwire.ProposeReply, *Change) {
+	r := s.reply(l, err)
+	if err != nil || !ownerChanged {
+		return r, nil
+	}
+	owners := ownerChange(l)
+	if owners == nil {
+		return r, nil
+	}
+	return r, &Change{Owners: owners}
+}
+
+func (s *State) beginRequest(c brledger.Begin) brwire.ProposeReply {
+	rec, begun, err := s.ledger.Begin(s.now, c)
+	if _, ok := s.view.Daemon(rec.Entry); brerror.Is(err, brerror.InProgress) && !ok {
+		// The entry is gone, so nobody will finish the record.
+		err = brerror.New(brerror.UnknownOutcome, "request may have run: its entry %s is no longer registered", rec.Entry).WithRun(rec.Entry, rec.Endpoint)
+	}
+	return s.reply(BeginResult{Begun: begun, Record: rec}, err)
+}
+
+func (s *State) rolloutReply(r Rollout, err error) (brwire.ProposeReply, *Change) {
+	reply := s.reply(r, err)
+	if err != nil {
+		if brerror.Is(err, brerror.RevisionConflict) {
+			reply.Revision = r.Revision
+		}
+		return reply, nil
+	}
+	change := &Change{Rollouts: []Rollout{r}, Revision: s.index, Previous: s.view.Revision}
+	if !r.Active() {
+		after := s.view.With(*change)
+		change.Rollouts = append(change.Rollouts, s.followMoves(after)...)
+		change.RemovedRollouts = endedRollouts(after)
+	}
+	return reply, change
+}
+
+// reply encodes a result with the present revision; Apply replaces it when the
+// entry has a change.
+func (s *State) reply(result any, err error) brwire.ProposeReply {
+	if err != nil {
+		return s.refuse(err)
+	}
+	b, err := brwire.Encode(result)
+	if err != nil {
+		panic("brstate: encode result: " + err.Error()) // results hold only types that CBOR has
+	}
+	return brwire.ProposeReply{Revision: s.view.Revision, Result: b}
+}
+
+func (s *State) refuse(err error) brwire.ProposeReply {
+	return brwire.ProposeReply{Revision: s.view.Revision, Error: brerror.From(err)}
+}
+
+func sameDaemon(a, b brwire.Daemon) bool {
+	ra, rb := a.Roles, b.Roles
+	a.Roles, b.Roles = nil, nil
+	return slices.Equal(ra, rb) && a.ID == b.ID && a.Incarnation == b.Incarnation && a.PeerAddress == b.PeerAddress &&
+		a.CallerAddress == b.CallerAddress && a.Region == b.Region && a.FailureDomain == b.FailureDomain
+}
