brpool: add the events and effects of the scheduler

The daemon is written against these types before the reducer is complete. Grants get a number within their epoch that entries echo, because a late copy of done(not_run) could otherwise end a later grant of the same request id.

--- /dev/null
+++ b/brpool/effect.go
@@ -0,0 +1,91 @@
+package brpool
+
+import (
+	"time"
+
+	"bramleyroute/brwire"
+)
+
+// Effect is an output of Step. The set is closed.
+type Effect interface{ effect() }
+
+// SendGrant sends a grant to an entry.
+type SendGrant struct {
+	EntryID string
+	Grant   brwire.Grant
+}
+
+// SendRefuse ends a submit without a grant.
+type SendRefuse struct {
+	EntryID string
+	Refuse  brwire.Refuse
+}
+
+// SendJoin asks an entry to join the pool's epoch and to answer with Recover.
+type SendJoin struct {
+	EntryID string
+	Join    brwire.Join
+}
+
+// SendLocated answers the Locate event with the same Ref.
+type SendLocated struct {
+	Ref     uint64
+	Located brwire.Located
+}
+
+// ReportSamples sends the samples of the last second to the control leader.
+type ReportSamples struct{ Samples []brwire.Samples }
+
+// Trip tells that the pool's breaker stopped a version on one route, or on all
+// routes when Route is empty.
+type Trip struct {
+	RolloutID string
+	Version   string
+	Route     string
+	Reason    string
+}
+
+// Released tells that no grant of Epoch is in flight after a Release; the lease
+// may be given back.
+type Released struct{ Epoch uint64 }
+
+// NoteRecovery is a timeline note: the pool grants again after a takeover.
+// Horizon is zero when every entry reported.
+type NoteRecovery struct {
+	Epoch   uint64
+	Missing []string
+	Horizon time.Time
+}
+
+// NoteShed is a timeline note: requests of one tier were shed.
+type NoteShed struct {
+	Tier   int
+	Count  int
+	Reason string
+}
+
+// NoteEndpoint is a timeline note: an endpoint changed its state.
+type NoteEndpoint struct {
+	EndpointID string
+	State      string // "joined", "half_open", "closed", "leaving", "silent" or "removed"
+	Reason     string
+}
+
+// NoteGrantOverdue is a timeline note: a grant was neither started nor returned
+// well after its window. The request stays bound to the entry.
+type NoteGrantOverdue struct {
+	RequestID string
+	EntryID   string
+}
+
+func (SendGrant) effect()        {}
+func (SendRefuse) effect()       {}
+func (SendJoin) effect()         {}
+func (SendLocated) effect()      {}
+func (ReportSamples) effect()    {}
+func (Trip) effect()             {}
+func (Released) effect()         {}
+func (NoteRecovery) effect()     {}
+func (NoteShed) effect()         {}
+func (NoteEndpoint) effect()     {}
+func (NoteGrantOverdue) effect() {}
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -48,6 +48,7 @@
 	Address    string        `cbor:"address"` // host:port
 	Version    string        `cbor:"version"`
 	Window     time.Duration `cbor:"window"` // the dispatch must start within this time of the grant's arrival
+	Number     uint64        `cbor:"number"` // of the grant within its epoch, from 1; echoed in Withdraw, Started, FirstToken and Done
 }
 
 // Refuse ends a submit without a grant.
@@ -61,6 +62,7 @@
 type Withdraw struct {
 	RequestID string `cbor:"request_id"`
 	Epoch     uint64 `cbor:"epoch"`
+	Number    uint64 `cbor:"number"` // of the grant; 0 when none arrived
 }
 
 // Started tells that the dispatch passed the boundary: from here the request
@@ -68,12 +70,14 @@
 type Started struct {
 	RequestID string `cbor:"request_id"`
 	Epoch     uint64 `cbor:"epoch"`
+	Number    uint64 `cbor:"number"` // of the grant; 0 when none arrived
 }
 
 // FirstToken tells that the first token of the answer arrived.
 type FirstToken struct {
 	RequestID string        `cbor:"request_id"`
 	Epoch     uint64        `cbor:"epoch"`
+	Number    uint64        `cbor:"number"`  // of the grant
 	Elapsed   time.Duration `cbor:"elapsed"` // since the dispatch
 }
 
@@ -81,6 +85,7 @@
 type Done struct {
 	RequestID    string          `cbor:"request_id"`
 	Epoch        uint64          `cbor:"epoch"`
+	Number       uint64          `cbor:"number"` // of the grant; a late copy cannot end a later grant of the same id
 	OK           bool            `cbor:"ok"`
 	Outcome      brerror.Outcome `cbor:"outcome"`
 	Kind         brerror.Kind    `cbor:"kind"` // meaningful when OK is false
