--- /dev/null
+++ b/brroute/breaker_test.go
@@ -0,0 +1,76 @@
+package brroute
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// run sends requests through a breaker, one in 20 of them to the new version on
+// the routes where it isn't stopped. It returns the new version's requests and
+// the routes where it was stopped, "" for all.
+func run(rng *rand.Rand, requests int, judge func(s Sample) Sample) (seen int, stopped map[string]string) {
+	var b Breaker
+	stopped = map[string]string{}
+	for i := range requests {
+		s := Sample{Route: []string{"drafting", "booking"}[rng.IntN(2)]}
+		_, all := stopped[""]
+		if _, one := stopped[s.Route]; i%20 == 0 && !all && !one {
+			s.New = true
+			seen++
+		}
+		if v, ok := b.Observe(start.Add(time.Duration(i)*10*time.Millisecond), judge(s)); ok {
+			stopped[v.Route] = v.Reason
+		}
+	}
+	return seen, stopped
+}
+
+// Guards against a bad version that goes on, and against stopping all routes
+// for the fault of one.
+func TestBreakerStopsBadVersions(t *testing.T) {
+	noise := func(rng *rand.Rand, p float64) bool { return rng.Float64() < p }
+	for _, c := range []struct {
+		name   string
+		judge  func(rng *rand.Rand, s Sample) Sample
+		within int    // requests of the new version
+		route  string // the only one that is stopped; empty for all
+	}{
+		{"fails at once", func(_ *rand.Rand, s Sample) Sample { s.Failed = s.New; return s }, 6, ""},
+		{"fails on one route", func(r *rand.Rand, s Sample) Sample {
+			s.Failed = noise(r, 0.001) || s.New && s.Route == "booking"
+			return s
+		}, 0, "booking"},
+		{"fails one in three", func(r *rand.Rand, s Sample) Sample { s.Failed = noise(r, 0.002) || s.New && noise(r, 0.33); return s }, 100, ""},
+		{"slow", func(r *rand.Rand, s Sample) Sample { s.Slow = noise(r, 0.04) || s.New; return s }, 20, ""},
+	} {
+		for seed := range uint64(50) {
+			rng := rand.New(rand.NewPCG(seed, 1))
+			seen, stopped := run(rng, 10_000, func(s Sample) Sample { return c.judge(rng, s) })
+			_, all := stopped[""]
+			if c.route == "" && (seen > c.within || !all && len(stopped) < 2) || c.route != "" && (len(stopped) != 1 || stopped[c.route] == "") {
+				t.Errorf("%s, seed %d: stopped on %v after %d requests", c.name, seed, stopped, seen)
+			}
+		}
+	}
+}
+
+// Guards against a breaker that stops good versions: 400 of them with 1%
+// failures and 5% slow requests, each judged over 5,000 requests, and 20 during
+// an overload in which half of both versions' requests are slow.
+func TestBreakerKeepsGoodVersions(t *testing.T) {
+	for seed := range uint64(420) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		slow := 0.05
+		if seed >= 400 {
+			slow = 0.5
+		}
+		seen, stopped := run(rng, 100_000, func(s Sample) Sample {
+			s.Failed, s.Slow = rng.Float64() < 0.01, rng.Float64() < slow
+			return s
+		})
+		if len(stopped) > 0 {
+			t.Errorf("seed %d: stopped on %v, %d requests", seed, stopped, seen)
+		}
+	}
+}
