brpool: add the scheduler reducer

Binding, admission, dispatch, recovery after a takeover, planned handover, counters, samples and the breaker's trips are one reducer over brqueue and brroute. A granted request is unbound only by a message that names its grant number, and an entry's Recover counts once per Join: a late copy of either could otherwise let the same id run through a second entry. Recover gets the entry's process age and where ended requests ran, because a restarted entry no longer knows what it dispatched.

--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -1,13 +1,39 @@
 package brpool
 
 import (
+	"maps"
 	"time"
 
+	"bramleyroute/brerror"
+	"bramleyroute/brqueue"
+	"bramleyroute/brroute"
 	"bramleyroute/brwire"
 )
 
-// TickInterval is how often Tick is due.
-const TickInterval = 100 * time.Millisecond
+const (
+	// TickInterval is how often Tick is due.
+	TickInterval = 100 * time.Millisecond
+	// GrantWindow is the time within which an entry must start a dispatch.
+	GrantWindow = 500 * time.Millisecond
+	// RecoverWait is how long a new owner waits for the reports of the entries.
+	RecoverWait = 2 * time.Second
+	// ClockSkew is the largest difference of two daemons' clocks that request
+	// ids are judged by.
+	ClockSkew = time.Second
+	// Retention is how long request ids stay on record, by the time in the id.
+	Retention = 10 * time.Minute
+	// RetentionNonIdempotent is the same for requests that the ledger holds.
+	RetentionNonIdempotent = 24 * time.Hour
+
+	defaultHeadroom      = 20        // percent
+	defaultQueueTokens   = 2_000_000 // design value
+	defaultQueueRequests = 10_000    // for services
+	// minTokens is the least work that a queued request counts, so that the
+	// bound in tokens bounds the number of requests to 31,250 as well.
+	minTokens = 64
+	// orphanLimit bounds how long a request of a lost entry counts as running.
+	orphanLimit = time.Minute
+)
 
 // Options configure a Pool.
 type Options struct {
@@ -17,7 +43,65 @@
 }
 
 // Pool is the state of the scheduler of one pool.
-type Pool struct{ opts Options }
+type Pool struct {
+	opts      Options
+	table     *brroute.Table
+	queue     brqueue.Queue
+	estimator brqueue.Estimator
+
+	owner     bool
+	releasing bool
+	released  bool
+	epoch     uint64
+	number    uint64 // of the last grant in the epoch
+	requests  map[string]*request
+	finished  finishedSet
+
+	recovering bool
+	takeover   time.Time
+	waiting    map[string]bool   // entries that have not reported since the takeover
+	joining    map[string]uint64 // entries asked to join, with the last grant number before
+	missing    time.Time         // ids that callers minted earlier may have run at an entry that didn't report
+	restarted  time.Time         // ids that callers minted earlier may have run at an entry's earlier process
+
+	queueLimit int
+	rollouts   []*rollout
+	samples    map[sampleKey]*sample
+
+	load     load
+	counters Counters
+	unacked  int // grants neither started nor returned
+	live     int // requests with a flight
+	second   time.Time
+	effects  []Effect
+}
+
+// request is a request on record that has not ended.
+type request struct {
+	brqueue.Item
+	key      requestKey
+	entry    string
+	submit   brwire.Submit
+	route    brroute.Request
+	rollout  *rollout
+	state    state
+	number   uint64
+	flight   *brroute.Flight
+	deadline time.Time // of the first token
+	granted  time.Time
+	first    time.Time
+	orphaned time.Time // when a lost entry's request stops counting; zero otherwise
+	noted    bool      // in the timeline, as overdue
+	judged   bool      // counted by the breaker as failed
+}
+
+type state uint8
+
+const (
+	queued state = iota
+	granted
+	started
+)
 
 // New returns a Pool that owns nothing yet. New panics if a field of o is
 // missing.
@@ -25,12 +109,134 @@
 	if o.Name == "" || o.Kind == "" || o.Rand == nil {
 		panic("brpool: options incomplete")
 	}
-	return &Pool{opts: o}
+	p := &Pool{
+		opts:     o,
+		table:    brroute.New(brroute.Options{Kind: o.Kind, Rand: o.Rand}),
+		requests: map[string]*request{},
+		waiting:  map[string]bool{},
+		joining:  map[string]uint64{},
+		samples:  map[sampleKey]*sample{},
+	}
+	p.counters.Refused = map[brerror.Kind]int{}
+	p.setLimits(SetLimits{})
+	return p
 }
 
 // Step applies ev at time now and returns the effects in the order in which
-// they must be carried out.
-func (p *Pool) Step(now time.Time, ev Event) []Effect { return nil }
+// they must be carried out. The caller owns the returned slice.
+func (p *Pool) Step(now time.Time, ev Event) []Effect {
+	p.effects = nil
+	switch ev := ev.(type) {
+	case Submit:
+		p.submit(now, ev.EntryID, ev.Submit)
+	case Withdraw:
+		p.withdraw(now, ev.EntryID, ev.Withdraw)
+	case Started:
+		p.start(now, ev.EntryID, ev.Started)
+	case FirstToken:
+		p.firstToken(now, ev.EntryID, ev.FirstToken)
+	case Done:
+		p.done(now, ev.EntryID, ev.Done)
+	case Report:
+		p.noteChanges(now, p.table.Report(now, ev.Announce))
+	case Takeover:
+		p.takeOver(now, ev)
+	case Recovered:
+		p.recovered(now, ev.Recover)
+	case EntryLost:
+		p.entryLost(now, ev.EntryID)
+	case EntryJoined:
+		p.entryJoined(ev.EntryID)
+	case Release:
+		p.releasing = p.owner
+	case LeaseEnded:
+		p.reset(now)
+	case SetLimits:
+		p.setLimits(ev)
+		p.refuseShed(p.queue.Fit(p.queueLimit), "queue bound lowered")
+	case SetRollouts:
+		p.setRollouts(ev.Rollouts)
+	case Locate:
+		p.locate(ev)
+	case Tick:
+		p.tick(now)
+	default:
+		panic("brpool: unknown event")
+	}
+	p.dispatch(now)
+	p.checkReleased()
+	return p.effects
+}
 
-// Check returns an error that names the first invariant that doesn't hold.
-func (p *Pool) Check() error { return nil }
+// Status describes a pool to operators.
+type Status struct {
+	Owner        bool
+	Epoch        uint64
+	Recovering   bool
+	Releasing    bool
+	QueuedByTier [brqueue.Tiers]int // requests
+	QueuedTokens int
+	Running      int     // requests granted and not ended
+	Finished     int     // ids on record
+	Outstanding  int     // tokens (service: requests) on endpoints
+	DrainRate    float64 // tokens per second that ended while requests waited; 0 when unknown
+	Endpoints    []brroute.Status
+	Counters     Counters
+}
+
+// Status returns the pool's state at present.
+func (p *Pool) Status() Status {
+	s := Status{
+		Owner: p.owner, Epoch: p.epoch, Recovering: p.recovering, Releasing: p.releasing,
+		QueuedTokens: p.queue.Tokens(), Running: p.live, Finished: len(p.finished.byID),
+		Outstanding: p.table.Outstanding(), DrainRate: p.load.drain,
+		Endpoints: p.table.Status(), Counters: p.counters,
+	}
+	s.Counters.Refused = maps.Clone(p.counters.Refused)
+	for t := range s.QueuedByTier {
+		s.QueuedByTier[t] = p.queue.TierLen(t + 1)
+	}
+	return s
+}
+
+func (p *Pool) emit(e Effect) { p.effects = append(p.effects, e) }
+
+func (p *Pool) setLimits(l SetLimits) {
+	headroom := l.Model.HeadroomPercent
+	if headroom <= 0 || headroom > 99 {
+		headroom = defaultHeadroom
+	}
+	p.table.SetLimits(headroom, max(0, l.Model.OutstandingLimit))
+	p.queueLimit = l.Model.QueueTokens
+	if p.queueLimit <= 0 {
+		p.queueLimit = defaultQueueTokens
+		if p.opts.Kind == brwire.KindService {
+			p.queueLimit = defaultQueueRequests
+		}
+	}
+	p.queue.SetWeights(l.Weights)
+}
+
+// noteChanges writes endpoint changes into the timeline and judges the requests
+// that stalled.
+func (p *Pool) noteChanges(now time.Time, changes []brroute.Change) {
+	for _, c := range changes {
+		p.emit(NoteEndpoint{EndpointID: c.EndpointID, State: string(c.State), Reason: c.Reason})
+		for _, f := range c.Stalled {
+			p.judgeStall(now, f)
+		}
+	}
+}
+
+func (p *Pool) locate(ev Locate) {
+	out := brwire.Located{}
+	id := ev.Locate.RequestID
+	if r := p.requests[id]; r != nil && r.flight != nil {
+		out = brwire.Located{Found: true, EntryID: r.entry, EndpointID: r.flight.EndpointID, Address: r.flight.Address}
+	} else if key, ok := parseID(id); ok {
+		if e, ok := p.finished.byID[key]; ok {
+			out = brwire.Located{Found: true, Finished: true, EntryID: e.entry, EndpointID: e.endpoint, Address: e.address}
+		}
+	}
+	p.emit(SendLocated{Ref: ev.Ref, Located: out})
+}
--- a/brroute/choose.go
+++ b/brroute/choose.go
@@ -39,13 +39,13 @@
 	if r.Tier > 1 && t.low > 0 && t.low+tokens > t.capacity*(100-t.headroom)/100 {
 		return Choice{}, false
 	}
-	warmest := t.index.lookup(r.PrefixHashes)
+	warmest := t.Warmest(r)
 	c, ok := t.chooseVersion(now, r)
 	if !ok {
 		return Choice{}, false
 	}
 	c.cached = t.cachedOn(c.endpoint, r)
-	c.warmest = min(warmest*brwire.PrefixBlockTokens, max(0, r.PromptTokens-1))
+	c.warmest = warmest
 	return c, true
 }
 
@@ -73,7 +73,7 @@
 	if sum >= 1000 && !rest {
 		return Choice{}, false
 	}
-	c, ok := t.pick(now, r, func(v string) bool { return !g.names(v) })
+	c, ok := t.pick(now, r, func(v string) bool { return t.takesRest(g, v) })
 	c.share = -1
 	return c, ok
 }
@@ -166,6 +166,23 @@
 	return late + s.first(e.pending+uncached) + decode
 }
 
+// Warmest returns the most prompt tokens of r that any endpoint has cached.
+func (t *Table) Warmest(r Request) int {
+	return min(t.index.lookup(r.PrefixHashes)*brwire.PrefixBlockTokens, max(0, r.PromptTokens-1))
+}
+
+// Usable returns the number of endpoints that announce themselves and aren't
+// leaving.
+func (t *Table) Usable() int {
+	n := 0
+	for _, e := range t.list {
+		if e.usable() {
+			n++
+		}
+	}
+	return n
+}
+
 // cachedOn returns the prompt tokens that e holds as of the last lookup. The
 // last token of a prompt is always computed.
 func (t *Table) cachedOn(e *endpoint, r Request) int {
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -9,6 +9,7 @@
 
 // Request is what the choice of an endpoint depends on.
 type Request struct {
+	ID           string
 	Route        string
 	Group        string // of version shares; empty for none
 	Tier         int    // 1 to 5
@@ -55,15 +56,18 @@
 // Tokens returns the expected tokens (service: 1) that f counts as outstanding.
 func (f *Flight) Tokens() int { return f.tokens }
 
+// ID returns the id of f's request.
+func (f *Flight) ID() string { return f.request.ID }
+
+// Attached reports whether f is in flight on an endpoint of the table.
+func (f *Flight) Attached() bool { return f.endpoint != nil }
+
 // Missed returns how many prompt tokens were prefilled although another endpoint
 // had them cached at the grant, when cached were served from the cache.
 func (f *Flight) Missed(cached int) int {
 	return max(0, f.warmest-max(f.cached, cached)) + max(0, f.cached-cached)
 }
 
-// Request returns the request of f.
-func (f *Flight) Request() Request { return f.request }
-
 // Grant puts r on the endpoint of c. Grant panics if the endpoint has left the
 // table since Choose.
 func (t *Table) Grant(now time.Time, r Request, c Choice) *Flight {
--- a/brroute/share.go
+++ b/brroute/share.go
@@ -5,18 +5,22 @@
 // ShareGroup splits the grants of its requests over versions.
 type ShareGroup struct {
 	ID     string
+	Rest   string // version that gets the rest; empty for any that no group names
 	Shares []VersionShare
 }
 
 // VersionShare is a version's part of the grants of a group. What the shares
-// leave of 1,000 goes to versions that the group doesn't name.
+// leave of 1,000 goes to the rest.
 type VersionShare struct {
 	Version  string
 	PerMille int
 	Excluded []string // routes that get nothing of Version and don't count
 }
 
-type group struct{ shares []share }
+type group struct {
+	rest   string
+	shares []share
+}
 
 type share struct {
 	VersionShare
@@ -32,7 +36,7 @@
 	old := t.groups
 	t.groups, t.reserved = make(map[string]*group, len(groups)), map[string]bool{}
 	for _, sg := range groups {
-		g, sum := &group{}, 0
+		g, sum := &group{rest: sg.Rest}, 0
 		for _, vs := range sg.Shares {
 			sum += vs.PerMille
 			if vs.PerMille < 0 || sum > 1000 {
@@ -89,7 +93,13 @@
 	return s.PerMille
 }
 
-func (g *group) names(version string) bool { return g.find(version) != nil }
+// takesRest reports whether a version gets the rest of g.
+func (t *Table) takesRest(g *group, version string) bool {
+	if g.rest != "" {
+		return version == g.rest
+	}
+	return g.find(version) == nil && !t.reserved[version]
+}
 
 func (g *group) find(version string) *share {
 	if g == nil {
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -111,6 +111,19 @@
 	Queued   []Submit     `cbor:"queued"`
 	Running  []RunningRef `cbor:"running"`
 	Finished []string     `cbor:"finished"` // request ids dispatched and ended within the retention
+	Ended    []EndedRef   `cbor:"ended"`    // as Finished, with where they ran; an id is in one of the two
+
+	// StartedAgo is the age of the entry's process, 0 when unknown. What an
+	// earlier process of the entry dispatched is in no report.
+	StartedAgo time.Duration `cbor:"started_ago"`
+}
+
+// EndedRef names a dispatched request that ended.
+type EndedRef struct {
+	RequestID  string `cbor:"request_id"`
+	EndpointID string `cbor:"endpoint_id"`
+	Address    string `cbor:"address"`
+	Ran        bool   `cbor:"ran"` // it certainly ran; otherwise its outcome is unknown
 }
 
 // RunningRef names a dispatched request that has not ended.
