brpool: add table and golden tests; queue equal deadlines in arrival order

Requests with equal deadlines were granted in heap order. The first push now goes first. The golden lists cover duplicates, recovery with and without a missing entry, handover and a trip.

--- a/brpool/finished.go
+++ b/brpool/finished.go
@@ -1,6 +1,10 @@
 package brpool
 
-import "time"
+import (
+	"time"
+
+	"bramleyroute/brerror"
+)
 
 const (
 	// bucketSpan is the granularity at which ended requests are forgotten.
@@ -61,6 +65,14 @@
 	ran                      bool // otherwise its outcome is unknown
 }
 
+// refusal returns what a resend of the request is told.
+func (e ended) refusal() *brerror.Error {
+	if e.ran {
+		return brerror.New(brerror.AlreadyRun, "the request has run").WithRun(e.entry, e.address)
+	}
+	return brerror.New(brerror.UnknownOutcome, "the request was dispatched and may have run").WithRun(e.entry, e.address)
+}
+
 // finishedSet holds the ended requests by id. Its zero value is empty.
 type finishedSet struct {
 	byID    map[requestKey]ended
--- /dev/null
+++ b/brpool/pool_test.go
@@ -0,0 +1,278 @@
+package brpool
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+	"github.com/sebdah/goldie/v2"
+)
+
+var start = time.Unix(1_800_000_000, 0).UTC()
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+// testID returns the n-th UUIDv7 minted at a time.
+func testID(minted time.Time, n int) string {
+	ms := minted.UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", ms>>16, ms&0xffff, n)
+}
+
+func newPool(kind brwire.EndpointKind) *Pool {
+	n := uint64(0)
+	return New(Options{Name: "m@r", Kind: kind, Rand: func() uint64 { n += 0x9e3779b97f4a7c15; return n }})
+}
+
+func submit(entry, id string, tier, prompt int) Submit {
+	return Submit{EntryID: entry, Submit: brwire.Submit{RequestID: id, Customer: "trust", Route: fmt.Sprint("r", tier), Tier: tier,
+		PromptTokens: prompt, MaxTokens: 100, Deadline: 10 * time.Second}}
+}
+
+func announce(id, version string, sequence uint64, capacity int) Report {
+	return Report{brwire.Announce{EndpointID: id, Address: id + ":1", Kind: brwire.KindEngine, Model: "m", Region: "r", Version: version,
+		Incarnation: "1", Sequence: sequence, CapacityTokens: capacity}}
+}
+
+// owned returns a pool that owns epoch 1, with one endpoint "e1".
+func owned(t testing.TB, capacity int) *Pool {
+	p := newPool(brwire.KindEngine)
+	step(t, p, 0, Takeover{Epoch: 1})
+	step(t, p, 0, announce("e1", "v1", 1, capacity))
+	return p
+}
+
+func step(t testing.TB, p *Pool, ms int, ev Event) []Effect {
+	t.Helper()
+	effects := p.Step(at(ms), ev)
+	if err := p.Check(); err != nil {
+		t.Fatalf("after %T: %v", ev, err)
+	}
+	return effects
+}
+
+func render(effects []Effect) string {
+	var b strings.Builder
+	for _, e := range effects {
+		switch e := e.(type) {
+		case SendGrant:
+			fmt.Fprintf(&b, "  grant %s %s number=%d epoch=%d %s %s\n", e.EntryID, short(e.Grant.RequestID), e.Grant.Number, e.Grant.Epoch, e.Grant.EndpointID, e.Grant.Version)
+		case SendRefuse:
+			x := e.Refuse.Error
+			fmt.Fprintf(&b, "  refuse %s %s %v entry=%q endpoint=%q retry=%v\n", e.EntryID, short(e.Refuse.RequestID), x.Kind, x.EntryID, x.EndpointAddress, x.RetryAfter.Round(time.Millisecond))
+		case ReportSamples:
+			for _, s := range e.Samples {
+				fmt.Fprintf(&b, "  sample %s %s %s requests=%d errors=%d outstanding=%d tripped=%v\n", s.RolloutID, s.Route, s.Version, s.Requests, s.Errors, s.Outstanding, s.Tripped)
+			}
+		default:
+			fmt.Fprintf(&b, "  %s %+v\n", strings.TrimPrefix(fmt.Sprintf("%T", e), "brpool."), e)
+		}
+	}
+	return b.String()
+}
+
+func short(id string) string { return strings.TrimLeft(id[min(24, len(id)):], "0") }
+
+type timed struct {
+	ms int
+	ev Event
+}
+
+// Guards against a change of the effects of whole sequences: duplicates, the
+// recovery with and without a missing entry, the handover and a trip.
+func TestGolden(t *testing.T) {
+	id := func(n int) string { return testID(start, n) }
+	done := func(entry string, n int, number uint64, m brwire.Done) Done {
+		m.RequestID, m.Epoch, m.Number = id(n), 1, number
+		return Done{EntryID: entry, Done: m}
+	}
+	ok := brwire.Done{OK: true, Outcome: brerror.Ran, PromptTokens: 100, OutputTokens: 50, FirstToken: 50 * time.Millisecond, Duration: time.Second}
+	failed := brwire.Done{Outcome: brerror.Unknown, Kind: brerror.EndpointFailed}
+	assigned := submit("b", testID(start, 8), 2, 100)
+	assigned.Submit.Assigned = true
+	rollout := SetRollouts{[]Rollout{{ID: "ro", Old: "v1", New: "v2", PerMille: 1000}}}
+	for name, list := range map[string][]timed{
+		"duplicates": {
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)},
+			{10, submit("a", id(1), 2, 100)}, {11, submit("a", id(1), 2, 100)}, {12, submit("b", id(1), 2, 100)},
+			{20, Started{"a", brwire.Started{RequestID: id(1), Epoch: 1, Number: 1}}},
+			{21, Withdraw{"a", brwire.Withdraw{RequestID: id(1), Epoch: 1, Number: 1}}},
+			{22, Locate{Ref: 7, Locate: brwire.Locate{RequestID: id(1)}}},
+			{1020, done("a", 1, 1, ok)}, {1021, done("a", 1, 1, ok)}, {1022, submit("b", id(1), 2, 100)},
+			{1023, Locate{Ref: 8, Locate: brwire.Locate{RequestID: id(1)}}},
+			{1030, submit("a", id(2), 2, 100)},
+			{1031, done("a", 2, 2, brwire.Done{Outcome: brerror.NotRun, Kind: brerror.EndpointUnavailable})},
+			{1032, submit("b", id(2), 2, 100)},
+			{1033, done("a", 2, 2, brwire.Done{Outcome: brerror.NotRun, Kind: brerror.EndpointUnavailable})},
+			{1034, done("b", 2, 2, brwire.Done{Outcome: brerror.NotRun, Kind: brerror.EndpointUnavailable})},
+			{1035, submit("c", id(2), 2, 100)},
+			{700_000, submit("c", id(3), 2, 100)}, {700_000, submit("c", "not-an-id", 2, 100)},
+		},
+		"recovery": {
+			{0, announce("e1", "v1", 1, 10_000)}, {0, Takeover{Epoch: 3, Entries: []string{"a", "b"}}},
+			{10, submit("b", id(1), 2, 100)}, {10, submit("b", id(2), 2, 100)},
+			{20, Recovered{brwire.Recover{EntryID: "a", Epoch: 3, Queued: []brwire.Submit{submit("a", id(4), 1, 100).Submit},
+				Running: []brwire.RunningRef{{Submit: submit("a", id(1), 2, 100).Submit, EndpointID: "e1", Address: "e1:1", Version: "v1"}},
+				Ended:   []brwire.EndedRef{{RequestID: id(2), EndpointID: "e1", Address: "e1:1", Ran: true}}}}},
+			{30, Recovered{brwire.Recover{EntryID: "b", Epoch: 3}}},
+			{40, submit("b", id(2), 2, 100)},
+			{50, LeaseEnded{}}, {60, submit("b", id(5), 2, 100)},
+		},
+		"missing_entry": {
+			{0, announce("e1", "v1", 1, 10_000)}, {0, Takeover{Epoch: 3, Entries: []string{"a", "b"}}},
+			{10, submit("b", id(1), 2, 100)}, {10, assigned}, {20, Recovered{brwire.Recover{EntryID: "b", Epoch: 3}}},
+			{1900, Tick{}}, {2000, announce("e1", "v1", 2, 10_000)}, {2000, Tick{}},
+			{2100, submit("b", id(6), 2, 100)}, {4000, announce("e1", "v1", 3, 10_000)}, {4000, submit("b", testID(at(4000), 7), 2, 100)},
+			{4100, EntryJoined{"a"}}, {4200, Recovered{brwire.Recover{EntryID: "a", Epoch: 3, Finished: []string{id(1)}}}},
+			{4300, submit("b", id(1), 2, 100)}, {4300, submit("b", id(6), 2, 100)},
+		},
+		"handover": {
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)},
+			{10, submit("a", id(1), 2, 100)}, {10, submit("b", id(2), 2, 100)}, {20, Release{}},
+			{30, submit("a", id(3), 2, 100)}, {40, Started{"a", brwire.Started{RequestID: id(1), Epoch: 1, Number: 1}}}, {50, EntryLost{"b"}},
+		},
+		"trip": {
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)}, {0, announce("e2", "v2", 1, 10_000)}, {0, rollout}, {0, Tick{}},
+			{10, submit("a", id(1), 2, 100)}, {10, submit("a", id(2), 2, 100)}, {10, submit("a", id(3), 2, 100)},
+			{20, done("a", 1, 1, failed)}, {20, done("a", 2, 2, failed)}, {20, done("a", 3, 3, failed)},
+			{30, submit("a", id(4), 2, 100)}, {1000, Tick{}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool(brwire.KindEngine)
+			var b strings.Builder
+			for _, e := range list {
+				fmt.Fprintf(&b, "%d ms: %T\n%s", e.ms, e.ev, render(step(t, p, e.ms, e.ev)))
+			}
+			goldie.New(t).Assert(t, name, []byte(b.String()))
+		})
+	}
+}
+
+// Guards against a traveller's question that waits behind drafting, in the queue
+// or on the endpoints.
+func TestTopTierNotBehindDrafting(t *testing.T) {
+	p := owned(t, 10_000)
+	for n := range 50 {
+		step(t, p, n, submit("a", testID(start, n), 4, 900))
+	}
+	if s := p.Status(); s.Outstanding > 8000 || s.QueuedByTier[3] == 0 {
+		t.Fatalf("drafting: %d tokens on endpoints, queued %v", s.Outstanding, s.QueuedByTier)
+	}
+	if got := render(step(t, p, 100, submit("a", testID(start, 100), 1, 900))); !strings.Contains(got, "grant a 64 ") {
+		t.Errorf("question was not granted at once: %s", got)
+	}
+}
+
+// Guards against a shed request of a higher tier while a lower one stays queued,
+// and against a flood that refuses without a time to come back.
+func TestFullQueueShedsLowestTier(t *testing.T) {
+	p := owned(t, 1000)
+	step(t, p, 0, SetLimits{Model: brconfig.Model{QueueTokens: 3000}})
+	step(t, p, 0, submit("a", testID(start, 1), 1, 900)) // occupies the endpoint
+	for n, tier := range []int{5, 3, 2} {
+		step(t, p, 1, submit("a", testID(start, 10+n), tier, 900))
+	}
+	got := render(step(t, p, 2, submit("a", testID(start, 20), 1, 900)))
+	if !strings.HasPrefix(got, "  refuse a a overloaded") || strings.Count(got, "refuse") != 1 {
+		t.Errorf("refused: %s", got)
+	}
+	if ra := p.retryAfter(5); ra < 750*time.Millisecond || ra > 1250*time.Millisecond {
+		t.Errorf("come back after %v, want 1 s with 25%% jitter", ra)
+	}
+}
+
+// Guards against requests that are held until their deadline although they
+// cannot meet it, alone or because of the work ahead.
+func TestEarlyRefusal(t *testing.T) {
+	p := owned(t, 2000)
+	finish := func(ms, n int) {
+		number := uint64(n)
+		step(t, p, ms, Done{"a", brwire.Done{RequestID: testID(start, n), Epoch: 1, Number: number, OK: true, PromptTokens: 1400, OutputTokens: 50,
+			FirstToken: 280 * time.Millisecond, Duration: 290 * time.Millisecond}})
+	}
+	for n := 1; n <= 40; n++ {
+		step(t, p, 0, submit("a", testID(start, n), 3, 1400))
+	}
+	for n := 1; n <= 12; n++ {
+		finish(n*300, n)
+		step(t, p, n*300, announce("e1", "v1", uint64(1+n), 2000))
+		step(t, p, n*300, Tick{})
+	}
+	long := submit("a", testID(start, 100), 2, 80_000)
+	if got := render(step(t, p, 3700, long)); !strings.Contains(got, "deadline_unmeetable") {
+		t.Errorf("16 s of prefill within 10 s: %s", got)
+	}
+	late := submit("a", testID(start, 101), 4, 1400)
+	late.Submit.Deadline = 5 * time.Second
+	if got := render(step(t, p, 3700, late)); !strings.Contains(got, "refuse a 65 overloaded") {
+		t.Errorf("8 s of higher tiers ahead, 5 s to go: %s", got)
+	}
+}
+
+// Guards against a service pool that is bounded in tokens or fills its headroom
+// with lower tiers.
+func TestServicePool(t *testing.T) {
+	p := newPool(brwire.KindService)
+	step(t, p, 0, Takeover{Epoch: 1})
+	for i := range 4 {
+		step(t, p, 0, announce(fmt.Sprint("w", i), "v1", 1, 1))
+	}
+	for n := range 10 {
+		step(t, p, 1, submit("a", testID(start, n), 3, 0))
+	}
+	if s := p.Status(); s.Outstanding != 3 || s.QueuedByTier[2] != 7 {
+		t.Errorf("%d of 4 workers busy with tier 3, queued %v", s.Outstanding, s.QueuedByTier)
+	}
+	step(t, p, 2, submit("a", testID(start, 20), 1, 0))
+	if s := p.Status(); s.Outstanding != 4 {
+		t.Errorf("%d of 4 workers busy", s.Outstanding)
+	}
+}
+
+// Guards against ids that are forgotten while they are still accepted, and
+// against a record that grows without bound.
+func TestRetention(t *testing.T) {
+	var s finishedSet
+	for n := range maxFinished + 10 {
+		k, ok := parseID(testID(at(n/10), n))
+		if !ok {
+			t.Fatal("id refused")
+		}
+		s.add(at(n/10), k, ended{ran: true})
+	}
+	now := at(maxFinished/10 + 1)
+	first, _ := parseID(testID(at(0), 0))
+	if _, ok := s.byID[first]; len(s.byID) > maxFinished || ok || !s.tooOld(now, first, Retention) {
+		t.Errorf("%d on record; the first is forgotten but not too old", len(s.byID))
+	}
+	s.expire(now.Add(Retention + 3*bucketSpan))
+	if len(s.byID) != 0 || len(s.buckets) != 0 {
+		t.Errorf("%d on record after the retention", len(s.byID))
+	}
+	for _, id := range []string{"", "0190A0B0-0000-7000-8000-000000000000", "0190a0b0-0000-4000-8000-000000000000", "0190a0b000007000-8000-000000000000----"} {
+		if _, ok := parseID(id); ok {
+			t.Errorf("%q accepted", id)
+		}
+	}
+}
+
+func ExamplePool() {
+	p := New(Options{Name: "m@r", Kind: brwire.KindEngine, Rand: func() uint64 { return 0 }})
+	p.Step(start, Takeover{Epoch: 1})
+	p.Step(start, Report{brwire.Announce{EndpointID: "e1", Address: "10.0.0.1:80", Version: "v1", Incarnation: "1", Sequence: 1, CapacityTokens: 50_000}})
+	for _, e := range p.Step(start, Submit{EntryID: "entry-1", Submit: brwire.Submit{
+		RequestID: testID(start, 1), Tier: 1, PromptTokens: 200, MaxTokens: 100, Deadline: time.Second,
+	}}) {
+		switch e := e.(type) {
+		case SendGrant:
+			fmt.Println(e.EntryID, e.Grant.EndpointID)
+		case SendRefuse:
+			fmt.Println(e.EntryID, e.Refuse.Error.Kind)
+		}
+	}
+	// Output: entry-1 e1
+}
--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -97,7 +97,7 @@
 		}
 		p.unbind(now, r)
 		if r.entry != entry {
-			p.refuse(r.entry, r.ID, brerror.New(brerror.UnknownOutcome, "another entry has dispatched the request").WithRun(entry, e.Address))
+			p.refuse(r.entry, r.ID, ended{entry: entry, address: e.Address, ran: e.Ran}.refusal())
 		}
 	}
 	if _, ok := p.finished.byID[key]; !ok {
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -63,10 +63,7 @@
 		return p.inProgress(r)
 	}
 	if e, ok := p.finished.byID[key]; ok {
-		if e.ran {
-			return brerror.New(brerror.AlreadyRun, "the request has run").WithRun(e.entry, e.address)
-		}
-		return brerror.New(brerror.UnknownOutcome, "the request was dispatched and may have run").WithRun(e.entry, e.address)
+		return e.refusal()
 	}
 	retention := Retention
 	if s.NonIdempotent {
--- a/brqueue/queue.go
+++ b/brqueue/queue.go
@@ -31,6 +31,7 @@
 	weights map[string]int
 	tokens  int
 	free    []*flow
+	pushes  uint64
 	shed    int // items shed while a lower tier was queued; stays 0
 }
 
@@ -81,7 +82,8 @@
 		t.add(f)
 	}
 	it.flow = f
-	f.push(it)
+	q.pushes++
+	f.push(it, q.pushes)
 	f.tokens += it.Tokens
 	t.tokens += it.Tokens
 	t.count++
--- a/brqueue/queue_test.go
+++ b/brqueue/queue_test.go
@@ -40,6 +40,7 @@
 	}{
 		{"tier first", nil, []*Item{item("low", "a", 5, 1, 1), item("high", "a", 1, 9000, 9)}, []string{"high", "low"}},
 		{"deadline within a customer", nil, []*Item{item("late", "a", 2, 1, 9), item("early", "a", 2, 1, 1)}, []string{"early", "late"}},
+		{"arrival for equal deadlines", nil, []*Item{item("1", "a", 2, 1, 1), item("2", "a", 2, 1, 1), item("3", "a", 2, 1, 1), item("4", "a", 2, 1, 1)}, []string{"1", "2", "3", "4"}},
 		{"equal shares", nil, []*Item{item("a1", "a", 2, 2000, 1), item("a2", "a", 2, 2000, 2), item("a3", "a", 2, 2000, 3), item("b1", "b", 2, 2000, 9)}, []string{"a1", "b1", "a2", "a3"}},
 		{"weight 2", map[string]int{"a": 2}, []*Item{item("a1", "a", 2, 2000, 1), item("a2", "a", 2, 2000, 2), item("a3", "a", 2, 2000, 3), item("b1", "b", 2, 2000, 9)}, []string{"a1", "a2", "b1", "a3"}},
 		{"long request waits for its share", nil, []*Item{item("long", "a", 2, 5*Quantum, 1), item("b1", "b", 2, Quantum, 2), item("b2", "b", 2, Quantum, 3)}, []string{"b1", "b2", "long"}},
--- a/brqueue/shed.go
+++ b/brqueue/shed.go
@@ -65,6 +65,7 @@
 	}
 	own, deadline := 0, it.Deadline.UnixNano()
 	for _, e := range it.flow.heap {
+		// Of items with an equal deadline most came earlier.
 		if e.item != it && e.deadline <= deadline {
 			own += e.item.Tokens
 		}
@@ -101,7 +102,7 @@
 	}
 	latest := worst.heap[0]
 	for _, e := range worst.heap {
-		if e.deadline > latest.deadline {
+		if latest.before(e) {
 			latest = e
 		}
 	}
--- a/brqueue/tier.go
+++ b/brqueue/tier.go
@@ -91,12 +91,17 @@
 }
 
 type entry struct {
-	deadline int64 // Unix nanoseconds
+	deadline int64  // Unix nanoseconds
+	order    uint64 // of the push; decides between equal deadlines
 	item     *Item
 }
 
-func (f *flow) push(it *Item) {
-	f.heap = append(f.heap, entry{it.Deadline.UnixNano(), it})
+func (a entry) before(b entry) bool {
+	return a.deadline < b.deadline || a.deadline == b.deadline && a.order < b.order
+}
+
+func (f *flow) push(it *Item, order uint64) {
+	f.heap = append(f.heap, entry{it.Deadline.UnixNano(), order, it})
 	f.up(len(f.heap) - 1)
 }
 
@@ -115,7 +120,7 @@
 func (f *flow) up(i int) {
 	for i > 0 {
 		p := (i - 1) / 2
-		if f.heap[p].deadline <= f.heap[i].deadline {
+		if !f.heap[i].before(f.heap[p]) {
 			return
 		}
 		f.heap[p], f.heap[i] = f.heap[i], f.heap[p]
@@ -129,10 +134,10 @@
 		if c >= len(f.heap) {
 			return
 		}
-		if c+1 < len(f.heap) && f.heap[c+1].deadline < f.heap[c].deadline {
+		if c+1 < len(f.heap) && f.heap[c+1].before(f.heap[c]) {
 			c++
 		}
-		if f.heap[i].deadline <= f.heap[c].deadline {
+		if !f.heap[c].before(f.heap[i]) {
 			return
 		}
 		f.heap[i], f.heap[c] = f.heap[c], f.heap[i]
