--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -70,7 +70,7 @@
 		p.submit(now, m.EntryID, s)
 	}
 	delete(p.waiting, m.EntryID)
-	if m.StartedAgo > 0 && m.StartedAgo < Retention {
+	if m.StartedAgo < Retention {
 		// Callers' ids from before its start may have been dispatched by the
 		// entry's earlier process, which reports to nobody.
 		p.restarted = later(p.restarted, now.Add(-m.StartedAgo+ClockSkew))
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -113,8 +113,8 @@
 	Finished []string     `cbor:"finished"` // request ids dispatched and ended within the retention
 	Ended    []EndedRef   `cbor:"ended"`    // as Finished, with where they ran; an id is in one of the two
 
-	// StartedAgo is the age of the entry's process, 0 when unknown. What an
-	// earlier process of the entry dispatched is in no report.
+	// StartedAgo is the age of the entry's process; 0 counts as just started.
+	// What an earlier process of the entry dispatched is in no report.
 	StartedAgo time.Duration `cbor:"started_ago"`
 }
 
