--- /dev/null
+++ b/cmd/brfake/main.go
@@ -0,0 +1,76 @@
+// Command brfake runs a fake engine or plain service on one address.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"bramleyroute/brfake"
+	"bramleyroute/brwire"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+func main() {
+	app := kingpin.New("brfake", "A stand-in for a model engine or a plain service.").DefaultEnvars()
+	c := flags(app)
+	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := run(*listen, *c); err != nil {
+		fmt.Fprintln(os.Stderr, "brfake:", err)
+		os.Exit(1)
+	}
+}
+
+func flags(app *kingpin.Application) *brfake.Config {
+	c := &brfake.Config{}
+	app.Flag("id", "Endpoint id.").Default("fake-1").StringVar(&c.EndpointID)
+	app.Flag("kind", "engine or service.").Default("engine").EnumVar((*string)(&c.Kind), string(brwire.KindEngine), string(brwire.KindService))
+	app.Flag("model", "Model or service name.").Default("model-a").StringVar(&c.Model)
+	app.Flag("serve-version", "Version that is served at the start.").Default("v1").StringVar(&c.Version)
+	app.Flag("region", "Region.").Default("local").StringVar(&c.Region)
+	app.Flag("failure-domain", "Failure domain.").Default("a").StringVar(&c.FailureDomain)
+	app.Flag("hardware", "Hardware generation.").Default("g1").StringVar(&c.Hardware)
+	app.Flag("checks-fencing", "Refuse orders with a stale fencing token.").BoolVar(&c.ChecksFencing)
+	app.Flag("capacity-tokens", "Announced capacity in tokens (service: requests).").Default("65536").IntVar(&c.CapacityTokens)
+	app.Flag("max-batch", "Sequences in a batch.").Default("64").IntVar(&c.MaxBatch)
+	app.Flag("prefill-per-token", "Time to compute one prompt token.").Default("50us").DurationVar(&c.PrefillPerToken)
+	app.Flag("step-base", "Time of a decode step with an empty batch.").Default("8ms").DurationVar(&c.StepBase)
+	app.Flag("step-per-sequence", "Time that each sequence adds to a step.").Default("100us").DurationVar(&c.StepPerSequence)
+	app.Flag("cache-blocks", "Prefix blocks kept.").Default("4096").IntVar(&c.CacheBlocks)
+	app.Flag("load-time", "Time to load a version.").Default("2s").DurationVar(&c.LoadTime)
+	app.Flag("service-latency", "Time of a call to a plain service.").Default("5ms").DurationVar(&c.ServiceLatency)
+	app.Flag("daemon", "Peer address of a daemon to announce to (repeatable).").StringsVar(&c.Daemons)
+	app.Flag("key", "Bearer key of announcements.").StringVar(&c.Key)
+	app.Flag("load-lag", "Age of announced load figures.").Default("1s").DurationVar(&c.LoadLag)
+	app.Flag("cache-event-lag", "Delay of cache events.").Default("1s").DurationVar(&c.CacheEventLag)
+	app.Flag("cache-event-loss", "Share of cache events that are lost.").Default("0.02").Float64Var(&c.CacheEventLoss)
+	app.Flag("seed", "Seed of losses and failures.").Default("1").Uint64Var(&c.Seed)
+	return c
+}
+
+func run(listen string, c brfake.Config) error {
+	ln, err := net.Listen("tcp", listen)
+	if err != nil {
+		return err
+	}
+	c.Address = ln.Addr().String()
+	e := brfake.New(c)
+	srv := &http.Server{Handler: e.Handler(), ConnContext: e.ConnContext, ReadHeaderTimeout: 10 * time.Second}
+	fmt.Println(c.Address)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, func() { _ = srv.Close() })
+	err = srv.Serve(ln)
+	e.Close()
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
