Add the dispatch boundary and the engine client

Cause: net/http's transport repeats requests on its own, which breaks at-most-once dispatch, and engines' streams break and need to be continued.

--- /dev/null
+++ b/brdispatch/client.go
@@ -0,0 +1,195 @@
+package brdispatch
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bramleyroute/brclock"
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+)
+
+// Defaults of the Client's settings.
+const (
+	DefaultDialTimeout    = 500 * time.Millisecond
+	DefaultSilence        = time.Second
+	DefaultResumeAttempts = 4
+	DefaultResumeBackoff  = 100 * time.Millisecond
+	DefaultStuckAfter     = 60 * time.Second
+	DefaultMaxAnswer      = 8 << 20 // bytes
+	cancelTimeout         = 2 * time.Second
+)
+
+// Client talks to endpoints. The zero value uses the defaults and the system
+// clock. It is safe for concurrent use; its fields are set before the first use.
+type Client struct {
+	Clock          brclock.Clock
+	DialTimeout    time.Duration
+	Silence        time.Duration // without any byte, after which a stream is resumed
+	ResumeAttempts int           // consecutive resumes without a new token
+	ResumeBackoff  time.Duration // before the second resume without a new token; doubles
+	MaxAnswer      int           // bytes of a service's answer
+	Counters       Counters
+
+	// Dial opens a connection; nil uses net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+	cancels sync.WaitGroup
+}
+
+// Close waits for the cancels that are still being sent, each at most a few
+// seconds.
+func (c *Client) Close() { c.cancels.Wait() }
+
+// Counters counts what the client saw since its start.
+type Counters struct {
+	Dispatches   atomic.Int64 // exchanges that passed the boundary
+	DialFailures atomic.Int64
+	Resumes      atomic.Int64
+	Foreign      atomic.Int64 // chunks of another request, dropped
+	Repeats      atomic.Int64 // chunks received before, skipped
+	Gaps         atomic.Int64
+	Silences     atomic.Int64
+	Stuck        atomic.Int64
+	Cancels      atomic.Int64
+}
+
+// conn is a connection whose reads fail after a time without any byte.
+type conn struct {
+	net.Conn
+	silence time.Duration
+}
+
+func (c *conn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.silence)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+func (c *Client) dial(ctx context.Context, address string, silence time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, or(c.DialTimeout, DefaultDialTimeout))
+	defer cancel()
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	nc, err := dial(ctx, "tcp", address)
+	if err != nil {
+		c.Counters.DialFailures.Add(1)
+		return nil, err
+	}
+	return &conn{Conn: nc, silence: silence}, nil
+}
+
+// exchange writes req once and reads the head of the answer. The answer is read
+// even when the write failed, because an endpoint may answer before it has read
+// the whole body.
+func exchange(cn *conn, br *bufio.Reader, req *http.Request) (*http.Response, error) {
+	req.Close = true
+	if err := cn.SetWriteDeadline(time.Now().Add(cn.silence)); err != nil {
+		return nil, err
+	}
+	writeErr := req.Write(cn)
+	for {
+		resp, err := http.ReadResponse(br, req)
+		if err != nil {
+			return nil, errors.Join(writeErr, err)
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("endpoint switched protocols")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+// Cancel ends a request at its engine. An engine that doesn't know the request
+// is no error. Cancel is not a dispatch.
+func (c *Client) Cancel(ctx context.Context, address, requestID string) error {
+	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
+	defer stop()
+	c.Counters.Cancels.Add(1)
+	cn, err := c.dial(ctx, address, cancelTimeout)
+	if err != nil {
+		return brerror.New(brerror.EndpointUnavailable, "cancel %s at %s: %w", requestID, address, err)
+	}
+	defer cn.Close()
+	defer context.AfterFunc(ctx, func() { _ = cn.Close() })()
+	req := newRequest(http.MethodDelete, address, brengine.PathRequests+url.PathEscape(requestID), nil, 0)
+	resp, err := exchange(cn, bufio.NewReader(cn), req)
+	if err != nil {
+		return brerror.New(brerror.EndpointFailed, "cancel %s at %s: %w", requestID, address, err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode != http.StatusNotFound {
+		return brerror.New(brerror.EndpointFailed, "cancel %s at %s: status %d", requestID, address, resp.StatusCode)
+	}
+	return nil
+}
+
+// newRequest builds a request without GetBody.
+func newRequest(method, address, path string, body io.Reader, length int64) *http.Request {
+	u, err := url.Parse(path)
+	if err != nil {
+		u = &url.URL{Path: path}
+	}
+	u.Scheme, u.Host = "http", address
+	r := &http.Request{Method: method, URL: u, Host: address, Header: http.Header{}, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1}
+	if length > 0 {
+		r.Body, r.ContentLength = io.NopCloser(body), length
+	}
+	return r
+}
+
+// dispatch dials, passes the boundary and performs the exchange. The returned
+// flag tells whether the boundary was passed.
+func (c *Client) dispatch(ctx context.Context, address string, silence time.Duration, boundary func() error,
+	req *http.Request, br *bufio.Reader) (*conn, *http.Response, bool, error) {
+	cn, err := c.dial(ctx, address, silence)
+	if err != nil {
+		return nil, nil, false, brerror.New(brerror.EndpointUnavailable, "dial %s: %w", address, err)
+	}
+	if err := ctx.Err(); err != nil {
+		_ = cn.Close()
+		return nil, nil, false, brerror.New(brerror.EndpointUnavailable, "not sent to %s: %w", address, err)
+	}
+	if err := boundary(); err != nil {
+		_ = cn.Close()
+		return nil, nil, false, fmt.Errorf("not sent to %s: %w", address, err)
+	}
+	c.Counters.Dispatches.Add(1)
+	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
+	defer stop()
+	br.Reset(cn)
+	resp, err := exchange(cn, br, req)
+	if err != nil {
+		_ = cn.Close()
+		return nil, nil, true, err
+	}
+	return cn, resp, true, nil
+}
+
+func (c *Client) clock() brclock.Clock {
+	if c.Clock == nil {
+		return brclock.System{}
+	}
+	return c.Clock
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
