--- a/brdispatch/chunk.go
+++ b/brdispatch/chunk.go
@@ -71,6 +71,7 @@
 
 func (s *scanner) choices(c *Chunk) error {
 	n := 0
+	c.Text, c.FinishReason = nil, nil // the last of repeated members counts
 	return s.array(func() error {
 		n++
 		if n > 1 {
--- /dev/null
+++ b/brdispatch/dispatch_test.go
@@ -0,0 +1,270 @@
+package brdispatch_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bramleyroute/brdispatch"
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+	"bramleyroute/brfake"
+)
+
+const id = "0190a1b2-0000-7000-8000-00000000beef"
+
+func chunk(rid string, offset, tokens int, finish string) string {
+	c := brengine.Chunk{ID: rid, Offset: offset, Tokens: tokens, Choices: []brengine.Choice{{Text: brfake.Text(rid, offset, offset+tokens), FinishReason: finish}}}
+	if finish != "" {
+		c.Usage = &brengine.Usage{CompletionTokens: offset + tokens}
+	}
+	b, _ := json.Marshal(c)
+	return "data: " + string(b) + "\n\n"
+}
+
+const done = "data: " + brengine.DoneMarker + "\n\n"
+
+// script is an engine that answers the n-th exchange with the n-th text; a text
+// that doesn't end with the end marker leaves its connection open and silent,
+// or closes it when it ends with "CLOSE".
+type script struct {
+	texts   []string
+	posts   atomic.Int32
+	seen    atomic.Int32
+	offsets []string
+	cancels chan struct{}
+}
+
+func (s *script) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		s.cancels <- struct{}{}
+		return
+	}
+	if r.Method == http.MethodPost {
+		s.posts.Add(1)
+	}
+	n := int(s.seen.Add(1)) - 1
+	s.offsets = append(s.offsets, r.URL.Query().Get("offset"))
+	text, closing := strings.CutSuffix(s.texts[min(n, len(s.texts)-1)], "CLOSE")
+	if strings.HasPrefix(text, "404") {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write([]byte(text))
+	_ = http.NewResponseController(w).Flush()
+	if closing {
+		panic(http.ErrAbortHandler)
+	}
+	if !strings.HasSuffix(text, done) {
+		<-r.Context().Done()
+	}
+}
+
+func start(tb testing.TB, h http.Handler) string {
+	tb.Helper()
+	srv := httptest.NewServer(h)
+	tb.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+// Guards against answers with holes, repeats or another request's text, and
+// against a second dispatch where a resume is right.
+func TestStreamIsWhole(t *testing.T) {
+	head, tail := chunk(id, 0, 2, ""), chunk(id, 2, 3, "length")+done
+	for _, tt := range []struct {
+		name    string
+		texts   []string
+		offsets string
+		count   func(*brdispatch.Counters) int64
+	}{
+		{"sound", []string{head + tail}, "", nil},
+		{"silent connection", []string{head, tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Silences.Load() }},
+		{"closed connection", []string{head + "CLOSE", tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Resumes.Load() }},
+		{"gap", []string{head + chunk(id, 3, 2, "length") + done, tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Gaps.Load() }},
+		{"overlap", []string{head + chunk(id, 1, 4, "length") + done, tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Gaps.Load() }},
+		{"repeat", []string{head + head + tail}, "", func(c *brdispatch.Counters) int64 { return c.Repeats.Load() }},
+		{"other request's chunk", []string{head + chunk("other", 2, 3, "length") + tail}, "", func(c *brdispatch.Counters) int64 { return c.Foreign.Load() }},
+		{"end marker too early", []string{head + done, tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Resumes.Load() }},
+		{"malformed chunk", []string{head + "data: {\"id\":\n\n", tail}, ",2", func(c *brdispatch.Counters) int64 { return c.Resumes.Load() }},
+		{"no answer, then not yet known", []string{"CLOSE", "404", head + tail}, ",0,0", func(c *brdispatch.Counters) int64 { return c.Resumes.Load() - 1 }},
+		{"last chunk lost", []string{chunk(id, 0, 5, "") + "CLOSE", chunk(id, 5, 0, "length") + done}, ",5", func(c *brdispatch.Counters) int64 { return c.Resumes.Load() }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{texts: tt.texts, cancels: make(chan struct{}, 1)}
+			c := &brdispatch.Client{Silence: 50 * time.Millisecond, ResumeBackoff: time.Millisecond}
+			var text string
+			res, err := c.Complete(context.Background(), brdispatch.Request{RequestID: id, Address: start(t, s),
+				Chunk: func(ch *brdispatch.Chunk) error { text += string(ch.Text); return nil }})
+			if err != nil || !res.Complete || !res.Dispatched || res.Next != 5 {
+				t.Fatalf("%+v, %v", res, err)
+			}
+			if text != brfake.Text(id, 0, 5) {
+				t.Errorf("text %q", text)
+			}
+			if n := s.posts.Load(); n != 1 {
+				t.Errorf("%d dispatches", n)
+			}
+			if got := strings.Join(s.offsets, ","); got != tt.offsets {
+				t.Errorf("offsets %q, want %q", got, tt.offsets)
+			}
+			if tt.count != nil && tt.count(&c.Counters) != 1 {
+				t.Error("fault was not counted once")
+			}
+		})
+	}
+}
+
+// Guards against resuming for ever, against a stuck stream that is kept, and
+// against streams that go on at the engine after their end here.
+func TestStreamEnds(t *testing.T) {
+	gone := errors.New("caller gone")
+	for _, tt := range []struct {
+		name  string
+		texts []string
+		stuck time.Duration
+		chunk func(*brdispatch.Chunk) error
+		want  brerror.Kind
+	}{
+		{"resumes fail", []string{chunk(id, 0, 2, "") + "CLOSE", "404"}, 0, nil, brerror.EndpointFailed},
+		{"keep-alives without tokens", []string{strings.Repeat(": keep-alive\n\n", 3)}, time.Microsecond, nil, brerror.Stuck},
+		{"caller gone", []string{chunk(id, 0, 2, "")}, 0, func(*brdispatch.Chunk) error { return gone }, brerror.Canceled},
+		{"canceled at the engine", []string{chunk(id, 0, 0, "canceled") + done}, 0, nil, brerror.Canceled},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &script{texts: tt.texts, cancels: make(chan struct{}, 1)}
+			c := &brdispatch.Client{Silence: 50 * time.Millisecond, ResumeBackoff: time.Millisecond, ResumeAttempts: 2}
+			res, err := c.Complete(context.Background(), brdispatch.Request{RequestID: id, Address: start(t, s), Chunk: tt.chunk, StuckAfter: tt.stuck})
+			if !brerror.Is(err, tt.want) || res.Complete || !res.Dispatched {
+				t.Errorf("%+v, %v; want %v", res, err, tt.want)
+			}
+			<-s.cancels
+			c.Close()
+		})
+	}
+}
+
+// Guards against repeating a request whose connection is closed after it was
+// read: net/http's transport repeats GET, and POST with an idempotency key.
+func TestClosedAfterReadIsSeenOnce(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		for _, header := range []string{"X-Other", "Idempotency-Key", "X-Idempotency-Key"} {
+			t.Run(method+" "+header, func(t *testing.T) {
+				var seen, keyed atomic.Int32
+				address := start(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if r.URL.Path == "/warm" {
+						return
+					}
+					seen.Add(1)
+					if strings.Contains(header, "Idempotency") && r.Header.Get(header) != "" {
+						keyed.Add(1)
+					}
+					panic(http.ErrAbortHandler)
+				}))
+				c := &brdispatch.Client{}
+				if _, _, err := c.Call(context.Background(), brdispatch.Call{Address: address, Method: method, Path: "/warm"}); err != nil {
+					t.Fatal(err)
+				}
+				_, res, err := c.Call(context.Background(), brdispatch.Call{RequestID: id, Address: address, Method: method,
+					Path: "/book?a=1", Header: http.Header{header: {"k"}}, Body: []byte("body")})
+				if !brerror.Is(err, brerror.EndpointFailed) || !res.Dispatched {
+					t.Errorf("%+v, %v", res, err)
+				}
+				if seen.Load() != 1 || keyed.Load() != 0 {
+					t.Errorf("seen %d times, key forwarded %d times", seen.Load(), keyed.Load())
+				}
+			})
+		}
+	}
+}
+
+// Guards against calling a dispatch unsent when a byte may have been written,
+// or sent when none was.
+func TestBoundary(t *testing.T) {
+	var seen atomic.Int32
+	address := start(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { seen.Add(1); _, _ = w.Write([]byte("x")) }))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	stale := errors.New("grant is stale")
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, tt := range []struct {
+		name     string
+		ctx      context.Context
+		address  string
+		boundary error
+		want     func(error) bool
+	}{
+		{"refused connection", context.Background(), ln.Addr().String(), nil, func(err error) bool { return brerror.Is(err, brerror.EndpointUnavailable) }},
+		{"boundary refuses", context.Background(), address, stale, func(err error) bool { return errors.Is(err, stale) }},
+		{"canceled before", canceled, address, nil, func(err error) bool { return brerror.Is(err, brerror.EndpointUnavailable) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			c := &brdispatch.Client{}
+			calls := 0
+			boundary := func() error { calls++; return tt.boundary }
+			res, err := c.Complete(tt.ctx, brdispatch.Request{RequestID: id, Address: tt.address, Boundary: boundary})
+			_, resCall, errCall := c.Call(tt.ctx, brdispatch.Call{RequestID: id, Address: tt.address, Method: "GET", Path: "/", Boundary: boundary})
+			if res.Dispatched || resCall.Dispatched || !tt.want(err) || !tt.want(errCall) {
+				t.Errorf("%+v %v, %+v %v", res, err, resCall, errCall)
+			}
+			if calls > 0 && tt.boundary == nil {
+				t.Error("boundary was passed")
+			}
+		})
+	}
+	if seen.Load() != 0 {
+		t.Errorf("endpoint saw %d requests", seen.Load())
+	}
+}
+
+// Guards against a cancel that races the start: whatever its timing, a result
+// that says unsent means that the endpoint saw nothing.
+func TestCancelRacesStart(t *testing.T) {
+	var seen atomic.Int32
+	address := start(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+	c := &brdispatch.Client{}
+	sent := int32(0)
+	for i := range 200 {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() {
+			for range i * 20 {
+				_ = ctx.Err()
+			}
+			cancel()
+		}()
+		if _, res, _ := c.Call(ctx, brdispatch.Call{RequestID: id, Address: address, Method: "GET", Path: "/"}); res.Dispatched {
+			sent++
+		}
+		cancel()
+	}
+	if n := seen.Load(); n > sent {
+		t.Errorf("endpoint saw %d requests, %d were reported as sent", n, sent)
+	}
+}
+
+func Example() {
+	srv := httptest.NewServer(&script{texts: []string{chunk(id, 0, 2, "length") + done}})
+	defer srv.Close()
+	c := &brdispatch.Client{}
+	res, err := c.Complete(context.Background(), brdispatch.Request{
+		RequestID: id, Address: srv.Listener.Addr().String(),
+		Boundary: func() error { fmt.Println("boundary"); return nil },
+		Chunk:    func(ch *brdispatch.Chunk) error { fmt.Printf("%q\n", ch.Text); return nil },
+	})
+	fmt.Println(res.Next, res.FinishReason, err)
+	// Output:
+	// boundary
+	// "0000beef:0 0000beef:1 "
+	// 2 length <nil>
+}
