Add the callers' entry

Cause: callers need one place that admits, holds, dispatches and answers requests. Change: brentry with function fields towards scheduler and ledger; brwire gains Attach and Located.Customer, so that any entry can resume an answer without the first entry canceling it, and only for the customer whose request it is.

--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -71,7 +71,7 @@
 	if err == nil {
 		answer, err = c.readAnswer(timed, cn, resp)
 	}
-	res := Result{Dispatched: true, Complete: err == nil, Duration: c.clock().Now().Sub(started)}
+	res := Result{Dispatched: true, Complete: err == nil, Status: answer.Status, Duration: c.clock().Now().Sub(started)}
 	res.FirstToken = max(1, res.Duration)
 	if err != nil {
 		res.FirstToken = 0
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -52,6 +52,7 @@
 	Next         int  // offset after the last token that was passed on
 	Resumes      int
 	Usage        brengine.Usage // known when Complete
+	Status       int            // HTTP status of a service's answer
 	FinishReason string
 	Version      string
 	FirstToken   time.Duration // since the boundary; 0 when none came
@@ -119,7 +120,8 @@
 }
 
 // Resume passes on the rest of the answer to a request that was dispatched
-// before, from token offset on. It is not a dispatch; Boundary is not called.
+// before, from token offset on. It is not a dispatch: Boundary is not called, and
+// the request is never canceled at the engine, since others may be reading it.
 func (c *Client) Resume(ctx context.Context, r Request, offset int) (Result, error) {
 	s := c.newStream(ctx, r)
 	defer s.release()
@@ -180,7 +182,9 @@
 	if s.ctx.Err() != nil {
 		err = brerror.New(brerror.Canceled, "canceled: %w", context.Cause(s.ctx))
 	}
-	c.cancelLater(s.request.Address, s.request.RequestID)
+	if s.result.Dispatched {
+		c.cancelLater(s.request.Address, s.request.RequestID)
+	}
 	return s.result, err
 }
 
--- /dev/null
+++ b/brentry/decode.go
@@ -0,0 +1,97 @@
+package brentry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+)
+
+const (
+	// defaultMaxTokens is brconfig's bound for routes that set none.
+	defaultMaxTokens = 4096
+	maxNameLength    = 256 // bytes of a model's or a route's name
+)
+
+// readBody returns the whole body, or too_large.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, brerror.New(brerror.TooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit).WithField("body")
+	}
+	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, brerror.New(brerror.InvalidRequest, "read body: %w", err).WithField("body")
+	}
+	if int64(len(b)) > limit {
+		return nil, brerror.New(brerror.TooLarge, "body exceeds %d bytes", limit).WithField("body")
+	}
+	return b, nil
+}
+
+// decodeCompletion parses a completion. Unknown fields are refused, because an
+// engine would not see them and the answer would differ from what was asked for.
+func decodeCompletion(body []byte) (brengine.Completion, error) {
+	var c brengine.Completion
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&c); err != nil {
+		return c, decodeError(err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return c, brerror.New(brerror.InvalidRequest, "data after the JSON object").WithField("body")
+	}
+	for _, f := range []struct {
+		name, value string
+		limit       int
+	}{{"model", c.Model, maxNameLength}, {"route", c.Route, maxNameLength}} {
+		if len(f.value) > f.limit {
+			return c, brerror.New(brerror.InvalidRequest, "longer than %d bytes", f.limit).WithField(f.name)
+		}
+	}
+	if c.Model == "" && c.Route == "" {
+		return c, brerror.New(brerror.InvalidRequest, "must be set when there is no route").WithField("model")
+	}
+	if strings.TrimSpace(c.Prompt) == "" {
+		return c, brerror.New(brerror.InvalidRequest, "must not be empty").WithField("prompt")
+	}
+	if c.MaxTokens < 0 {
+		return c, brerror.New(brerror.InvalidRequest, "must not be negative").WithField("max_tokens")
+	}
+	return c, nil
+}
+
+func decodeError(err error) error {
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) && te.Field != "" {
+		return brerror.New(brerror.InvalidRequest, "is a JSON %s", te.Value).WithField(te.Field)
+	}
+	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return brerror.New(brerror.InvalidRequest, "unknown field").WithField(strings.Trim(field, `"`))
+	}
+	return brerror.New(brerror.InvalidRequest, "%w", err).WithField("body")
+}
+
+// limitTokens applies the route's bound on the answer's length.
+func limitTokens(c brengine.Completion, r brconfig.Route) (brengine.Completion, error) {
+	limit := or(r.MaxTokens, defaultMaxTokens)
+	if c.MaxTokens > limit {
+		return c, brerror.New(brerror.InvalidRequest, "%d exceeds the route's limit of %d", c.MaxTokens, limit).WithField("max_tokens")
+	}
+	c.MaxTokens = or(c.MaxTokens, limit)
+	return c, nil
+}
+
+// bearerKey returns the key of the Authorization header.
+func bearerKey(r *http.Request) (string, error) {
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return "", brerror.New(brerror.Unauthorized, "no bearer key").WithField("Authorization")
+	}
+	return key, nil
+}
--- /dev/null
+++ b/brentry/service.go
@@ -0,0 +1,86 @@
+package brentry
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"bramleyroute/brdispatch"
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+)
+
+// serveService forwards one call to a plain service. The service sees the path
+// after its name. Calls count as one unit of the pool, which is bounded in
+// requests.
+func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
+	defer e.serving()()
+	h, err := e.admitService(r)
+	if err != nil {
+		e.refuse(w, r.Header.Get(brengine.HeaderRequestID), err)
+		return
+	}
+	var answer brdispatch.Answer
+	var endpointID string
+	stored, err := e.serveHeld(r.Context(), h, func(ctx context.Context, g brwire.Grant, pass func() error) (brdispatch.Result, error) {
+		a, res, err := e.client.Call(ctx, brdispatch.Call{
+			RequestID: h.submit.RequestID, Address: g.Address, Method: r.Method, Path: servicePath(r), Route: h.submit.Route,
+			Header: r.Header, Body: h.body, Timeout: stuckAfter(h.admission.Route), Boundary: pass,
+		})
+		answer, endpointID = a, g.EndpointID
+		if err == nil {
+			e.store(h, LedgerAnswer{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body})
+		}
+		return res, err
+	})
+	switch {
+	case stored != nil:
+		e.writeStored(w, h, *stored)
+	case err != nil:
+		e.note(h, err)
+		e.writeError(w, h.submit.RequestID, err)
+	default:
+		for name, values := range answer.Header {
+			w.Header()[name] = values
+		}
+		e.head(w.Header(), h.submit.RequestID, endpointID, h.admission.Revision)
+		w.WriteHeader(answer.Status)
+		_, _ = w.Write(answer.Body)
+	}
+}
+
+func (e *Entry) admitService(r *http.Request) (*held, error) {
+	key, body, err := e.receive(r)
+	if err != nil {
+		return nil, err
+	}
+	name, route := r.PathValue("name"), r.Header.Get(brengine.HeaderRoute)
+	if len(route) > maxNameLength {
+		return nil, brerror.New(brerror.InvalidRequest, "longer than %d bytes", maxNameLength).WithField(brengine.HeaderRoute)
+	}
+	a, err := e.Resolve(key, route, name)
+	if err != nil {
+		return nil, err
+	}
+	if a.Route.Model != name {
+		return nil, brerror.New(brerror.InvalidRequest, "route %q uses service %q", a.Route.Name, a.Route.Model).WithField(brengine.HeaderRoute)
+	}
+	h, err := e.newHeld(r, a)
+	if err != nil {
+		return nil, err
+	}
+	h.submit.PromptTokens = 1
+	h.body, h.bytes = body, heldOverhead+int64(len(body))
+	return h, nil
+}
+
+// servicePath returns the escaped path after the service's name, with the query.
+func servicePath(r *http.Request) string {
+	_, path, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), brengine.PathServices), "/")
+	path = "/" + path
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return path
+}
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -17,6 +17,7 @@
 	NameJoin       = "join"
 	NameRecover    = "recover"
 	NameLocate     = "locate"
+	NameAttach     = "attach"
 	NameReport     = "report"
 )
 
@@ -129,6 +130,16 @@
 	EntryID    string `cbor:"entry_id"`
 	EndpointID string `cbor:"endpoint_id"`
 	Address    string `cbor:"address"`
+	Customer   string `cbor:"customer"` // whose request it is; only that customer may read the answer
+}
+
+// Attach tells the entry that dispatched a request that another entry's caller
+// reads its answer, or has stopped. While a reader is attached, the request isn't
+// canceled when the first caller goes away.
+type Attach struct {
+	RequestID string `cbor:"request_id"`
+	ReaderID  string `cbor:"reader_id"` // unique for each resume
+	Attached  bool   `cbor:"attached"`
 }
 
 // Ack is the empty answer of a call.
