--- a/brentry/decode.go
+++ b/brentry/decode.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"bramleyroute/brconfig"
@@ -72,7 +73,11 @@
 		return brerror.New(brerror.InvalidRequest, "is a JSON %s", te.Value).WithField(te.Field)
 	}
 	if field, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
-		return brerror.New(brerror.InvalidRequest, "unknown field").WithField(strings.Trim(field, `"`))
+		name, uerr := strconv.Unquote(field)
+		if uerr != nil || name == "" || len(name) > maxNameLength {
+			name = "body"
+		}
+		return brerror.New(brerror.InvalidRequest, "unknown field").WithField(name)
 	}
 	return brerror.New(brerror.InvalidRequest, "%w", err).WithField("body")
 }
--- /dev/null
+++ b/brentry/entry_test.go
@@ -0,0 +1,299 @@
+package brentry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brengine"
+	"bramleyroute/brentry"
+	"bramleyroute/brerror"
+	"bramleyroute/brfake"
+	"bramleyroute/brwire"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) {
+	http.DefaultTransport.(*http.Transport).DisableKeepAlives = true
+	goleak.VerifyTestMain(m)
+}
+
+// Guards against answers that are not whole, lack their headers, or whose
+// messages to the scheduler come out of order.
+func TestAnswers(t *testing.T) {
+	f := newFixture(t, brfake.Config{}, brentry.Config{}, nil)
+	id := newID(0)
+	resp, body := f.complete(t, id, streamBody)
+	if text, whole := streamText(t, body); !whole || text != brfake.Text(id, 0, 8) {
+		t.Errorf("stream %q", body)
+	}
+	want := map[string]string{brengine.HeaderRequestID: id, brengine.HeaderEntry: "entry-1", brengine.HeaderEndpoint: "e1", brengine.HeaderRevision: "7"}
+	for k, v := range want {
+		if resp.Header.Get(k) != v {
+			t.Errorf("header %s is %q, want %q", k, resp.Header.Get(k), v)
+		}
+	}
+	if d := <-f.dones; !d.OK || d.OutputTokens != 8 || d.PromptTokens != 4 || d.FirstToken <= 0 {
+		t.Errorf("%+v", d)
+	}
+	if got := f.logged(); got != "submit started first_token done:ran" {
+		t.Errorf("messages %q", got)
+	}
+	resp, body = f.complete(t, "", `{"model":"m","prompt":"a b","max_tokens":300}`)
+	var c brengine.Chunk
+	if err := json.Unmarshal([]byte(body), &c); err != nil {
+		t.Fatal(err)
+	}
+	if c.Choices[0].Text != brfake.Text(resp.Header.Get(brengine.HeaderRequestID), 0, 300) || c.Tokens != 300 || c.Usage.CompletionTokens != 300 {
+		t.Errorf("whole answer %q", body)
+	}
+}
+
+// Guards against running an id twice or one that can't be judged, and against a
+// refusal that doesn't name the field.
+func TestRefusals(t *testing.T) {
+	f := newFixture(t, brfake.Config{}, brentry.Config{MaxBody: 2000}, nil)
+	ran := newID(0)
+	f.complete(t, ran, streamBody)
+	for _, tt := range []struct {
+		name, id, body, kind, field string
+	}{
+		{"not a UUID", "x", streamBody, "invalid_request", "request_id"},
+		{"UUIDv4", "7d444840-9dc0-41d1-b245-5ffdce74fad2", streamBody, "invalid_request", "request_id"},
+		{"upper case", strings.ToUpper(newID(0)), streamBody, "invalid_request", "request_id"},
+		{"ahead", newID(-3 * time.Second), streamBody, "invalid_request", "request_id"},
+		{"slightly ahead", newID(-time.Second), streamBody, "", ""},
+		{"old", newID(11 * time.Minute), streamBody, "too_old", "request_id"},
+		{"not so old", newID(9 * time.Minute), streamBody, "", ""},
+		{"ran", ran, streamBody, "already_run", ""},
+		{"unknown field", "", `{"model":"m","prompt":"a","temperature":1}`, "invalid_request", "temperature"},
+		{"wrong type", "", `{"model":"m","prompt":7}`, "invalid_request", "prompt"},
+		{"no prompt", "", `{"model":"m","prompt":" "}`, "invalid_request", "prompt"},
+		{"no model", "", `{"prompt":"a"}`, "invalid_request", "model"},
+		{"other model", "", `{"model":"n","prompt":"a"}`, "invalid_request", "model"},
+		{"too many tokens", "", `{"model":"m","prompt":"a","max_tokens":5000}`, "invalid_request", "max_tokens"},
+		{"trailing data", "", `{"model":"m","prompt":"a"} x`, "invalid_request", "body"},
+		{"large body", "", `{"prompt":"` + strings.Repeat("a", 2000) + `"}`, "too_large", "body"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			resp, body := f.complete(t, tt.id, tt.body)
+			if tt.kind == "" {
+				if resp.StatusCode != http.StatusOK {
+					t.Errorf("status %d: %s", resp.StatusCode, body)
+				}
+				return
+			}
+			if kind, e := kindOf(t, body); kind != tt.kind || e.Field != tt.field {
+				t.Errorf("%s; want %s, field %s", body, tt.kind, tt.field)
+			}
+		})
+	}
+	if n := f.fake.Counts().Requests[ran]; n != 1 {
+		t.Errorf("id ran %d times", n)
+	}
+}
+
+// Guards against a scheduler's refusal that reaches the caller without the table's
+// status and outcome, or with a Retry-After that isn't rounded up.
+func TestRefuseByScheduler(t *testing.T) {
+	f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
+		f.Random = func() float64 { return 1 }
+		f.Submit = func(_ context.Context, s brwire.Submit) error {
+			f.Refuse(brwire.Refuse{RequestID: s.RequestID, Epoch: 1, Error: *brerror.New(brerror.Overloaded, "full").WithRetryAfter(2 * time.Second)})
+			return nil
+		}
+	})
+	resp, body := f.complete(t, "", streamBody)
+	kind, e := kindOf(t, body)
+	if kind != "overloaded" || e.Outcome != "not_run" || e.RetryAfterMS != 2500 || resp.Header.Get("Retry-After") != "3" || resp.StatusCode != 429 {
+		t.Errorf("%d %v %s", resp.StatusCode, resp.Header, body)
+	}
+}
+
+// Guards against each endpoint failure of the design's table: a second dispatch,
+// a wrong outcome, or an answer that isn't whole.
+func TestEndpointFailures(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = ln.Close()
+	dead := ln.Addr().String()
+	for _, tt := range []struct {
+		name    string
+		fake    brfake.Config
+		prepare func(*fixture)
+		kind    string
+		log     string
+	}{
+		{"engine answers 500", brfake.Config{Faults: map[string]brfake.Faults{"": {FailRate: 1}}}, nil,
+			"endpoint_failed", "submit started done:unknown"},
+		{"failing route", brfake.Config{Faults: map[string]brfake.Faults{"": {FailRoute: "draft"}}}, nil,
+			"endpoint_failed", "submit started done:unknown"},
+		{"stuck", brfake.Config{Faults: map[string]brfake.Faults{"": {StuckRequest: "*", StuckAt: 2}}},
+			func(f *fixture) { f.route.StuckMS = 300 }, "stuck", "submit started first_token done:unknown"},
+		{"first token after the deadline", brfake.Config{StepBase: time.Minute},
+			func(f *fixture) { f.route.DeadlineMS = 100 }, "deadline_exceeded", "submit started done:unknown"},
+		{"refused connection, other endpoint", brfake.Config{}, func(f *fixture) {
+			n := 0
+			f.Submit = func(_ context.Context, s brwire.Submit) error {
+				f.note("submit")
+				n++
+				return f.grant(s, 1, []string{dead, f.address}[n-1])
+			}
+		}, "", "submit done:not_run submit started first_token done:ran"},
+		{"refused connections", brfake.Config{}, func(f *fixture) {
+			f.Submit = func(_ context.Context, s brwire.Submit) error { return f.grant(s, 1, dead) }
+		}, "endpoint_unavailable", "done:not_run done:not_run done:not_run withdraw"},
+		{"grant window passed", brfake.Config{}, func(f *fixture) {
+			n := 0
+			f.Submit = func(_ context.Context, s brwire.Submit) error {
+				f.note("submit")
+				n++
+				return f.Grant(brwire.Grant{RequestID: s.RequestID, Epoch: 1, Address: f.address, Window: time.Duration(n-1) * time.Second})
+			}
+		}, "", "submit done:not_run submit started first_token done:ran"},
+		{"no scheduler at first", brfake.Config{}, func(f *fixture) {
+			n := 0
+			f.Submit = func(_ context.Context, s brwire.Submit) error {
+				f.note("submit")
+				if n++; n == 1 {
+					return brerror.New(brerror.NotOwner, "moved")
+				}
+				return f.grant(s, 1, f.address)
+			}
+		}, "", "submit submit started first_token done:ran"},
+		{"no grant before the deadline", brfake.Config{}, func(f *fixture) {
+			f.route.DeadlineMS = 50
+			f.Submit = func(context.Context, brwire.Submit) error { return nil }
+		}, "deadline_exceeded", "withdraw"},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, tt.fake, brentry.Config{}, tt.prepare)
+			id := newID(0)
+			_, body := f.complete(t, id, streamBody)
+			if text, whole := streamText(t, body); tt.kind == "" && (!whole || text != brfake.Text(id, 0, 8)) {
+				t.Errorf("answer %q", body)
+			}
+			if tt.kind != "" {
+				if kind, _ := kindOf(t, body); kind != tt.kind {
+					t.Errorf("%s; want %s", body, tt.kind)
+				}
+			}
+			if got := f.logged(); got != tt.log {
+				t.Errorf("messages %q, want %q", got, tt.log)
+			}
+			if n := f.fake.Counts().Requests[id]; n > 1 {
+				t.Errorf("dispatched %d times", n)
+			}
+		})
+	}
+}
+
+// Guards against a silent connection that cuts an answer or causes a dispatch.
+func TestSilentConnection(t *testing.T) {
+	f := newFixture(t, brfake.Config{StepBase: 5 * time.Millisecond}, brentry.Config{}, nil)
+	id := newID(0)
+	resp := f.open(t, context.Background(), http.MethodPost, brengine.PathCompletions, id, strings.Replace(streamBody, "8", "100", 1))
+	first := make([]byte, 200)
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		t.Fatal(err)
+	}
+	f.fake.SetFault(brfake.FaultRequest{Silence: true})
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, whole := streamText(t, string(first)+string(rest)); !whole || text != brfake.Text(id, 0, 100) {
+		t.Errorf("whole %t, text %q", whole, text)
+	}
+	if c := f.fake.Counts(); c.Requests[id] != 1 || c.Resumes != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Guards against a canceled answer that its caller resumes through another entry,
+// and against an engine that goes on for a caller that never comes back.
+func TestCallerGoesAway(t *testing.T) {
+	a := newFixture(t, brfake.Config{StepBase: 2 * time.Millisecond}, brentry.Config{Grace: 100 * time.Millisecond}, nil)
+	b := newFixture(t, brfake.Config{}, brentry.Config{EntryID: "entry-2"}, func(b *fixture) {
+		b.Locate = func(_ context.Context, l brwire.Locate) (brwire.Located, error) {
+			return brwire.Located{Found: true, EntryID: "entry-1", EndpointID: "e1", Address: a.address, Customer: "trust"}, nil
+		}
+		b.SendAttach = func(_ context.Context, entryID string, m brwire.Attach) error { a.Attach(m); return nil }
+	})
+	leave := func(id string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		resp := a.open(t, ctx, http.MethodPost, brengine.PathCompletions, id, strings.Replace(streamBody, "8", "300", 1))
+		if _, err := io.ReadFull(resp.Body, make([]byte, 300)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	id := newID(0)
+	leave(id)
+	resp := b.open(t, context.Background(), http.MethodGet, brengine.PathRequests+id+"?offset=1", "", "")
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text, whole := streamText(t, string(body)); !whole || text != brfake.Text(id, 1, 300) {
+		t.Errorf("resumed answer: whole %t, %.200q", whole, body)
+	}
+	if d := <-a.dones; !d.OK {
+		t.Errorf("resumed request ended with %+v", d)
+	}
+	id = newID(0)
+	leave(id)
+	if d := <-a.dones; d.Kind != brerror.Canceled {
+		t.Errorf("abandoned request ended with %+v", d)
+	}
+	a.client.Close()
+	if c := a.fake.Counts(); c.Canceled != 1 || c.Requests[id] != 1 {
+		t.Errorf("%+v", c)
+	}
+}
+
+// Guards against a reader of another customer's answer.
+func TestResumeOfAnotherCustomer(t *testing.T) {
+	f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
+		f.Locate = func(context.Context, brwire.Locate) (brwire.Located, error) {
+			return brwire.Located{Found: true, Address: f.address, Customer: "barajas"}, nil
+		}
+	})
+	resp := f.open(t, context.Background(), http.MethodGet, brengine.PathRequests+newID(0), "", "")
+	body, _ := io.ReadAll(resp.Body)
+	if kind, _ := kindOf(t, string(body)); kind != "unknown_request" {
+		t.Errorf("%s", body)
+	}
+}
+
+func Example() {
+	rec := httptest.NewRecorder()
+	var cleanups []func()
+	f := newFixture(exampleTB{cleanups: &cleanups}, brfake.Config{}, brentry.Config{}, nil)
+	defer func() { cleanups[0]() }()
+	req := httptest.NewRequest(http.MethodPost, brengine.PathCompletions, strings.NewReader(`{"prompt":"hello","model":"m","max_tokens":2}`))
+	req.Header.Set("Authorization", "Bearer k")
+	f.Handler().ServeHTTP(rec, req)
+	var c brengine.Chunk
+	_ = json.Unmarshal(rec.Body.Bytes(), &c)
+	fmt.Println(rec.Code, c.Tokens, c.Choices[0].FinishReason)
+	// Output: 200 2 length
+}
+
+// exampleTB collects a fixture's cleanups outside of a test.
+type exampleTB struct {
+	testing.TB
+	cleanups *[]func()
+}
+
+func (exampleTB) Helper()            {}
+func (e exampleTB) Cleanup(c func()) { *e.cleanups = append(*e.cleanups, c) }
