--- /dev/null
+++ b/brlog/rule_test.go
@@ -0,0 +1,132 @@
+package brlog
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+)
+
+func testMembers() []Member {
+	return []Member{{ID: "a", Address: "a:1"}, {ID: "b", Address: "b:1"}, {ID: "c", Address: "c:1"}}
+}
+
+func testConfig(id ID, st Stored) Config {
+	return Config{ID: id, Stored: st, Now: time.Unix(1, 0), Random: func() uint64 { return 7 }}
+}
+
+// Guards against a replica that comes back as a voter after it lost its disk,
+// and one that starts on another replica's disk.
+func TestLostDiskStaysOut(t *testing.T) {
+	if _, err := New(testConfig("a", Stored{})); !errors.Is(err, ErrEmptyDisk) {
+		t.Errorf("start with an empty disk = %v, want ErrEmptyDisk", err)
+	}
+	if _, err := New(testConfig("b", Bootstrap("a", testMembers()))); err == nil {
+		t.Error("b started on a's disk")
+	}
+	cfg := testConfig("a", Stored{})
+	cfg.Joining = true
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := cfg.Now.Add(time.Hour)
+	for _, e := range s.Step(now, Receive{Message{Kind: MessageVote, From: "b", To: "a", Term: 9, Index: 9, LogTerm: 9}}) {
+		if _, ok := e.(LeaderChanged); !ok {
+			t.Errorf("a replica with an empty disk answered a vote with %v", e)
+		}
+	}
+	got := s.Step(now, Receive{Message{Kind: MessageHeartbeat, From: "b", To: "a", Term: 9, Voter: true}})
+	if _, ok := got[0].(Halt); !ok {
+		t.Errorf("a voter with an empty disk goes on: %v", got)
+	}
+}
+
+// Guards against a removed id that comes back, and a second change that starts
+// before the first is committed.
+func TestMembershipRules(t *testing.T) {
+	s, err := New(testConfig("a", Bootstrap("a", testMembers()[:1])))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := s.cfg.Now
+	step := func(ev Event) (answer Effect) {
+		for todo := []Event{ev}; len(todo) > 0; todo = todo[1:] {
+			for _, e := range s.Step(now, todo[0]) {
+				switch e := e.(type) {
+				case Write:
+					todo = append(todo, Synced{e.Seq})
+				case Accepted, Refused:
+					answer = e
+				}
+			}
+		}
+		return answer
+	}
+	for s.role != leader {
+		now = now.Add(50 * time.Millisecond)
+		step(Tick{})
+	}
+	remove := ChangeMember{Remove: "x"}
+	for i, c := range []struct {
+		event ChangeMember
+		want  Reason // 0: accepted
+	}{
+		{ChangeMember{Add: Member{ID: "x"}}, 0},
+		{ChangeMember{Add: Member{ID: "x"}}, AlreadyThere},
+		{remove, 0},
+		{remove, AlreadyThere},
+		{ChangeMember{Add: Member{ID: "x"}}, Invalid},
+		{ChangeMember{Remove: "a"}, Invalid},
+	} {
+		got := step(c.event)
+		if r, _ := got.(Refused); got == nil || r.Reason != c.want {
+			t.Errorf("change %d: %+v, want reason %v", i, got, c.want)
+		}
+	}
+	s.memberAt = s.commit + 1
+	if got, _ := step(ChangeMember{Add: Member{ID: "y"}}).(Refused); got.Reason != Busy {
+		t.Errorf("second change at a time: %v, want busy", got)
+	}
+}
+
+// A group of one replica commits what its own disk has synced.
+func Example() {
+	start := time.Unix(0, 0)
+	s, err := New(Config{
+		ID: "a", Stored: Bootstrap("a", []Member{{ID: "a"}}),
+		Now: start, Random: func() uint64 { return 0 },
+	})
+	if err != nil {
+		panic(err)
+	}
+	todo := []Event{}
+	for i := range 12 {
+		todo = append(todo, Tick{})
+		if i == 9 {
+			todo = append(todo, Propose{[][]byte{[]byte("x"), []byte("y")}})
+		}
+		start = start.Add(DefaultHeartbeat)
+		for ; len(todo) > 0; todo = todo[1:] {
+			for _, e := range s.Step(start, todo[0]) {
+				switch e := e.(type) {
+				case Write: // a runtime would sync it to disk first
+					fmt.Println("write", e.Seq, "with", len(e.Entries), "entries")
+					todo = append(todo, Synced{e.Seq})
+				case Apply:
+					for _, x := range e.Entries {
+						if x.Kind == EntryData {
+							fmt.Printf("apply %d %s\n", x.Index, x.Data)
+						}
+					}
+				}
+			}
+		}
+	}
+	// Output:
+	// write 1 with 0 entries
+	// write 2 with 1 entries
+	// write 3 with 2 entries
+	// apply 3 x
+	// apply 4 y
+}
