--- /dev/null
+++ b/brwal/load.go
@@ -0,0 +1,217 @@
+package brwal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+
+	"bramleyroute/brlog"
+)
+
+const (
+	segmentPrefix   = "segment-"
+	snapshotPrefix  = "snapshot-"
+	temporarySuffix = ".tmp"
+)
+
+// DamageError is damage that isn't a torn tail.
+type DamageError struct {
+	File   string
+	Offset int64 // bytes
+	Reason error
+}
+
+// Error names the file and the offset.
+func (e *DamageError) Error() string {
+	return fmt.Sprintf("brwal: %s is damaged at offset %d: %v", e.File, e.Offset, e.Reason)
+}
+
+// Unwrap returns the reason.
+func (e *DamageError) Unwrap() error { return e.Reason }
+
+// list returns the files with prefix and their numbers, in order.
+func (l *Log) list(prefix string) (paths []string, numbers []uint64, err error) {
+	names, err := filepath.Glob(filepath.Join(l.opts.Dir, prefix+"*"))
+	if err != nil {
+		return nil, nil, fmt.Errorf("brwal: %w", err)
+	}
+	slices.Sort(names)
+	for _, path := range names {
+		if strings.HasSuffix(path, temporarySuffix) {
+			continue
+		}
+		n, err := strconv.ParseUint(strings.TrimPrefix(filepath.Base(path), prefix), 16, 64)
+		if err != nil {
+			return nil, nil, fmt.Errorf("brwal: unexpected file %s", path)
+		}
+		paths, numbers = append(paths, path), append(numbers, n)
+	}
+	return paths, numbers, nil
+}
+
+// loader collects the entries of the records in their order.
+type loader struct {
+	log     *Log
+	entries []brlog.Entry
+	reset   uint64 // the log restarts after this entry; 0 for anywhere
+}
+
+func (l *Log) loadSegments() ([]brlog.Entry, error) {
+	paths, numbers, err := l.list(segmentPrefix)
+	if err != nil {
+		return nil, err
+	}
+	ld := &loader{log: l}
+	for i, path := range paths {
+		if i == 0 {
+			l.nextSeq = numbers[0]
+		}
+		if numbers[i] != l.nextSeq {
+			return nil, &DamageError{path, 0, fmt.Errorf("record %d is missing before it", l.nextSeq)}
+		}
+		if err := ld.segment(path, i == len(paths)-1); err != nil {
+			return nil, err
+		}
+	}
+	if len(l.segments) == 0 {
+		return nil, nil
+	}
+	last := l.segments[len(l.segments)-1].path
+	if l.file, err = os.OpenFile(last, os.O_WRONLY|os.O_APPEND, 0); err != nil {
+		return nil, fmt.Errorf("brwal: %w", err)
+	}
+	info, err := l.file.Stat()
+	if err != nil {
+		return nil, fmt.Errorf("brwal: %w", err)
+	}
+	l.size = info.Size()
+	return ld.entries, nil
+}
+
+// segment reads one file; last says that its tail may be torn.
+func (ld *loader) segment(path string, last bool) error {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("brwal: %w", err)
+	}
+	l := ld.log
+	seg := segment{path: path}
+	first := l.nextSeq
+	offset := 0
+	if strings.HasPrefix(string(b), segmentMagic) {
+		offset = len(segmentMagic)
+	} else {
+		err = fmt.Errorf("segment header is invalid")
+	}
+	for err == nil && offset < len(b) {
+		var r record
+		if r, err = parseRecord(b[offset:], l.nextSeq, 1); err != nil {
+			break
+		}
+		if err := ld.apply(&seg, r); err != nil {
+			return &DamageError{path, int64(offset), err}
+		}
+		l.nextSeq++
+		offset += r.size
+	}
+	if err != nil && (!last || !tornTail(b[offset:], l.nextSeq)) {
+		return &DamageError{path, int64(offset), err}
+	}
+	if l.nextSeq == first {
+		if !last {
+			return &DamageError{path, int64(offset), fmt.Errorf("segment has no record")}
+		}
+		return l.dropSegment(path)
+	}
+	l.segments = append(l.segments, seg)
+	if last {
+		return l.rewrite(path, b[:offset])
+	}
+	return nil
+}
+
+// tornTail reports whether b, which starts with an invalid record numbered
+// expected, can be what a crash left of the last batch. It can't if it holds a
+// record of a later batch, which was only written once expected was synced.
+func tornTail(b []byte, expected uint64) bool {
+	for i := range b {
+		if r, err := parseRecord(b[i:], expected, maxSequenceGap); err == nil && r.batch > expected {
+			return false
+		}
+	}
+	return true
+}
+
+// dropSegment removes a segment whose creation a crash interrupted.
+func (l *Log) dropSegment(path string) error {
+	if err := os.Remove(path); err != nil {
+		return fmt.Errorf("brwal: %w", err)
+	}
+	return l.syncDir(l.opts.Dir)
+}
+
+// rewrite replaces the last segment by a synced copy of its valid part b. What a
+// killed process wrote can be read without being durable, and after a failed
+// sync the kernel takes pages for clean that never reached the disk, so syncing
+// the file again isn't enough.
+func (l *Log) rewrite(path string, b []byte) error {
+	if err := l.writeFile(path+temporarySuffix, b); err != nil {
+		return fmt.Errorf("brwal: %w", err)
+	}
+	if err := os.Rename(path+temporarySuffix, path); err != nil {
+		return fmt.Errorf("brwal: %w", err)
+	}
+	return l.syncDir(l.opts.Dir)
+}
+
+func (ld *loader) apply(seg *segment, r record) error {
+	l := ld.log
+	switch r.kind {
+	case recordState:
+		id, h, ok := parseState(r.body)
+		if !ok {
+			return fmt.Errorf("state record is invalid")
+		}
+		if l.id != "" && id != l.id {
+			return fmt.Errorf("state of replica %q among those of %q", id, l.id)
+		}
+		l.id, l.hard = id, h
+	case recordReset:
+		if len(r.body) != 8 {
+			return fmt.Errorf("reset record is invalid")
+		}
+		ld.entries, ld.reset = nil, binary.LittleEndian.Uint64(r.body)
+	case recordEntry:
+		e, ok := parseEntry(r.body)
+		if !ok {
+			return fmt.Errorf("entry record is invalid")
+		}
+		seg.maxIndex = max(seg.maxIndex, e.Index)
+		return ld.put(e)
+	}
+	return nil
+}
+
+// put adds an entry, which replaces those at its index and after it.
+func (ld *loader) put(e brlog.Entry) error {
+	next := ld.reset + 1
+	if n := len(ld.entries); n > 0 {
+		first := ld.entries[0].Index
+		next = first + uint64(n)
+		if e.Index >= first && e.Index < next {
+			ld.entries = ld.entries[:e.Index-first]
+			next = e.Index
+		}
+	} else if ld.reset == 0 {
+		next = e.Index // older segments were removed
+	}
+	if e.Index != next {
+		return fmt.Errorf("entry %d follows entry %d", e.Index, next-1)
+	}
+	ld.entries = append(ld.entries, e)
+	return nil
+}
--- /dev/null
+++ b/brwal/log_test.go
@@ -0,0 +1,270 @@
+package brwal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"bramleyroute/brlog"
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+)
+
+func entries(first, last, term uint64) (all []brlog.Entry) {
+	for i := first; i <= last; i++ {
+		data := fmt.Appendf(nil, "entry %d of term %d", i, term)
+		all = append(all, brlog.Entry{Index: i, Term: term, Kind: brlog.EntryData, Data: data})
+	}
+	return all
+}
+
+func mustOpen(t testing.TB, o Options) (*Log, brlog.Stored) {
+	t.Helper()
+	l, st, err := Open(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l, st
+}
+
+func check(t testing.TB, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// writeBatches fills a folder with three batches and returns the only segment
+// and its size before each batch and at the end.
+func writeBatches(t *testing.T) (dir, path string, sizes []int64) {
+	dir = t.TempDir()
+	l, _ := mustOpen(t, Options{Dir: dir})
+	check(t, l.Initialize(brlog.Stored{ID: "a", HardState: brlog.HardState{Term: 1}}))
+	for i := range uint64(3) {
+		sizes = append(sizes, l.size)
+		check(t, l.Append(brlog.Write{
+			HardState: brlog.HardState{Term: 2 + i, Vote: "b"}, Entries: entries(3*i+1, 3*i+3, 2+i),
+		}))
+	}
+	path, sizes = l.file.Name(), append(sizes, l.size)
+	check(t, l.Close())
+	return dir, path, sizes
+}
+
+// Guards against a crash in the middle of a write that loses what was synced
+// before, or that leaves a log which can't be opened or written to.
+func TestTornTail(t *testing.T) {
+	dir, path, sizes := writeBatches(t)
+	whole, err := os.ReadFile(path)
+	check(t, err)
+	tails := map[string]func(n int) []byte{
+		"cut":     func(n int) []byte { return whole[:n] },
+		"zeros":   func(n int) []byte { return append(whole[:n:n], make([]byte, len(whole)-n)...) },
+		"garbage": func(n int) []byte { return append(whole[:n:n], "\x20\x00\x00\x00garbage that is no record"...) },
+	}
+	for name, tail := range tails {
+		for n := sizes[2]; n < sizes[3]; n++ {
+			check(t, os.WriteFile(path, tail(int(n)), 0o600))
+			l, st := mustOpen(t, Options{Dir: dir})
+			if len(st.Entries) < 6 || len(st.Entries) > 8 {
+				t.Fatalf("%s at %d: %d entries, want the 6 synced and at most 2 more", name, n, len(st.Entries))
+			}
+			if diff := cmp.Diff(append(entries(1, 3, 2), entries(4, 6, 3)...), st.Entries[:6]); diff != "" {
+				t.Fatalf("%s at %d: %s", name, n, diff)
+			}
+			check(t, l.Append(brlog.Write{HardState: brlog.HardState{Term: 9}, Entries: entries(7, 7, 9)}))
+			check(t, l.Close())
+			l, st = mustOpen(t, Options{Dir: dir})
+			check(t, l.Close())
+			if len(st.Entries) != 7 || st.Entries[6].Term != 9 || st.HardState.Term != 9 {
+				t.Fatalf("%s at %d: the next write is not there", name, n)
+			}
+		}
+	}
+}
+
+// Guards against damage before the last batch that is taken for a torn tail and
+// drops synced records without an error, and an error without file and offset.
+func TestDamage(t *testing.T) {
+	dir, path, sizes := writeBatches(t)
+	whole, err := os.ReadFile(path)
+	check(t, err)
+	for n := range sizes[2] {
+		b := append([]byte(nil), whole...)
+		b[n] ^= 0x41
+		check(t, os.WriteFile(path, b, 0o600))
+		_, _, err := Open(Options{Dir: dir})
+		var d *DamageError
+		if !errors.As(err, &d) {
+			t.Fatalf("byte %d changed: %v, want damage", n, err)
+		}
+		if d.File != path || d.Offset > n || d.Offset < n-60 {
+			t.Fatalf("byte %d changed: reported %s at %d", n, d.File, d.Offset)
+		}
+	}
+}
+
+// Guards against a log that goes on after a failed write or sync, and a
+// snapshot that counts as saved although it isn't.
+func TestFailureIsFinal(t *testing.T) {
+	disk := errors.New("disk error")
+	for fail := 1; fail <= 14; fail++ {
+		calls := 0
+		count := func() error {
+			if calls++; calls == fail {
+				return disk
+			}
+			return nil
+		}
+		o := Options{
+			Dir:  t.TempDir(),
+			Sync: func(f *os.File) error { return errors.Join(count(), f.Sync()) },
+			Write: func(f *os.File, b []byte) (int, error) {
+				if err := count(); err != nil {
+					f.Write(b[:len(b)/2])
+					return len(b) / 2, err
+				}
+				return f.Write(b)
+			},
+		}
+		l, _, err := Open(o)
+		if err == nil {
+			for _, step := range []func() error{
+				func() error { return l.Initialize(brlog.Bootstrap("a", []brlog.Member{{ID: "a"}})) },
+				func() error { return l.Append(brlog.Write{Entries: entries(2, 3, 1)}) },
+				func() error { return l.SaveSnapshot(brlog.Snapshot{Index: 3, Term: 1}) },
+			} {
+				if err = step(); err != nil {
+					break
+				}
+			}
+			if calls >= fail {
+				for _, again := range []error{
+					l.Append(brlog.Write{Entries: entries(4, 4, 1)}),
+					l.SaveSnapshot(brlog.Snapshot{Index: 4}), l.Compact(1),
+				} {
+					if !errors.Is(again, ErrFailed) {
+						t.Errorf("call %d failed, later write: %v", fail, again)
+					}
+				}
+			}
+			check(t, l.Close())
+		}
+		if want := fail <= calls; errors.Is(err, disk) != want {
+			t.Errorf("call %d of %d failed: %v", fail, calls, err)
+		}
+		bad := Options{Dir: o.Dir, Sync: func(*os.File) error { return disk }}
+		if _, _, err := Open(bad); !errors.Is(err, disk) {
+			t.Errorf("open returned records that are not known to be durable: %v", err)
+		}
+		l, st := mustOpen(t, Options{Dir: o.Dir})
+		if st.Snapshot.Index != 0 && st.Snapshot.Index != 3 {
+			t.Errorf("call %d failed: snapshot %d", fail, st.Snapshot.Index)
+		}
+		check(t, l.Close())
+	}
+}
+
+// Guards against entries, state or a snapshot that get lost when segments are
+// replaced, and against two processes on one folder.
+func TestSegmentsAndSnapshots(t *testing.T) {
+	o := Options{Dir: t.TempDir(), SegmentBytes: 400}
+	l, _ := mustOpen(t, o)
+	check(t, l.Initialize(brlog.Stored{ID: "a"}))
+	hard := brlog.HardState{Term: 3, Vote: "c"}
+	for i := uint64(1); i <= 40; i++ {
+		check(t, l.Append(brlog.Write{HardState: hard, Entries: entries(i, i, 3)}))
+	}
+	check(t, l.Append(brlog.Write{HardState: hard, Entries: entries(38, 39, 3)})) // drops 40
+	check(t, l.SaveSnapshot(brlog.Snapshot{Index: 20, Term: 3}))
+	snap := brlog.Snapshot{Index: 30, Term: 3, Data: []byte("state"), Membership: brlog.Membership{Members: []brlog.Member{{ID: "a"}}}}
+	check(t, l.SaveSnapshot(snap))
+	check(t, l.SaveSnapshot(brlog.Snapshot{Index: 25}))
+	check(t, l.Compact(28))
+	if _, _, err := Open(o); !errors.Is(err, ErrLocked) {
+		t.Errorf("second open = %v, want ErrLocked", err)
+	}
+	check(t, l.Close())
+	check(t, os.WriteFile(filepath.Join(o.Dir, "snapshot-0000000000000099.tmp"), []byte("x"), 0o600))
+
+	l, st := mustOpen(t, o)
+	if n := len(st.Entries); n == 0 || st.Entries[0].Index < 20 || st.Entries[0].Index > 28 || st.Entries[n-1].Index != 39 {
+		t.Errorf("entries %v", st.Entries)
+	}
+	want := brlog.Stored{ID: "a", HardState: hard, Snapshot: snap}
+	if diff := cmp.Diff(want, st, cmpopts.IgnoreFields(brlog.Stored{}, "Entries")); diff != "" {
+		t.Error(diff)
+	}
+	check(t, l.Append(brlog.Write{HardState: hard, Reset: 50, Entries: entries(51, 52, 4)}))
+	check(t, l.Close())
+	_, st = mustOpen(t, o)
+	if diff := cmp.Diff(entries(51, 52, 4), st.Entries); diff != "" {
+		t.Errorf("after a reset: %s", diff)
+	}
+}
+
+// Benchmark compares appends of 256 byte entries with a sync of one such write
+// alone on the same disk.
+func Benchmark(b *testing.B) {
+	b.Run("sync_alone", func(b *testing.B) {
+		f, err := os.Create(filepath.Join(b.TempDir(), "file"))
+		check(b, err)
+		defer f.Close()
+		for b.Loop() {
+			_, err := f.Write(make([]byte, 256))
+			check(b, err)
+			check(b, f.Sync())
+		}
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "syncs/s")
+	})
+	for _, size := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("append_%d", size), func(b *testing.B) {
+			l, _ := mustOpen(b, Options{Dir: b.TempDir()})
+			check(b, l.Initialize(brlog.Stored{ID: "a"}))
+			w := brlog.Write{Entries: make([]brlog.Entry, size)}
+			next := uint64(1)
+			for b.Loop() {
+				for i := range w.Entries {
+					w.Entries[i] = brlog.Entry{Index: next, Term: 1, Kind: brlog.EntryData, Data: make([]byte, 256)}
+					next++
+				}
+				check(b, l.Append(w))
+			}
+			b.ReportMetric(float64(next)/b.Elapsed().Seconds(), "records/s")
+		})
+	}
+}
+
+// A log gives back after a restart what was appended before it.
+func Example() {
+	dir, err := os.MkdirTemp("", "brwal")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(dir)
+	l, st, err := Open(Options{Dir: dir})
+	if err != nil {
+		panic(err)
+	}
+	fmt.Println("empty:", st.ID == "")
+	if err := l.Initialize(brlog.Stored{ID: "a"}); err != nil {
+		panic(err)
+	}
+	w := brlog.Write{Entries: []brlog.Entry{{Index: 1, Term: 1, Kind: brlog.EntryData, Data: []byte("x")}}}
+	if err := l.Append(w); err != nil {
+		panic(err)
+	}
+	l.Close()
+	l, st, err = Open(Options{Dir: dir})
+	if err != nil {
+		panic(err)
+	}
+	defer l.Close()
+	fmt.Printf("%s holds %d entry: %s\n", st.ID, len(st.Entries), st.Entries[0].Data)
+	// Output:
+	// empty: true
+	// a holds 1 entry: x
+}
--- /dev/null
+++ b/brwal/record.go
@@ -0,0 +1,144 @@
+package brwal
+
+import (
+	"encoding/binary"
+	"errors"
+	"hash/crc32"
+
+	"bramleyroute/brlog"
+)
+
+type recordKind uint8
+
+const (
+	recordState recordKind = iota + 1 // term, vote, replica id
+	recordEntry
+	recordReset // the log restarts after a snapshot
+)
+
+const (
+	segmentMagic  = "brwal\x00\x00\x01"
+	snapshotMagic = "brsnap\x00\x01"
+
+	headerBytes  = 8  // length and checksum
+	payloadFixed = 17 // sequence, batch start, kind
+	// maxSequenceGap bounds the sequence numbers that a search for records
+	// behind a damaged one takes for real.
+	maxSequenceGap = 1 << 32
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// record is one decoded record.
+type record struct {
+	seq, batch uint64
+	kind       recordKind
+	body       []byte
+	size       int // on the disk
+}
+
+var (
+	errShort    = errors.New("record is incomplete")
+	errChecksum = errors.New("checksum doesn't match")
+	errHeader   = errors.New("record header is invalid")
+)
+
+// appendRecord appends a record to b. Its body is what body appends.
+func appendRecord(b []byte, seq, batch uint64, kind recordKind, body func([]byte) []byte) []byte {
+	start := len(b)
+	b = append(b, make([]byte, headerBytes)...)
+	b = binary.LittleEndian.AppendUint64(b, seq)
+	b = binary.LittleEndian.AppendUint64(b, batch)
+	b = append(b, byte(kind))
+	b = body(b)
+	payload := b[start+headerBytes:]
+	binary.LittleEndian.PutUint32(b[start:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(b[start+4:], crc32.Checksum(payload, castagnoli))
+	return b
+}
+
+// parseRecord reads the record at the start of b. Its sequence number must lie
+// in [low, low+gap).
+func parseRecord(b []byte, low, gap uint64) (record, error) {
+	if len(b) < headerBytes+payloadFixed {
+		return record{}, errShort
+	}
+	length := uint64(binary.LittleEndian.Uint32(b))
+	if length < payloadFixed {
+		return record{}, errHeader
+	}
+	if length > uint64(len(b)-headerBytes) {
+		return record{}, errShort
+	}
+	p := b[headerBytes : headerBytes+length]
+	r := record{
+		seq: binary.LittleEndian.Uint64(p), batch: binary.LittleEndian.Uint64(p[8:]),
+		kind: recordKind(p[16]), body: p[payloadFixed:], size: headerBytes + int(length),
+	}
+	if r.seq-low >= gap || r.batch > r.seq || r.kind < recordState || r.kind > recordReset {
+		return record{}, errHeader
+	}
+	if crc32.Checksum(p, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
+		return record{}, errChecksum
+	}
+	return r, nil
+}
+
+func appendText(b []byte, s string) []byte {
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(s)))
+	return append(b, s...)
+}
+
+func cutText(b []byte) (text string, rest []byte, ok bool) {
+	if len(b) < 4 {
+		return "", nil, false
+	}
+	n := uint64(binary.LittleEndian.Uint32(b))
+	b = b[4:]
+	if n > uint64(len(b)) {
+		return "", nil, false
+	}
+	return string(b[:n]), b[n:], true
+}
+
+func appendState(b []byte, id brlog.ID, h brlog.HardState) []byte {
+	b = binary.LittleEndian.AppendUint64(b, h.Term)
+	b = appendText(b, string(h.Vote))
+	return appendText(b, string(id))
+}
+
+func parseState(b []byte) (id brlog.ID, h brlog.HardState, ok bool) {
+	if len(b) < 8 {
+		return "", h, false
+	}
+	h.Term = binary.LittleEndian.Uint64(b)
+	vote, b, ok := cutText(b[8:])
+	if !ok {
+		return "", h, false
+	}
+	h.Vote = brlog.ID(vote)
+	text, b, ok := cutText(b)
+	return brlog.ID(text), h, ok && len(b) == 0
+}
+
+func appendEntry(b []byte, e brlog.Entry) []byte {
+	b = binary.LittleEndian.AppendUint64(b, e.Index)
+	b = binary.LittleEndian.AppendUint64(b, e.Term)
+	b = append(b, byte(e.Kind))
+	return append(b, e.Data...)
+}
+
+func parseEntry(b []byte) (brlog.Entry, bool) {
+	if len(b) < 17 {
+		return brlog.Entry{}, false
+	}
+	e := brlog.Entry{
+		Index: binary.LittleEndian.Uint64(b),
+		Term:  binary.LittleEndian.Uint64(b[8:]),
+		Kind:  brlog.EntryKind(b[16]),
+	}
+	if len(b) > 17 {
+		e.Data = append([]byte(nil), b[17:]...)
+	}
+	return e, true
+}
--- /dev/null
+++ b/brwal/snapshot.go
@@ -0,0 +1,132 @@
+package brwal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+
+	"bramleyroute/brlog"
+	"bramleyroute/brwire"
+)
+
+// snapshotHeader is the length of the magic, the payload's length (8 bytes) and
+// its checksum (4 bytes).
+const snapshotHeader = len(snapshotMagic) + 12
+
+// SaveSnapshot makes s durable in place of the snapshot before it. A snapshot
+// that is not newer is ignored. An error wraps ErrFailed and is final.
+func (l *Log) SaveSnapshot(s brlog.Snapshot) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	if s.Index <= l.snapshot {
+		return nil
+	}
+	if err := l.saveSnapshot(s); err != nil {
+		return l.fail(err)
+	}
+	l.snapshot = s.Index
+	return nil
+}
+
+func (l *Log) saveSnapshot(s brlog.Snapshot) error {
+	data := s.Data
+	s.Data = nil
+	meta, err := brwire.Encode(s)
+	if err != nil {
+		return err
+	}
+	payload := appendText(nil, string(meta))
+	payload = append(payload, data...)
+	b := binary.LittleEndian.AppendUint64([]byte(snapshotMagic), uint64(len(payload)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.Checksum(payload, castagnoli))
+	b = append(b, payload...)
+
+	old, _, err := l.list(snapshotPrefix)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(l.opts.Dir, fmt.Sprintf("%s%016x", snapshotPrefix, s.Index))
+	if err := l.writeFile(path+temporarySuffix, b); err != nil {
+		return err
+	}
+	if err := os.Rename(path+temporarySuffix, path); err != nil {
+		return err
+	}
+	if err := l.syncDir(l.opts.Dir); err != nil {
+		return err
+	}
+	for _, p := range old {
+		if err := os.Remove(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (l *Log) writeFile(path string, b []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := l.write(f, b); err != nil {
+		return err
+	}
+	if err := l.opts.Sync(f); err != nil {
+		return fmt.Errorf("sync %s: %w", path, err)
+	}
+	return nil
+}
+
+// loadSnapshot reads the newest snapshot and removes unfinished ones.
+func (l *Log) loadSnapshot() (brlog.Snapshot, error) {
+	left, err := filepath.Glob(filepath.Join(l.opts.Dir, snapshotPrefix+"*"+temporarySuffix))
+	if err != nil {
+		return brlog.Snapshot{}, fmt.Errorf("brwal: %w", err)
+	}
+	for _, p := range left {
+		if err := os.Remove(p); err != nil {
+			return brlog.Snapshot{}, fmt.Errorf("brwal: %w", err)
+		}
+	}
+	paths, numbers, err := l.list(snapshotPrefix)
+	if err != nil || len(paths) == 0 {
+		return brlog.Snapshot{}, err
+	}
+	path := paths[len(paths)-1]
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return brlog.Snapshot{}, fmt.Errorf("brwal: %w", err)
+	}
+	s, err := parseSnapshot(b)
+	if err == nil && s.Index != numbers[len(paths)-1] {
+		err = fmt.Errorf("file holds the snapshot of entry %d", s.Index)
+	}
+	if err != nil {
+		return brlog.Snapshot{}, &DamageError{path, 0, err}
+	}
+	return s, nil
+}
+
+func parseSnapshot(b []byte) (brlog.Snapshot, error) {
+	if len(b) < snapshotHeader || string(b[:len(snapshotMagic)]) != snapshotMagic {
+		return brlog.Snapshot{}, errHeader
+	}
+	header, payload := b[len(snapshotMagic):snapshotHeader], b[snapshotHeader:]
+	if binary.LittleEndian.Uint64(header) != uint64(len(payload)) {
+		return brlog.Snapshot{}, errShort
+	}
+	if binary.LittleEndian.Uint32(header[8:]) != crc32.Checksum(payload, castagnoli) {
+		return brlog.Snapshot{}, errChecksum
+	}
+	meta, data, ok := cutText(payload)
+	if !ok {
+		return brlog.Snapshot{}, errHeader
+	}
+	s, err := brwire.Decode[brlog.Snapshot]([]byte(meta))
+	s.Data = data
+	return s, err
+}
