Add the fake endpoint's package, which .gitignore left out

Cause: the pattern for the built binary also matched the package's folder. Change: the files of brfake are tracked. Measured: go build ./... of a checkout needs them.

--- /dev/null
+++ b/brfake/fake_test.go
@@ -0,0 +1,147 @@
+package brfake_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brengine"
+	"bramleyroute/brfake"
+	"bramleyroute/brwire"
+)
+
+func serve(tb testing.TB, c brfake.Config) (*brfake.Endpoint, string) {
+	tb.Helper()
+	e := brfake.New(c)
+	srv := httptest.NewUnstartedServer(e.Handler())
+	srv.Config.ConnContext = e.ConnContext
+	srv.Start()
+	tb.Cleanup(func() { e.Close(); srv.Close() })
+	return e, srv.URL
+}
+
+func send[T any](tb testing.TB, url, id string, body T) *http.Response {
+	tb.Helper()
+	b, err := json.Marshal(body)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	req, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(string(b)))
+	req.Header.Set(brengine.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+func readStream(tb testing.TB, resp *http.Response) (text string, usage brengine.Usage) {
+	tb.Helper()
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		data, ok := strings.CutPrefix(sc.Text(), "data: ")
+		if !ok {
+			continue
+		}
+		if data == brengine.DoneMarker {
+			return text, usage
+		}
+		var c brengine.Chunk
+		if err := json.Unmarshal([]byte(data), &c); err != nil {
+			tb.Fatal(err)
+		}
+		text += c.Choices[0].Text
+		if c.Usage != nil {
+			usage = *c.Usage
+		}
+	}
+	tb.Fatal("stream ended without its marker")
+	return "", usage
+}
+
+// Guards against an engine whose cache or counts are wrong, which would hide
+// wasted prefill and second dispatches in every experiment.
+func TestCacheAndCounts(t *testing.T) {
+	e, url := serve(t, brfake.Config{Kind: brwire.KindEngine, Model: "m", CacheBlocks: 2})
+	prompt := strings.Repeat("w ", 130)
+	for i, cached := range []int{0, 128} {
+		id := fmt.Sprintf("request-%d", i)
+		text, usage := readStream(t, send(t, url+brengine.PathCompletions, id, brengine.Completion{Prompt: prompt, MaxTokens: 5, Stream: true}))
+		if text != brfake.Text(id, 0, 5) {
+			t.Errorf("text %q", text)
+		}
+		if want := (brengine.Usage{PromptTokens: 130, CachedTokens: cached, CompletionTokens: 5}); usage != want {
+			t.Errorf("usage %+v, want %+v", usage, want)
+		}
+	}
+	send(t, url+brengine.PathCompletions, "request-0", brengine.Completion{Prompt: "again", MaxTokens: 1, Stream: true})
+	if c := e.Counts(); c.Requests["request-0"] != 2 || c.Duplicates != 1 || c.PrefillComputed != 132 || c.PrefillCached != 128 {
+		t.Errorf("counts %+v", c)
+	}
+}
+
+// Guards against orders that ignore the fencing token or the load faults.
+func TestOrders(t *testing.T) {
+	e, url := serve(t, brfake.Config{Kind: brwire.KindEngine, Version: "v1", ChecksFencing: true})
+	order := func(id, version string, token uint64) int {
+		return send(t, url+brengine.PathOrders, "", brengine.Order{OrderID: id, Kind: brengine.OrderLoadVersion, Version: version, FencingToken: token}).StatusCode
+	}
+	if s := order("a", "v2", 5); s != http.StatusOK {
+		t.Fatalf("order: status %d", s)
+	}
+	if s := order("b", "v3", 4); s != http.StatusConflict {
+		t.Errorf("stale token: status %d", s)
+	}
+	e.SetFault(brfake.FaultRequest{Faults: brfake.Faults{RefuseOrders: true}})
+	if s := order("c", "v3", 6); s != http.StatusConflict {
+		t.Errorf("refused by setting: status %d", s)
+	}
+	if c := e.Counts(); c.Orders != 3 || c.OrdersRefused != 2 {
+		t.Errorf("counts %+v", c)
+	}
+}
+
+// Guards against load reports that are fresher than the setting says.
+func TestAnnounceLagsBehind(t *testing.T) {
+	got := make(chan brwire.Announce, 16)
+	daemon := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		var a brwire.Announce
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		got <- a
+	}))
+	defer daemon.Close()
+	_, url := serve(t, brfake.Config{Kind: brwire.KindEngine, EndpointID: "e", LoadLag: 10 * time.Second,
+		CacheBlocks: 8, Daemons: []string{strings.TrimPrefix(daemon.URL, "http://")}})
+	readStream(t, send(t, url+brengine.PathCompletions, "r", brengine.Completion{Prompt: strings.Repeat("w ", 64), MaxTokens: 1, Stream: true}))
+	first, second := <-got, <-got
+	if first.Sequence != 1 || second.Sequence != 2 || first.Incarnation != second.Incarnation {
+		t.Errorf("announcements %+v, %+v", first, second)
+	}
+	if second.MeasuredAgoMS < 900 {
+		t.Errorf("load is %d ms old, want the first measurement", second.MeasuredAgoMS)
+	}
+	if len(second.CacheEvents) != 1 || len(second.CacheEvents[0].Hashes) != 1 {
+		t.Errorf("cache events %+v", second.CacheEvents)
+	}
+}
+
+func Example() {
+	e := brfake.New(brfake.Config{Kind: brwire.KindEngine, EndpointID: "e1", Model: "m"})
+	defer e.Close()
+	srv := httptest.NewServer(e.Handler())
+	defer srv.Close()
+	resp, err := http.Get(srv.URL + brengine.PathState)
+	if err != nil {
+		panic(err)
+	}
+	defer resp.Body.Close()
+	var s brengine.State
+	_ = json.NewDecoder(resp.Body).Decode(&s)
+	fmt.Println(s.EndpointID, s.Model, brfake.Text("0000000000ab", 0, 2))
+	// Output: e1 m 000000ab:0 000000ab:1
+}
--- /dev/null
+++ b/brfake/handler.go
@@ -0,0 +1,257 @@
+package brfake
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+)
+
+const (
+	keepAliveInterval = 250 * time.Millisecond
+	maxChunkTokens    = 64
+	maxBody           = 64 << 20 // bytes
+)
+
+type generationKey struct{}
+
+// ConnContext marks a connection with the time of its opening, for the fault
+// that makes open connections silent. It fits http.Server.ConnContext.
+func (e *Endpoint) ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return context.WithValue(ctx, generationKey{}, e.silence)
+}
+
+// Handler returns the endpoint's HTTP interface.
+func (e *Endpoint) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /debug/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, e.Counts()) })
+	m.HandleFunc("POST /debug/fault", e.serveFault)
+	m.HandleFunc("POST "+brengine.PathOrders, e.serveOrder)
+	m.HandleFunc("GET "+brengine.PathState, e.serveState)
+	if e.config.Kind == brwire.KindService {
+		m.HandleFunc("/", e.serveCall)
+		return m
+	}
+	m.HandleFunc("POST "+brengine.PathCompletions, e.serveCompletion)
+	m.HandleFunc("GET "+brengine.PathRequests+"{id}", e.serveResume)
+	m.HandleFunc("DELETE "+brengine.PathRequests+"{id}", e.serveCancel)
+	return m
+}
+
+func (e *Endpoint) serveFault(w http.ResponseWriter, r *http.Request) {
+	var f FaultRequest
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		fail(w, brerror.InvalidRequest, err.Error())
+		return
+	}
+	e.SetFault(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// receive counts a request and reports whether a fault makes it fail.
+func (e *Endpoint) receive(id, route string) (fails bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.Requests[id]++
+	if e.counts.Requests[id] > 1 {
+		e.counts.Duplicates++
+	}
+	e.received++
+	f := e.faultsNow()
+	fails = f.FailRate > 0 && e.random.Float64() < f.FailRate ||
+		f.FailRoute != "" && f.FailRoute == route ||
+		f.FailAfter > 0 && e.received > f.FailAfter
+	if fails {
+		e.counts.Failed++
+	}
+	return fails
+}
+
+func (e *Endpoint) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(brengine.HeaderRequestID)
+	fails := e.receive(id, r.Header.Get(brengine.HeaderRoute))
+	var c brengine.Completion
+	if err := json.NewDecoder(io.LimitReader(r.Body, maxBody)).Decode(&c); err != nil {
+		fail(w, brerror.InvalidRequest, err.Error())
+		return
+	}
+	if fails {
+		fail(w, brerror.Internal, "engine failure by setting")
+		return
+	}
+	s := e.add(id, c)
+	if s == nil {
+		fail(w, brerror.AlreadyRun, "request id was received before")
+		return
+	}
+	if c.Stream {
+		e.stream(w, r, s, 0)
+		return
+	}
+	for {
+		e.mu.Lock()
+		changed, finish := s.changed, s.finish
+		e.mu.Unlock()
+		if finish != "" {
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(e.appendChunk(nil, s, 0, s.emitted, finish))
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+func (e *Endpoint) serveResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	e.mu.Lock()
+	s := e.sequences[r.PathValue("id")]
+	e.counts.Resumes++
+	e.mu.Unlock()
+	if s == nil || err != nil || offset < 0 {
+		fail(w, brerror.UnknownRequest, "no such request or offset")
+		return
+	}
+	e.stream(w, r, s, offset)
+}
+
+func (e *Endpoint) serveCancel(w http.ResponseWriter, r *http.Request) {
+	if !e.cancel(r.PathValue("id")) {
+		fail(w, brerror.UnknownRequest, "no such request")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// stream sends the tokens of s from an offset on. The sequence goes on when the
+// reader goes away.
+func (e *Endpoint) stream(w http.ResponseWriter, r *http.Request, s *sequence, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	rc := http.NewResponseController(w)
+	keepAlive := time.NewTicker(keepAliveInterval)
+	defer keepAlive.Stop()
+	var buf []byte
+	for {
+		e.mu.Lock()
+		emitted, finish, changed, silence := s.emitted, s.finish, s.changed, e.silence
+		e.mu.Unlock()
+		if generation, ok := r.Context().Value(generationKey{}).(int); ok && generation < silence {
+			<-r.Context().Done()
+			return
+		}
+		buf = buf[:0]
+		for from < emitted {
+			to := min(from+maxChunkTokens, emitted)
+			last := ""
+			if to == emitted {
+				last = finish
+			}
+			buf = e.appendEvent(buf, s, from, to, last)
+			from = to
+		}
+		if finish != "" {
+			if len(buf) == 0 {
+				buf = e.appendEvent(buf, s, from, from, finish)
+			}
+			buf = append(buf, "data: "+brengine.DoneMarker+"\n\n"...)
+		}
+		if _, err := w.Write(buf); err != nil || rc.Flush() != nil || finish != "" {
+			return
+		}
+		select {
+		case <-changed:
+		case <-keepAlive.C:
+			_, _ = io.WriteString(w, ": keep-alive\n\n")
+		case <-r.Context().Done():
+			return
+		case <-e.stop:
+			return
+		}
+	}
+}
+
+func (e *Endpoint) appendEvent(b []byte, s *sequence, from, to int, finish string) []byte {
+	b = append(b, "data: "...)
+	b = e.appendChunk(b, s, from, to, finish)
+	return append(b, "\n\n"...)
+}
+
+// appendChunk writes a brengine.Chunk. None of its strings need escaping.
+func (e *Endpoint) appendChunk(b []byte, s *sequence, from, to int, finish string) []byte {
+	b = append(b, `{"id":"`...)
+	b = append(b, s.id...)
+	b = append(b, `","object":"text_completion","model":"`...)
+	b = append(b, e.config.Model...)
+	b = append(b, `","version":"`...)
+	b = append(b, s.version...)
+	b = append(b, `","offset":`...)
+	b = strconv.AppendInt(b, int64(from), 10)
+	b = append(b, `,"tokens":`...)
+	b = strconv.AppendInt(b, int64(to-from), 10)
+	b = append(b, `,"choices":[{"index":0,"text":"`...)
+	for n := from; n < to; n++ {
+		b = AppendToken(b, s.id, n)
+	}
+	b = append(b, '"')
+	if finish != "" {
+		b = append(b, `,"finish_reason":"`+finish+`"`...)
+	}
+	b = append(b, `}]`...)
+	if finish != "" {
+		u, _ := json.Marshal(brengine.Usage{PromptTokens: s.prompt, CachedTokens: s.cached, CompletionTokens: s.emitted})
+		b = append(append(b, `,"usage":`...), u...)
+	}
+	return append(b, '}')
+}
+
+// CallAnswer is what a plain service answers.
+type CallAnswer struct {
+	RequestID string `json:"request_id"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"`
+	Run       int    `json:"run"` // how often the service executed this request id
+}
+
+func (e *Endpoint) serveCall(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(brengine.HeaderRequestID)
+	fails := e.receive(id, r.Header.Get(brengine.HeaderRoute))
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
+	if err != nil || !e.pause(e.config.ServiceLatency) {
+		return
+	}
+	if fails {
+		fail(w, brerror.Internal, "service failure by setting")
+		return
+	}
+	e.mu.Lock()
+	run := e.counts.Requests[id]
+	e.counts.Finished++
+	e.mu.Unlock()
+	writeJSON(w, http.StatusOK, CallAnswer{RequestID: id, Method: r.Method, Path: r.URL.Path, Body: string(body), Run: run})
+}
+
+func fail(w http.ResponseWriter, k brerror.Kind, message string) {
+	a := k.Answer()
+	writeJSON(w, a.Status, brengine.Error{Error: brengine.ErrorBody{Kind: a.Name, Message: message, Outcome: a.Outcome.String()}})
+}
+
+func writeJSON[T any](w http.ResponseWriter, status int, v T) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
