Carry the grant's number, the customer and the run state between entry, scheduler and ledger

Cause: the parts were written at the same time; the scheduler expects each notice to echo the grant's number, and a resumed or kept answer may only be read by the customer whose request it is. Measured: go test ./brentry ./brpool ./brledger ./brstate passes.

--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -81,11 +81,12 @@
 
 	Counters Counters
 
-	config Config
-	clock  brclock.Clock
-	client *brdispatch.Client
-	work   sync.WaitGroup // ledger commits in the background
-	stop   chan struct{}
+	config  Config
+	clock   brclock.Clock
+	client  *brdispatch.Client
+	work    sync.WaitGroup // ledger commits in the background
+	stop    chan struct{}
+	started time.Time // of the entry; what it dispatched before is unknown
 
 	mu       sync.Mutex
 	draining bool
@@ -110,7 +111,7 @@
 	c.GrantAttempts = or(c.GrantAttempts, 3)
 	c.WriteTimeout = or(c.WriteTimeout, 30*time.Second)
 	c.DrainStuck = or(c.DrainStuck, 15*time.Second)
-	return &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry()}
+	return &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry(), started: clock.Now()}
 }
 
 func or[T comparable](v, fallback T) T {
--- a/brentry/hold_test.go
+++ b/brentry/hold_test.go
@@ -53,7 +53,7 @@
 	<-started
 	r := f.Join(brwire.Join{Pool: pool, Epoch: 2})
 	if len(r.Queued) != 1 || r.Queued[0].RequestID != s2.RequestID || len(r.Running) != 1 || r.Running[0].Submit.RequestID != s1.RequestID ||
-		len(r.Finished) != 1 || r.Finished[0] != s0.RequestID || r.Epoch != 2 || r.EntryID != "entry-1" {
+		len(r.Ended) != 1 || r.Ended[0].RequestID != s0.RequestID || !r.Ended[0].Ran || r.Ended[0].Customer != "trust" || r.Epoch != 2 || r.EntryID != "entry-1" {
 		t.Errorf("%+v", r)
 	}
 	if err := f.grant(s2, 1, f.address); !brerror.Is(err, brerror.NotOwner) {
--- a/brentry/output.go
+++ b/brentry/output.go
@@ -190,7 +190,7 @@
 			h.progress.Store(now.UnixNano())
 			if ch.Tokens > 0 && h.firstToken.CompareAndSwap(false, true) {
 				e.record(EventFirstToken, h, g, nil)
-				e.FirstToken(h.submit.Pool, brwire.FirstToken{RequestID: h.submit.RequestID, Epoch: g.Epoch, Elapsed: now.Sub(h.started)})
+				e.FirstToken(h.submit.Pool, brwire.FirstToken{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, Elapsed: now.Sub(h.started)})
 			}
 			return o.chunk(ch)
 		},
--- a/brentry/registry.go
+++ b/brentry/registry.go
@@ -48,6 +48,7 @@
 	// Used by the request's own goroutine.
 	begun      LedgerRecord // its Attempt is set once the ledger has the record
 	dispatched bool
+	ran        bool      // known when it ended
 	started    time.Time // of the dispatch
 	attempts   int
 }
@@ -61,6 +62,7 @@
 // ended is the record of a request that was dispatched and is over.
 type ended struct {
 	id, pool, customer, address, endpointID string
+	ran                                     bool // it certainly ran; otherwise its outcome is unknown
 	at                                      time.Time
 }
 
@@ -183,7 +185,7 @@
 	r, now := &e.registry, e.clock.Now()
 	id := h.submit.RequestID
 	r.ended[id] = ended{id: id, pool: h.submit.Pool, customer: h.admission.Customer, address: h.grant.Address,
-		endpointID: h.grant.EndpointID, at: now}
+		endpointID: h.grant.EndpointID, ran: h.ran, at: now}
 	r.order = append(r.order, id)
 	e.forget(now)
 }
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -48,7 +48,7 @@
 		}
 		e.giveBack(h, g, err)
 		if submit, err = e.again(h, err); err != nil {
-			e.Withdraw(h.submit.Pool, brwire.Withdraw{RequestID: h.submit.RequestID, Epoch: g.Epoch})
+			e.Withdraw(h.submit.Pool, brwire.Withdraw{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number})
 			return nil, err
 		}
 	}
@@ -127,7 +127,7 @@
 func (e *Entry) giveUp(h *held, err error) (brwire.Grant, error) {
 	e.mu.Lock()
 	e.remove(h)
-	w := brwire.Withdraw{RequestID: h.submit.RequestID, Epoch: h.grant.Epoch}
+	w := brwire.Withdraw{RequestID: h.submit.RequestID, Epoch: h.grant.Epoch, Number: h.grant.Number}
 	e.mu.Unlock()
 	e.Withdraw(h.submit.Pool, w)
 	return brwire.Grant{}, err
@@ -171,7 +171,7 @@
 	}
 	e.Counters.Returned.Add(1)
 	e.record(EventReturned, h, g, err)
-	e.Done(h.submit.Pool, brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Outcome: brerror.NotRun, Kind: kind})
+	e.Done(h.submit.Pool, brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, Outcome: brerror.NotRun, Kind: kind})
 }
 
 // dispatch performs the exchange under a context of its own, so that a caller
@@ -186,7 +186,7 @@
 		}
 		e.Counters.Dispatched.Add(1)
 		e.record(EventDispatched, h, g, nil)
-		e.Started(h.submit.Pool, brwire.Started{RequestID: h.submit.RequestID, Epoch: g.Epoch})
+		e.Started(h.submit.Pool, brwire.Started{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number})
 		go e.watch(caller, h, g, over, cancel)
 		return nil
 	}
@@ -212,7 +212,7 @@
 }
 
 func (e *Entry) finish(h *held, g brwire.Grant, res brdispatch.Result, err error) {
-	d := brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, OK: err == nil, Outcome: brerror.Ran,
+	d := brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, OK: err == nil, Outcome: brerror.Ran,
 		PromptTokens: or(res.Usage.PromptTokens, h.submit.PromptTokens), CachedTokens: res.Usage.CachedTokens,
 		OutputTokens: res.Next, FirstToken: res.FirstToken, Duration: res.Duration}
 	if err != nil {
@@ -229,6 +229,7 @@
 			d.OK, d.Kind = false, brerror.EndpointFailed // passed on to the caller, and counted against the endpoint
 		}
 	}
+	h.ran = d.OK || d.Outcome == brerror.Ran
 	e.record(EventEnded, h, g, err)
 	e.Done(h.submit.Pool, d)
 }
--- a/brentry/scheduler.go
+++ b/brentry/scheduler.go
@@ -51,7 +51,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	r, now := &e.registry, e.clock.Now()
-	out := brwire.Recover{EntryID: e.config.EntryID, Pool: j.Pool, Epoch: max(j.Epoch, r.epochs[j.Pool])}
+	out := brwire.Recover{EntryID: e.config.EntryID, Pool: j.Pool, Epoch: max(j.Epoch, r.epochs[j.Pool]),
+		StartedAgo: now.Sub(e.started)}
 	if j.Epoch < r.epochs[j.Pool] {
 		return out
 	}
@@ -76,8 +77,9 @@
 	}
 	e.forget(now)
 	for _, id := range r.order {
-		if r.ended[id].pool == j.Pool {
-			out.Finished = append(out.Finished, id)
+		if d := r.ended[id]; d.pool == j.Pool {
+			out.Ended = append(out.Ended, brwire.EndedRef{RequestID: id, EndpointID: d.endpointID,
+				Address: d.address, Customer: d.customer, Ran: d.ran})
 		}
 	}
 	if e.Record != nil {
--- a/brledger/ledger.go
+++ b/brledger/ledger.go
@@ -41,8 +41,8 @@
 	if err != nil {
 		return Record{}, false, err
 	}
-	if b.Entry == "" || len(b.Entry) > MaxFieldBytes || len(b.Endpoint) > MaxFieldBytes {
-		return Record{}, false, brerror.New(brerror.InvalidRequest, "entry and endpoint need names of at most %d bytes", MaxFieldBytes)
+	if b.Entry == "" || max(len(b.Entry), len(b.Endpoint), len(b.Customer)) > MaxFieldBytes {
+		return Record{}, false, brerror.New(brerror.InvalidRequest, "entry, endpoint and customer need names of at most %d bytes", MaxFieldBytes)
 	}
 	l.Expire(now)
 	if k, ok := l.records[b.RequestID]; ok {
@@ -57,7 +57,7 @@
 	if minted.Sub(now) > MaxAhead {
 		return Record{}, false, brerror.New(brerror.InvalidRequest, "id is %v ahead of the control group's time", minted.Sub(now)).WithField("request_id")
 	}
-	r = Record{RequestID: b.RequestID, Entry: b.Entry, Endpoint: b.Endpoint, BegunAt: now}
+	r = Record{RequestID: b.RequestID, Customer: b.Customer, Entry: b.Entry, Endpoint: b.Endpoint, BegunAt: now}
 	if len(l.records) >= l.limits.Records || l.bytes+r.size() > l.limits.Bytes {
 		return Record{}, false, brerror.New(brerror.LedgerUnavailable, "ledger is full with %d records of %d bytes", len(l.records), l.bytes)
 	}
--- a/brledger/ledger_test.go
+++ b/brledger/ledger_test.go
@@ -30,7 +30,7 @@
 			r, e := rapid.SampledFrom(ids).Draw(t, "id"), rapid.SampledFrom([]string{"e1", "e2"}).Draw(t, "entry")
 			switch rapid.IntRange(0, 4).Draw(t, "kind") {
 			case 0, 1:
-				if _, begun, _ := l.Begin(now, Begin{r, e, "ep"}); begun && may[r] != "" {
+				if _, begun, _ := l.Begin(now, Begin{r, "c1", e, "ep"}); begun && may[r] != "" {
 					t.Fatalf("%s begun by %s and then by %s", r, may[r], e)
 				} else if begun {
 					may[r] = e
@@ -63,7 +63,7 @@
 func TestBegin(t *testing.T) {
 	l := New(Limits{Records: 3, Bytes: 1 << 20}, nil)
 	begin := func(at time.Time, r, e string) (Record, brerror.Kind) {
-		rec, begun, err := l.Begin(at, Begin{r, e, "10.0.0.1:80"})
+		rec, begun, err := l.Begin(at, Begin{r, "c1", e, "10.0.0.1:80"})
 		if err == nil && !begun {
 			return rec, brerror.AlreadyRun // stands for the kept answer
 		}
--- a/brledger/record.go
+++ b/brledger/record.go
@@ -35,6 +35,7 @@
 // Record is the state of one request.
 type Record struct {
 	RequestID string    `cbor:"request_id" json:"request_id"`
+	Customer  string    `cbor:"customer" json:"customer"` // whose request it is; no other may read the answer
 	Entry     string    `cbor:"entry" json:"entry"`       // that began it
 	Endpoint  string    `cbor:"endpoint" json:"endpoint"` // address that it is dispatched to
 	BegunAt   time.Time `cbor:"begun_at" json:"begun_at"`
@@ -45,6 +46,7 @@
 // Begin asks to dispatch a request.
 type Begin struct {
 	RequestID string `cbor:"request_id"`
+	Customer  string `cbor:"customer"`
 	Entry     string `cbor:"entry"`
 	Endpoint  string `cbor:"endpoint"`
 }
--- a/brpool/finished.go
+++ b/brpool/finished.go
@@ -61,8 +61,8 @@
 
 // ended tells where a request ran.
 type ended struct {
-	entry, endpoint, address string
-	ran                      bool // otherwise its outcome is unknown
+	entry, endpoint, address, customer string
+	ran                                bool // otherwise its outcome is unknown
 }
 
 // refusal returns what a resend of the request is told.
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -142,7 +142,7 @@
 	p.table.Return(now, f)
 	p.dropFlight(r)
 	delete(p.requests, r.ID)
-	p.finished.add(now, r.key, ended{entry: r.entry, endpoint: f.EndpointID, address: f.Address, ran: ran})
+	p.finished.add(now, r.key, ended{entry: r.entry, endpoint: f.EndpointID, address: f.Address, customer: r.submit.Customer, ran: ran})
 }
 
 // dropFlight takes the flight from r; the table has ended it already.
--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -101,7 +101,7 @@
 		}
 	}
 	if _, ok := p.finished.byID[key]; !ok {
-		p.finished.add(now, key, ended{entry: entry, endpoint: e.EndpointID, address: e.Address, ran: e.Ran})
+		p.finished.add(now, key, ended{entry: entry, endpoint: e.EndpointID, address: e.Address, customer: e.Customer, ran: e.Ran})
 	}
 }
 
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -124,6 +124,7 @@
 	RequestID  string `cbor:"request_id"`
 	EndpointID string `cbor:"endpoint_id"`
 	Address    string `cbor:"address"`
+	Customer   string `cbor:"customer"`
 	Ran        bool   `cbor:"ran"` // it certainly ran; otherwise its outcome is unknown
 }
 
