--- a/brstate/model_test.go
+++ b/brstate/model_test.go
@@ -27,7 +27,11 @@
 			at = at.Add(time.Duration(rapid.SampledFrom([]int{-1, 0, 1, 1, 3600 * 9}).Draw(t, "seconds")) * time.Second)
 			c := randomCommand(t, a, at)
 			c.ID, c.At = fmt.Sprint("c", rapid.IntRange(0, 40).Draw(t, "id")), at
+			before := a.Now()
 			ra, change := a.Apply(i, mustEncode(c))
+			if a.Now().Before(before) {
+				t.Fatal("time went back")
+			}
 			rb, _ := b.Apply(i, mustEncode(c))
 			if !bytes.Equal(mustEncode(ra), mustEncode(rb)) {
 				t.Fatalf("replies differ: %v, %v", ra, rb)
--- a/brstate/state_test.go
+++ b/brstate/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,8 +11,10 @@
 	"bramleyroute/brlease"
 	"bramleyroute/brledger"
 	"bramleyroute/brwire"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/uuid"
+	"github.com/sebdah/goldie/v2"
 )
 
 var base = time.Date(2026, 9, 1, 6, 0, 0, 0, time.UTC)
@@ -136,6 +139,7 @@
 	m.refused(Command{UpdateRollout: &UpdateRollout{ID: r.ID, Expected: r.Revision, SharePerMille: 20}}, brerror.InvalidRequest)
 	m.refused(Command{FinishRollout: &FinishRollout{ID: r.ID, Expected: r.Revision, Outcome: Finished}}, brerror.InvalidRequest)
 	m.must(Command{FinishRollout: &FinishRollout{ID: r.ID, Expected: r.Revision, Outcome: TakenBack, Reason: "late"}})
+	r, _ = m.View().Rollout(r.ID)
 	m.refused(Command{FinishRollout: &FinishRollout{ID: r.ID, Expected: r.Revision, Outcome: TakenBack}}, brerror.RevisionConflict)
 	d.Customers[0].Weight = 3
 	m.must(put(1, d))
@@ -195,6 +199,52 @@
 	}
 }
 
+// Guards against a change of the log's or the messages' format that a replica or
+// daemon of the release before can't read.
+func TestFormat(t *testing.T) {
+	at := base.Add(time.Hour)
+	rows := []any{
+		Command{ID: "1", At: at, PutConfiguration: &PutConfiguration{Expected: 7, Change: &brconfig.Change{Customers: document(1).Customers, RemovedModels: []string{"m"}}}},
+		Command{ID: "2", At: at, RegisterDaemon: &RegisterDaemon{brwire.Daemon{ID: "d", Roles: []brwire.Role{brwire.RoleEntry}}}},
+		Command{ID: "3", At: at, DeregisterDaemon: &DeregisterDaemon{"d", "i"}},
+		Command{ID: "4", At: at, AcquireLease: &brlease.Acquire{Name: "l", Holder: "d", Duration: time.Second, Lapsed: &brlease.Term{Epoch: 1, Renewals: 2}}},
+		Command{ID: "5", At: at, RenewLease: &brlease.Renew{Name: "l", Holder: "d", Epoch: 1}},
+		Command{ID: "6", At: at, ReleaseLease: &brlease.Release{Name: "l", Holder: "d", Epoch: 1}},
+		Command{ID: "7", At: at, BeginRequest: &brledger.Begin{RequestID: "r", Entry: "d", Endpoint: "e"}},
+		Command{ID: "8", At: at, FinishRequest: &brledger.Finish{RequestID: "r", Entry: "d", Answer: brledger.Answer{Status: 200, ContentType: "t", Body: []byte("b")}}},
+		Command{ID: "9", At: at, ReleaseRequest: &brledger.Release{RequestID: "r", Entry: "d"}},
+		Command{ID: "10", At: at, StartRollout: &StartRollout{"r", "m", "p", "v1", "v2", at}},
+		Command{ID: "11", At: at, UpdateRollout: &UpdateRollout{"r", 3, 1, 10, []string{"q"}}},
+		Command{ID: "12", At: at, FinishRollout: &FinishRollout{"r", 3, Finished, "good"}},
+		Command{ID: "13", At: at, PlaceOrder: &PlaceOrder{"o", "l", "d", 1, "e", "load", "v", "a", "r"}},
+		Command{ID: "14", At: at, FinishOrder: &FinishOrder{"o", true, "done"}},
+		Change{Revision: 9, Previous: 8, Configuration: &brconfig.Change{RemovedCustomers: []string{"c"}}, Owners: []Owner{{"p", "d", 4}}, Daemons: []brwire.Daemon{{ID: "d"}},
+			RemovedDaemons: []string{"x"}, Rollouts: []Rollout{{ID: "r", Tripped: []string{"q"}, Outcome: TakenBack, EndedAt: at}}, RemovedRollouts: []string{"y"}},
+		frame{Header: &header{snapshotFormat, 9, at, 8, 7}, Leases: []brlease.Lease{{Name: "l"}}, Records: []brledger.Record{{RequestID: "r"}}, Orders: []Order{{DoneAt: at}}, Results: []result{{ID: "c"}}, LastFrame: true},
+	}
+	var text strings.Builder
+	for _, r := range rows {
+		line, err := cbor.Diagnose(mustEncode(r))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text.WriteString(line + "\n")
+	}
+	goldie.New(t).Assert(t, "format", []byte(text.String()))
+}
+
+// Guards against a distribution that grows with the number of customers.
+func TestChangeSize(t *testing.T) {
+	for _, n := range []int{5, 860} {
+		m := newMachine(t)
+		m.must(put(0, document(n)))
+		_, change := m.do(oneCustomer(m, 41))
+		if got := len(mustEncode(*change)); got > 1024 {
+			t.Errorf("change of one of %d customers has %d bytes", n, got)
+		}
+	}
+}
+
 // Guards against a watcher that misses changes when it is far behind.
 func TestHistory(t *testing.T) {
 	var h History
