brmember, brstate: change the registered daemons one at a time

Cause: the two majorities behind pool leases share a daemon only if owner and leader know nearly the same set. With several changes in a row the simulation found two owners of a pool (after 8,149 schedules). Change: the leader changes the set only after a majority applied the change before (View.MembersRevision); answers with a newer revision don't count for extensions. Command.Stamped overwrites what a sender claims about lapsed leases.

--- a/brmember/daemon.go
+++ b/brmember/daemon.go
@@ -297,17 +297,18 @@
 }
 
 // judge evaluates the answers to a question. Leases that have ended were
-// dropped at the beginning of the step, so only others are extended.
+// dropped at the beginning of the step, so only others are extended. An answer
+// with a newer revision does not count: the registered daemons may have changed.
 func (d *Daemon) judge(q question) []Effect {
 	unconfirmed, exempt := 0, true
 	for _, r := range q.answers {
 		if !r.Ready {
 			continue
 		}
-		if r.Confirmed || r.Revision > d.revision {
-			exempt = false
-		}
-		if !r.Confirmed {
+		switch {
+		case r.Confirmed || r.Revision > d.revision:
+			exempt = false // and no vote for an extension
+		default:
 			unconfirmed++
 		}
 	}
--- a/brmember/doc.go
+++ b/brmember/doc.go
@@ -23,6 +23,13 @@
 // have answered "unconfirmed" in (G-1.5 s, G), so no extension covers G, and
 // since only a lease that has not ended is extended, none does later.
 //
+// Registered daemons: the two majorities above share a daemon only if the owner
+// and the leader know sets that differ by at most one daemon. The leader
+// therefore adds or removes one daemon at a time, and only after a majority of
+// the set has applied the change before. An answer with a newer revision than
+// the asker's counts neither for an exemption nor for an extension, so a daemon
+// that is two changes behind finds no majority.
+//
 // Liveness: when the whole control group is lost at X, every daemon answers
 // "unconfirmed" from X + 1.5 s on. The first daemon to be unconfirmed is so at
 // X + 2 s, and the first pool lease ends at X + 1.97 s. With the 3 s limit for
--- a/brmember/leader.go
+++ b/brmember/leader.go
@@ -62,7 +62,9 @@
 
 // Applied reports whether a majority of the registered daemons has applied the
 // revision. A configuration change is answered as accepted only then: after the
-// loss of the whole control group the majority passes it on.
+// loss of the whole control group the majority passes it on. The registered
+// daemons are changed, by one at a time, only when it holds for their last
+// change.
 func (l *Leader) Applied(revision uint64, registered []string) bool {
 	return l.majority(registered, func(d reported) bool { return d.revision >= revision })
 }
--- a/brmember/member_test.go
+++ b/brmember/member_test.go
@@ -41,7 +41,7 @@
 	}{
 		{"unconfirmed", "b", 1, 2950, unconfirmed, Exempt, true},
 		{"older revision", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Revision: 4}, Exempt, true},
-		{"newer revision", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Revision: 6}, Unconfirmed, true},
+		{"newer revision", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Revision: 6}, Unconfirmed, false},
 		{"confirmed", "b", 1, 2950, brwire.ConfirmedReply{Ready: true, Confirmed: true, Revision: 5}, Unconfirmed, false},
 		{"just started", "b", 1, 2950, brwire.ConfirmedReply{Revision: 5}, Unconfirmed, false},
 		{"not registered", "x", 1, 2950, unconfirmed, Unconfirmed, false},
--- a/brmember/simulation_test.go
+++ b/brmember/simulation_test.go
@@ -31,6 +31,8 @@
 	table     *brlease.Table
 	timers    *brlease.Timers
 	committed uint64
+	members   uint64              // revision of the last change of the registered daemons
+	sets      map[uint64][]string // registered daemons by revision
 	accepted  map[uint64]time.Duration
 	next      []time.Duration // next renewal or acquisition of each daemon
 	asked     time.Duration
@@ -46,18 +48,24 @@
 
 func name(i int) string { return fmt.Sprint("d", i) }
 
+func index(name string) (i int) {
+	_, _ = fmt.Sscanf(name, "d%d", &i)
+	return i
+}
+
 func (s *simulation) clock(i int) time.Time {
 	return time.Unix(1000, 0).Add(s.now * time.Duration(s.rate[i]) / 1000)
 }
 
 func newSimulation(n int, delay func() time.Duration) *simulation {
-	s := &simulation{n: n, rate: make([]int, n+1), daemons: make([]*Daemon, n), cut: map[[2]int]bool{}, delay: delay, committed: 1,
+	s := &simulation{n: n, rate: make([]int, n+1), daemons: make([]*Daemon, n), cut: map[[2]int]bool{}, delay: delay, committed: 1, members: 1, sets: map[uint64][]string{},
 		table: brlease.NewTable(nil), accepted: map[uint64]time.Duration{}, next: make([]time.Duration, n), dead: map[int]bool{}}
 	for i := range s.rate {
 		s.rate[i] = 1000
 	}
 	s.elect()
 	for i := range n {
+		s.sets[1] = append(s.sets[1], name(i))
 		s.restart(i)
 	}
 	return s
@@ -67,16 +75,15 @@
 	s.leader, s.timers = NewLeader(s.clock(s.n)), brlease.NewTimers(s.clock(s.n), s.table.List())
 }
 
-func (s *simulation) registered() (ids []string) {
-	for i := range s.n {
-		ids = append(ids, name(i))
-	}
-	return ids
-}
+func (s *simulation) registered() []string { return s.sets[s.committed] }
+
+func (s *simulation) restart(i int) { s.daemons[i] = NewDaemon(s.clock(i), name(i)) }
 
-func (s *simulation) restart(i int) {
-	s.daemons[i] = NewDaemon(s.clock(i), name(i))
-	s.step(i, Registered{s.registered()})
+func (s *simulation) apply(i int, revision uint64) {
+	if revision > s.daemons[i].revision {
+		s.step(i, Registered{s.sets[revision]})
+		s.step(i, Applied{revision})
+	}
 }
 
 func (s *simulation) send(from, to int, run func()) {
@@ -100,7 +107,7 @@
 			s.send(i, s.n, func() { s.sessions.Step(s.clock(s.n), AckReceived(e)) })
 		case Ask:
 			for _, id := range e.To {
-				j := slices.Index(s.registered(), id)
+				j := index(id)
 				s.send(i, j, func() {
 					r := s.step(j, Asked{name(i)})
 					s.send(j, i, func() { s.step(i, AnswerReceived{e.Round, id, r}) })
@@ -109,10 +116,10 @@
 		case Answer:
 			reply = e.Reply
 		case Behind:
-			if j := slices.Index(s.registered(), e.From); j >= 0 {
-				s.send(i, j, func() { r := s.daemons[j].revision; s.send(j, i, func() { s.step(i, Applied{r}) }) })
+			if j := index(e.From); e.From != "" {
+				s.send(i, j, func() { r := s.daemons[j].revision; s.send(j, i, func() { s.apply(i, r) }) })
 			} else {
-				s.send(i, s.n, func() { r := s.committed; s.send(s.n, i, func() { s.step(i, Applied{r}) }) })
+				s.send(i, s.n, func() { r := s.committed; s.send(s.n, i, func() { s.apply(i, r) }) })
 			}
 		}
 	}
@@ -138,7 +145,7 @@
 				s.send(s.n, i, func() { s.step(i, LeaseRenewed{l, sent}) })
 			}
 		})
-	} else if d.Standing(sent) == Confirmed {
+	} else if d.Standing(sent) == Confirmed && slices.Contains(d.registered, name(i)) {
 		s.next[i] = s.now + 200*time.Millisecond
 		s.send(i, s.n, func() { s.acquire(i, d, sent) })
 	}
@@ -160,13 +167,28 @@
 	}
 }
 
-func (s *simulation) propose() {
+// propose commits a configuration with an accepted set of registered daemons.
+func (s *simulation) propose(set []string) {
 	if !s.leader.Live(s.clock(s.n), s.registered()) {
 		return
 	}
 	s.committed++
+	s.sets[s.committed] = set
 	for i, r := range slices.Repeat([]uint64{s.committed}, s.n) {
-		s.send(s.n, i, func() { s.step(i, Applied{r}) })
+		s.send(s.n, i, func() { s.apply(i, r) })
+	}
+}
+
+// toggle registers or removes one daemon.
+func (s *simulation) toggle(i int) {
+	set := slices.DeleteFunc(slices.Clone(s.registered()), func(id string) bool { return id == name(i) })
+	if len(set) == len(s.registered()) {
+		set = append(set, name(i))
+	}
+	if before := s.committed; len(set) > 0 && s.leader.Applied(s.members, s.registered()) {
+		if s.propose(set); s.committed > before {
+			s.members = s.committed
+		}
 	}
 }
 
@@ -242,7 +264,7 @@
 		s.run(t, 5*time.Second, func() {})
 		for range rapid.IntRange(1, 12).Draw(t, "events") {
 			i, j := rapid.IntRange(0, n-1).Draw(t, "daemon"), rapid.IntRange(0, n).Draw(t, "peer")
-			switch rapid.SampledFrom([]string{"cut", "cut", "heal", "heal all", "change", "restart", "elect", "lose control", "cut one way"}).Draw(t, "event") {
+			switch rapid.SampledFrom([]string{"cut", "cut", "heal", "heal all", "change", "toggle", "toggle", "restart", "elect", "lose control", "cut one way"}).Draw(t, "event") {
 			case "cut":
 				s.isolate(i, []int{j}, true)
 			case "cut one way":
@@ -252,7 +274,9 @@
 			case "heal all":
 				clear(s.cut)
 			case "change":
-				s.propose()
+				s.propose(s.registered())
+			case "toggle":
+				s.toggle(i)
 			case "restart":
 				s.restart(i)
 			case "elect":
@@ -311,7 +335,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := warm(t, rapid.IntRange(3, 5).Draw(t, "daemons"))
 		l, _ := s.table.Get(pool)
-		i, since := slices.Index(s.registered(), l.Holder), s.now
+		i, since := index(l.Holder), s.now
 		s.isolate(i, []int{s.n}, true)
 		if rapid.Bool().Draw(t, "also from daemons") {
 			s.isolate(i, []int{0, 1, 2, 3, 4}, true)
--- a/brstate/command.go
+++ b/brstate/command.go
@@ -49,7 +49,9 @@
 	Problems []brconfig.Problem `cbor:"problems,omitempty" json:"problems,omitempty"`
 }
 
-// RegisterDaemon adds a daemon or replaces its row.
+// RegisterDaemon adds a daemon or replaces its row. The leader proposes it for a
+// new id, as DeregisterDaemon, only once a majority of the registered daemons
+// has applied the view's MembersRevision; see brmember.Leader.
 type RegisterDaemon struct {
 	Daemon brwire.Daemon `cbor:"daemon"`
 }
@@ -122,6 +124,23 @@
 // Encode returns the log entry of c.
 func (c Command) Encode() ([]byte, error) { return brwire.Encode(c) }
 
+// Stamped returns c as the leader proposes it: with its wall time and, for the
+// acquisition of a lease, with the term that the leader's timers saw lapse. What
+// the sender put there is overwritten. Lapsed reports no term while the lease
+// must not pass to another holder.
+func (c Command) Stamped(at time.Time, lapsed func(name string) (brlease.Term, bool)) Command {
+	c.At = at.UTC().Round(0)
+	if c.AcquireLease != nil {
+		a := *c.AcquireLease
+		a.Lapsed = nil
+		if t, ok := lapsed(a.Name); ok {
+			a.Lapsed = &t
+		}
+		c.AcquireLease = &a
+	}
+	return c
+}
+
 // Kind returns the snake case name of the body, or an error of the kind
 // invalid_request when not exactly one is set.
 func (c Command) Kind() (string, error) {
--- a/brstate/snapshot.go
+++ b/brstate/snapshot.go
@@ -35,6 +35,7 @@
 	Now                   time.Time `cbor:"now"`
 	Revision              uint64    `cbor:"revision"`
 	ConfigurationRevision uint64    `cbor:"configuration_revision"`
+	MembersRevision       uint64    `cbor:"members_revision"`
 }
 
 const snapshotFormat = 1
@@ -44,7 +45,7 @@
 func (s *State) Snapshot() []byte {
 	v := s.view
 	w := &frameWriter{}
-	w.frame(frame{Header: &header{snapshotFormat, s.index, s.now, v.Revision, v.ConfigurationRevision}})
+	w.frame(frame{Header: &header{snapshotFormat, s.index, s.now, v.Revision, v.ConfigurationRevision, v.MembersRevision}})
 	writeRows(w, v.Configuration.Models, func(rows []brconfig.Model) frame { return frame{Items: &brconfig.Change{Models: rows}} })
 	writeRows(w, v.Configuration.Templates, func(rows []brconfig.Template) frame { return frame{Items: &brconfig.Change{Templates: rows}} })
 	writeRows(w, v.Configuration.Customers, func(rows []brconfig.Customer) frame { return frame{Items: &brconfig.Change{Customers: rows}} })
@@ -77,7 +78,7 @@
 		}
 		if h := f.Header; h != nil {
 			s.index, s.now = h.Index, h.Now
-			s.view.Revision, s.view.ConfigurationRevision = h.Revision, h.ConfigurationRevision
+			s.view = View{Revision: h.Revision, ConfigurationRevision: h.ConfigurationRevision, MembersRevision: h.MembersRevision}
 		}
 		if f.Items != nil {
 			items.Models = append(items.Models, f.Items.Models...)
--- a/brstate/state_test.go
+++ b/brstate/state_test.go
@@ -220,7 +220,7 @@
 		Command{ID: "14", At: at, FinishOrder: &FinishOrder{"o", true, "done"}},
 		Change{Revision: 9, Previous: 8, Configuration: &brconfig.Change{RemovedCustomers: []string{"c"}}, Owners: []Owner{{"p", "d", 4}}, Daemons: []brwire.Daemon{{ID: "d"}},
 			RemovedDaemons: []string{"x"}, Rollouts: []Rollout{{ID: "r", Tripped: []string{"q"}, Outcome: TakenBack, EndedAt: at}}, RemovedRollouts: []string{"y"}},
-		frame{Header: &header{snapshotFormat, 9, at, 8, 7}, Leases: []brlease.Lease{{Name: "l"}}, Records: []brledger.Record{{RequestID: "r"}}, Orders: []Order{{DoneAt: at}}, Results: []result{{ID: "c"}}, LastFrame: true},
+		frame{Header: &header{snapshotFormat, 9, at, 8, 7, 6}, Leases: []brlease.Lease{{Name: "l"}}, Records: []brledger.Record{{RequestID: "r"}}, Orders: []Order{{DoneAt: at}}, Results: []result{{ID: "c"}}, LastFrame: true},
 	}
 	var text strings.Builder
 	for _, r := range rows {
@@ -233,6 +233,18 @@
 	goldie.New(t).Assert(t, "format", []byte(text.String()))
 }
 
+// Guards against a sender that claims itself that a lease lapsed.
+func TestStamped(t *testing.T) {
+	c := Command{AcquireLease: &brlease.Acquire{Name: "p", Lapsed: &brlease.Term{Epoch: 9}}}
+	if got := c.Stamped(base, func(string) (brlease.Term, bool) { return brlease.Term{}, false }); got.AcquireLease.Lapsed != nil || !got.At.Equal(base) {
+		t.Errorf("%+v", got.AcquireLease)
+	}
+	got := c.Stamped(base, func(string) (brlease.Term, bool) { return brlease.Term{Epoch: 4, Renewals: 2}, true })
+	if *got.AcquireLease.Lapsed != (brlease.Term{Epoch: 4, Renewals: 2}) || c.AcquireLease.Lapsed.Epoch != 9 {
+		t.Errorf("%+v, from %+v", got.AcquireLease, c.AcquireLease)
+	}
+}
+
 // Guards against a distribution that grows with the number of customers.
 func TestChangeSize(t *testing.T) {
 	for _, n := range []int{5, 860} {
--- a/brstate/view.go
+++ b/brstate/view.go
@@ -29,6 +29,7 @@
 type View struct {
 	Revision              uint64            `cbor:"revision" json:"revision"`
 	ConfigurationRevision uint64            `cbor:"configuration_revision" json:"configuration_revision"`
+	MembersRevision       uint64            `cbor:"members_revision" json:"members_revision"` // last change of the set of registered daemons
 	Configuration         brconfig.Document `cbor:"configuration" json:"configuration"`
 	Owners                []Owner           `cbor:"owners" json:"owners"`
 	Daemons               []brwire.Daemon   `cbor:"daemons" json:"daemons"`
@@ -65,6 +66,10 @@
 	if c.Configuration != nil {
 		v.ConfigurationRevision, v.Configuration = c.Revision, v.Configuration.With(*c.Configuration)
 	}
+	added := slices.ContainsFunc(c.Daemons, func(d brwire.Daemon) bool { _, ok := v.Daemon(d.ID); return !ok })
+	if added || len(c.RemovedDaemons) > 0 {
+		v.MembersRevision = c.Revision
+	}
 	v.Owners = withRows(v.Owners, c.Owners, nil, func(o Owner) string { return o.Pool })
 	v.Daemons = withRows(v.Daemons, c.Daemons, c.RemovedDaemons, func(d brwire.Daemon) string { return d.ID })
 	v.Rollouts = withRows(v.Rollouts, c.Rollouts, c.RemovedRollouts, func(r Rollout) string { return r.ID })
