brbaseline: compare the pool with round robin, least outstanding and first come

A small set of synthetic engines in manual time plays the same arrivals under each policy. TestCompare fails when tier 1 loses more than 1% of its unloaded goodput at three times capacity, or when prefill for late answers exceeds a fifth of the best baseline's. Reports no longer leave a copy of their address with every ended request.

--- /dev/null
+++ b/brbaseline/run_test.go
@@ -0,0 +1,11 @@
+package brbaseline
+
+import "fmt"
+
+// Guards against arrivals that differ between policies, which would make every
+// comparison void.
+func ExampleRun() {
+	a, b := Run(1, 2, RoundRobin()), Run(1, 2, FirstCome())
+	fmt.Println(a.Offered == b.Offered, b.Good[0] == b.Offered[0])
+	// Output: true true
+}
--- /dev/null
+++ b/brpool/bench_test.go
@@ -0,0 +1,78 @@
+package brpool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+)
+
+// BenchmarkStep measures one request, from its submit over its grant to its
+// end, with a number of endpoints and of requests that wait behind it.
+func BenchmarkStep(b *testing.B) {
+	for _, endpoints := range []int{20, 217, 2600} {
+		for _, waiting := range []int{100, 10_000} {
+			b.Run(fmt.Sprintf("endpoints=%d/queued=%d", endpoints, waiting), func(b *testing.B) {
+				benchmarkStep(b, endpoints, waiting)
+			})
+		}
+	}
+}
+
+func benchmarkStep(b *testing.B, endpoints, waiting int) {
+	p := newPool(brwire.KindEngine)
+	p.Step(start, SetLimits{Model: brconfig.Model{QueueTokens: 1 << 40}})
+	p.Step(start, Takeover{Epoch: 1})
+	for i := range endpoints {
+		p.Step(start, announce(fmt.Sprint("e", i), "v1", 1, 10_000))
+	}
+	hashes := make([]uint64, 16)
+	for i := range hashes {
+		hashes[i] = uint64(i)
+	}
+	n := 0
+	next := func(now time.Time, tier int) []Effect {
+		n++
+		ev := submit("a", testID(now, n), tier, 900)
+		ev.Submit.Customer = fmt.Sprint("c", n%860)
+		ev.Submit.PrefixHashes = hashes
+		ev.Submit.Deadline = time.Hour
+		return p.Step(now, ev)
+	}
+	for p.queue.Len() < waiting {
+		next(start, 4)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	now := start
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		if i%100 == 0 {
+			p.Step(now, Tick{})
+		}
+		if i%1000 == 999 {
+			b.StopTimer()
+			for e := range endpoints {
+				p.Step(now, announce(fmt.Sprint("e", e), "v1", uint64(2+i), 10_000))
+			}
+			b.StartTimer()
+		}
+		for _, e := range next(now, 1) {
+			g, ok := e.(SendGrant)
+			if !ok {
+				continue
+			}
+			p.Step(now, Started{"a", brwire.Started{RequestID: g.Grant.RequestID, Epoch: 1, Number: g.Grant.Number}})
+			p.Step(now, FirstToken{"a", brwire.FirstToken{RequestID: g.Grant.RequestID, Epoch: 1, Number: g.Grant.Number, Elapsed: 50 * time.Millisecond}})
+			p.Step(now, Done{"a", brwire.Done{RequestID: g.Grant.RequestID, Epoch: 1, Number: g.Grant.Number, OK: true, Outcome: brerror.Ran,
+				PromptTokens: 900, OutputTokens: 80, FirstToken: 50 * time.Millisecond, Duration: time.Second}})
+		}
+	}
+	b.StopTimer()
+	if p.counters.Granted < b.N || p.queue.Len() < waiting {
+		b.Fatalf("%d granted of %d, %d queued", p.counters.Granted, b.N, p.queue.Len())
+	}
+}
--- /dev/null
+++ b/brpool/compare_test.go
@@ -0,0 +1,110 @@
+package brpool
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+
+	"bramleyroute/brbaseline"
+	"bramleyroute/brerror"
+	"bramleyroute/brwire"
+)
+
+// poolPolicy puts a pool into the place of a baseline.
+func poolPolicy(seed uint64) (brbaseline.Policy, *Pool) {
+	p := New(Options{Name: "m@r", Kind: brwire.KindEngine, Rand: rand.New(rand.NewPCG(seed, 3)).Uint64})
+	open, numbers := map[string]*brbaseline.Request{}, map[string]uint64{}
+	ticks := 0
+	var step func(c *brbaseline.Cluster, ev Event)
+	step = func(c *brbaseline.Cluster, ev Event) {
+		for _, ef := range p.Step(c.Now, ev) {
+			switch ef := ef.(type) {
+			case SendGrant:
+				id := ef.Grant.RequestID
+				numbers[id] = ef.Grant.Number
+				c.Place(open[id], ef.Grant.EndpointID)
+				step(c, Started{"a", brwire.Started{RequestID: id, Epoch: 1, Number: ef.Grant.Number}})
+			case SendRefuse:
+				c.Refuse(open[ef.Refuse.RequestID])
+			}
+		}
+	}
+	return brbaseline.Policy{
+		Name: "pool",
+		Submit: func(c *brbaseline.Cluster, r *brbaseline.Request) {
+			open[r.ID] = r
+			step(c, Submit{"a", brwire.Submit{RequestID: r.ID, Assigned: true, Customer: fmt.Sprint("c", len(open)%5), Route: fmt.Sprint(r.Class), Tier: r.Tier,
+				Deadline: r.Deadline.Sub(c.Now), PromptTokens: r.Prompt, MaxTokens: 1000, PrefixHashes: r.Blocks}})
+		},
+		First: func(c *brbaseline.Cluster, r *brbaseline.Request) {
+			step(c, FirstToken{"a", brwire.FirstToken{RequestID: r.ID, Epoch: 1, Number: numbers[r.ID], Elapsed: c.Now.Sub(r.Sent)}})
+		},
+		End: func(c *brbaseline.Cluster, r *brbaseline.Request) {
+			d := brwire.Done{RequestID: r.ID, Epoch: 1, Number: numbers[r.ID], Kind: brerror.DeadlineExceeded}
+			if !r.Done.IsZero() {
+				d.OK, d.Outcome, d.FirstToken, d.OutputTokens = true, brerror.Ran, r.First.Sub(r.Sent), r.Output
+			}
+			d.PromptTokens, d.CachedTokens, d.Duration = r.Prompt, r.Cached, c.Now.Sub(r.Sent)
+			step(c, Done{"a", d})
+		},
+		GiveUp: func(c *brbaseline.Cluster, r *brbaseline.Request) {
+			step(c, Withdraw{"a", brwire.Withdraw{RequestID: r.ID, Epoch: 1}})
+		},
+		Report: func(c *brbaseline.Cluster, a brwire.Announce) { step(c, Report{a}) },
+		Tick: func(c *brbaseline.Cluster) {
+			if ticks == 0 {
+				step(c, Takeover{Epoch: 1})
+			}
+			if ticks%int(TickInterval/brbaseline.StepTime) == 0 {
+				step(c, Tick{})
+			}
+			ticks++
+		},
+	}, p
+}
+
+// Guards against a scheduler that loses to simple ones: at three times capacity
+// tier 1 keeps 99% of its unloaded goodput, and prefill for requests that get no
+// answer in time is at most a fifth of the best baseline's. BRPOOL_COMPARE=1
+// prints all loads, BRPOOL_SEED sets the seed.
+func TestCompare(t *testing.T) {
+	seed := uint64(1)
+	_, _ = fmt.Sscan(os.Getenv("BRPOOL_SEED"), &seed)
+	loads := []float64{0.1, 3}
+	if os.Getenv("BRPOOL_COMPARE") != "" {
+		loads = []float64{0.1, 0.7, 1, 1.5, 3}
+	}
+	capacity := brbaseline.Capacity(seed)
+	t.Logf("seed %d, capacity %.1f requests/s over %d engines", seed, capacity, brbaseline.Engines)
+	t.Log("load policy              goodput in % of tiers 1 to 5         prefilled    late  missed")
+	top, late, best := map[float64]float64{}, 0, 0
+	for _, load := range loads {
+		pool, p := poolPolicy(seed)
+		for _, policy := range []brbaseline.Policy{pool, brbaseline.FirstCome(), brbaseline.LeastOutstanding(), brbaseline.RoundRobin()} {
+			r := brbaseline.Run(seed, load*capacity, policy)
+			line := ""
+			for i := range r.Good {
+				if r.Offered[i] == 0 {
+					line += "      -"
+					continue
+				}
+				line += fmt.Sprintf(" %6.1f", 100*float64(r.Good[i])/float64(r.Offered[i]))
+			}
+			t.Logf("%4.1f %-18s %s   %9d %7d %7d", load, policy.Name, line, r.Prefilled, r.Late, r.Missed)
+			switch {
+			case policy.Name == pool.Name:
+				top[load], late = float64(r.Good[0])/float64(r.Offered[0]), r.Late
+			case best == 0 || r.Late < best:
+				best = r.Late
+			}
+		}
+		if err := p.Check(); err != nil {
+			t.Error(err)
+		}
+		if load == 3 && (top[3] < 0.99*top[0.1] || 5*late > best) {
+			t.Errorf("tier 1 goodput %.4f, unloaded %.4f; %d tokens late, best baseline %d", top[3], top[0.1], late, best)
+		}
+		best = 0
+	}
+}
--- a/brpool/pool_test.go
+++ b/brpool/pool_test.go
@@ -139,6 +139,18 @@
 			{10, submit("a", id(1), 2, 100)}, {10, submit("b", id(2), 2, 100)}, {20, Release{}},
 			{30, submit("a", id(3), 2, 100)}, {40, Started{"a", brwire.Started{RequestID: id(1), Epoch: 1, Number: 1}}}, {50, EntryLost{"b"}},
 		},
+		"lost_entry": {
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)}, {0, Tick{}},
+			{10, submit("a", id(1), 2, 100)}, {10, submit("b", id(2), 2, 100)}, {1600, Tick{}}, {1700, EntryLost{"b"}},
+			{1800, submit("a", id(2), 2, 100)}, {61_000, Tick{}}, {63_000, Tick{}}, {63_000, submit("a", id(2), 2, 100)},
+		},
+		"stalled_version": {
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)}, {0, announce("e2", "v2", 1, 10_000)}, {0, rollout}, {0, Tick{}},
+			{10, submit("a", id(1), 2, 100)}, {10, submit("a", id(2), 2, 100)}, {10, submit("a", id(3), 2, 100)},
+			{20, Started{"a", brwire.Started{RequestID: id(1), Epoch: 1, Number: 1}}}, {20, Started{"a", brwire.Started{RequestID: id(2), Epoch: 1, Number: 2}}},
+			{20, Started{"a", brwire.Started{RequestID: id(3), Epoch: 1, Number: 3}}}, {900, Tick{}}, {1000, Tick{}}, {1100, Tick{}},
+			{1110, submit("a", id(4), 2, 100)},
+		},
 		"trip": {
 			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)}, {0, announce("e2", "v2", 1, 10_000)}, {0, rollout}, {0, Tick{}},
 			{10, submit("a", id(1), 2, 100)}, {10, submit("a", id(2), 2, 100)}, {10, submit("a", id(3), 2, 100)},
--- a/brroute/table.go
+++ b/brroute/table.go
@@ -63,6 +63,7 @@
 	flights  []*Flight
 	ends     []end
 	silent   bool
+	counted  int // in the table's capacity
 
 	outstanding int // tokens in flight
 	pending     int // prompt tokens in flight without a first token
@@ -249,6 +250,10 @@
 func (t *Table) accept(now time.Time, e *endpoint, a brwire.Announce) {
 	events := a.CacheEvents
 	a.CacheEvents = nil
+	// Ended requests keep these for 10 minutes; one copy of each is enough.
+	a.EndpointID = e.EndpointID
+	a.Address = keep(e.Address, a.Address)
+	a.Version = keep(e.Version, a.Version)
 	e.Announce = a
 	e.heard = now
 	e.measured = now.Add(-a.Age())
@@ -271,7 +276,17 @@
 	e.ends = kept
 	e.load = max(0, e.load)
 	t.index.apply(now, e.slot, events)
-	t.measureCapacity()
+	t.capacity -= e.counted
+	e.counted = t.usableLimit(e)
+	t.capacity += e.counted
+}
+
+// keep returns old when both are equal, so that the newer copy can be freed.
+func keep(old, s string) string {
+	if old == s {
+		return old
+	}
+	return s
 }
 
 // restart prepares e for the reports of a new incarnation.
@@ -288,6 +303,7 @@
 
 func (t *Table) remove(e *endpoint) {
 	delete(t.byID, e.EndpointID)
+	t.capacity -= e.counted
 	t.index.freeSlot(e.slot)
 	t.list = slices.Delete(t.list, slices.Index(t.list, e), slices.Index(t.list, e)+1)
 }
@@ -295,10 +311,18 @@
 func (t *Table) measureCapacity() {
 	t.capacity = 0
 	for _, e := range t.list {
-		if e.usable() {
-			t.capacity += t.limitOf(e)
-		}
+		e.counted = t.usableLimit(e)
+		t.capacity += e.counted
+	}
+}
+
+// usableLimit returns the bound on the outstanding tokens of e, 0 while it may
+// get nothing new.
+func (t *Table) usableLimit(e *endpoint) int {
+	if !e.usable() {
+		return 0
 	}
+	return t.limitOf(e)
 }
 
 // limitOf returns the bound on the outstanding tokens of e.
