--- /dev/null
+++ b/brrollout/judge.go
@@ -0,0 +1,286 @@
+package brrollout
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"bramleyroute/brwire"
+)
+
+// Metric is one of the counts that the two versions are compared on.
+type Metric uint8
+
+// The metrics.
+const (
+	Errors     Metric = iota // requests that ended with an error
+	SlowFirst                // first token over the route's target
+	SlowTokens               // mean time between tokens over the route's target
+	metricCount
+)
+
+// String returns the snake case name of m.
+func (m Metric) String() string {
+	return [...]string{"errors", "slow_first", "slow_tokens"}[m]
+}
+
+// Error rates of the Judge.
+const (
+	// Alpha bounds the probability that a version as good as the old one is
+	// ever called worse, over all routes and metrics and the whole rollout.
+	Alpha = 0.001
+	// AlphaHold is the same bound for the level that holds growth.
+	AlphaHold = 0.05
+
+	sideCount  = 2 // worse and better
+	phaseCount = 2 // beside the old version, and after its traffic ended
+)
+
+// Blocks of evidence.
+const (
+	// blockLength is the least length of a block. A block keeps the versions'
+	// counts together in time, so that a busy fleet counts against both.
+	blockLength = 5 * time.Second
+	// blockLimit closes a block that one version has no requests in.
+	blockLimit = time.Minute
+	// blockCap bounds what one block adds to a log likelihood ratio. Failures
+	// come in clusters that the binomial model doesn't have, so a verdict needs
+	// evidence from at least three separate blocks.
+	blockCap = 4.0
+	// referenceWindow is the number of requests of the old version over which
+	// one rate of the reference is taken.
+	referenceWindow = 200
+)
+
+// Rate ratios over which the likelihood ratios are mixed, with equal weights.
+// The smallest one sets what difference is accepted: the evidence for a ratio r
+// grows only when the true ratio is above (r-1)/ln r, 1.23 for r = 1.5.
+var (
+	worseRatios  = [...]float64{1.5, 2, 3, 5, 10, 30, 100}
+	betterRatios = [...]float64{0.25, 0.5}
+	afterRatios  = [...]float64{1.5, 2, 4, 8}
+)
+
+// Counts holds ended requests and how many of them were bad by each metric.
+type Counts struct {
+	Requests int              `cbor:"requests"`
+	Bad      [metricCount]int `cbor:"bad"`
+}
+
+func (c *Counts) add(s brwire.Samples) {
+	c.Requests += s.Requests
+	c.Bad[Errors] += s.Errors
+	c.Bad[SlowFirst] += s.SlowFirst
+	c.Bad[SlowTokens] += s.SlowTokens
+}
+
+// Evidence holds the log likelihood ratios of one metric on one route, one for
+// each rate ratio.
+type Evidence struct {
+	Worse  [len(worseRatios)]float64  `cbor:"worse"`
+	Better [len(betterRatios)]float64 `cbor:"better"`
+	After  [len(afterRatios)]float64  `cbor:"after"`
+}
+
+// RouteEvidence is what is known of one route.
+type RouteEvidence struct {
+	Route     string                `cbor:"route"`
+	Old       Counts                `cbor:"old"` // over the whole rollout
+	New       Counts                `cbor:"new"`
+	Evidence  [metricCount]Evidence `cbor:"evidence"`
+	Window    Counts                `cbor:"window"`    // old version, in the open reference window
+	Reference [metricCount]float64  `cbor:"reference"` // highest rate of the old version in one window
+}
+
+// Block holds the counts of one pool and route over one short time.
+type Block struct {
+	Pool  string    `cbor:"pool"`
+	Route string    `cbor:"route"`
+	Since time.Time `cbor:"since"`
+	Old   Counts    `cbor:"old"`
+	New   Counts    `cbor:"new"`
+}
+
+// Judge is a sequential test of a new version against the old one, per route,
+// on Errors, SlowFirst and SlowTokens. It is a value: Add and Close return a new
+// Judge and leave the receiver as it was.
+//
+// Beside the old version, the test is a mixture sequential probability ratio
+// test (mixture: Robbins, Ann. Math. Statist. 41 (1970) 1397-1409; always valid
+// use: Johari, Pekelis and Walsh, Operations Research 70 (2022) 1806-1821;
+// conditional form for counts whose common rate changes with time: Lindon and
+// Malek, NeurIPS 2022). In each block of one pool and route, let q be the share
+// of ended requests that the new version had, k the bad ones of both versions
+// and x those of the new one. If the versions are alike, each bad one is the new
+// version's with probability q, whatever the common rate in that block is; at a
+// rate ratio of r it is q r/(1-q+q r). The statistic is the mean over the ratios
+// r in worseRatios of
+//
+//	Π_blocks r^x / (1-q+q r)^k.
+//
+// Requests are drawn without replacement, which makes the expectation of each
+// factor at most 1 (Hoeffding, J. Amer. Statist. Assoc. 58 (1963) 13-30, theorem
+// 4), as does the bound of blockCap on the logarithm. The statistic is thus a
+// supermartingale, and by Ville's inequality it ever exceeds 1/a with a
+// probability of at most a.
+//
+// Once the new version has all the traffic there is nothing to compare with at
+// the same time. The statistic is then the mean over afterRatios f of the
+// binomial likelihood ratio of the rate f p against p, where p is 1.5 times the
+// highest rate that the old version had in a window of referenceWindow requests
+// in this rollout, plus one percent. It is a supermartingale for every rate up
+// to p.
+//
+// The bound Alpha is divided equally between the sides (worse, better), the
+// phases (beside, after) and the metrics; the i-th route to appear gets the part
+// 1/(i (i+1)), because these parts sum to one for any number of routes.
+type Judge struct {
+	OldVersion string          `cbor:"old_version"`
+	NewVersion string          `cbor:"new_version"`
+	Routes     []RouteEvidence `cbor:"routes"` // in order of appearance
+	Blocks     []Block         `cbor:"blocks"` // open
+}
+
+// Add returns j with the counts of s. Samples of other versions are ignored.
+func (j Judge) Add(now time.Time, s brwire.Samples) Judge {
+	if s.Requests == 0 || (s.Version != j.OldVersion && s.Version != j.NewVersion) {
+		return j
+	}
+	j.Routes, j.Blocks = slices.Clone(j.Routes), slices.Clone(j.Blocks)
+	r, b := j.route(s.Route), j.block(now, s.Pool, s.Route)
+	if s.Version == j.NewVersion {
+		r.New.add(s)
+		b.New.add(s)
+		return j
+	}
+	r.Old.add(s)
+	b.Old.add(s)
+	r.Window.add(s)
+	r.closeWindow()
+	return j
+}
+
+// Close returns j with the evidence of every block that is complete at now.
+func (j Judge) Close(now time.Time) Judge {
+	if !slices.ContainsFunc(j.Blocks, func(b Block) bool { return b.complete(now) }) {
+		return j
+	}
+	j.Routes = slices.Clone(j.Routes)
+	open := make([]Block, 0, len(j.Blocks))
+	for _, b := range j.Blocks {
+		if !b.complete(now) {
+			open = append(open, b)
+			continue
+		}
+		j.route(b.Route).weigh(b)
+	}
+	j.Blocks = open
+	return j
+}
+
+// Discard returns j without its open blocks. It is used where requests that
+// ended are no fair sample, such as shortly after a share was raised: requests
+// that fail fast are over-represented among the first to end.
+func (j Judge) Discard() Judge {
+	j.Blocks = nil
+	return j
+}
+
+// Verdict is what the Judge says at one time.
+type Verdict struct {
+	Worse   bool   // the new version is worse
+	Content bool   // nothing stands against growth
+	Reason  string // what is worse, or what holds growth
+}
+
+// Verdict returns the state of the test.
+func (j Judge) Verdict() Verdict {
+	v := Verdict{Content: true}
+	for i, r := range j.Routes {
+		parts := float64(sideCount*phaseCount*int(metricCount)) * float64((i+1)*(i+2))
+		back, hold := math.Log(parts/Alpha), math.Log(parts/AlphaHold)
+		for m, e := range r.Evidence {
+			got := max(logMean(e.Worse[:]), logMean(e.After[:]))
+			if got < hold {
+				continue
+			}
+			v.Content = false
+			v.Reason = r.reason(Metric(m), got)
+			if got >= back {
+				v.Worse = true
+				return v
+			}
+		}
+	}
+	return v
+}
+
+// Better lists the routes and metrics on which the new version is better with
+// the same error rate.
+func (j Judge) Better() []string {
+	var names []string
+	for i, r := range j.Routes {
+		limit := math.Log(float64(sideCount*phaseCount*int(metricCount)) * float64((i+1)*(i+2)) / Alpha)
+		for m, e := range r.Evidence {
+			if logMean(e.Better[:]) >= limit {
+				names = append(names, r.Route+" "+Metric(m).String())
+			}
+		}
+	}
+	return names
+}
+
+// Totals returns the counts of both versions over all routes.
+func (j Judge) Totals() (old, fresh Counts) {
+	for _, r := range j.Routes {
+		old.Requests += r.Old.Requests
+		fresh.Requests += r.New.Requests
+		for m := range metricCount {
+			old.Bad[m] += r.Old.Bad[m]
+			fresh.Bad[m] += r.New.Bad[m]
+		}
+	}
+	return old, fresh
+}
+
+func (j *Judge) route(name string) *RouteEvidence {
+	for i := range j.Routes {
+		if j.Routes[i].Route == name {
+			return &j.Routes[i]
+		}
+	}
+	j.Routes = append(j.Routes, RouteEvidence{Route: name})
+	return &j.Routes[len(j.Routes)-1]
+}
+
+func (j *Judge) block(now time.Time, pool, route string) *Block {
+	for i := range j.Blocks {
+		if j.Blocks[i].Pool == pool && j.Blocks[i].Route == route {
+			return &j.Blocks[i]
+		}
+	}
+	j.Blocks = append(j.Blocks, Block{Pool: pool, Route: route, Since: now})
+	return &j.Blocks[len(j.Blocks)-1]
+}
+
+func (b Block) complete(now time.Time) bool {
+	age := now.Sub(b.Since)
+	both := b.Old.Requests > 0 && b.New.Requests > 0
+	return age >= blockLength && both || age >= blockLimit
+}
+
+func (r RouteEvidence) reason(m Metric, logRatio float64) string {
+	return fmt.Sprintf("%v on route %s: new %d of %d, old %d of %d, log likelihood ratio %.1f",
+		m, r.Route, r.New.Bad[m], r.New.Requests, r.Old.Bad[m], r.Old.Requests, logRatio)
+}
+
+// logMean returns the logarithm of the mean of the exponentials of logs.
+func logMean(logs []float64) float64 {
+	top := slices.Max(logs)
+	sum := 0.0
+	for _, l := range logs {
+		sum += math.Exp(l - top)
+	}
+	return top + math.Log(sum/float64(len(logs)))
+}
--- /dev/null
+++ b/brrollout/plan.go
@@ -0,0 +1,155 @@
+package brrollout
+
+import "time"
+
+// Stage is one step of the share's growth. Earliest and Latest are parts of the
+// time from start to finish_by: growth into the stage happens not before
+// Earliest, and at Latest also without the evidence that is otherwise asked for.
+type Stage struct {
+	PerMille int
+	Earliest float64
+	Latest   float64
+}
+
+// Stages are the steps of growth. The early stages last long and the later ones
+// follow each other closely at the end, because a fault that shows by three
+// quarters of the time then costs less than 2% of the traffic.
+var stages = [...]Stage{
+	{10, 0, 0},
+	{20, 0.05, 0.30},
+	{50, 0.10, 0.50},
+	{100, 0.75, 0.78},
+	{250, 0.80, 0.83},
+	{500, 0.85, 0.88},
+	{1000, 0.90, 0.93},
+}
+
+// Stages returns the steps of growth.
+func Stages() []Stage { return append([]Stage(nil), stages[:]...) }
+
+const (
+	// earlyStages is the number of stages that exposureLimit applies to.
+	earlyStages = 3
+	// lateStart is the Earliest of the first stage after the early ones.
+	lateStart = 0.75
+
+	// exposureLimit is the part of all traffic above which the early stages go
+	// back to the least share, and exposureResume the part below which they
+	// grow again. The aim of 2% leaves room for what is under way at detection.
+	exposureLimit  = 0.015
+	exposureResume = 0.013
+
+	// stageEvidence is the number of requests that the new version must have
+	// ended under load in a stage before the next one starts ahead of Latest.
+	stageEvidence = 100
+	// finishEvidence is the least number of requests that the new version must
+	// have ended in the whole rollout for the outcome finished.
+	finishEvidence = 5
+
+	// loadedPart is the part of the peak outstanding work above which the fleet
+	// counts as loaded, and loadedTime the averaging time of the work.
+	loadedPart = 0.7
+	loadedTime = 30 * time.Second
+
+	// settleTime is how long samples are not weighed after a share was raised.
+	settleTime = 10 * time.Second
+
+	// holdPart of the rollout's time is the least stay in each stage.
+	holdPart = 0.01
+	// finishPart of the rollout's time, at most finishLead, is left between the
+	// outcome finished and finish_by, for the commit of the outcome.
+	finishPart = 0.005
+	finishLead = 15 * time.Second
+
+	// loadingPart of the endpoints may load at a time, and at least one.
+	loadingPart = 0.1
+	// reservePart of the endpoints, at least one, stays on the old version until
+	// the outcome, so that a rollout taken back at full share has endpoints.
+	reservePart = 0.1
+	// usablePart of the capacity may be in use after an endpoint is taken out;
+	// the rest is the headroom of tier 1.
+	usablePart = 0.8
+
+	// badEndpoints is the number of endpoints that must refuse orders or fail
+	// to load, and badEndpointPart their part of those tried, to end a rollout.
+	badEndpoints    = 3
+	badEndpointPart = 0.1
+
+	resendInterval = 5 * time.Second // between sends of an unanswered order
+	retryDelay     = 15 * time.Second
+	maxRetryDelay  = 5 * time.Minute
+	minLoadTimeout = 2 * time.Minute
+	loadTimeFactor = 5 // allowed times of the shortest possible load
+)
+
+func (s State) length() time.Duration { return s.FinishBy.Sub(s.StartedAt) }
+
+// at maps a part of the plan to a time. Where loading the fleet needs more than
+// the planned end phase, the end phase is stretched and the rest compressed.
+func (s State) at(part float64) time.Time {
+	late := s.latePart()
+	if part >= lateStart {
+		part = 1 - (1-part)*late/(1-lateStart)
+	} else {
+		part *= (1 - late) / lateStart
+	}
+	return s.StartedAt.Add(time.Duration(part * float64(s.length())))
+}
+
+// latePart returns the part of the time that the stages after the early ones get.
+func (s State) latePart() float64 {
+	load := float64(s.Budget.Duration(s.present(), s.LoadBytes)) / float64(s.length())
+	return min(max(1-lateStart, 1.5*load+0.1), 0.9)
+}
+
+// loadable reports whether the weight store's rate lets all endpoints load in time.
+func (s State) loadable() bool {
+	return s.Budget.Duration(s.present(), s.LoadBytes) < time.Duration(0.8*float64(s.length()))
+}
+
+func (s State) minHold() time.Duration {
+	return time.Duration(holdPart * float64(s.length()))
+}
+
+func (s State) finishAt() time.Time {
+	lead := min(time.Duration(finishPart*float64(s.length())), finishLead)
+	return s.FinishBy.Add(-lead)
+}
+
+// loaded reports whether the fleet's outstanding work is near its peak.
+func (s State) loaded() bool { return s.Peak > 0 && s.Smoothed >= loadedPart*s.Peak }
+
+// wanted returns how many endpoints a stage needs on the new version.
+func (s State) wanted(stage int) int {
+	n := s.present()
+	reserve := max(1, int(reservePart*float64(n)))
+	need := (n*stages[stage].PerMille + 999) / 1000
+	return max(1, min(need, n-reserve))
+}
+
+// targetShare returns the share that is right now, per mille. While endpoints
+// are still missing, the share follows their number, so that neither version's
+// endpoints carry more than their part.
+func (s State) targetShare() int {
+	ready, _ := s.count(s.NewVersion)
+	old, _ := s.count(s.OldVersion)
+	switch {
+	case s.Phase == Finished:
+		return 1000
+	case s.Phase != Running || ready == 0:
+		return 0
+	}
+	share := stages[s.Stage].PerMille
+	if s.Stage < earlyStages && (s.Saving || !s.loaded()) {
+		share = stages[0].PerMille
+	}
+	if ready < s.wanted(s.Stage) {
+		share = min(share, 1000*ready/(ready+old))
+	}
+	return share
+}
+
+// loadTimeout returns how long a load may take.
+func (s State) loadTimeout() time.Duration {
+	return max(minLoadTimeout, loadTimeFactor*s.Budget.Duration(1, s.LoadBytes))
+}
--- /dev/null
+++ b/brrollout/weigh.go
@@ -0,0 +1,67 @@
+package brrollout
+
+import "math"
+
+// weigh adds the evidence of a complete block.
+func (r *RouteEvidence) weigh(b Block) {
+	switch {
+	case b.New.Requests == 0:
+	case b.Old.Requests == 0:
+		r.weighAfter(b.New)
+	default:
+		r.weighBeside(b)
+	}
+}
+
+func (r *RouteEvidence) weighBeside(b Block) {
+	q := float64(b.New.Requests) / float64(b.New.Requests+b.Old.Requests)
+	for m := range metricCount {
+		x := float64(b.New.Bad[m])
+		k := x + float64(b.Old.Bad[m])
+		if k == 0 {
+			continue
+		}
+		e := &r.Evidence[m]
+		for i, ratio := range worseRatios {
+			e.Worse[i] += min(x*math.Log(ratio)-k*math.Log1p(q*(ratio-1)), blockCap)
+		}
+		for i, ratio := range betterRatios {
+			e.Better[i] += min(x*math.Log(ratio)-k*math.Log1p(q*(ratio-1)), blockCap)
+		}
+	}
+}
+
+func (r *RouteEvidence) weighAfter(c Counts) {
+	for m := range metricCount {
+		p := r.referenceRate(m)
+		x, n := float64(c.Bad[m]), float64(c.Requests)
+		e := &r.Evidence[m]
+		for i, f := range afterRatios {
+			alt := min(p*f, (1+p)/2)
+			e.After[i] += min(x*math.Log(alt/p)+(n-x)*math.Log((1-alt)/(1-p)), blockCap)
+		}
+	}
+}
+
+// referenceRate returns the rate that the new version may have once the old one
+// has no traffic, between 0.01 and 0.8.
+func (r *RouteEvidence) referenceRate(m Metric) float64 {
+	rate := r.Reference[m]
+	if rate == 0 {
+		// Fewer requests than a window: the rate is estimated with one bad
+		// request added, so that no bad request seen doesn't count as none possible.
+		rate = float64(r.Old.Bad[m]+1) / float64(r.Old.Requests+1)
+	}
+	return min(1.5*rate+0.01, 0.8)
+}
+
+func (r *RouteEvidence) closeWindow() {
+	if r.Window.Requests < referenceWindow {
+		return
+	}
+	for m := range metricCount {
+		rate := float64(r.Window.Bad[m]+1) / float64(r.Window.Requests+1)
+		r.Reference[m] = max(r.Reference[m], rate)
+	}
+	r.Window = Counts{}
+}
