brrollout: probe under load within an exposure limit, and simulate rollouts

Cause: a share that is far below the endpoints' equal part never shows a version under load; growth by time alone let slow versions through.

--- a/brrollout/judge.go
+++ b/brrollout/judge.go
@@ -31,10 +31,14 @@
 	// ever called worse, over all routes and metrics and the whole rollout.
 	Alpha = 0.001
 	// AlphaHold is the same bound for the level that holds growth.
-	AlphaHold = 0.05
+	AlphaHold = 0.2
+
+	// allRoutes is the name of the row of all routes together.
+	allRoutes = "all"
 
 	sideCount  = 2 // worse and better
 	phaseCount = 2 // beside the old version, and after its traffic ended
+	loadCount  = 2 // all blocks, and blocks under load
 )
 
 // Blocks of evidence.
@@ -42,7 +46,8 @@
 	// blockLength is the least length of a block. A block keeps the versions'
 	// counts together in time, so that a busy fleet counts against both.
 	blockLength = 5 * time.Second
-	// blockLimit closes a block that one version has no requests in.
+	// blockLimit closes a block that has requests of the new version only, while
+	// the old one has traffic.
 	blockLimit = time.Minute
 	// blockCap bounds what one block adds to a log likelihood ratio. Failures
 	// come in clusters that the binomial model doesn't have, so a verdict needs
@@ -88,18 +93,20 @@
 	Route     string                `cbor:"route"`
 	Old       Counts                `cbor:"old"` // over the whole rollout
 	New       Counts                `cbor:"new"`
-	Evidence  [metricCount]Evidence `cbor:"evidence"`
+	Evidence  [metricCount]Evidence `cbor:"evidence"`  // of all blocks
+	Loaded    [metricCount]Evidence `cbor:"loaded"`    // of blocks that began under load
 	Window    Counts                `cbor:"window"`    // old version, in the open reference window
 	Reference [metricCount]float64  `cbor:"reference"` // highest rate of the old version in one window
 }
 
 // Block holds the counts of one pool and route over one short time.
 type Block struct {
-	Pool  string    `cbor:"pool"`
-	Route string    `cbor:"route"`
-	Since time.Time `cbor:"since"`
-	Old   Counts    `cbor:"old"`
-	New   Counts    `cbor:"new"`
+	Pool   string    `cbor:"pool"`
+	Route  string    `cbor:"route"`
+	Since  time.Time `cbor:"since"`
+	Loaded bool      `cbor:"loaded"` // the fleet was loaded when the block began
+	Old    Counts    `cbor:"old"`
+	New    Counts    `cbor:"new"`
 }
 
 // Judge is a sequential test of a new version against the old one, per route,
@@ -132,12 +139,19 @@
 // in this rollout, plus one percent. It is a supermartingale for every rate up
 // to p.
 //
+// The evidence of all routes together is the product of theirs for each ratio,
+// which is a supermartingale too. It finds a fault that shows on every route
+// before any one of them has enough requests.
+//
 // The bound Alpha is divided equally between the sides (worse, better), the
-// phases (beside, after) and the metrics; the i-th route to appear gets the part
+// phases (beside, after), the choices of blocks (all, under load) and the metrics; of the rows, which are all routes
+// together and then each route in order of appearance, the i-th gets the part
 // 1/(i (i+1)), because these parts sum to one for any number of routes.
 type Judge struct {
 	OldVersion string          `cbor:"old_version"`
 	NewVersion string          `cbor:"new_version"`
+	Loaded     bool            `cbor:"loaded"` // see WithTraffic
+	Alone      bool            `cbor:"alone"`
 	Routes     []RouteEvidence `cbor:"routes"` // in order of appearance
 	Blocks     []Block         `cbor:"blocks"` // open
 }
@@ -161,15 +175,33 @@
 	return j
 }
 
+// WithTraffic returns j for what the traffic now is: whether the fleet is loaded,
+// and whether the new version has all requests. A fault that shows only under
+// load is diluted by the evidence of other times, so the blocks that begin under
+// load are weighed on their own as well.
+func (j Judge) WithTraffic(loaded, alone bool) Judge {
+	j.Loaded, j.Alone = loaded, alone
+	return j
+}
+
 // Close returns j with the evidence of every block that is complete at now.
 func (j Judge) Close(now time.Time) Judge {
-	if !slices.ContainsFunc(j.Blocks, func(b Block) bool { return b.complete(now) }) {
+	return j.closeIf(func(b Block) bool { return b.complete(now, j.Alone) })
+}
+
+// Flush returns j with the evidence of every open block.
+func (j Judge) Flush() Judge {
+	return j.closeIf(func(Block) bool { return true })
+}
+
+func (j Judge) closeIf(complete func(Block) bool) Judge {
+	if !slices.ContainsFunc(j.Blocks, complete) {
 		return j
 	}
 	j.Routes = slices.Clone(j.Routes)
 	open := make([]Block, 0, len(j.Blocks))
 	for _, b := range j.Blocks {
-		if !b.complete(now) {
+		if !complete(b) {
 			open = append(open, b)
 			continue
 		}
@@ -197,11 +229,11 @@
 // Verdict returns the state of the test.
 func (j Judge) Verdict() Verdict {
 	v := Verdict{Content: true}
-	for i, r := range j.Routes {
-		parts := float64(sideCount*phaseCount*int(metricCount)) * float64((i+1)*(i+2))
-		back, hold := math.Log(parts/Alpha), math.Log(parts/AlphaHold)
+	for i, r := range j.withAll() {
+		back, hold := limit(i, Alpha), limit(i, AlphaHold)
 		for m, e := range r.Evidence {
-			got := max(logMean(e.Worse[:]), logMean(e.After[:]))
+			l := r.Loaded[m]
+			got := max(logMean(e.Worse[:]), logMean(e.After[:]), logMean(l.Worse[:]), logMean(l.After[:]))
 			if got < hold {
 				continue
 			}
@@ -216,14 +248,13 @@
 	return v
 }
 
-// Better lists the routes and metrics on which the new version is better with
-// the same error rate.
+// Better lists the routes and metrics on which the new version is better, with
+// the same bound on the probability of an error.
 func (j Judge) Better() []string {
 	var names []string
-	for i, r := range j.Routes {
-		limit := math.Log(float64(sideCount*phaseCount*int(metricCount)) * float64((i+1)*(i+2)) / Alpha)
+	for i, r := range j.withAll() {
 		for m, e := range r.Evidence {
-			if logMean(e.Better[:]) >= limit {
+			if logMean(e.Better[:]) >= limit(i, Alpha) {
 				names = append(names, r.Route+" "+Metric(m).String())
 			}
 		}
@@ -231,6 +262,37 @@
 	return names
 }
 
+// limit returns the level of the logarithm of a statistic of the i-th row of
+// withAll, counted from 0, at a total bound of alpha.
+func limit(i int, alpha float64) float64 {
+	return math.Log(float64(sideCount*phaseCount*loadCount*int(metricCount)) * float64((i+1)*(i+2)) / alpha)
+}
+
+// withAll returns the rows that are tested: all routes together, then each route.
+func (j Judge) withAll() []RouteEvidence {
+	all := RouteEvidence{Route: allRoutes}
+	all.Old, all.New = j.Totals()
+	for _, r := range j.Routes {
+		for m := range metricCount {
+			all.Evidence[m].add(r.Evidence[m])
+			all.Loaded[m].add(r.Loaded[m])
+		}
+	}
+	return append([]RouteEvidence{all}, j.Routes...)
+}
+
+func (e *Evidence) add(o Evidence) {
+	for i := range e.Worse {
+		e.Worse[i] += o.Worse[i]
+	}
+	for i := range e.Better {
+		e.Better[i] += o.Better[i]
+	}
+	for i := range e.After {
+		e.After[i] += o.After[i]
+	}
+}
+
 // Totals returns the counts of both versions over all routes.
 func (j Judge) Totals() (old, fresh Counts) {
 	for _, r := range j.Routes {
@@ -260,14 +322,14 @@
 			return &j.Blocks[i]
 		}
 	}
-	j.Blocks = append(j.Blocks, Block{Pool: pool, Route: route, Since: now})
+	j.Blocks = append(j.Blocks, Block{Pool: pool, Route: route, Since: now, Loaded: j.Loaded})
 	return &j.Blocks[len(j.Blocks)-1]
 }
 
-func (b Block) complete(now time.Time) bool {
+func (b Block) complete(now time.Time, alone bool) bool {
 	age := now.Sub(b.Since)
-	both := b.Old.Requests > 0 && b.New.Requests > 0
-	return age >= blockLength && both || age >= blockLimit
+	paired := alone || b.New.Requests == 0 || b.Old.Requests > 0
+	return age >= blockLength && paired || age >= blockLimit
 }
 
 func (r RouteEvidence) reason(m Metric, logRatio float64) string {
@@ -278,6 +340,9 @@
 // logMean returns the logarithm of the mean of the exponentials of logs.
 func logMean(logs []float64) float64 {
 	top := slices.Max(logs)
+	if top <= 0 {
+		return top // below every level, and at least the mean
+	}
 	sum := 0.0
 	for _, l := range logs {
 		sum += math.Exp(l - top)
--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -16,11 +16,11 @@
 // quarters of the time then costs less than 2% of the traffic.
 var stages = [...]Stage{
 	{10, 0, 0},
-	{20, 0.05, 0.30},
-	{50, 0.10, 0.50},
-	{100, 0.75, 0.78},
-	{250, 0.80, 0.83},
-	{500, 0.85, 0.88},
+	{20, 0.05, 0.10},
+	{50, 0.08, 0.16},
+	{100, 0.11, 0.22},
+	{250, 0.75, 0.79},
+	{500, 0.82, 0.86},
 	{1000, 0.90, 0.93},
 }
 
@@ -28,19 +28,36 @@
 func Stages() []Stage { return append([]Stage(nil), stages[:]...) }
 
 const (
-	// earlyStages is the number of stages that exposureLimit applies to.
-	earlyStages = 3
+	// earlyStages is the number of stages that exposureLimit applies to. They
+	// reach 10%, where one of ten endpoints carries as much as the others: below
+	// that a small fleet never shows a new version under load.
+	earlyStages = 4
 	// lateStart is the Earliest of the first stage after the early ones.
 	lateStart = 0.75
 
 	// exposureLimit is the part of all traffic above which the early stages go
-	// back to the least share, and exposureResume the part below which they
-	// grow again. The aim of 2% leaves room for what is under way at detection.
-	exposureLimit  = 0.015
-	exposureResume = 0.013
-
-	// stageEvidence is the number of requests that the new version must have
-	// ended under load in a stage before the next one starts ahead of Latest.
+	// back to savingShare, and exposureResume the part below which they grow
+	// again. The aim of 2% leaves room for what is under way at detection. The
+	// two are far apart because the samples of settleTime after each growth are
+	// not weighed.
+	exposureLimit  = 0.016
+	exposureResume = 0.012
+	// savingShare is the share in per mille of the early stages after the first
+	// while the fleet isn't loaded or the exposure is at its limit. What is
+	// saved there is spent under load, where more faults show.
+	savingShare = 2
+	// suspectShare is the share in per mille to which the later stages go back
+	// while the Judge is not content, as far as the old version's endpoints can
+	// carry the rest. The last stage is left as it is, because its evidence
+	// doesn't add up with that beside the old version.
+	suspectShare = 100
+
+	// earlyEvidence and stageEvidence are the numbers of requests that the new
+	// version must have ended at the stage's share before the next stage starts
+	// ahead of its Latest; earlyEvidence before the last early stage. They count
+	// under load only, but for stages whose share is below the endpoints' equal
+	// part, where the new version's endpoints cannot be loaded.
+	earlyEvidence = 15
 	stageEvidence = 100
 	// finishEvidence is the least number of requests that the new version must
 	// have ended in the whole rollout for the outcome finished.
@@ -48,11 +65,14 @@
 
 	// loadedPart is the part of the peak outstanding work above which the fleet
 	// counts as loaded, and loadedTime the averaging time of the work.
-	loadedPart = 0.7
+	loadedPart = 0.85
 	loadedTime = 30 * time.Second
 
-	// settleTime is how long samples are not weighed after a share was raised.
-	settleTime = 10 * time.Second
+	// settleTime is how long samples are not weighed after the share was raised
+	// by more than settleRatio: of the requests begun then, the first to end are
+	// those that fail or are short.
+	settleTime  = 10 * time.Second
+	settleRatio = 1.25
 
 	// holdPart of the rollout's time is the least stay in each stage.
 	holdPart = 0.01
@@ -140,15 +160,54 @@
 		return 0
 	}
 	share := stages[s.Stage].PerMille
-	if s.Stage < earlyStages && (s.Saving || !s.loaded()) {
-		share = stages[0].PerMille
+	belowEqual := share*s.present() < 1000*ready
+	if 0 < s.Stage && s.Stage < earlyStages && (s.Saving || !s.loaded() && !belowEqual) {
+		share = savingShare
 	}
 	if ready < s.wanted(s.Stage) {
 		share = min(share, 1000*ready/(ready+old))
 	}
+	if s.Suspect && earlyStages <= s.Stage && s.Stage < len(stages)-1 {
+		share = min(share, max(suspectShare, s.leastShare()))
+	}
 	return share
 }
 
+// leastShare returns the share that the old version's endpoints cannot carry,
+// per mille; 1000 when a capacity is unknown.
+func (s State) leastShare() int {
+	capacity := 0
+	for _, e := range s.Endpoints {
+		if e.Placement != Serving || e.Version != s.OldVersion {
+			continue
+		}
+		if e.CapacityTokens == 0 {
+			return 1000
+		}
+		capacity += e.CapacityTokens
+	}
+	if s.Smoothed == 0 {
+		return 0
+	}
+	return int(1000 * max(0, 1-usablePart*float64(capacity)/s.Smoothed))
+}
+
+// counts reports whether requests of the new version count as evidence for the
+// present stage.
+func (s State) counts() bool {
+	share := stages[s.Stage].PerMille
+	ready, _ := s.count(s.NewVersion)
+	return s.Share == share && (s.loaded() || share*s.present() < 1000*ready)
+}
+
+// evidence returns how many such requests the present stage asks for.
+func (s State) evidence() int {
+	if s.Stage < earlyStages-1 {
+		return earlyEvidence
+	}
+	return stageEvidence
+}
+
 // loadTimeout returns how long a load may take.
 func (s State) loadTimeout() time.Duration {
 	return max(minLoadTimeout, loadTimeFactor*s.Budget.Duration(1, s.LoadBytes))
--- /dev/null
+++ b/brrollout/rollout_test.go
@@ -0,0 +1,139 @@
+package brrollout
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+var (
+	runs  = flag.Int("rollouts", 100, "synthetic rollouts of each kind")
+	seed  = flag.Uint64("seed", 1000, "seed of the first rollout of each kind")
+	table = flag.String("table", "", "file to write the table of results to")
+)
+
+// averageVerdict is the baseline: rates over all routes and the whole rollout
+// against a fixed threshold, as soon as the new version has 50 requests.
+func averageVerdict(j Judge) Verdict {
+	old, fresh := j.Totals()
+	if fresh.Requests < 50 || old.Requests == 0 {
+		return Verdict{Content: true}
+	}
+	for m := range metricCount {
+		o := float64(old.Bad[m]) / float64(old.Requests)
+		n := float64(fresh.Bad[m]) / float64(fresh.Requests)
+		if n > 1.5*o+0.005 {
+			return Verdict{Worse: true, Reason: "average " + m.String()}
+		}
+	}
+	return Verdict{Content: true}
+}
+
+// Guards against a policy that finishes a bad version, takes a good one back,
+// gives a bad one too much traffic or is slow to follow the breaker. The bounds
+// are the aims of the design.
+func TestSyntheticRollouts(t *testing.T) {
+	var out strings.Builder
+	judges := []struct {
+		name   string
+		policy Policy
+	}{{"mixture SPRT", Policy{}}, {"fixed threshold on averages", Policy{Verdict: averageVerdict}}}
+	if *table == "" {
+		judges = judges[:1] // the baseline is only for the table
+	}
+	for _, g := range judges {
+		fmt.Fprintf(&out, "\n### Judge: %s\n\n%s", g.name, tableHead)
+		for _, k := range kinds {
+			rs := simulate(k, g.policy)
+			out.WriteString(row(k, rs))
+			if g.policy.Verdict == nil {
+				checkAims(t, k, rs)
+			}
+		}
+	}
+	t.Log(out.String())
+	if *table != "" {
+		if err := os.WriteFile(*table, []byte(out.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func simulate(k kind, p Policy) []result {
+	rs := make([]result, *runs)
+	var wg sync.WaitGroup
+	for w := range 4 {
+		wg.Go(func() {
+			for i := w; i < len(rs); i += 4 {
+				rs[i] = newSim(k, *seed+uint64(i), p).result()
+			}
+		})
+	}
+	wg.Wait()
+	return rs
+}
+
+func checkAims(t *testing.T, k kind, rs []result) {
+	t.Helper()
+	finished := 0
+	for i, r := range rs {
+		if r.outcome == Finished {
+			finished++
+		}
+		if k.bad && r.outcome != TakenBack {
+			t.Errorf("%s, seed %d: outcome %s", k.name, i, r.outcome)
+		}
+		if k.bad && !k.mild && r.faulty >= 0.02 {
+			t.Errorf("%s, seed %d: the faulty version had %.2f%% of the traffic", k.name, i, 100*r.faulty)
+		}
+		if k.bad && !k.mild && k.to <= lateStart && r.share >= 0.02 {
+			t.Errorf("%s, seed %d: the version had %.2f%% of the traffic", k.name, i, 100*r.share)
+		}
+		if r.zeroAfter > time.Second {
+			t.Errorf("%s, seed %d: share zero %v after the breaker tripped", k.name, i, r.zeroAfter)
+		}
+		if !k.bad && r.outcome != Finished {
+			t.Logf("%s, seed %d: %s", k.name, i, r.reason)
+		}
+	}
+	if !k.bad && finished*100 < 99*len(rs) {
+		t.Errorf("%s: %d of %d finished, want 99 of 100", k.name, finished, len(rs))
+	}
+}
+
+const tableHead = "| kind | finished | taken back | share, mean % | share, max % | share while faulty, mean % | max % | trip to zero, median | max | first bad answer to zero, median | max |\n|---|---|---|---|---|---|---|---|---|---|---|\n"
+
+func row(k kind, rs []result) string {
+	finished, mean, top, faulty, faultyTop := 0, 0.0, 0.0, 0.0, 0.0
+	var trips, found []time.Duration
+	for _, r := range rs {
+		if r.outcome == Finished {
+			finished++
+		}
+		mean += 100 * r.share / float64(len(rs))
+		faulty += 100 * r.faulty / float64(len(rs))
+		top, faultyTop = max(top, 100*r.share), max(faultyTop, 100*r.faulty)
+		if r.zeroAfter >= 0 {
+			trips = append(trips, r.zeroAfter)
+		}
+		if r.detected >= 0 {
+			found = append(found, r.detected)
+		}
+	}
+	return fmt.Sprintf("| %s | %d | %d | %.2f | %.2f | %.2f | %.2f | %s | %s |\n",
+		k.name, finished, len(rs)-finished, mean, top, faulty, faultyTop, spread(trips), spread(found))
+}
+
+// spread returns the median and the maximum of ds as two cells.
+func spread(ds []time.Duration) string {
+	if len(ds) == 0 {
+		return "– | –"
+	}
+	slices.Sort(ds)
+	return fmt.Sprintf("%v | %v", ds[len(ds)/2].Round(time.Millisecond), ds[len(ds)-1].Round(time.Millisecond))
+}
--- /dev/null
+++ b/brrollout/sim_test.go
@@ -0,0 +1,282 @@
+package brrollout
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"bramleyroute/brwire"
+)
+
+// A synthetic rollout: requests arrive at a rate that follows the load, the
+// version's fault is a function of time, load and route, and a stand-in for the
+// scheduler's breaker stops the version after breakerRun errors in a row.
+const (
+	breakerRun = 8
+	simRoutes  = 3
+)
+
+var simStart = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+// kind describes what the new version does.
+type kind struct {
+	name    string
+	bad     bool
+	errors  float64 // error rate once faulty
+	slow    float64 // part over the first-token target once faulty
+	tokens  float64 // part over the between-token target once faulty
+	from    float64 // the fault begins at a part of the time uniform in [from, to)
+	to      float64
+	loadMin float64 // faulty only at this load per endpoint or above
+	route   int     // faulty only on this route; 0 means all
+	loads   float64 // probability that a load fails
+	refuses float64 // probability that an order is refused
+	noisy   bool
+	rate    [2]float64 // requests/s at full load, log-uniform
+	mild    bool       // too small for the share's aim at low rates; its share is only reported
+}
+
+var kinds = []kind{
+	{name: "fails at once", bad: true, errors: 0.9},
+	{name: "fails later", bad: true, errors: 0.5, from: 0.05, to: 0.75},
+	{name: "fails at the end", bad: true, errors: 0.5, from: 0.75, to: 0.98},
+	{name: "errors rise mildly", bad: true, mild: true, errors: 0.08},
+	{name: "slow", bad: true, slow: 0.3, tokens: 0.3},
+	{name: "slow only under load", bad: true, slow: 0.4, tokens: 0.4, loadMin: 0.65},
+	{name: "bad on one route", bad: true, errors: 0.3, route: 2},
+	{name: "fails to load", bad: true, loads: 0.95},
+	{name: "refuses orders", bad: true, refuses: 0.95},
+	{name: "good"},
+	{name: "good but noisy", noisy: true},
+	{name: "good with little traffic", rate: [2]float64{0.1, 0.5}},
+}
+
+// result is what one synthetic rollout came to.
+type result struct {
+	outcome   Phase
+	reason    string
+	share     float64       // of all requests until the outcome, to the new version
+	faulty    float64       // of all requests, to the new version while it was faulty
+	zeroAfter time.Duration // from the breaker's trip to share zero; -1 without a trip
+	detected  time.Duration // from the first faulty answer to share zero
+	state     State
+	about     string // size and course, for messages
+}
+
+type sim struct {
+	kind      kind
+	rng       *rand.Rand
+	policy    Policy
+	state     State
+	now       time.Time
+	length    time.Duration
+	endpoints int
+	rate      float64 // requests/s at load 1
+	phase     float64
+	period    float64 // of the load, in parts of the length
+	onset     float64
+	share     int
+	loading   map[string]time.Time // ready at
+	run       int                  // errors in a row
+	tripped   bool
+	burst     int // seconds left of a burst that hits both versions
+	total     int
+	fresh     int
+	faulty    int
+	firstBad  time.Time
+	trippedAt time.Time
+	zeroAt    time.Time
+	notes     []string
+}
+
+func newSim(k kind, seed uint64, p Policy) *sim {
+	rng := rand.New(rand.NewPCG(seed, uint64(len(k.name))))
+	if k.rate == [2]float64{} {
+		k.rate = [2]float64{5, 50}
+	}
+	s := &sim{kind: k, rng: rng, policy: p, now: simStart, length: time.Hour, loading: map[string]time.Time{}}
+	s.endpoints = []int{10, 20, 60}[rng.IntN(3)]
+	s.rate = k.rate[0] * math.Pow(k.rate[1]/k.rate[0], rng.Float64())
+	s.phase, s.period = rng.Float64(), 0.5+0.5*rng.Float64()
+	s.onset = k.from + (k.to-k.from)*rng.Float64()
+	return s
+}
+
+// load returns the part of the fleet's capacity that is in use.
+func (s *sim) load() float64 {
+	part := float64(s.now.Sub(simStart)) / float64(s.length)
+	return 0.6 + 0.25*math.Sin(2*math.Pi*(part/s.period+s.phase))
+}
+
+func (s *sim) step(ev Event) {
+	var effects []Effect
+	s.state, effects = s.policy.Step(s.state, s.now, ev)
+	for _, e := range effects {
+		switch e := e.(type) {
+		case SetShare:
+			s.share = e.PerMille
+			if e.PerMille == 0 && s.zeroAt.IsZero() && s.state.Ended() {
+				s.zeroAt = s.now
+			}
+		case PlaceOrder:
+			s.order(e)
+		case Note:
+			s.notes = append(s.notes, fmt.Sprintf("%.3f %s", float64(s.now.Sub(simStart))/float64(s.length), e.Text))
+		}
+	}
+}
+
+func (s *sim) order(p PlaceOrder) {
+	if p.Order.Version == s.state.NewVersion && s.rng.Float64() < s.kind.refuses {
+		s.step(OrderResult{p.EndpointID, p.Order.OrderID, OrderRefused})
+		return
+	}
+	s.step(OrderResult{p.EndpointID, p.Order.OrderID, OrderAccepted})
+	s.loading[p.EndpointID] = s.now.Add(time.Duration(15+s.rng.IntN(20)) * time.Second)
+}
+
+func (s *sim) finishLoads() {
+	for _, e := range s.state.Endpoints {
+		at, ok := s.loading[e.ID]
+		if !ok || s.now.Before(at) {
+			continue
+		}
+		delete(s.loading, e.ID)
+		if e.Loads == s.state.NewVersion && s.rng.Float64() < s.kind.loads {
+			s.step(LoadFailed{e.ID, e.Loads})
+			continue
+		}
+		s.step(VersionReady{e.ID, e.Loads})
+	}
+}
+
+func (s *sim) result() result {
+	targets := make([]Target, s.endpoints)
+	for i := range targets {
+		targets[i] = Target{ID: fmt.Sprintf("e%02d", i), FailureDomain: fmt.Sprint(i % 3), ChecksFencing: true, CapacityTokens: 1000, Version: "v1"}
+	}
+	s.step(Started{RolloutID: "r", Model: "m", OldVersion: "v1", NewVersion: "v2", FinishBy: simStart.Add(s.length), FencingToken: 1, Endpoints: targets})
+	for !s.state.Ended() && s.now.Before(simStart.Add(s.length+time.Minute)) {
+		s.now = s.now.Add(time.Second)
+		s.finishLoads()
+		if !s.state.Ended() {
+			s.traffic()
+		}
+		s.step(Tick{})
+	}
+	r := result{outcome: s.state.Phase, reason: s.state.Reason, zeroAfter: -1, detected: -1, state: s.state}
+	r.about = fmt.Sprintf("%d endpoints, %.1f requests/s at full load, load phase %.2f period %.2f", s.endpoints, s.rate, s.phase, s.period)
+	if s.total > 0 {
+		r.share, r.faulty = float64(s.fresh)/float64(s.total), float64(s.faulty)/float64(s.total)
+	}
+	if !s.trippedAt.IsZero() {
+		r.zeroAfter = s.zeroAt.Sub(s.trippedAt)
+	}
+	if !s.firstBad.IsZero() && !s.zeroAt.IsZero() {
+		r.detected = s.zeroAt.Sub(s.firstBad)
+	}
+	return r
+}
+
+// traffic makes one second's requests and reports them as a scheduler does.
+func (s *sim) traffic() {
+	load := s.load()
+	if s.burst > 0 {
+		s.burst--
+	} else if s.kind.noisy && s.rng.Float64() < 1.0/240 {
+		s.burst = 10 + s.rng.IntN(50)
+	}
+	ready, loading := s.state.count("v2")
+	part := float64(s.share) / 1000
+	newLoad := load
+	if ready > 0 {
+		newLoad = load * part * float64(s.endpoints-loading) / float64(ready)
+	}
+	for route := 1; route <= simRoutes; route++ {
+		old := s.sample(route, "v1", load*s.rate/simRoutes*(1-part), load, load*(1-part))
+		fresh := s.sample(route, "v2", load*s.rate/simRoutes*part, newLoad, load*part)
+		s.step(Samples{old})
+		if fresh.Requests > 0 || s.state.NewVersion != "" && part > 0 {
+			fresh.Tripped = s.tripped
+			s.step(Samples{fresh})
+		}
+	}
+}
+
+// sample draws the requests of one route and version.
+func (s *sim) sample(route int, version string, rate, load, work float64) brwire.Samples {
+	out := brwire.Samples{RolloutID: "r", Pool: "m@a", Route: fmt.Sprint("route", route), Version: version, Period: time.Second}
+	out.Outstanding = int(work * float64(s.endpoints) * 800 / simRoutes)
+	errors, slow, tokens := 0.004, 0.01+0.1*max(0, load-0.7), 0.01+0.1*max(0, load-0.7)
+	if s.kind.noisy {
+		errors, slow, tokens = 0.03, slow*3, tokens*3
+	}
+	if s.burst > 0 {
+		errors, slow, tokens = errors*3, 0.4, 0.3
+	}
+	faulty := version == "v2" && s.isFaulty(route, load)
+	if faulty {
+		errors, slow, tokens = max(errors, s.kind.errors), max(slow, s.kind.slow), max(tokens, s.kind.tokens)
+	}
+	for n := poisson(s.rng, rate); n > 0 && (version == "v1" || !s.tripped); n-- {
+		out.Requests++
+		s.total++
+		failed := s.rng.Float64() < errors
+		late := s.rng.Float64() < slow
+		s.count(version, faulty, failed || late)
+		if failed {
+			out.Errors++
+		}
+		if late {
+			out.SlowFirst++
+		}
+		if s.rng.Float64() < tokens {
+			out.SlowTokens++
+		}
+		s.breaker(version, failed)
+	}
+	return out
+}
+
+func (s *sim) isFaulty(route int, load float64) bool {
+	k := s.kind
+	part := float64(s.now.Sub(simStart)) / float64(s.length)
+	return k.bad && part >= s.onset && load >= k.loadMin && (k.route == 0 || k.route == route)
+}
+
+func (s *sim) count(version string, faulty, bad bool) {
+	if version != "v2" {
+		return
+	}
+	s.fresh++
+	if faulty {
+		s.faulty++
+		if bad && s.firstBad.IsZero() {
+			s.firstBad = s.now
+		}
+	}
+}
+
+func (s *sim) breaker(version string, failed bool) {
+	switch {
+	case version != "v2":
+	case !failed:
+		s.run = 0
+	default:
+		s.run++
+		if s.run >= breakerRun && !s.tripped {
+			// Somewhere in the second that the report at now is about.
+			s.tripped, s.trippedAt = true, s.now.Add(-time.Duration(s.rng.Float64()*float64(time.Second)))
+		}
+	}
+}
+
+// poisson draws from a Poisson distribution by Knuth's product of uniforms.
+func poisson(rng *rand.Rand, mean float64) int {
+	limit, p, n := math.Exp(-mean), 1.0, 0
+	for p *= rng.Float64(); p > limit; p *= rng.Float64() {
+		n++
+	}
+	return n
+}
--- a/brrollout/state.go
+++ b/brrollout/state.go
@@ -79,12 +79,14 @@
 	FormerLeaseBy time.Time `cbor:"former_lease_by"`
 	Budget        Budget    `cbor:"budget"`
 
-	Stage       int       `cbor:"stage"`        // index into Stages
-	StageSince  time.Time `cbor:"stage_since"`  // when the share first was the stage's; zero before
-	StageLoaded int       `cbor:"stage_loaded"` // new version's requests at the stage's share under load
-	Share       int       `cbor:"share"`        // per mille, as last set
-	Saving      bool      `cbor:"saving"`       // early share kept at the least to stay within exposureLimit
-	SettledAt   time.Time `cbor:"settled_at"`   // samples before this are not weighed
+	Stage        int       `cbor:"stage"`         // index into Stages
+	StageSince   time.Time `cbor:"stage_since"`   // when the share first was the stage's; zero before
+	StageLoaded  int       `cbor:"stage_loaded"`  // new version's requests at the stage's share under load
+	Share        int       `cbor:"share"`         // per mille, as last set
+	Saving       bool      `cbor:"saving"`        // early share kept at the least to stay within exposureLimit
+	Suspect      bool      `cbor:"suspect"`       // the Judge is not content
+	SettledAt    time.Time `cbor:"settled_at"`    // samples before this are not weighed
+	SettledShare int       `cbor:"settled_share"` // share that the samples are settled at
 
 	Judge     Judge      `cbor:"judge"`
 	Endpoints []Endpoint `cbor:"endpoints"`
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -135,7 +135,7 @@
 	if t.now.Before(t.SettledAt) {
 		t.Judge = t.Judge.Discard()
 	}
-	if fresh && t.Share == stages[t.Stage].PerMille && t.loaded() {
+	if fresh && t.counts() {
 		t.StageLoaded += e.Requests
 	}
 }
@@ -179,8 +179,9 @@
 }
 
 func (t *turn) decide() {
-	t.Judge = t.Judge.Close(t.now)
+	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share == 1000)
 	v := t.policy.Verdict(t.Judge)
+	t.Suspect = !v.Content
 	last := t.Stage == len(stages)-1
 	held := !t.StageSince.IsZero() && t.now.Sub(t.StageSince) >= t.minHold()
 	switch {
@@ -203,15 +204,18 @@
 // grow enters the next stage if its time has come and the evidence suffices.
 func (t *turn) grow() {
 	next := stages[t.Stage+1]
-	late := !t.now.Before(t.at(next.Latest))
+	late, need := !t.now.Before(t.at(next.Latest)), t.evidence()
 	switch {
 	case t.now.Before(t.at(next.Earliest)):
 		return
-	case t.StageLoaded < stageEvidence && !late:
-		t.hold(fmt.Sprintf("not seen under load: %d of %d requests at stage %d", t.StageLoaded, stageEvidence, stages[t.Stage].PerMille))
+	case t.StageLoaded < need && !late:
+		t.hold(fmt.Sprintf("not seen under load: %d of %d requests at %d per mille", t.StageLoaded, need, stages[t.Stage].PerMille))
 		return
+	case t.StageLoaded < need:
+		t.note(fmt.Sprintf("stage %d per mille by time: %d of %d requests under load", next.PerMille, t.StageLoaded, need))
+	default:
+		t.note(fmt.Sprintf("stage %d per mille after %d requests under load", next.PerMille, t.StageLoaded))
 	}
-	t.note(fmt.Sprintf("stage %d per mille after %d requests under load, by time: %v", next.PerMille, t.StageLoaded, late && t.StageLoaded < stageEvidence))
 	t.Stage++
 	t.StageSince, t.StageLoaded, t.Held = time.Time{}, 0, ""
 }
@@ -219,9 +223,11 @@
 // applyShare sends the share where it has changed.
 func (t *turn) applyShare() {
 	share := t.targetShare()
-	if share > t.Share {
+	t.SettledShare = min(t.SettledShare, share)
+	if float64(share) > settleRatio*float64(t.SettledShare) {
+		t.SettledShare = share
 		t.SettledAt = t.now.Add(settleTime)
-		t.Judge = t.Judge.Discard()
+		t.Judge = t.Judge.Flush()
 	}
 	if share != t.Share {
 		t.Share = share
--- a/brrollout/weigh.go
+++ b/brrollout/weigh.go
@@ -7,13 +7,19 @@
 	switch {
 	case b.New.Requests == 0:
 	case b.Old.Requests == 0:
-		r.weighAfter(b.New)
+		r.weighAfter(b.New, &r.Evidence)
+		if b.Loaded {
+			r.weighAfter(b.New, &r.Loaded)
+		}
 	default:
-		r.weighBeside(b)
+		weighBeside(b, &r.Evidence)
+		if b.Loaded {
+			weighBeside(b, &r.Loaded)
+		}
 	}
 }
 
-func (r *RouteEvidence) weighBeside(b Block) {
+func weighBeside(b Block, into *[metricCount]Evidence) {
 	q := float64(b.New.Requests) / float64(b.New.Requests+b.Old.Requests)
 	for m := range metricCount {
 		x := float64(b.New.Bad[m])
@@ -21,7 +27,7 @@
 		if k == 0 {
 			continue
 		}
-		e := &r.Evidence[m]
+		e := &into[m]
 		for i, ratio := range worseRatios {
 			e.Worse[i] += min(x*math.Log(ratio)-k*math.Log1p(q*(ratio-1)), blockCap)
 		}
@@ -31,11 +37,11 @@
 	}
 }
 
-func (r *RouteEvidence) weighAfter(c Counts) {
+func (r *RouteEvidence) weighAfter(c Counts, into *[metricCount]Evidence) {
 	for m := range metricCount {
 		p := r.referenceRate(m)
 		x, n := float64(c.Bad[m]), float64(c.Requests)
-		e := &r.Evidence[m]
+		e := &into[m]
 		for i, f := range afterRatios {
 			alt := min(p*f, (1+p)/2)
 			e.After[i] += min(x*math.Log(alt/p)+(n-x)*math.Log((1-alt)/(1-p)), blockCap)
