--- /dev/null
+++ b/brtimeline/timeline_test.go
@@ -0,0 +1,197 @@
+package brtimeline
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyroute/brclock"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var start = time.Date(2026, 9, 1, 8, 0, 0, 0, time.UTC)
+
+// Guards against stamps that contradict cause and effect or run away from wall
+// time when clocks differ, step back or stand still.
+func TestClockOrdersCauseBeforeEffect(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const drift = time.Second
+		walls := make([]*brclock.Manual, 3)
+		clocks := make([]*Clock, 3)
+		for i := range clocks {
+			walls[i] = brclock.NewManual(start.Add(time.Duration(rapid.Int64Range(0, int64(drift/2)).Draw(t, "offset"))))
+			clocks[i] = NewClock(walls[i], drift)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			from, to := rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to")
+			walls[from].Advance(time.Duration(rapid.IntRange(0, 1).Draw(t, "advance")) * time.Microsecond)
+			sent := clocks[from].Now()
+			got, err := clocks[to].Receive(sent)
+			if err != nil || got.Compare(sent) <= 0 {
+				t.Fatalf("received %v for %v: %v", got, sent, err)
+			}
+			if ahead := got.Time().Sub(walls[to].Now()); ahead > drift {
+				t.Fatalf("stamp is %v ahead of the wall clock", ahead)
+			}
+		}
+	})
+}
+
+// Guards against one wrong clock that moves all others.
+func TestClockIgnoresFarStamp(t *testing.T) {
+	c := NewClock(brclock.NewManual(start), 0)
+	far := Stamp{Wall: start.Add(DefaultMaxDrift + 1).UnixNano()}
+	got, err := c.Receive(far)
+	if err == nil || got.Compare(far) >= 0 {
+		t.Errorf("stamp %v ahead by more than the drift gave %v, %v", far, got, err)
+	}
+}
+
+// Guards against a kind without a name and a stamp or kind that text loses.
+func TestTextForms(t *testing.T) {
+	seen := map[string]bool{}
+	for _, k := range Kinds() {
+		var back Kind
+		if err := back.UnmarshalText([]byte(k.String())); err != nil || back != k || seen[k.String()] {
+			t.Errorf("kind %d has the text %q, which reads back as %v, %v", uint8(k), k, back, err)
+		}
+		seen[k.String()] = true
+	}
+	s, back := Stamp{Wall: start.UnixNano(), Logical: 7}, Stamp{}
+	if err := back.UnmarshalText([]byte(s.String())); err != nil || back != s {
+		t.Errorf("stamp %v reads back as %v, %v", s, back, err)
+	}
+}
+
+// Guards against events that are lost, reordered or left unwritten by Close when
+// several goroutines record, and against a ring that grows.
+func TestRecorderConcurrent(t *testing.T) {
+	dir := t.TempDir()
+	r := newRecorder(t, Options{Process: "d1", Size: 100, Dir: dir})
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 500 {
+				r.Record(Event{Kind: RequestQueued, RequestID: fmt.Sprint(g, "-", i), Reason: strings.Repeat("x", 2*MaxText)})
+			}
+		})
+	}
+	wg.Wait()
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	inMemory := r.Events(Filter{})
+	inFile, invalid, err := ReadFiles(dir, Filter{})
+	if err != nil || invalid != 0 || len(inFile) != 2000 || len(inMemory) != 100 || r.Total() != 2000 {
+		t.Fatalf("file has %d events and %d invalid lines, memory %d of %d: %v", len(inFile), invalid, len(inMemory), r.Total(), err)
+	}
+	if diff := cmp.Diff(inFile[1900:], inMemory); diff != "" {
+		t.Errorf("the latest events differ between file and memory: %s", diff)
+	}
+	if !slices.IsSortedFunc(inFile, Event.Compare) || len(inFile[0].Reason) != MaxText {
+		t.Error("events are out of order or a text is too long")
+	}
+}
+
+// Guards against files that outgrow their bound, and against a line that a
+// crash cut off and that spoils the next one.
+func TestFilesRotateAndSurviveTornLine(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, FileName), []byte(`{"stamp":"1.0","proc`), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	const bound = 64 << 10
+	r := newRecorder(t, Options{Process: "d1", Dir: dir, MaxBytes: bound})
+	first := r.Record(Event{Kind: ProcessStarted})
+	if events, invalid := waitForFile(t, dir, 1); invalid != 1 || events[0].Stamp != first {
+		t.Errorf("read %v and %d invalid lines, want the event and one line", events, invalid)
+	}
+	for range 5000 {
+		r.Record(Event{Kind: RequestQueued, RequestID: "r"})
+	}
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	size := int64(0)
+	for _, e := range entries {
+		info, err := e.Info()
+		if err != nil {
+			t.Fatal(err)
+		}
+		size += info.Size()
+	}
+	if size > bound+4*1024 || len(entries) != fileCount {
+		t.Errorf("%d files of %d bytes, want %d files of at most %d", len(entries), size, fileCount, bound)
+	}
+}
+
+// Guards against a filter that selects too much or nothing, and a merge that
+// keeps duplicates or orders by process.
+func TestFilterAndMerge(t *testing.T) {
+	at := func(ms int, process, request string) Event {
+		return Event{Stamp: Stamp{Wall: start.Add(time.Duration(ms) * time.Millisecond).UnixNano()}, Process: process, Kind: RequestQueued, RequestID: request}
+	}
+	a := []Event{at(1, "a", "r1"), at(3, "a", "r2"), at(5, "a", "r1")}
+	b := []Event{at(2, "b", "r1"), at(4, "b", "r1")}
+	all := Merge(a, b, a[:1])
+	if diff := cmp.Diff([]Event{a[0], b[0], a[1], b[1], a[2]}, all); diff != "" {
+		t.Error(diff)
+	}
+	f := Filter{RequestID: "r1", From: start.Add(2 * time.Millisecond), To: start.Add(5 * time.Millisecond)}
+	if diff := cmp.Diff(b, f.Select(all)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func newRecorder(t testing.TB, o Options) *Recorder {
+	t.Helper()
+	o.Clock = NewClock(brclock.System{}, 0)
+	r, err := NewRecorder(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// waitForFile reads dir until it has n events; the test's own timeout bounds it.
+func waitForFile(t *testing.T, dir string, n int) ([]Event, int) {
+	for {
+		events, invalid, err := ReadFiles(dir, Filter{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(events) >= n {
+			return events, invalid
+		}
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	for _, dir := range []string{"", b.TempDir()} {
+		b.Run(map[bool]string{true: "memory", false: "file"}[dir == ""], func(b *testing.B) {
+			r := newRecorder(b, Options{Process: "d1", Dir: dir})
+			e := Event{Kind: RequestGranted, RequestID: "0191", EndpointID: "e1", Pool: "m@a", Tier: 1}
+			b.ReportAllocs()
+			for b.Loop() {
+				r.Record(e)
+			}
+			b.StopTimer()
+			if err := r.Close(); err != nil {
+				b.Fatal(err)
+			}
+		})
+	}
+}
