--- /dev/null
+++ b/brsetting/load.go
@@ -0,0 +1,184 @@
+package brsetting
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"bramleyroute/brwire"
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// Problem is one setting that is not accepted.
+type Problem struct {
+	Name    string // of the setting
+	Message string
+}
+
+// Problems are all settings that are not accepted. It is the error of Load,
+// FromEnvironment and Flags.Settings.
+type Problems []Problem
+
+// Error returns one line with every problem.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, o := range p {
+		lines[i] = o.Name + ": " + o.Message
+	}
+	return "settings: " + strings.Join(lines, "; ")
+}
+
+func (p *Problems) add(name, message string) { *p = append(*p, Problem{name, message}) }
+
+// Load parses and checks the texts that lookup returns for the names of the
+// settings. Where lookup returns an empty text, the default is used. The error
+// is a Problems with all problems, or nil.
+func Load(lookup func(name string) string) (Settings, error) {
+	var s Settings
+	var problems Problems
+	for _, row := range Table() {
+		v := lookup(row.Name)
+		if v == "" {
+			v = row.Default
+		}
+		if err := row.set(&s, v); err != nil {
+			problems.add(row.Name, err.Error())
+		}
+	}
+	s.checkTogether(&problems)
+	if len(problems) > 0 {
+		return Settings{}, problems
+	}
+	return s, nil
+}
+
+// FromEnvironment is Load with the values of environment variables by their full
+// names. A variable with EnvironmentPrefix that is no setting is a problem;
+// other variables are ignored.
+func FromEnvironment(values map[string]string) (Settings, error) {
+	known := map[string]string{}
+	for _, row := range Table() {
+		known[row.Environment()] = row.Name
+	}
+	var unknown Problems
+	byName := map[string]string{}
+	for k, v := range values {
+		if n, ok := known[k]; ok {
+			byName[n] = v
+		} else if strings.HasPrefix(k, EnvironmentPrefix) {
+			unknown.add(k, "is not a setting")
+		}
+	}
+	slices.SortFunc(unknown, func(a, b Problem) int { return strings.Compare(a.Name, b.Name) })
+	s, err := Load(func(name string) string { return byName[name] })
+	if rest, ok := err.(Problems); ok || len(unknown) > 0 {
+		return Settings{}, append(unknown, rest...)
+	}
+	return s, nil
+}
+
+// Flags holds the texts of the flags that Register added.
+type Flags struct {
+	texts map[string]*flagText
+}
+
+// Register adds a flag for every setting to app, each with its environment
+// variable. A flag goes before its environment variable, and that before the
+// default. Texts are checked by Settings, not while flags are parsed.
+func Register(app *kingpin.Application) *Flags {
+	f := &Flags{texts: map[string]*flagText{}}
+	for _, row := range Table() {
+		t := &flagText{isSwitch: row.Switch}
+		f.texts[row.Name] = t
+		help := row.Description
+		if row.Default != "" {
+			help += fmt.Sprintf(" Default: %s.", row.Default)
+		}
+		app.Flag(row.Flag(), help).Envar(row.Environment()).PlaceHolder(strings.ToUpper(row.Unit)).SetValue(t)
+	}
+	return f
+}
+
+// Settings returns the settings of the parsed flags. The error is as in Load.
+func (f *Flags) Settings() (Settings, error) {
+	return Load(func(name string) string { return f.texts[name].text })
+}
+
+// flagText is a kingpin.Value that takes any text.
+type flagText struct {
+	text     string
+	isSwitch bool
+}
+
+// Set sets the text.
+func (t *flagText) Set(v string) error { t.text = v; return nil }
+
+// String returns the text.
+func (t *flagText) String() string { return t.text }
+
+// IsBoolFlag reports whether the flag needs no value.
+func (t *flagText) IsBoolFlag() bool { return t.isSwitch }
+
+// checkTogether checks what concerns several settings, and sets the advertised
+// address. A setting that is already a problem is left out.
+func (s *Settings) checkTogether(p *Problems) {
+	s.checkAddresses(p)
+	s.checkControl(p)
+	if s.EntryBufferBytes > 0 && s.EntryBufferBytes < s.MaxBodyBytes {
+		p.add("entry_buffer_bytes", "is below max_body_bytes")
+	}
+	if s.StuckTimeout > 0 && s.StuckTimeout <= s.StallTimeout {
+		p.add("stuck_timeout", "is not above stall_timeout")
+	}
+}
+
+func (s *Settings) checkAddresses(p *Problems) {
+	seen := map[string]string{}
+	for _, l := range []struct{ name, at string }{
+		{"caller_address", s.CallerAddress}, {"peer_address", s.PeerAddress}, {"operator_address", s.OperatorAddress},
+	} {
+		if other, ok := seen[l.at]; ok && l.at != "" && !strings.HasSuffix(l.at, ":0") {
+			p.add(l.name, "is the same as "+other)
+		}
+		seen[l.at] = l.name
+	}
+	given := s.AdvertisedPeerAddress != ""
+	if !given {
+		s.AdvertisedPeerAddress = s.PeerAddress
+	}
+	a, err := netip.ParseAddrPort(s.AdvertisedPeerAddress)
+	switch {
+	case err != nil: // a problem of one of the two already
+	case !a.Addr().IsUnspecified() && a.Port() != 0:
+	case given:
+		p.add("advertised_peer_address", "cannot be dialed")
+	default:
+		p.add("advertised_peer_address", "is required, because peer_address cannot be dialed")
+	}
+}
+
+func (s *Settings) checkControl(p *Problems) {
+	named := func(name string) bool {
+		return slices.ContainsFunc(*p, func(o Problem) bool { return o.Name == name })
+	}
+	control := s.Has(brwire.RoleControl)
+	listed := slices.ContainsFunc(s.ControlPeers, func(c ControlPeer) bool { return c.ReplicaID == s.ReplicaID })
+	switch {
+	case named("roles") || named("replica_id"):
+	case control && s.ReplicaID == 0:
+		p.add("replica_id", "is required with the role control")
+	case !control && s.ReplicaID != 0:
+		p.add("replica_id", "is only for the role control")
+	}
+	if control && s.DataDir == "" {
+		p.add("data_dir", "is required with the role control")
+	}
+	switch {
+	case !s.Bootstrap || named("roles") || named("control_peers"):
+	case !control:
+		p.add("bootstrap", "is only for the role control")
+	case !listed && !named("replica_id"):
+		p.add("bootstrap", "needs a replica_id among control_peers")
+	}
+}
