Add the daemon, its command and the demonstration

Cause: the packages need one process that connects them to listeners, links, timers and disks. Change: brdaemon with the entry, scheduler and control roles, the operators' interface, metrics and timeline notes; cmd/bramleyroute with run, check-settings and demo; control peers are named by daemon id, and replica ids are given by the group itself, so the settings for them are gone; rollouts save their progress in the control state; a new revision is acknowledged at once instead of with the next heartbeat.

--- a/brconfig/document.go
+++ b/brconfig/document.go
@@ -76,5 +76,6 @@
 	Kind             string `json:"kind" cbor:"kind"`                                     // "engine" or "service"
 	HeadroomPercent  int    `json:"headroom_percent,omitempty" cbor:"headroom_percent"`   // of capacity kept for tier 1; 0 means 20
 	QueueTokens      int    `json:"queue_tokens,omitempty" cbor:"queue_tokens"`           // bound on queued work; 0 means 2,000,000
+	WeightBytes      int64  `json:"weight_bytes,omitempty" cbor:"weight_bytes"`           // read from the weight store by one load; 0 means not paced
 	OutstandingLimit int    `json:"outstanding_limit,omitempty" cbor:"outstanding_limit"` // per endpoint, in tokens (service: requests); 0 means what the endpoint announces
 }
--- /dev/null
+++ b/brdaemon/listen.go
@@ -0,0 +1,171 @@
+package brdaemon
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"bramleyroute/brengine"
+	"bramleyroute/brerror"
+	"bramleyroute/brpeer"
+	"bramleyroute/brwire"
+)
+
+const (
+	// maxAnnounce bounds an endpoint's announcement, in bytes.
+	maxAnnounce = 1 << 20
+	// readHeaderTimeout ends callers' connections that send no request.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// listeners are the open listeners of a daemon; caller and operator may be nil.
+type listeners struct{ caller, peer, operator net.Listener }
+
+func (l listeners) close() {
+	for _, x := range []net.Listener{l.caller, l.peer, l.operator} {
+		if x != nil {
+			x.Close()
+		}
+	}
+}
+
+// listen opens the listeners that the options don't bring.
+func (d *Daemon) listen(o Options) (listeners, error) {
+	l := listeners{caller: o.CallerListener, peer: o.PeerListener, operator: o.OperatorListener}
+	for _, x := range []struct {
+		to      *net.Listener
+		name    string
+		address string
+	}{
+		{&l.caller, "caller_address", d.settings.CallerAddress},
+		{&l.peer, "peer_address", d.settings.PeerAddress},
+		{&l.operator, "operator_address", d.settings.OperatorAddress},
+	} {
+		if *x.to != nil || x.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp", x.address)
+		if err != nil {
+			l.close()
+			return listeners{}, fmt.Errorf("brdaemon: %s: %w", x.name, err)
+		}
+		*x.to = ln
+	}
+	return l, nil
+}
+
+// advertisedAddress returns the setting, or the address of the listener when the
+// options brought one of their own.
+func advertisedAddress(setting string, l net.Listener) string {
+	if setting != "" && !strings.HasSuffix(setting, ":0") {
+		return setting
+	}
+	return l.Addr().String()
+}
+
+// callerAddress returns the address at which other entries' callers reach this
+// one: the advertised IP address with the port of the callers' listener.
+func callerAddress(peer string, l net.Listener) string {
+	if l == nil {
+		return ""
+	}
+	host, _, err := net.SplitHostPort(peer)
+	if err != nil {
+		return l.Addr().String()
+	}
+	_, port, _ := net.SplitHostPort(l.Addr().String())
+	return net.JoinHostPort(host, port)
+}
+
+// serve starts the HTTP servers.
+func (d *Daemon) serve(l listeners) {
+	peer := http.NewServeMux()
+	peer.Handle(brpeer.Path, d.peers)
+	peer.HandleFunc("POST "+brengine.PathAnnounce, d.serveAnnounce)
+	d.start(l.peer, peer)
+	if d.entry != nil && l.caller != nil {
+		mux := http.NewServeMux()
+		mux.Handle("/", d.entry.Handler())
+		mux.Handle("GET /healthz", d.entry.HealthHandler())
+		mux.Handle("GET /readyz", d.entry.ReadinessHandler())
+		d.start(l.caller, mux)
+	}
+	if l.operator != nil {
+		d.start(l.operator, d.operatorHandler())
+	}
+}
+
+func (d *Daemon) start(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	d.servers = append(d.servers, s)
+	d.wg.Go(func() {
+		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			d.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener failed")
+		}
+	})
+}
+
+// serveAnnounce takes an endpoint's announcement and hands it to the pool's
+// scheduler. An endpoint that gets another status than 202 announces itself to
+// another daemon.
+func (d *Daemon) serveAnnounce(w http.ResponseWriter, r *http.Request) {
+	if !brpeer.Keys(d.settings.EndpointKeys).Accepts(r) {
+		http.Error(w, "endpoint key missing or unknown", http.StatusUnauthorized)
+		return
+	}
+	var a brwire.Announce
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounce)).Decode(&a); err != nil {
+		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := checkAnnounce(a); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := d.forwardAnnounce(a); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+}
+
+func checkAnnounce(a brwire.Announce) error {
+	for _, f := range []struct{ name, value string }{
+		{"endpoint_id", a.EndpointID}, {"address", a.Address}, {"model", a.Model}, {"version", a.Version}, {"region", a.Region}, {"incarnation", a.Incarnation},
+	} {
+		if f.value == "" || len(f.value) > maxAnnounceField {
+			return brerror.New(brerror.InvalidRequest, "must have 1 to %d bytes", maxAnnounceField).WithField(f.name)
+		}
+	}
+	if a.Kind != brwire.KindEngine && a.Kind != brwire.KindService {
+		return brerror.New(brerror.InvalidRequest, "must be engine or service").WithField("kind")
+	}
+	return nil
+}
+
+const maxAnnounceField = 128
+
+// forwardAnnounce passes an announcement to the owner of the pool. Without an
+// owner the best placed scheduler gets it, and takes the pool over.
+func (d *Daemon) forwardAnnounce(a brwire.Announce) error {
+	pool := a.Pool()
+	v := d.session.present()
+	o, _ := v.Owner(pool)
+	to := o.Holder
+	if to == "" {
+		to = firstCandidate(v, pool)
+	}
+	if to == d.self.ID && d.scheduler != nil {
+		d.scheduler.report(a)
+		return nil
+	}
+	c := d.connTo(to)
+	if c == nil {
+		return brerror.New(brerror.NotOwner, "the scheduler of pool %s can't be reached", pool)
+	}
+	return brpeer.Push(c, brwire.NameReport, brwire.Pooled[brwire.Announce]{Pool: pool, Message: a})
+}
--- /dev/null
+++ b/brdaemon/notes.go
@@ -0,0 +1,84 @@
+package brdaemon
+
+import (
+	"fmt"
+	"strings"
+
+	"bramleyroute/brentry"
+	"bramleyroute/brerror"
+	"bramleyroute/brpool"
+	"bramleyroute/brtimeline"
+)
+
+var entryEventKinds = map[brentry.EventName]brtimeline.Kind{
+	brentry.EventReceived:   brtimeline.RequestReceived,
+	brentry.EventGranted:    brtimeline.RequestGranted,
+	brentry.EventReturned:   brtimeline.DispatchNotRun,
+	brentry.EventDispatched: brtimeline.DispatchBegun,
+	brentry.EventFirstToken: brtimeline.FirstToken,
+	brentry.EventEnded:      brtimeline.RequestEnded,
+	brentry.EventRefused:    brtimeline.RequestRefused,
+	brentry.EventShed:       brtimeline.RequestShed,
+	brentry.EventCallerGone: brtimeline.RequestCanceled,
+	brentry.EventStuck:      brtimeline.StreamStuck,
+	brentry.EventResumed:    brtimeline.StreamResumed,
+	brentry.EventJoined:     brtimeline.PoolRecovered,
+	brentry.EventLedger:     brtimeline.CommandRefused,
+}
+
+func (d *Daemon) recordEntryEvent(e brentry.Event) {
+	ev := brtimeline.Event{Kind: entryEventKinds[e.Name], RequestID: e.RequestID, Pool: e.Pool, EndpointID: e.EndpointID, Epoch: e.Epoch, Detail: string(e.Name)}
+	if e.Err != nil {
+		ev.ErrorKind, ev.Reason = brerror.From(e.Err).Kind.String(), e.Err.Error()
+	}
+	d.record(ev)
+	switch e.Name {
+	case brentry.EventStuck:
+		d.log.Error().Str("request_id", e.RequestID).Str("pool", e.Pool).Str("endpoint_id", e.EndpointID).Err(e.Err).Msg("request is stuck and was ended")
+	case brentry.EventLedger:
+		d.log.Warn().Err(e.Err).Msg("ledger command failed; it is repeated")
+	}
+}
+
+func (d *Daemon) recordTrip(pool string, t brpool.Trip) {
+	d.log.Error().Str("pool", pool).Str("rollout_id", t.RolloutID).Str("version", t.Version).Str("route", t.Route).Str("reason", t.Reason).Msg("breaker stopped a version")
+	d.record(brtimeline.Event{Kind: brtimeline.RolloutTripped, Pool: pool, RolloutID: t.RolloutID, Version: t.Version, Route: t.Route, Reason: t.Reason})
+}
+
+// recordPoolNote writes a timeline note of a pool. Notes on endpoints go into the
+// log as well.
+func (d *Daemon) recordPoolNote(pool string, e brpool.Effect) {
+	ev := brtimeline.Event{Pool: pool}
+	switch e := e.(type) {
+	case brpool.NoteRecovery:
+		ev.Kind, ev.Epoch = brtimeline.PoolRecovered, e.Epoch
+		if len(e.Missing) > 0 {
+			ev.Detail = "missing " + strings.Join(e.Missing, " ")
+			d.log.Warn().Str("pool", pool).Strs("missing", e.Missing).Time("horizon", e.Horizon).Msg("pool recovered without the report of some entries")
+		}
+	case brpool.NoteShed:
+		ev.Kind, ev.Tier, ev.Reason, ev.Detail = brtimeline.RequestShed, e.Tier, e.Reason, fmt.Sprintf("%d requests", e.Count)
+	case brpool.NoteEndpoint:
+		ev.Kind, ev.EndpointID, ev.Detail, ev.Reason = endpointKind(e.State), e.EndpointID, e.State, e.Reason
+		d.log.Info().Str("pool", pool).Str("endpoint_id", e.EndpointID).Str("state", e.State).Str("reason", e.Reason).Msg("endpoint changed its state")
+	case brpool.NoteGrantOverdue:
+		ev.Kind, ev.RequestID, ev.Peer, ev.Reason = brtimeline.RequestGranted, e.RequestID, e.EntryID, "grant is overdue"
+	default:
+		panic(fmt.Sprintf("brdaemon: unknown pool effect %T", e))
+	}
+	d.record(ev)
+}
+
+func endpointKind(state string) brtimeline.Kind {
+	switch state {
+	case "leaving":
+		return brtimeline.EndpointLeaving
+	case "silent", "removed":
+		return brtimeline.EndpointLost
+	case "half_open":
+		return brtimeline.EndpointHalfOpen
+	case "closed":
+		return brtimeline.EndpointRestored
+	}
+	return brtimeline.EndpointAnnounced
+}
--- /dev/null
+++ b/brdaemon/poollease.go
@@ -0,0 +1,167 @@
+package brdaemon
+
+import (
+	"context"
+	"slices"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brpool"
+	"bramleyroute/brstate"
+	"bramleyroute/brtimeline"
+	"bramleyroute/brwire"
+	"time"
+)
+
+// tendLease renews the pool's lease, gives it up when it has ended, and asks for
+// it when the pool has no owner that can be reached.
+func (r *poolRunner) tendLease() {
+	now := r.d.clock.Now()
+	if epoch := r.heldEpoch(); epoch != 0 {
+		if held, ok := r.d.session.holds(r.lease); !ok || held != epoch {
+			r.lost()
+			return
+		}
+		r.mu.Lock()
+		due := now.Sub(r.lastRenew) >= renewEvery && !r.busy && !r.releasing
+		if due {
+			r.busy, r.lastRenew = true, now
+		}
+		r.mu.Unlock()
+		if due {
+			r.wg.Go(func() { r.renew(epoch) })
+		}
+		return
+	}
+	if !r.mayAsk(now) {
+		return
+	}
+	r.mu.Lock()
+	due := now.Sub(r.lastAsk) >= acquireEvery && !r.busy && !r.releasing
+	if due {
+		r.busy, r.lastAsk = true, now
+	}
+	r.mu.Unlock()
+	if due {
+		r.wg.Go(r.acquire)
+	}
+}
+
+// mayAsk reports whether this daemon should ask for the pool's lease now.
+func (r *poolRunner) mayAsk(now time.Time) bool {
+	if r.d.draining.Load() || !r.d.session.takesWork() {
+		return false
+	}
+	v := r.d.session.present()
+	o, _ := v.Owner(r.name)
+	wait := time.Duration(candidateRank(v, r.name, r.d.self.ID)) * candidateStep
+	if o.Holder != "" {
+		wait += ownerSilence
+		if o.Holder != r.d.self.ID && r.d.connTo(o.Holder) != nil {
+			r.ownerGone = time.Time{}
+			return false
+		}
+	}
+	if r.ownerGone.IsZero() {
+		r.ownerGone = now
+	}
+	return now.Sub(r.ownerGone) >= wait
+}
+
+func (r *poolRunner) renew(epoch uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	err := r.d.session.renew(ctx, r.lease, epoch)
+	if err != nil {
+		r.d.log.Debug().Err(err).Str("pool", r.name).Msg("lease was not renewed")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.busy = false
+	if err != nil && !brerror.Is(err, brerror.NotOwner) {
+		r.lastRenew = time.Time{} // try again at the next tick
+	}
+}
+
+// renewTimeout bounds one renewal; a later answer could not extend the lease by
+// much.
+const renewTimeout = time.Second
+
+func (r *poolRunner) acquire() {
+	ctx, cancel := context.WithTimeout(context.Background(), renewTimeout)
+	defer cancel()
+	l, err := r.d.session.acquire(ctx, r.lease, r.d.leaseDuration)
+	r.mu.Lock()
+	r.busy = false
+	if err == nil {
+		r.epoch, r.lastRenew, r.ownerGone = l.Epoch, r.d.clock.Now(), time.Time{}
+	}
+	r.mu.Unlock()
+	if err != nil {
+		r.d.log.Debug().Err(err).Str("pool", r.name).Msg("lease was not granted")
+		return
+	}
+	r.d.log.Info().Str("pool", r.name).Uint64("epoch", l.Epoch).Msg("pool taken over")
+	r.d.record(brtimeline.Event{Kind: brtimeline.LeaseGranted, Pool: r.name, Epoch: l.Epoch})
+	r.post(brpool.Takeover{Epoch: l.Epoch, Entries: entriesOf(r.d.session.present())})
+}
+
+// lost ends the ownership in this process.
+func (r *poolRunner) lost() {
+	r.mu.Lock()
+	epoch := r.epoch
+	r.epoch = 0
+	r.mu.Unlock()
+	if epoch == 0 {
+		return
+	}
+	r.d.log.Warn().Str("pool", r.name).Uint64("epoch", epoch).Msg("pool lease ended")
+	r.d.record(brtimeline.Event{Kind: brtimeline.LeaseLost, Pool: r.name, Epoch: epoch})
+	r.step(brpool.LeaseEnded{})
+}
+
+func (r *poolRunner) heldEpoch() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.epoch
+}
+
+// startRelease begins a planned handover. Without an ownership it is complete at
+// once.
+func (r *poolRunner) startRelease() {
+	r.mu.Lock()
+	owner := r.epoch != 0
+	first := !r.releasing
+	r.releasing = true
+	r.mu.Unlock()
+	if !first {
+		return
+	}
+	if !owner {
+		close(r.released)
+		return
+	}
+	r.post(brpool.Release{})
+}
+
+func (r *poolRunner) giveLeaseBack(epoch uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeTimeout)
+	defer cancel()
+	if err := r.d.session.release(ctx, r.lease, epoch); err != nil {
+		r.d.log.Warn().Err(err).Str("pool", r.name).Msg("lease was not released; it will lapse")
+	}
+	r.mu.Lock()
+	r.epoch = 0
+	r.mu.Unlock()
+	r.post(brpool.LeaseEnded{})
+	close(r.released)
+}
+
+func entriesOf(v brstate.View) []string {
+	var ids []string
+	for _, d := range v.Daemons {
+		if slices.Contains(d.Roles, brwire.RoleEntry) {
+			ids = append(ids, d.ID)
+		}
+	}
+	return ids
+}
--- /dev/null
+++ b/brdaemon/rollouts.go
@@ -0,0 +1,335 @@
+package brdaemon
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"time"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brrollout"
+	"bramleyroute/brstate"
+	"bramleyroute/brtimeline"
+	"bramleyroute/brwire"
+	"github.com/google/uuid"
+)
+
+const (
+	rolloutTick = 250 * time.Millisecond
+	// saveEvery is how often the evidence of a running rollout is saved in the
+	// control state; changes of the share and the outcome are saved at once.
+	saveEvery = 5 * time.Second
+	// formerOrders is how long a former leader's orders may still be under way:
+	// its leader lease and the timeout of an order.
+	formerOrders = time.Second + orderTimeout
+	orderTimeout = 2 * time.Second
+	// endpointWait is how long a new leader waits for the schedulers' reports
+	// on endpoints before it starts a rollout on those that it knows.
+	endpointWait = 5 * time.Second
+)
+
+// rollouts runs brrollout for each rollout in the control state while this
+// replica leads. One goroutine owns the runs.
+type rollouts struct {
+	l      *leading
+	began  time.Time
+	inbox  *mailbox[func()]
+	runs   map[string]*rolloutRun
+	models map[string]map[string]brwire.Announce // endpoints by model and id
+}
+
+type rolloutRun struct {
+	state   brrollout.State
+	saved   []byte
+	savedAt time.Time
+	urgent  bool // save before anything else is proposed
+}
+
+func newRollouts(l *leading) *rollouts {
+	return &rollouts{
+		l: l, began: l.c.d.clock.Now(), inbox: newMailbox[func()](),
+		runs: map[string]*rolloutRun{}, models: map[string]map[string]brwire.Announce{},
+	}
+}
+
+func (o *rollouts) run() {
+	tick := o.l.c.d.clock.After(rolloutTick)
+	for {
+		select {
+		case <-o.l.ctx.Done():
+			return
+		case <-o.inbox.ready():
+			for _, f := range o.inbox.take() {
+				f()
+			}
+		case <-tick:
+			o.advance()
+			tick = o.l.c.d.clock.After(rolloutTick)
+		}
+	}
+}
+
+// EndpointReport tells the control leader about the endpoints of a pool whose
+// model has a rollout: the whole list when Full is set, otherwise what changed.
+type EndpointReport struct {
+	Pool      string            `cbor:"pool"`
+	Full      bool              `cbor:"full"`
+	Endpoints []brwire.Announce `cbor:"endpoints"`
+	Gone      []string          `cbor:"gone,omitempty"`
+}
+
+func (o *rollouts) endpoints(r EndpointReport) { o.inbox.put(func() { o.applyEndpoints(r) }) }
+
+func (o *rollouts) applyEndpoints(r EndpointReport) {
+	model := modelOf(r.Pool)
+	known := o.models[model]
+	if known == nil {
+		known = map[string]brwire.Announce{}
+		o.models[model] = known
+	}
+	gone := r.Gone
+	if r.Full {
+		for id, a := range known {
+			if a.Pool() == r.Pool && !slices.ContainsFunc(r.Endpoints, func(b brwire.Announce) bool { return b.EndpointID == id }) {
+				gone = append(gone, id)
+			}
+		}
+	}
+	for _, id := range gone {
+		delete(known, id)
+		o.stepModel(model, brrollout.EndpointLost{EndpointID: id})
+	}
+	for _, a := range r.Endpoints {
+		known[a.EndpointID] = a
+		o.stepModel(model, brrollout.EndpointSeen{Target: targetOf(a)})
+		o.stepModel(model, brrollout.VersionReady{EndpointID: a.EndpointID, Version: a.Version})
+		for _, v := range a.FailedLoads {
+			o.stepModel(model, brrollout.LoadFailed{EndpointID: a.EndpointID, Version: v})
+		}
+	}
+}
+
+func targetOf(a brwire.Announce) brrollout.Target {
+	return brrollout.Target{
+		ID: a.EndpointID, FailureDomain: a.FailureDomain, ChecksFencing: a.ChecksFencing,
+		CapacityTokens: a.CapacityTokens, Version: a.Version,
+	}
+}
+
+func (o *rollouts) samples(list []brwire.Samples) {
+	o.inbox.put(func() {
+		for _, s := range list {
+			o.stepOne(s.RolloutID, brrollout.Samples{Samples: s})
+		}
+	})
+}
+
+func (o *rollouts) trip(t brwire.Trip) {
+	o.inbox.put(func() {
+		o.stepOne(t.RolloutID, brrollout.Tripped{Pool: t.Pool, Reason: "route " + t.Route + ": " + t.Reason})
+	})
+}
+
+func (o *rollouts) stepModel(model string, ev brrollout.Event) {
+	for id, r := range o.runs {
+		if r.state.Model == model {
+			o.stepOne(id, ev)
+		}
+	}
+}
+
+func (o *rollouts) stepOne(id string, ev brrollout.Event) {
+	r, ok := o.runs[id]
+	if !ok {
+		return
+	}
+	var effects []brrollout.Effect
+	r.state, effects = brrollout.Step(r.state, o.l.c.d.clock.Now(), ev)
+	for _, e := range effects {
+		o.perform(r, e)
+	}
+}
+
+func (o *rollouts) perform(r *rolloutRun, e brrollout.Effect) {
+	d := o.l.c.d
+	switch e := e.(type) {
+	case brrollout.SetShare, brrollout.Finish:
+		r.urgent = true // reconcile proposes both from the state
+	case brrollout.PlaceOrder:
+		address := o.models[r.state.Model][e.EndpointID].Address
+		d.record(brtimeline.Event{Kind: brtimeline.OrderSent, RolloutID: r.state.RolloutID, EndpointID: e.EndpointID, Detail: string(e.Order.Kind) + " " + e.Order.Version})
+		o.l.c.wg.Go(func() { o.placeOrder(r.state.RolloutID, address, e) })
+	case brrollout.ReadState:
+		address := o.models[r.state.Model][e.EndpointID].Address
+		o.l.c.wg.Go(func() { o.readState(r.state.RolloutID, address) })
+	case brrollout.Note:
+		d.log.Info().Str("rollout", e.RolloutID).Msg(e.Text)
+		d.record(brtimeline.Event{Kind: brtimeline.RolloutNote, RolloutID: e.RolloutID, Detail: e.Text})
+	}
+}
+
+func (o *rollouts) placeOrder(rollout, address string, e brrollout.PlaceOrder) {
+	ctx, cancel := context.WithTimeout(o.l.ctx, orderTimeout)
+	defer cancel()
+	answer := brrollout.OrderAccepted
+	if err := postOrder(ctx, address, e.Order); err != nil {
+		answer = brrollout.OrderUnreachable
+		if brerror.Is(err, brerror.OrderRefused) {
+			answer = brrollout.OrderRefused
+		}
+		o.l.c.d.log.Warn().Err(err).Str("endpoint", e.EndpointID).Str("rollout", rollout).Msg("order failed")
+	}
+	o.inbox.put(func() {
+		o.stepOne(rollout, brrollout.OrderResult{EndpointID: e.EndpointID, OrderID: e.Order.OrderID, Answer: answer})
+	})
+}
+
+func (o *rollouts) readState(rollout, address string) {
+	ctx, cancel := context.WithTimeout(o.l.ctx, orderTimeout)
+	defer cancel()
+	st, err := getState(ctx, address)
+	if err != nil {
+		return // the reducer asks again
+	}
+	o.inbox.put(func() { o.stepOne(rollout, brrollout.StateRead{State: st}) })
+}
+
+// advance follows the rows of the control state, lets time pass and brings the
+// rows to what the reducers decided.
+func (o *rollouts) advance() {
+	v := o.l.c.view()
+	for _, row := range v.Rollouts {
+		r := o.runs[row.ID]
+		if r == nil {
+			if r = o.begin(row); r == nil {
+				continue
+			}
+		}
+		if !row.Active() && !r.state.Ended() {
+			// An operator or a former leader ended it.
+			o.stepOne(row.ID, brrollout.OperatorAbort{Reason: row.Reason})
+		}
+		o.stepOne(row.ID, brrollout.Tick{})
+		o.reconcile(row, r)
+	}
+}
+
+// begin resumes a rollout from its saved progress or starts it.
+func (o *rollouts) begin(row brstate.Rollout) *rolloutRun {
+	c := o.l.c
+	c.mu.Lock()
+	saved := c.state.Progress(row.ID)
+	c.mu.Unlock()
+	now := c.d.clock.Now()
+	if saved != nil {
+		st, err := brwire.Decode[brrollout.State](saved)
+		if err != nil {
+			c.d.log.Error().Err(err).Str("rollout", row.ID).Msg("saved progress can't be read")
+			return nil
+		}
+		r := &rolloutRun{state: st, saved: saved, savedAt: now}
+		o.runs[row.ID] = r
+		o.stepOne(row.ID, brrollout.Resumed{FencingToken: o.l.term, FormerLeaseBy: now.Add(formerOrders)})
+		return r
+	}
+	if !row.Active() {
+		return nil // ended before anything was done
+	}
+	var targets []brrollout.Target
+	for _, a := range o.models[row.Model] {
+		targets = append(targets, targetOf(a))
+	}
+	if len(targets) < 2 && now.Sub(o.began) < endpointWait {
+		return nil
+	}
+	slices.SortFunc(targets, func(a, b brrollout.Target) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
+	r := &rolloutRun{urgent: true}
+	o.runs[row.ID] = r
+	budget := brrollout.Budget{BytesPerSecond: float64(c.d.settings.WeightStoreBytesPerSecond)}
+	o.stepOne(row.ID, brrollout.Started{
+		RolloutID: row.ID, Model: row.Model, OldVersion: row.From, NewVersion: row.To, FinishBy: row.FinishBy,
+		FencingToken: o.l.term, Budget: budget.Divide(max(1, o.active())), LoadBytes: o.weights(row.Model), Endpoints: targets,
+	})
+	return r
+}
+
+func (o *rollouts) active() int {
+	n := 0
+	for _, row := range o.l.c.view().Rollouts {
+		if row.Active() {
+			n++
+		}
+	}
+	return n
+}
+
+func (o *rollouts) weights(model string) int64 {
+	for _, m := range o.l.c.view().Configuration.Models {
+		if m.Name == model {
+			return m.WeightBytes
+		}
+	}
+	return 0
+}
+
+// reconcile saves the progress and then proposes what differs between the row
+// and the reducer's state. A conflict shows up as a new row at the next tick.
+func (o *rollouts) reconcile(row brstate.Rollout, r *rolloutRun) {
+	now := o.l.c.d.clock.Now()
+	if r.urgent || now.Sub(r.savedAt) >= saveEvery {
+		if !o.save(row.ID, r) {
+			return
+		}
+		r.urgent, r.savedAt = false, now
+	}
+	if !row.Active() {
+		return
+	}
+	cmd := brstate.Command{ID: uuid.NewString()}
+	switch {
+	case r.state.Ended():
+		cmd.FinishRollout = &brstate.FinishRollout{ID: row.ID, Expected: row.Revision, Outcome: brstate.Outcome(r.state.Phase), Reason: r.state.Reason}
+	case r.state.Share != row.SharePerMille || r.state.Stage != row.Stage:
+		cmd.UpdateRollout = &brstate.UpdateRollout{ID: row.ID, Expected: row.Revision, Stage: r.state.Stage, SharePerMille: r.state.Share}
+	default:
+		return
+	}
+	if _, err := o.propose(cmd); err != nil {
+		o.l.c.d.log.Warn().Err(err).Str("rollout", row.ID).Msg("rollout was not updated")
+		return
+	}
+	ev := brtimeline.Event{Kind: brtimeline.RolloutShare, RolloutID: row.ID, PerMille: r.state.Share}
+	if r.state.Ended() {
+		ev.Kind, ev.Reason = brtimeline.RolloutEnded, string(r.state.Phase)+": "+r.state.Reason
+		o.l.c.d.log.Info().Str("rollout", row.ID).Str("outcome", string(r.state.Phase)).Str("reason", r.state.Reason).Msg("rollout ended")
+	}
+	o.l.c.d.record(ev)
+}
+
+func (o *rollouts) save(id string, r *rolloutRun) bool {
+	data, err := brwire.Encode(r.state)
+	if err != nil {
+		panic("brdaemon: rollout state can't be encoded: " + err.Error())
+	}
+	if bytes.Equal(data, r.saved) {
+		return true
+	}
+	if _, err := o.propose(brstate.Command{ID: uuid.NewString(), SaveProgress: &brstate.SaveProgress{ID: id, Data: data}}); err != nil {
+		o.l.c.d.log.Warn().Err(err).Str("rollout", id).Msg("progress was not saved")
+		return false
+	}
+	r.saved = data
+	return true
+}
+
+// propose commits a command only while this replica leads the term in which the
+// rollouts run.
+func (o *rollouts) propose(cmd brstate.Command) (brwire.ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(o.l.ctx, proposeTry)
+	defer cancel()
+	reply, err := o.l.c.propose(ctx, cmd)
+	if err == nil && reply.Error != nil {
+		err = reply.Error
+	}
+	return reply, err
+}
--- a/brmember/daemon.go
+++ b/brmember/daemon.go
@@ -18,7 +18,11 @@
 	askInterval      = time.Second             // between questions
 	askSooner        = 200 * time.Millisecond  // between questions until the first succeeds
 	askSoonerFor     = 6 * time.Second         // without confirmation; then the daemon is taken to be cut off
-	renewalMissed    = 1250 * time.Millisecond // left of a lease of 3 s only if a renewal failed
+	// appliedBeat is how soon the next heartbeat follows a new revision: the
+	// answer to a change and the next change of the registered daemons wait for
+	// the news that a majority has applied it.
+	appliedBeat   = 50 * time.Millisecond
+	renewalMissed = 1250 * time.Millisecond // left of a lease of 3 s only if a renewal failed
 )
 
 // Standing is what a daemon may do.
@@ -246,6 +250,9 @@
 	if revision < d.revision {
 		return nil
 	}
+	if soon := now.Add(appliedBeat - HeartbeatInterval); revision > d.revision && d.lastBeat.After(soon) {
+		d.lastBeat = soon
+	}
 	d.revision = revision
 	var effects []Effect
 	kept := d.pending[:0]
--- a/broperator/api.go
+++ b/broperator/api.go
@@ -5,6 +5,7 @@
 
 	"bramleyroute/brconfig"
 	"bramleyroute/brerror"
+	"bramleyroute/brtimeline"
 	"bramleyroute/brwire"
 )
 
@@ -123,20 +124,28 @@
 
 // Member is a registered daemon as the control group sees it.
 type Member struct {
-	Daemon  brwire.Daemon `json:"daemon"`
-	State   string        `json:"state"` // live, suspected or lost
-	AgeMS   int64         `json:"age_ms"`
-	Replica string        `json:"replica"` // control replica that holds its session
+	Daemon   brwire.Daemon `json:"daemon"`
+	State    string        `json:"state"` // confirmed, unconfirmed or unreachable, as seen from the daemon that was asked
+	Revision uint64        `json:"revision"`
 }
 
 // Pool is a pool with its owner and, at the owner, its load.
 type Pool struct {
-	Name        string     `json:"name"`
-	Owner       string     `json:"owner"`
-	Epoch       uint64     `json:"epoch"`
-	Queued      [5]int     `json:"queued"` // by tier
-	Outstanding int        `json:"outstanding_tokens"`
-	Endpoints   []Endpoint `json:"endpoints"`
+	Name          string         `json:"name"`
+	Owner         string         `json:"owner"`
+	Epoch         uint64         `json:"epoch"`
+	Reachable     bool           `json:"reachable"` // the owner answered; otherwise the rest is empty
+	Queued        [5]int         `json:"queued"`    // by tier
+	QueuedTokens  int            `json:"queued_tokens"`
+	Running       int            `json:"running"`
+	Outstanding   int            `json:"outstanding_tokens"`
+	Completed     [5]int         `json:"completed"` // by tier, since the owner's start
+	Goodput       [5]int         `json:"goodput"`
+	Shed          [5]int         `json:"shed"`
+	Refused       map[string]int `json:"refused"` // by error kind
+	Prefilled     int            `json:"prefilled_tokens"`
+	WastedPrefill map[string]int `json:"wasted_prefill_tokens"` // by cause
+	Endpoints     []Endpoint     `json:"endpoints"`
 }
 
 // Endpoint is an endpoint as its pool's scheduler sees it.
@@ -161,6 +170,18 @@
 	Remove    string `json:"remove,omitempty"`  // replica id
 }
 
+// TimelineQuery selects events; empty fields select everything.
+type TimelineQuery struct {
+	brtimeline.Filter
+	ThisDaemon bool `json:"this_daemon"` // don't ask the other daemons
+}
+
+// Timeline is the merged timeline of the daemons that answered.
+type Timeline struct {
+	Events  []brtimeline.Event `json:"events"`
+	Missing []string           `json:"missing"` // daemons that did not answer
+}
+
 // Empty is the body of a call without one.
 type Empty struct{}
 
--- a/brpeer/conn.go
+++ b/brpeer/conn.go
@@ -169,6 +169,12 @@
 	if err != nil {
 		return err
 	}
+	return PushEncoded(c, name, body)
+}
+
+// PushEncoded is Push for a message that is encoded already, for one that goes to
+// many connections.
+func PushEncoded(c *Conn, name string, body brwire.RawMessage) error {
 	return c.send(frame{Kind: framePush, Name: name, Body: body})
 }
 
--- a/brsetting/load.go
+++ b/brsetting/load.go
@@ -89,7 +89,7 @@
 func Register(app *kingpin.Application) *Flags {
 	f := &Flags{texts: map[string]*flagText{}}
 	for _, row := range Table() {
-		t := &flagText{isSwitch: row.Switch}
+		t := &flagText{}
 		f.texts[row.Name] = t
 		help := row.Description
 		if row.Default != "" {
@@ -107,8 +107,7 @@
 
 // flagText is a kingpin.Value that takes any text.
 type flagText struct {
-	text     string
-	isSwitch bool
+	text string
 }
 
 // Set sets the text.
@@ -117,9 +116,6 @@
 // String returns the text.
 func (t *flagText) String() string { return t.text }
 
-// IsBoolFlag reports whether the flag needs no value.
-func (t *flagText) IsBoolFlag() bool { return t.isSwitch }
-
 // checkTogether checks what concerns several settings, and sets the advertised
 // address. A setting that is already a problem is left out.
 func (s *Settings) checkTogether(p *Problems) {
@@ -163,22 +159,14 @@
 		return slices.ContainsFunc(*p, func(o Problem) bool { return o.Name == name })
 	}
 	control := s.Has(brwire.RoleControl)
-	listed := slices.ContainsFunc(s.ControlPeers, func(c ControlPeer) bool { return c.ReplicaID == s.ReplicaID })
-	switch {
-	case named("roles") || named("replica_id"):
-	case control && s.ReplicaID == 0:
-		p.add("replica_id", "is required with the role control")
-	case !control && s.ReplicaID != 0:
-		p.add("replica_id", "is only for the role control")
+	if !control || named("roles") {
+		return
 	}
-	if control && s.DataDir == "" {
-		p.add("data_dir", "is required with the role control")
+	listed := slices.ContainsFunc(s.ControlPeers, func(c ControlPeer) bool { return c.DaemonID == s.DaemonID })
+	if !listed && !named("control_peers") && !named("daemon_id") {
+		p.add("control_peers", "must name this daemon, which has the role control")
 	}
-	switch {
-	case !s.Bootstrap || named("roles") || named("control_peers"):
-	case !control:
-		p.add("bootstrap", "is only for the role control")
-	case !listed && !named("replica_id"):
-		p.add("bootstrap", "needs a replica_id among control_peers")
+	if s.DataDir == "" {
+		p.add("data_dir", "is required with the role control")
 	}
 }
--- a/brsetting/settings.go
+++ b/brsetting/settings.go
@@ -18,8 +18,6 @@
 	OperatorAddress       string // ip:port to listen on
 	AdvertisedPeerAddress string // ip:port that other daemons dial; never an unspecified address
 	ControlPeers          []ControlPeer
-	ReplicaID             uint64 // 0 without the control role
-	Bootstrap             bool
 	DataDir               string // empty without one
 	PeerKeys              []string
 	OperatorKeys          []string
@@ -37,10 +35,10 @@
 	WeightStoreBytesPerSecond int64 // 0 means no bound
 }
 
-// ControlPeer is the address of one control replica.
+// ControlPeer is a daemon with the control role.
 type ControlPeer struct {
-	ReplicaID uint64
-	Address   string // ip:port
+	DaemonID string
+	Address  string // ip:port
 }
 
 // Has reports whether the daemon plays role.
--- a/brsetting/table.go
+++ b/brsetting/table.go
@@ -13,7 +13,6 @@
 	Description string
 	Check       string // what is accepted, in words
 	Secret      bool   // not shown in logs
-	Switch      bool   // the flag needs no value
 
 	set func(s *Settings, text string) error // parses and checks text
 }
@@ -64,14 +63,8 @@
 		{Name: "advertised_peer_address", Unit: "ip:port", Check: "required when `peer_address` is unspecified (`0.0.0.0`, `[::]`) or has port 0; not an unspecified address itself",
 			Description: "Address that other daemons dial. Without a value it is `peer_address`.",
 			set:         optional(address(func(s *Settings) *string { return &s.AdvertisedPeerAddress }))},
-		{Name: "control_peers", Unit: "list of replica_id=ip:port", Check: "required; replica ids and addresses are not repeated",
-			Description: "Control replicas that this daemon may connect to.", set: setControlPeers},
-		{Name: "replica_id", Unit: "number", Check: "1 or above; required with the role `control` and refused without it",
-			Description: "Id of this daemon's control replica. A replica that lost its disk gets a new id.",
-			set:         optional(setReplicaID)},
-		{Name: "bootstrap", Default: "false", Unit: "true or false", Switch: true, Check: "only with the role `control` and a `replica_id` among `control_peers`",
-			Description: "Found a new control group of all `control_peers`. A data folder that already has a log ignores it.",
-			set:         boolean(func(s *Settings) *bool { return &s.Bootstrap })},
+		{Name: "control_peers", Unit: "list of daemon_id=ip:port", Check: "required; ids and addresses are not repeated; names this daemon if it has the role `control`",
+			Description: "Daemons with the role `control` and their peer addresses, the same list on every daemon. They form the control group; one that lost its disk joins again by itself.", set: setControlPeers},
 		{Name: "data_dir", Unit: "path", Check: "required with the role `control`",
 			Description: "Folder for the replicated log and the timeline's files. Without it nothing is written.",
 			set:         text(func(s *Settings) *string { return &s.DataDir })},
--- a/brstate/command.go
+++ b/brstate/command.go
@@ -33,6 +33,7 @@
 	FinishRollout    *FinishRollout    `cbor:"finish_rollout,omitempty"`
 	PlaceOrder       *PlaceOrder       `cbor:"place_order,omitempty"`
 	FinishOrder      *FinishOrder      `cbor:"finish_order,omitempty"`
+	SaveProgress     *SaveProgress     `cbor:"save_progress,omitempty"`
 }
 
 // PutConfiguration changes the configuration if its revision is Expected. One
--- a/brstate/result.go
+++ b/brstate/result.go
@@ -33,10 +33,10 @@
 }
 
 // add keeps the reply to c. Not kept are replies to renewals, since a second
-// renewal is harmless, and replies with a kept answer of the ledger, which are
+// renewal is harmless, nor to saved progress, and replies with a kept answer of the ledger, which are
 // large and come again from the ledger itself.
 func (r *results) add(c Command, now time.Time, reply brwire.ProposeReply) {
-	if c.RenewLease != nil || c.BeginRequest != nil && len(reply.Result) > maxResultBytes {
+	if c.RenewLease != nil || c.SaveProgress != nil || c.BeginRequest != nil && len(reply.Result) > maxResultBytes {
 		return
 	}
 	frequent := c.AcquireLease != nil || c.ReleaseLease != nil || c.BeginRequest != nil || c.FinishRequest != nil || c.ReleaseRequest != nil
--- a/brstate/snapshot.go
+++ b/brstate/snapshot.go
@@ -26,6 +26,7 @@
 	Records   []brledger.Record `cbor:"records,omitempty"`
 	Orders    []Order           `cbor:"orders,omitempty"`
 	Results   []result          `cbor:"results,omitempty"`
+	Progress  []SaveProgress    `cbor:"progress,omitempty"`
 	LastFrame bool              `cbor:"last_frame,omitempty"`
 }
 
@@ -56,6 +57,7 @@
 	writeRows(w, s.ledger.Records(), func(rows []brledger.Record) frame { return frame{Records: rows} })
 	writeRows(w, s.orders.list(), func(rows []Order) frame { return frame{Orders: rows} })
 	writeRows(w, s.results.list(), func(rows []result) frame { return frame{Results: rows} })
+	writeRows(w, s.progressRows(), func(rows []SaveProgress) frame { return frame{Progress: rows} })
 	w.frame(frame{LastFrame: true})
 	return w.data
 }
@@ -95,6 +97,12 @@
 		for _, r := range f.Results {
 			s.results.put(r)
 		}
+		for _, p := range f.Progress {
+			if s.progress == nil {
+				s.progress = map[string][]byte{}
+			}
+			s.progress[p.ID] = p.Data
+		}
 		if f.LastFrame {
 			break
 		}
--- a/brstate/state.go
+++ b/brstate/state.go
@@ -18,14 +18,15 @@
 // State is the state of the control group. New makes it. It is not safe for
 // concurrent use; the values that it returns are.
 type State struct {
-	index   uint64
-	now     time.Time // largest stamped time
-	view    View
-	leases  *brlease.Table
-	ledger  *brledger.Ledger
-	orders  orders
-	results results
-	history History
+	index    uint64
+	now      time.Time // largest stamped time
+	view     View
+	leases   *brlease.Table
+	ledger   *brledger.Ledger
+	orders   orders
+	results  results
+	history  History
+	progress map[string][]byte // of rollouts, by id
 
 	// ignoreExpected turns the comparison of revisions off, so that a test can
 	// show that the linearizability check notices.
@@ -150,6 +151,8 @@
 	case c.FinishOrder != nil:
 		o, err := s.orders.finish(*c.FinishOrder, s.now)
 		return s.reply(o, err), nil
+	case c.SaveProgress != nil:
+		return s.reply(struct{}{}, s.saveProgress(*c.SaveProgress)), nil
 	}
 	panic("brstate: command without a body") // Kind was checked
 }
--- a/brwire/control.go
+++ b/brwire/control.go
@@ -116,3 +116,20 @@
 	Outstanding int           `cbor:"outstanding"` // tokens, at the end of the period
 	Tripped     bool          `cbor:"tripped"`     // the scheduler's breaker stopped the version
 }
+
+// Names of the messages by which daemons learn of changes and hand samples on.
+const (
+	NameView  = "view"  // answers watch; followed by change
+	NameFetch = "fetch" // call between daemons: the view or the changes after a revision
+	NameTrip  = "trip"
+)
+
+// Trip tells the control leader that a scheduler's breaker stopped a version on
+// one route, or on all when Route is empty.
+type Trip struct {
+	RolloutID string `cbor:"rollout_id"`
+	Pool      string `cbor:"pool"`
+	Version   string `cbor:"version"`
+	Route     string `cbor:"route"`
+	Reason    string `cbor:"reason"`
+}
