Add brcontrol, the runtime of one control replica

Cause: the reducer needs a process around it that owns disk, links and timers, and that decides what an empty data folder means. Change: a loop that steps brlog, a goroutine that groups writes into one sync, proposals forwarded to the leader, linearizable reads, confirmation with age, membership calls, handover, and forming or joining a group. brlog gains Leader and Status.Removed.

--- /dev/null
+++ b/brcontrol/bench_test.go
@@ -0,0 +1,137 @@
+package brcontrol
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BenchmarkCommit compares commits of 256 bytes by three replicas on one disk,
+// proposed at the leader, with one sync alone on the same disk.
+func BenchmarkCommit(b *testing.B) {
+	b.Run("sync_alone", func(b *testing.B) {
+		f, err := os.Create(filepath.Join(b.TempDir(), "file"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer f.Close()
+		measure(b, 1, func() error {
+			if _, err := f.Write(make([]byte, 256)); err != nil {
+				return err
+			}
+			return f.Sync()
+		})
+	})
+	for _, proposers := range []int{1, 16, 128} {
+		b.Run(fmt.Sprintf("proposers_%d", proposers), func(b *testing.B) {
+			g := newGroupOf(b, 3, 0, &Machine{ // the state's own cost is left out
+				Apply:    func(uint64, []byte) []byte { return nil },
+				Snapshot: func() ([]byte, error) { return nil, nil },
+				Restore:  func([]byte) error { return nil },
+			})
+			l := g.leader()
+			measure(b, proposers, func() error {
+				_, err := l.Propose(context.Background(), make([]byte, 256))
+				return err
+			})
+		})
+	}
+}
+
+// measure runs f b.N times in n goroutines and reports rate and latency.
+func measure(b *testing.B, n int, f func() error) {
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	b.ResetTimer()
+	for range n {
+		wg.Go(func() {
+			var took []time.Duration
+			for left.Add(-1) >= 0 {
+				start := time.Now()
+				if err := f(); err != nil {
+					b.Error(err)
+					return
+				}
+				took = append(took, time.Since(start))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for _, d := range took {
+				h.RecordValue(d.Microseconds())
+			}
+		})
+	}
+	wg.Wait()
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commits/s")
+	b.ReportMetric(float64(h.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(h.ValueAtQuantile(99))/1000, "p99-ms")
+}
+
+// BenchmarkFailover measures from the stop of the leader, without a handover,
+// to the next commit at a new one.
+func BenchmarkFailover(b *testing.B) {
+	g := newGroup(b, 3, 0)
+	h := hdrhistogram.New(1, 60_000, 3)
+	for range b.N {
+		l := g.leader()
+		start := time.Now()
+		g.stop(l)
+		g.propose(g.leader(), "x")
+		h.RecordValue(time.Since(start).Milliseconds())
+		g.start(l, nil)
+		g.same()
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(h.Max()), "max-ms")
+}
+
+// BenchmarkCatchUp measures how long a replica that was stopped while n entries
+// were committed needs from its start until it has applied them.
+func BenchmarkCatchUp(b *testing.B) {
+	for _, n := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprint("entries_", n), func(b *testing.B) { catchUp(b, n, 1_000_000) })
+	}
+	b.Run("snapshot_10000", func(b *testing.B) { catchUp(b, 10_000, 5_000) })
+}
+
+func catchUp(b *testing.B, n int, snapshotEvery uint64) {
+	g := newGroup(b, 3, snapshotEvery)
+	var total time.Duration
+	for range b.N {
+		l := g.leader()
+		behind := g.nodes[0]
+		if behind == l {
+			behind = g.nodes[1]
+		}
+		g.same()
+		g.stop(behind)
+		var wg sync.WaitGroup
+		for range 100 {
+			wg.Go(func() {
+				for range n / 100 {
+					if _, err := l.Propose(context.Background(), make([]byte, 256)); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		start := time.Now()
+		g.start(behind, nil)
+		want := len(l.machine.get())
+		g.wait("catch-up", func() bool { return len(behind.machine.get()) >= want })
+		total += time.Since(start)
+	}
+	b.ReportMetric(total.Seconds()*1000/float64(b.N), "catch-up-ms")
+}
--- /dev/null
+++ b/brcontrol/group_test.go
@@ -0,0 +1,224 @@
+package brcontrol
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyroute/brpeer"
+)
+
+// listMachine is a state machine that keeps every entry in order.
+type listMachine struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (m *listMachine) machine() Machine {
+	return Machine{
+		Apply: func(index uint64, data []byte) []byte {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.list = append(m.list, string(data))
+			return fmt.Appendf(nil, "%d", len(m.list))
+		},
+		Snapshot: func() ([]byte, error) { return json.Marshal(m.get()) },
+		Restore: func(b []byte) error {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return json.Unmarshal(b, &m.list)
+		},
+	}
+}
+
+func (m *listMachine) get() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return append([]string{}, m.list...)
+}
+
+// node is one replica with its listener on loopback.
+type node struct {
+	*Replica
+	cfg     Config
+	machine *listMachine
+	http    *http.Server
+	links   *brpeer.Server
+	fatal   chan error
+}
+
+type group struct {
+	t     testing.TB
+	nodes []*node
+	// machine, if set, replaces the list of the nodes that are started next.
+	machine *Machine
+}
+
+func newGroup(t testing.TB, size int, snapshotEvery uint64) *group {
+	return newGroupOf(t, size, snapshotEvery, nil)
+}
+
+func newGroupOf(t testing.TB, size int, snapshotEvery uint64, m *Machine) *group {
+	g := &group{t: t, machine: m}
+	dir := t.TempDir()
+	var peers []Peer
+	var listeners []net.Listener
+	for i := range size {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, ln)
+		peers = append(peers, Peer{ID: fmt.Sprintf("c%d", i), Address: ln.Addr().String()})
+	}
+	for i, p := range peers {
+		n := &node{cfg: Config{
+			Dir: filepath.Join(dir, p.ID), Self: p, Peers: peers,
+			Keys: brpeer.Keys{"key"}, SnapshotEvery: snapshotEvery,
+		}}
+		g.nodes = append(g.nodes, n)
+		g.start(n, listeners[i])
+	}
+	t.Cleanup(func() {
+		for _, n := range g.nodes {
+			g.stop(n)
+		}
+	})
+	return g
+}
+
+// start runs n on ln, or on a new listener at its address.
+func (g *group) start(n *node, ln net.Listener) {
+	g.t.Helper()
+	fatal := make(chan error, 1)
+	n.fatal, n.machine = fatal, &listMachine{}
+	n.cfg.Machine = n.machine.machine()
+	if g.machine != nil {
+		n.cfg.Machine = *g.machine
+	}
+	n.cfg.Fatal = func(err error) { fatal <- err }
+	r, err := Start(n.cfg)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	n.Replica = r
+	g.listen(n, ln)
+}
+
+func (g *group) listen(n *node, ln net.Listener) {
+	g.t.Helper()
+	if ln == nil {
+		var err error
+		if ln, err = net.Listen("tcp", n.cfg.Self.Address); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+	var mux brpeer.Mux
+	n.Register(&mux)
+	n.links = &brpeer.Server{Mux: &mux, Keys: n.cfg.Keys}
+	n.http = &http.Server{Handler: n.links}
+	go n.http.Serve(ln)
+}
+
+// cut ends n's incoming links and refuses new ones.
+func (g *group) cut(n *node) {
+	n.http.Close()
+	n.links.Close()
+}
+
+func (g *group) stop(n *node) {
+	if n.Replica == nil {
+		return
+	}
+	g.cut(n)
+	if err := n.Close(); err != nil {
+		g.t.Error(err)
+	}
+	n.Replica = nil
+}
+
+func (g *group) running() (all []*node) {
+	for _, n := range g.nodes {
+		if n.Replica != nil {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// wait returns once ok holds; a replica's tick wakes it.
+func (g *group) wait(what string, ok func() bool) {
+	g.t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for !ok() {
+		changed := g.running()[0].changed.wait()
+		select {
+		case <-changed:
+		case <-time.After(time.Until(deadline)):
+			for _, n := range g.running() {
+				g.t.Logf("%+v", n.Status())
+			}
+			g.t.Fatalf("no %s in time", what)
+		}
+	}
+}
+
+// leader waits for a leader that holds its lease and returns it.
+func (g *group) leader() (l *node) {
+	g.t.Helper()
+	g.wait("leader", func() bool {
+		for _, n := range g.running() {
+			if _, err := n.readIndex(); err == nil {
+				l = n
+			}
+		}
+		return l != nil
+	})
+	return l
+}
+
+func (g *group) propose(n *node, data string) string {
+	g.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	out, err := n.Propose(ctx, []byte(data))
+	if err != nil {
+		g.t.Fatalf("propose %q: %v", data, err)
+	}
+	return string(out)
+}
+
+// same waits until all running replicas have applied what the leader has, and
+// checks that they agree.
+func (g *group) same() []string {
+	g.t.Helper()
+	want := g.leader().machine.get()
+	for _, n := range g.running() {
+		g.wait("equal state", func() bool { return len(n.machine.get()) >= len(want) })
+		if got := n.machine.get()[:len(want)]; fmt.Sprint(got) != fmt.Sprint(want) {
+			g.t.Fatalf("%s applied %v, want %v", n.cfg.Self.ID, got, want)
+		}
+	}
+	return want
+}
+
+func (g *group) loseDisk(n *node) {
+	g.t.Helper()
+	g.stop(n)
+	if err := os.RemoveAll(n.cfg.Dir); err != nil {
+		g.t.Fatal(err)
+	}
+	g.start(n, nil)
+}
+
+func (g *group) repaired(n *node) bool {
+	st := g.leader().Status()
+	return st.Membership.IsVoter(n.Status().ID) && st.Membership.Voters() == len(g.nodes) && len(st.Membership.Members) == len(g.nodes)
+}
--- a/brlog/election.go
+++ b/brlog/election.go
@@ -25,6 +25,7 @@
 		s.onPreVoteReply(m)
 		return
 	case MessageRemoved:
+		s.toldRemoved = true
 		s.halt("replica was removed from the group")
 		return
 	}
--- a/brlog/state.go
+++ b/brlog/state.go
@@ -81,11 +81,12 @@
 	id     ID
 	mutate mutation
 
-	now     time.Duration // since the start, on the monotonic clock
-	last    time.Time     // of the previous Step
-	session uint64        // changes whenever now can't be compared with before
-	halted  bool
-	blank   bool // the disk was empty and no leader has been heard from yet
+	now         time.Duration // since the start, on the monotonic clock
+	last        time.Time     // of the previous Step
+	session     uint64        // changes whenever now can't be compared with before
+	halted      bool
+	toldRemoved bool
+	blank       bool // the disk was empty and no leader has been heard from yet
 
 	hard     HardState
 	role     role
--- a/brlog/status.go
+++ b/brlog/status.go
@@ -16,6 +16,7 @@
 	SnapshotIndex uint64     `json:"snapshot_index"`
 	Membership    Membership `json:"membership"`
 	Halted        bool       `json:"halted"`
+	Removed       bool       `json:"removed"` // from the group, for good
 	// Match maps the other members to their last synced entry, on a leader.
 	Match map[ID]uint64 `json:"match,omitempty"`
 }
@@ -26,7 +27,7 @@
 		ID: s.id, Term: s.hard.Term, Role: "follower", Leader: s.leader,
 		LeaderAddress: s.address(s.leader), Commit: s.commit, Applied: s.applied,
 		Synced: s.synced, Last: s.log.last(), SnapshotIndex: s.snapshot.Index,
-		Membership: s.membership, Halted: s.halted,
+		Membership: s.membership, Halted: s.halted, Removed: s.removed(),
 	}
 	switch {
 	case s.role == leader:
@@ -43,6 +44,17 @@
 	return st
 }
 
+// removed reports whether this replica knows that it was removed.
+func (s *State) removed() bool {
+	return s.toldRemoved || s.membership.IsRemoved(s.id) && s.memberAt <= s.commit
+}
+
+// Leader returns the leader that this replica follows, its address, and whether
+// it is this replica. The id is empty when none is known.
+func (s *State) Leader() (id ID, address string, self bool) {
+	return s.leader, s.address(s.leader), s.role == leader
+}
+
 // elapsed returns the replica's time at now, and false when the clock went back
 // or too long a time has passed since the last step for the clock to be trusted.
 func (s *State) elapsed(now time.Time) (time.Duration, bool) {
