--- a/brconfig/change.go
+++ b/brconfig/change.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -98,8 +99,11 @@
 }
 
 // sameItem compares the JSON forms, which ignore the difference of nil and
-// empty slices and of equal times in different locations of one offset.
-func sameItem[T any](a, b T) bool { return bytes.Equal(mustJSON(a), mustJSON(b)) }
+// empty slices and of equal times in different locations of one offset. Equal
+// items, most of a document, are told without encoding them.
+func sameItem[T any](a, b T) bool {
+	return reflect.DeepEqual(a, b) || bytes.Equal(mustJSON(a), mustJSON(b))
+}
 
 func diffLines[T item](kind string, old, changed []T, removed []string) []string {
 	before := byName(old)
