brrollout: step back further on suspicion and copy less per sample

Change: a later stage under suspicion goes back to 5% instead of 10%; counts and evidence are separate, so that a sample doesn't copy the evidence.

--- a/brrollout/judge.go
+++ b/brrollout/judge.go
@@ -88,15 +88,19 @@
 	After  [len(afterRatios)]float64  `cbor:"after"`
 }
 
-// RouteEvidence is what is known of one route.
+// RouteCounts holds what was seen of one route over the whole rollout.
+type RouteCounts struct {
+	Route     string               `cbor:"route"`
+	Old       Counts               `cbor:"old"`
+	New       Counts               `cbor:"new"`
+	Window    Counts               `cbor:"window"`    // old version, in the open reference window
+	Reference [metricCount]float64 `cbor:"reference"` // highest rate of the old version in one window
+}
+
+// RouteEvidence is the evidence on one route.
 type RouteEvidence struct {
-	Route     string                `cbor:"route"`
-	Old       Counts                `cbor:"old"` // over the whole rollout
-	New       Counts                `cbor:"new"`
-	Evidence  [metricCount]Evidence `cbor:"evidence"`  // of all blocks
-	Loaded    [metricCount]Evidence `cbor:"loaded"`    // of blocks that began under load
-	Window    Counts                `cbor:"window"`    // old version, in the open reference window
-	Reference [metricCount]float64  `cbor:"reference"` // highest rate of the old version in one window
+	Every  [metricCount]Evidence `cbor:"every"`  // of all blocks
+	Loaded [metricCount]Evidence `cbor:"loaded"` // of blocks that began under load
 }
 
 // Block holds the counts of one pool and route over one short time.
@@ -152,8 +156,9 @@
 	NewVersion string          `cbor:"new_version"`
 	Loaded     bool            `cbor:"loaded"` // see WithTraffic
 	Alone      bool            `cbor:"alone"`
-	Routes     []RouteEvidence `cbor:"routes"` // in order of appearance
-	Blocks     []Block         `cbor:"blocks"` // open
+	Routes     []RouteCounts   `cbor:"routes"`   // in order of appearance
+	Evidence   []RouteEvidence `cbor:"evidence"` // in the order of Routes; those at the end may be missing
+	Blocks     []Block         `cbor:"blocks"`   // open
 }
 
 // Add returns j with the counts of s. Samples of other versions are ignored.
@@ -162,7 +167,7 @@
 		return j
 	}
 	j.Routes, j.Blocks = slices.Clone(j.Routes), slices.Clone(j.Blocks)
-	r, b := j.route(s.Route), j.block(now, s.Pool, s.Route)
+	r, b := &j.Routes[j.route(s.Route)], j.block(now, s.Pool, s.Route)
 	if s.Version == j.NewVersion {
 		r.New.add(s)
 		b.New.add(s)
@@ -198,14 +203,14 @@
 	if !slices.ContainsFunc(j.Blocks, complete) {
 		return j
 	}
-	j.Routes = slices.Clone(j.Routes)
+	j.Evidence = append([]RouteEvidence(nil), j.Evidence...)
 	open := make([]Block, 0, len(j.Blocks))
 	for _, b := range j.Blocks {
 		if !complete(b) {
 			open = append(open, b)
 			continue
 		}
-		j.route(b.Route).weigh(b)
+		j.weigh(b)
 	}
 	j.Blocks = open
 	return j
@@ -229,16 +234,16 @@
 // Verdict returns the state of the test.
 func (j Judge) Verdict() Verdict {
 	v := Verdict{Content: true}
-	for i, r := range j.withAll() {
+	for i := range len(j.Evidence) + 1 {
 		back, hold := limit(i, Alpha), limit(i, AlphaHold)
-		for m, e := range r.Evidence {
-			l := r.Loaded[m]
-			got := max(logMean(e.Worse[:]), logMean(e.After[:]), logMean(l.Worse[:]), logMean(l.After[:]))
+		e := j.row(i)
+		for m := range metricCount {
+			every, loaded := &e.Every[m], &e.Loaded[m]
+			got := max(logMean(every.Worse[:]), logMean(every.After[:]), logMean(loaded.Worse[:]), logMean(loaded.After[:]))
 			if got < hold {
 				continue
 			}
-			v.Content = false
-			v.Reason = r.reason(Metric(m), got)
+			v.Content, v.Reason = false, j.reason(i, m, got)
 			if got >= back {
 				v.Worse = true
 				return v
@@ -252,36 +257,49 @@
 // the same bound on the probability of an error.
 func (j Judge) Better() []string {
 	var names []string
-	for i, r := range j.withAll() {
-		for m, e := range r.Evidence {
-			if logMean(e.Better[:]) >= limit(i, Alpha) {
-				names = append(names, r.Route+" "+Metric(m).String())
+	for i := range len(j.Evidence) + 1 {
+		e := j.row(i)
+		for m := range metricCount {
+			if logMean(e.Every[m].Better[:]) >= limit(i, Alpha) {
+				names = append(names, j.counts(i).Route+" "+m.String())
 			}
 		}
 	}
 	return names
 }
 
-// limit returns the level of the logarithm of a statistic of the i-th row of
-// withAll, counted from 0, at a total bound of alpha.
-func limit(i int, alpha float64) float64 {
-	return math.Log(float64(sideCount*phaseCount*loadCount*int(metricCount)) * float64((i+1)*(i+2)) / alpha)
-}
-
-// withAll returns the rows that are tested: all routes together, then each route.
-func (j Judge) withAll() []RouteEvidence {
-	all := RouteEvidence{Route: allRoutes}
-	all.Old, all.New = j.Totals()
-	for _, r := range j.Routes {
+// row returns the i-th row that is tested: all routes together, then each route.
+func (j Judge) row(i int) *RouteEvidence {
+	if i > 0 {
+		return &j.Evidence[i-1]
+	}
+	all := &RouteEvidence{}
+	for r := range j.Evidence {
 		for m := range metricCount {
-			all.Evidence[m].add(r.Evidence[m])
-			all.Loaded[m].add(r.Loaded[m])
+			all.Every[m].add(&j.Evidence[r].Every[m])
+			all.Loaded[m].add(&j.Evidence[r].Loaded[m])
 		}
 	}
-	return append([]RouteEvidence{all}, j.Routes...)
+	return all
+}
+
+// counts returns the counts of the i-th row.
+func (j Judge) counts(i int) RouteCounts {
+	if i > 0 {
+		return j.Routes[i-1]
+	}
+	all := RouteCounts{Route: allRoutes}
+	all.Old, all.New = j.Totals()
+	return all
+}
+
+// limit returns the level of the logarithm of a statistic of the i-th row,
+// counted from 0, at a total bound of alpha.
+func limit(i int, alpha float64) float64 {
+	return math.Log(float64(sideCount*phaseCount*loadCount*int(metricCount)) * float64((i+1)*(i+2)) / alpha)
 }
 
-func (e *Evidence) add(o Evidence) {
+func (e *Evidence) add(o *Evidence) {
 	for i := range e.Worse {
 		e.Worse[i] += o.Worse[i]
 	}
@@ -306,14 +324,15 @@
 	return old, fresh
 }
 
-func (j *Judge) route(name string) *RouteEvidence {
+// route returns the index of a route, which is added if it is new.
+func (j *Judge) route(name string) int {
 	for i := range j.Routes {
 		if j.Routes[i].Route == name {
-			return &j.Routes[i]
+			return i
 		}
 	}
-	j.Routes = append(j.Routes, RouteEvidence{Route: name})
-	return &j.Routes[len(j.Routes)-1]
+	j.Routes = append(j.Routes, RouteCounts{Route: name})
+	return len(j.Routes) - 1
 }
 
 func (j *Judge) block(now time.Time, pool, route string) *Block {
@@ -332,9 +351,10 @@
 	return age >= blockLength && paired || age >= blockLimit
 }
 
-func (r RouteEvidence) reason(m Metric, logRatio float64) string {
+func (j Judge) reason(row int, m Metric, logRatio float64) string {
+	c := j.counts(row)
 	return fmt.Sprintf("%v on route %s: new %d of %d, old %d of %d, log likelihood ratio %.1f",
-		m, r.Route, r.New.Bad[m], r.New.Requests, r.Old.Bad[m], r.Old.Requests, logRatio)
+		m, c.Route, c.New.Bad[m], c.New.Requests, c.Old.Bad[m], c.Old.Requests, logRatio)
 }
 
 // logMean returns the logarithm of the mean of the exponentials of logs.
--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -50,7 +50,7 @@
 	// while the Judge is not content, as far as the old version's endpoints can
 	// carry the rest. The last stage is left as it is, because its evidence
 	// doesn't add up with that beside the old version.
-	suspectShare = 100
+	suspectShare = 50
 
 	// earlyEvidence and stageEvidence are the numbers of requests that the new
 	// version must have ended at the stage's share before the next stage starts
@@ -102,11 +102,11 @@
 	loadTimeFactor = 5 // allowed times of the shortest possible load
 )
 
-func (s State) length() time.Duration { return s.FinishBy.Sub(s.StartedAt) }
+func (s *State) length() time.Duration { return s.FinishBy.Sub(s.StartedAt) }
 
 // at maps a part of the plan to a time. Where loading the fleet needs more than
 // the planned end phase, the end phase is stretched and the rest compressed.
-func (s State) at(part float64) time.Time {
+func (s *State) at(part float64) time.Time {
 	late := s.latePart()
 	if part >= lateStart {
 		part = 1 - (1-part)*late/(1-lateStart)
@@ -117,30 +117,30 @@
 }
 
 // latePart returns the part of the time that the stages after the early ones get.
-func (s State) latePart() float64 {
+func (s *State) latePart() float64 {
 	load := float64(s.Budget.Duration(s.present(), s.LoadBytes)) / float64(s.length())
 	return min(max(1-lateStart, 1.5*load+0.1), 0.9)
 }
 
 // loadable reports whether the weight store's rate lets all endpoints load in time.
-func (s State) loadable() bool {
+func (s *State) loadable() bool {
 	return s.Budget.Duration(s.present(), s.LoadBytes) < time.Duration(0.8*float64(s.length()))
 }
 
-func (s State) minHold() time.Duration {
+func (s *State) minHold() time.Duration {
 	return time.Duration(holdPart * float64(s.length()))
 }
 
-func (s State) finishAt() time.Time {
+func (s *State) finishAt() time.Time {
 	lead := min(time.Duration(finishPart*float64(s.length())), finishLead)
 	return s.FinishBy.Add(-lead)
 }
 
 // loaded reports whether the fleet's outstanding work is near its peak.
-func (s State) loaded() bool { return s.Peak > 0 && s.Smoothed >= loadedPart*s.Peak }
+func (s *State) loaded() bool { return s.Peak > 0 && s.Smoothed >= loadedPart*s.Peak }
 
 // wanted returns how many endpoints a stage needs on the new version.
-func (s State) wanted(stage int) int {
+func (s *State) wanted(stage int) int {
 	n := s.present()
 	reserve := max(1, int(reservePart*float64(n)))
 	need := (n*stages[stage].PerMille + 999) / 1000
@@ -150,7 +150,7 @@
 // targetShare returns the share that is right now, per mille. While endpoints
 // are still missing, the share follows their number, so that neither version's
 // endpoints carry more than their part.
-func (s State) targetShare() int {
+func (s *State) targetShare() int {
 	ready, _ := s.count(s.NewVersion)
 	old, _ := s.count(s.OldVersion)
 	switch {
@@ -175,7 +175,7 @@
 
 // leastShare returns the share that the old version's endpoints cannot carry,
 // per mille; 1000 when a capacity is unknown.
-func (s State) leastShare() int {
+func (s *State) leastShare() int {
 	capacity := 0
 	for _, e := range s.Endpoints {
 		if e.Placement != Serving || e.Version != s.OldVersion {
@@ -194,14 +194,14 @@
 
 // counts reports whether requests of the new version count as evidence for the
 // present stage.
-func (s State) counts() bool {
+func (s *State) counts() bool {
 	share := stages[s.Stage].PerMille
 	ready, _ := s.count(s.NewVersion)
 	return s.Share == share && (s.loaded() || share*s.present() < 1000*ready)
 }
 
 // evidence returns how many such requests the present stage asks for.
-func (s State) evidence() int {
+func (s *State) evidence() int {
 	if s.Stage < earlyStages-1 {
 		return earlyEvidence
 	}
@@ -209,6 +209,6 @@
 }
 
 // loadTimeout returns how long a load may take.
-func (s State) loadTimeout() time.Duration {
+func (s *State) loadTimeout() time.Duration {
 	return max(minLoadTimeout, loadTimeFactor*s.Budget.Duration(1, s.LoadBytes))
 }
--- a/brrollout/state.go
+++ b/brrollout/state.go
@@ -131,9 +131,9 @@
 }
 
 // count returns how many endpoints serve version, and how many load any.
-func (s State) count(version string) (serving, loading int) {
-	for _, e := range s.Endpoints {
-		switch {
+func (s *State) count(version string) (serving, loading int) {
+	for i := range s.Endpoints {
+		switch e := &s.Endpoints[i]; {
 		case e.Placement == Loading:
 			loading++
 		case e.Placement == Serving && e.Version == version:
@@ -143,10 +143,10 @@
 	return serving, loading
 }
 
-func (s State) present() int {
+func (s *State) present() int {
 	n := 0
-	for _, e := range s.Endpoints {
-		if e.Placement != Lost {
+	for i := range s.Endpoints {
+		if s.Endpoints[i].Placement != Lost {
 			n++
 		}
 	}
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -141,14 +141,17 @@
 }
 
 func (t *turn) noteLoad(e Samples) {
-	t.Loads = slices.Clone(t.Loads)
 	for i, l := range t.Loads {
-		if l.Pool == e.Pool && l.Route == e.Route && l.Version == e.Version {
+		if l.Pool != e.Pool || l.Route != e.Route || l.Version != e.Version {
+			continue
+		}
+		if l.Outstanding != e.Outstanding {
+			t.Loads = slices.Clone(t.Loads)
 			t.Loads[i].Outstanding = e.Outstanding
-			return
 		}
+		return
 	}
-	t.Loads = append(t.Loads, Load{e.Pool, e.Route, e.Version, e.Outstanding})
+	t.Loads = append(slices.Clone(t.Loads), Load{e.Pool, e.Route, e.Version, e.Outstanding})
 }
 
 func (t *turn) tick() {
--- a/brrollout/weigh.go
+++ b/brrollout/weigh.go
@@ -2,21 +2,26 @@
 
 import "math"
 
-// weigh adds the evidence of a complete block.
-func (r *RouteEvidence) weigh(b Block) {
-	switch {
-	case b.New.Requests == 0:
-	case b.Old.Requests == 0:
-		r.weighAfter(b.New, &r.Evidence)
-		if b.Loaded {
-			r.weighAfter(b.New, &r.Loaded)
-		}
-	default:
-		weighBeside(b, &r.Evidence)
-		if b.Loaded {
-			weighBeside(b, &r.Loaded)
+// weigh adds the evidence of a complete block. The caller owns Evidence.
+func (j *Judge) weigh(b Block) {
+	i := j.route(b.Route)
+	for len(j.Evidence) <= i {
+		j.Evidence = append(j.Evidence, RouteEvidence{})
+	}
+	e := &j.Evidence[i]
+	add := func(into *[metricCount]Evidence) {
+		switch {
+		case b.New.Requests == 0:
+		case b.Old.Requests == 0:
+			j.Routes[i].weighAfter(b.New, into)
+		default:
+			weighBeside(b, into)
 		}
 	}
+	add(&e.Every)
+	if b.Loaded {
+		add(&e.Loaded)
+	}
 }
 
 func weighBeside(b Block, into *[metricCount]Evidence) {
@@ -37,7 +42,7 @@
 	}
 }
 
-func (r *RouteEvidence) weighAfter(c Counts, into *[metricCount]Evidence) {
+func (r *RouteCounts) weighAfter(c Counts, into *[metricCount]Evidence) {
 	for m := range metricCount {
 		p := r.referenceRate(m)
 		x, n := float64(c.Bad[m]), float64(c.Requests)
@@ -51,7 +56,7 @@
 
 // referenceRate returns the rate that the new version may have once the old one
 // has no traffic, between 0.01 and 0.8.
-func (r *RouteEvidence) referenceRate(m Metric) float64 {
+func (r *RouteCounts) referenceRate(m Metric) float64 {
 	rate := r.Reference[m]
 	if rate == 0 {
 		// Fewer requests than a window: the rate is estimated with one bad
@@ -61,7 +66,7 @@
 	return min(1.5*rate+0.01, 0.8)
 }
 
-func (r *RouteEvidence) closeWindow() {
+func (r *RouteCounts) closeWindow() {
 	if r.Window.Requests < referenceWindow {
 		return
 	}
