brstate, brconfig: keep configuration times in UTC

Cause: a time with the offset +24:00 can be decoded but not encoded as JSON, so one such configuration would have stopped every replica with a panic; other offsets depended on the local time zone. Change: Document.With and the new Document.Normalized bring times to UTC before a document is compared; FuzzApply covers malformed entries.

--- a/brconfig/change.go
+++ b/brconfig/change.go
@@ -37,7 +37,8 @@
 }
 
 // With returns d with c applied and the items sorted by name; the order of
-// items in a document has no meaning. Removing an absent item does nothing.
+// items in a document has no meaning. Times of c become UTC, so that the result
+// does not depend on the local time zone. Removing an absent item does nothing.
 // d is not modified.
 func (d Document) With(c Change) Document {
 	return Document{
@@ -47,6 +48,12 @@
 	}
 }
 
+// Normalized returns d with the items sorted by name and the times in UTC. Of
+// items with the same name only the last is kept, so d is checked before.
+func (d Document) Normalized() Document {
+	return Document{}.With(Change{Templates: d.Templates, Customers: d.Customers, Models: d.Models})
+}
+
 // Lines returns one line per difference that c makes to old, sorted by kind and
 // name, such as "customer trust-north: keys, weight". Bearer keys are not shown.
 func (c Change) Lines(old Document) []string {
@@ -56,13 +63,37 @@
 	return append(lines, diffLines("customer", old.Customers, c.Customers, c.RemovedCustomers)...)
 }
 
-type item interface{ itemName() string }
+type item[T any] interface {
+	itemName() string
+	inUTC() T
+}
 
 func (t Template) itemName() string { return t.Name }
 func (c Customer) itemName() string { return c.Name }
 func (m Model) itemName() string    { return m.Name }
 
-func diffItems[T item](old, new []T) (changed []T, removed []string) {
+func (t Template) inUTC() Template {
+	t.Moves = slices.Clone(t.Moves)
+	for i := range t.Moves {
+		t.Moves[i].FinishBy = t.Moves[i].FinishBy.UTC()
+	}
+	return t
+}
+
+func (c Customer) inUTC() Customer {
+	c.Parameters = slices.Clone(c.Parameters)
+	for i, p := range c.Parameters {
+		if p.MoveBy != nil {
+			by := p.MoveBy.UTC()
+			c.Parameters[i].MoveBy = &by
+		}
+	}
+	return c
+}
+
+func (m Model) inUTC() Model { return m }
+
+func diffItems[T item[T]](old, new []T) (changed []T, removed []string) {
 	before, after := byName(old), byName(new)
 	for _, name := range slices.Sorted(maps.Keys(after)) {
 		if o, ok := before[name]; !ok || !sameItem(o, after[name]) {
@@ -77,12 +108,14 @@
 	return changed, removed
 }
 
-func withItems[T item](old, changed []T, removed []string) []T {
+func withItems[T item[T]](old, changed []T, removed []string) []T {
 	items := byName(old)
 	for _, name := range removed {
 		delete(items, name)
 	}
-	maps.Copy(items, byName(changed))
+	for _, it := range changed {
+		items[it.itemName()] = it.inUTC()
+	}
 	list := make([]T, 0, len(items))
 	for _, name := range slices.Sorted(maps.Keys(items)) {
 		list = append(list, items[name])
@@ -90,7 +123,7 @@
 	return list
 }
 
-func byName[T item](items []T) map[string]T {
+func byName[T item[T]](items []T) map[string]T {
 	m := make(map[string]T, len(items))
 	for _, it := range items {
 		m[it.itemName()] = it
@@ -105,7 +138,7 @@
 	return reflect.DeepEqual(a, b) || bytes.Equal(mustJSON(a), mustJSON(b))
 }
 
-func diffLines[T item](kind string, old, changed []T, removed []string) []string {
+func diffLines[T item[T]](kind string, old, changed []T, removed []string) []string {
 	before := byName(old)
 	lines := make([]string, 0, len(changed)+len(removed))
 	for _, it := range changed {
--- a/brconfig/table.go
+++ b/brconfig/table.go
@@ -1,7 +1,6 @@
 package brconfig
 
 import (
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -195,8 +194,3 @@
 		*to = *from
 	}
 }
-
-// String returns the revision and the number of customers.
-func (t *Table) String() string {
-	return fmt.Sprintf("revision %d with %d keys", t.revision, len(t.byKey))
-}
--- a/brstate/state.go
+++ b/brstate/state.go
@@ -178,7 +178,7 @@
 		r.Revision = current
 		return r, nil
 	}
-	diff := brconfig.Diff(s.view.Configuration, next)
+	diff := brconfig.Diff(s.view.Configuration, next.Normalized())
 	change := &Change{Configuration: &diff, Revision: s.index, Previous: s.view.Revision}
 	after := s.view.With(*change)
 	change.Rollouts = s.followMoves(after)
--- a/brstate/state_test.go
+++ b/brstate/state_test.go
@@ -1,6 +1,7 @@
 package brstate
 
 import (
+	"bytes"
 	"fmt"
 	"strings"
 	"testing"
@@ -233,6 +234,42 @@
 	goldie.New(t).Assert(t, "format", []byte(text.String()))
 }
 
+// Guards against a configuration that differs between replicas in different time
+// zones, and against an offset that can be decoded but not encoded.
+func TestTimeZones(t *testing.T) {
+	m := newMachine(t)
+	d := document(1)
+	by := base.Add(time.Hour).In(time.FixedZone("", 23*3600))
+	d.Templates[0].Moves = []brconfig.Move{{Model: "large", From: "v1", To: "v2", FinishBy: by}}
+	d.Customers[0].Parameters[0].MoveBy = &by
+	m.must(put(0, d))
+	c := m.View().Configuration
+	if c.Templates[0].Moves[0].FinishBy != by.UTC() || *c.Customers[0].Parameters[0].MoveBy != by.UTC() {
+		t.Errorf("times are %v and %v", c.Templates[0].Moves[0].FinishBy, c.Customers[0].Parameters[0].MoveBy)
+	}
+	again := put(1, d)
+	again.ID = "again"
+	for _, offset := range []string{"+24:00", "-24:00", "+23:60"} {
+		m.apply(bytes.ReplaceAll(mustEncode(again), []byte("+23:00"), []byte(offset)))
+		m.Snapshot()
+	}
+}
+
+// Guards against a log entry that stops all replicas.
+func FuzzApply(f *testing.F) {
+	f.Add(mustEncode(put(0, document(2))), mustEncode(Command{ID: "2", At: base, StartRollout: &StartRollout{"r", "large", "p", "v1", "v2", base}}))
+	f.Add(mustEncode(Command{ID: "1", At: base, AcquireLease: &brlease.Acquire{Name: "l", Holder: "d", Duration: time.Second}}), mustEncode(Command{ID: "2", PlaceOrder: &PlaceOrder{ID: "o", Lease: "l", Holder: "d", Epoch: 1, EndpointID: "e", Kind: "k"}}))
+	f.Add(mustEncode(Command{ID: "1", At: base, BeginRequest: &brledger.Begin{RequestID: requestID(base, 1), Entry: "d"}}), mustEncode(Command{ID: "2", FinishRequest: &brledger.Finish{RequestID: requestID(base, 1), Entry: "d"}}))
+	f.Fuzz(func(t *testing.T, a, b []byte) {
+		s := New()
+		s.Apply(1, a)
+		s.Apply(2, b)
+		if _, err := Restore(s.Snapshot()); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // Guards against a sender that claims itself that a lease lapsed.
 func TestStamped(t *testing.T) {
 	c := Command{AcquireLease: &brlease.Acquire{Name: "p", Lapsed: &brlease.Term{Epoch: 9}}}
