brpool: bound peers' figures; narrow the horizon of restarted entries

An entry's restart made the pool refuse callers' older ids at every later report of it. Only what was dispatched under an earlier owner can be missing from the record, so the horizon counts for an entry's first report after a takeover and ends where the one of a missing entry does.

--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -80,6 +80,9 @@
 }
 
 func (p *Pool) done(now time.Time, entry string, m brwire.Done) {
+	for _, n := range []*int{&m.PromptTokens, &m.CachedTokens, &m.OutputTokens} {
+		*n = min(maxTokens, max(0, *n))
+	}
 	r := p.find(entry, m.RequestID)
 	switch {
 	case r == nil:
--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyroute/brerror"
+	"bramleyroute/brqueue"
 	"bramleyroute/brwire"
 )
 
@@ -71,13 +72,14 @@
 		}
 		p.submit(now, m.EntryID, s)
 	}
-	delete(p.waiting, m.EntryID)
-	if m.StartedAgo < Retention {
-		// Callers' ids from before its start may have been dispatched by the
-		// entry's earlier process, which reports to nobody.
-		p.restarted = later(p.restarted, now.Add(-m.StartedAgo+ClockSkew))
+	if p.waiting[m.EntryID] && m.StartedAgo < Retention {
+		// Callers' ids from before its start may have been dispatched, under an
+		// earlier owner, by the entry's earlier process, which reports to nobody.
+		// What it dispatched under this owner is on record.
+		p.restarted = later(p.restarted, earlier(now.Add(-m.StartedAgo+ClockSkew), p.horizon()))
 		p.refuseBeyondRecord(now)
 	}
+	delete(p.waiting, m.EntryID)
 	if p.recovering {
 		p.endRecovery(now)
 	} else if len(p.waiting) == 0 {
@@ -129,7 +131,9 @@
 			p.refuse(r.entry, r.ID, brerror.New(brerror.InProgress, "the request runs through another entry").WithRun(entry, ref.Address))
 		}
 	}
-	s.Tier = min(5, max(1, s.Tier))
+	// It runs whatever its figures are, so they are pulled into their bounds.
+	s.Tier = min(brqueue.Tiers, max(1, s.Tier))
+	s.PromptTokens, s.MaxTokens = min(maxTokens, max(0, s.PromptTokens)), min(maxTokens, max(0, s.MaxTokens))
 	r := p.newRequest(now, entry, key, s)
 	r.state = started
 	r.granted, r.first = now, now
@@ -154,12 +158,16 @@
 	}
 	slices.Sort(missing)
 	if len(missing) > 0 {
-		p.missing = p.takeover.Add(GrantWindow + RecoverWait + ClockSkew)
+		p.missing = p.horizon()
 	}
 	p.refuseBeyondRecord(now)
 	p.emit(NoteRecovery{Epoch: p.epoch, Missing: missing, Horizon: later(p.missing, p.restarted)})
 }
 
+// horizon returns the latest minting time of an id that a grant of an earlier
+// owner can name.
+func (p *Pool) horizon() time.Time { return p.takeover.Add(GrantWindow + RecoverWait + ClockSkew) }
+
 func (p *Pool) refuseBeyondRecord(now time.Time) {
 	if p.recovering {
 		return // the report of another entry may still tell what became of an id
@@ -211,3 +219,10 @@
 	}
 	return b
 }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -13,6 +13,9 @@
 	// idleMargin scales the learned time to a first token: a request is refused
 	// only when even a third less would be too late.
 	idleMargin = 0.7
+	// maxTokens bounds a prompt and an answer, 160 times the longest requests in
+	// use, so that sums of tokens cannot overflow.
+	maxTokens = 1 << 24
 	// maxHashes bounds the prefix blocks kept of a request.
 	maxHashes = 1024
 )
@@ -26,6 +29,9 @@
 	case s.Tier < 1 || s.Tier > brqueue.Tiers || s.PromptTokens < 0 || s.MaxTokens < 0:
 		p.refuse(entry, s.RequestID, brerror.New(brerror.InvalidRequest, "tier or tokens out of range"))
 		return
+	case s.PromptTokens > maxTokens || s.MaxTokens > maxTokens:
+		p.refuse(entry, s.RequestID, brerror.New(brerror.TooLarge, "more than %d tokens", maxTokens))
+		return
 	case !p.owner || p.releasing:
 		p.refuse(entry, s.RequestID, brerror.New(brerror.NotOwner, "pool %s is not owned here", p.opts.Name))
 		return
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -229,8 +229,9 @@
 	if f.tier > 1 {
 		t.low -= f.tokens
 	}
-	if len(e.ends) > 0 && now.Sub(e.ends[0].ended) > recentEnds {
-		e.ends = append(e.ends[:0], e.ends[1:]...)
+	// Half at a time, so that a completion doesn't move all of the others.
+	if half := len(e.ends) / 2; half > 8 && now.Sub(e.ends[half].ended) > recentEnds {
+		e.ends = e.ends[:copy(e.ends, e.ends[half:])]
 	}
 	e.ends = append(e.ends, end{f.granted, now, f.tokens})
 	f.endpoint = nil
@@ -256,7 +257,7 @@
 		t.speed.observeToken(mean, f.load)
 	}
 	if r.CachedTokens < f.cached {
-		t.index.forget(e.slot, f.request.PrefixHashes, r.CachedTokens/brwire.PrefixBlockTokens)
+		t.index.forget(e.slot, f.request.PrefixHashes, max(0, r.CachedTokens)/brwire.PrefixBlockTokens)
 	}
 }
 
--- a/brroute/table.go
+++ b/brroute/table.go
@@ -20,6 +20,9 @@
 	maxEndpoints = 8192
 	// defaultCapacity, in tokens, is assumed when an engine announces none.
 	defaultCapacity = 100_000
+	// maxReported bounds the figures of a report, in tokens; an engine holds a
+	// few million.
+	maxReported = 1 << 32
 	// recentEnds is how long ended requests are kept to correct late reports;
 	// reports are at most 5 s old, and a slow link is allowed as much again.
 	recentEnds = 10 * time.Second
@@ -256,8 +259,8 @@
 	a.Version = keep(e.Version, a.Version)
 	e.Announce = a
 	e.heard = now
-	e.measured = now.Add(-a.Age())
-	e.load = max(0, a.RunningTokens) + max(0, a.WaitingTokens)
+	e.measured = now.Add(-max(0, a.Age()))
+	e.load = bound(a.RunningTokens) + bound(a.WaitingTokens)
 	for _, f := range e.flights {
 		if f.granted.After(e.measured) {
 			e.load += f.tokens
@@ -281,6 +284,9 @@
 	t.capacity += e.counted
 }
 
+// bound pulls a reported figure into a range whose sums cannot overflow.
+func bound(tokens int) int { return min(maxReported, max(0, tokens)) }
+
 // keep returns old when both are equal, so that the newer copy can be freed.
 func keep(old, s string) string {
 	if old == s {
@@ -327,8 +333,8 @@
 
 // limitOf returns the bound on the outstanding tokens of e.
 func (t *Table) limitOf(e *endpoint) int {
-	c := e.CapacityTokens
-	if c <= 0 {
+	c := bound(e.CapacityTokens)
+	if c == 0 {
 		c = defaultCapacity
 		if t.opts.Kind == brwire.KindService {
 			c = 1
