--- a/brdaemon/control.go
+++ b/brdaemon/control.go
@@ -235,12 +235,16 @@
 		}
 		c.d.log.Debug().Err(err).Str("daemon", d.ID).Msg("daemon was not registered yet")
 		select {
-		case <-c.d.clock.After(sessionTick):
+		case <-c.d.clock.After(registerPause):
 		case <-c.ctx.Done():
 		}
 	}
 }
 
+// registerPause is the time between two attempts to register a daemon; others may
+// be registered in between.
+const registerPause = 150 * time.Millisecond
+
 func (c *control) tickSessions() {
 	for {
 		select {
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -249,6 +249,15 @@
 func (d *Daemon) connected(address string, c *brpeer.Conn) {
 	_ = brpeer.Push(c, brwire.NameHello, brwire.Hello{DaemonID: d.self.ID})
 	d.session.connected(address, c)
+	if d.scheduler == nil {
+		return
+	}
+	// Grants may have been lost with the connection before this one.
+	for _, row := range d.session.present().Daemons {
+		if row.PeerAddress == address && slices.Contains(row.Roles, brwire.RoleEntry) {
+			d.scheduler.entryConnected(row.ID)
+		}
+	}
 }
 
 // connTo returns the open connection to a daemon, or nil. The link is dialled
--- a/brdaemon/scheduler.go
+++ b/brdaemon/scheduler.go
@@ -263,12 +263,13 @@
 	}
 }
 
-// push sends to an entry. Without a connection the message is dropped: the entry
-// tells what it holds when it is connected again.
+// push sends to an entry. A message that can't be sent is dropped and the entry is
+// asked what it holds once it can be reached, so that a lost grant is made again.
 func (r *poolRunner) push(entryID string, send func(*brpeer.Conn) error) {
-	if c := r.d.connTo(entryID); c != nil {
-		_ = send(c) // an error means that the connection has ended
+	if c := r.d.connTo(entryID); c != nil && send(c) == nil {
+		return
 	}
+	r.post(brpool.EntryJoined{EntryID: entryID})
 }
 
 // join asks an entry what it holds until it answers or the epoch is over.
--- a/brentry/ledger.go
+++ b/brentry/ledger.go
@@ -123,12 +123,24 @@
 		a.Body, a.Truncated = nil, true
 	}
 	r := h.begun
-	e.commit(func(ctx context.Context) error { return e.LedgerFinish(ctx, r, a) })
+	kept := e.commit(func(ctx context.Context) error { return e.LedgerFinish(ctx, r, a) })
+	select {
+	case <-kept:
+	case <-e.clock.After(answerWait):
+	}
 }
 
+// answerWait is how long the caller's answer waits for the ledger to keep it, so
+// that a resend right after the answer gets the same one. The commit goes on in
+// the background when it takes longer.
+const answerWait = 500 * time.Millisecond
+
 // commit repeats do in the background until it succeeds or the entry is closed.
-func (e *Entry) commit(do func(context.Context) error) {
+// The channel is closed when that is over.
+func (e *Entry) commit(do func(context.Context) error) <-chan struct{} {
+	over := make(chan struct{})
 	e.work.Go(func() {
+		defer close(over)
 		for pause := ledgerRetry; ; pause = min(2*pause, maxLedgerRetry) {
 			ctx, cancel := context.WithTimeout(context.Background(), ledgerTimeout)
 			err := do(ctx)
@@ -147,4 +159,5 @@
 			}
 		}
 	})
+	return over
 }
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -96,7 +96,7 @@
 		case <-retry:
 			submit, retry = true, nil
 		case <-deadline:
-			return e.giveUp(h, brerror.New(brerror.DeadlineExceeded, "no dispatch within the deadline of %v", h.submit.Deadline))
+			return e.giveUp(h, brerror.New(brerror.QueueTimeout, "no dispatch within the deadline of %v", h.submit.Deadline))
 		case <-caller.Done():
 			e.Counters.CallersGone.Add(1)
 			return e.giveUp(h, brerror.New(brerror.Canceled, "caller went away before the dispatch"))
@@ -145,7 +145,7 @@
 	case now.After(h.expires):
 		return errExpired
 	case !now.Before(h.deadline):
-		return brerror.New(brerror.DeadlineExceeded, "no dispatch within the deadline of %v", h.submit.Deadline)
+		return brerror.New(brerror.QueueTimeout, "no dispatch within the deadline of %v", h.submit.Deadline)
 	}
 	h.phase, h.dispatched, h.cancel = running, true, cancel
 	h.started = now
--- a/brerror/kind.go
+++ b/brerror/kind.go
@@ -35,6 +35,7 @@
 	Stuck
 	Canceled
 	DeadlineExceeded
+	QueueTimeout
 	OrderRefused
 	kindCount
 )
@@ -87,6 +88,7 @@
 	Stuck:                    {"stuck", http.StatusGatewayTimeout, Unknown, false},
 	Canceled:                 {"canceled", StatusClientClosedRequest, Unknown, false},
 	DeadlineExceeded:         {"deadline_exceeded", http.StatusGatewayTimeout, Unknown, false},
+	QueueTimeout:             {"queue_timeout", http.StatusServiceUnavailable, NotRun, true},
 	OrderRefused:             {"order_refused", http.StatusConflict, NotRun, false},
 }
 
