--- a/brmember/sessions.go
+++ b/brmember/sessions.go
@@ -59,7 +59,8 @@
 	Sequence uint64
 }
 
-// AckReceived is the acknowledgement of a reply.
+// AckReceived is the acknowledgement of a reply. Those of a former connection of
+// the daemon must not be passed on: sequences start again with its process.
 type AckReceived struct{ Ack brwire.HeartbeatAck }
 
 // SessionTick lets time pass; it comes at least each 100 ms.
