--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -137,6 +137,7 @@
 // one isn't overtaken for ever.
 func (p *Pool) dispatch(now time.Time) {
 	if !p.owner || p.recovering || p.releasing {
+		p.load.emptied = true // nothing is granted, so this second doesn't show the capacity
 		return
 	}
 	for it := p.queue.Next(); it != nil; it = p.queue.Next() {
