Take faults from brfake's flags and test loads and a dying engine

Cause: faults could be set only while the program runs, and failed loads, wasted prefill and an engine that dies in a stream had no test. Result: both packages pass under the race detector.

--- a/brentry/entry_test.go
+++ b/brentry/entry_test.go
@@ -137,6 +137,17 @@
 			"endpoint_failed", "submit started done:unknown"},
 		{"failing route", brfake.Config{Faults: map[string]brfake.Faults{"": {FailRoute: "draft"}}}, nil,
 			"endpoint_failed", "submit started done:unknown"},
+		{"engine dies", brfake.Config{}, func(f *fixture) {
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					fmt.Fprintf(w, "data: {\"id\":%q,\"offset\":0,\"tokens\":1,\"choices\":[{\"text\":\"a\"}]}\n\n", r.Header.Get(brengine.HeaderRequestID))
+					_ = http.NewResponseController(w).Flush()
+				}
+				panic(http.ErrAbortHandler)
+			}))
+			t.Cleanup(srv.Close)
+			f.address = srv.Listener.Addr().String()
+		}, "endpoint_failed", "submit started first_token done:unknown"},
 		{"stuck", brfake.Config{Faults: map[string]brfake.Faults{"": {StuckRequest: "*", StuckAt: 2}}},
 			func(f *fixture) { f.route.StuckMS = 300 }, "stuck", "submit started first_token done:unknown"},
 		{"first token after the deadline", brfake.Config{StepBase: time.Minute},
@@ -256,7 +267,7 @@
 		t.Errorf("abandoned request ended with %+v", d)
 	}
 	a.client.Close()
-	if c := a.fake.Counts(); c.Canceled != 1 || c.Requests[id] != 1 {
+	if c := a.fake.Counts(); c.Canceled != 1 || c.PrefillWasted != 4 || c.Requests[id] != 1 {
 		t.Errorf("%+v", c)
 	}
 }
--- a/brfake/fake_test.go
+++ b/brfake/fake_test.go
@@ -41,6 +41,16 @@
 	return resp
 }
 
+func get(tb testing.TB, url string) *http.Response {
+	tb.Helper()
+	resp, err := http.Get(url)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
 func readStream(tb testing.TB, resp *http.Response) (text string, usage brengine.Usage) {
 	tb.Helper()
 	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
@@ -101,7 +111,25 @@
 	if s := order("c", "v3", 6); s != http.StatusConflict {
 		t.Errorf("refused by setting: status %d", s)
 	}
-	if c := e.Counts(); c.Orders != 3 || c.OrdersRefused != 2 {
+	e.SetFault(brfake.FaultRequest{Version: "v4", Faults: brfake.Faults{FailLoad: "v4"}})
+	e.SetFault(brfake.FaultRequest{})
+	for _, step := range []struct{ load, serves string }{{"v2", "v2"}, {"v4", "v2"}} {
+		if s := order("load-"+step.load, step.load, 7); s != http.StatusOK {
+			t.Fatalf("order: status %d", s)
+		}
+		var s brengine.State
+		for s.Loading = step.load; s.Loading != ""; {
+			s = brengine.State{}
+			resp := get(t, url+brengine.PathState)
+			if err := json.NewDecoder(resp.Body).Decode(&s); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if s.Version != step.serves {
+			t.Errorf("after loading %s it serves %s, want %s", step.load, s.Version, step.serves)
+		}
+	}
+	if c := e.Counts(); c.Orders != 5 || c.OrdersRefused != 2 {
 		t.Errorf("counts %+v", c)
 	}
 }
--- a/cmd/brfake/main.go
+++ b/cmd/brfake/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -21,7 +22,12 @@
 	app := kingpin.New("brfake", "A stand-in for a model engine or a plain service.").DefaultEnvars()
 	c := flags(app)
 	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
+	faults := app.Flag("faults", `Faults by version as JSON, such as {"":{"fail_rate":0.1},"v2":{"slow_factor":3}}.`).Default("{}").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := json.Unmarshal([]byte(*faults), &c.Faults); err != nil {
+		fmt.Fprintln(os.Stderr, "brfake: faults:", err)
+		os.Exit(1)
+	}
 	if err := run(*listen, *c); err != nil {
 		fmt.Fprintln(os.Stderr, "brfake:", err)
 		os.Exit(1)
