Test the entry's promises under random faults

Cause: at-most-once dispatch, whole answers and truthful refusals were tested one failure at a time.

--- /dev/null
+++ b/brentry/promise_test.go
@@ -0,0 +1,130 @@
+package brentry_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyroute/brengine"
+	"bramleyroute/brentry"
+	"bramleyroute/brerror"
+	"bramleyroute/brfake"
+	"bramleyroute/brwire"
+)
+
+// unreliable is a scheduler stand-in that grants late, twice, to an endpoint that
+// refuses connections, not at all, or under an epoch that is replaced meanwhile.
+func (f *fixture) unreliable(r *rand.Rand) {
+	var mu sync.Mutex
+	epoch := uint64(1)
+	f.Submit = func(_ context.Context, s brwire.Submit) error {
+		mu.Lock()
+		defer mu.Unlock()
+		switch r.IntN(12) {
+		case 0:
+			return brerror.New(brerror.NotOwner, "moved")
+		case 1:
+			f.Refuse(brwire.Refuse{RequestID: s.RequestID, Epoch: epoch, Error: *brerror.New(brerror.Overloaded, "full")})
+		case 2:
+			_ = f.grant(s, epoch, "127.0.0.1:1")
+		case 3:
+			_ = f.grant(s, epoch, f.address)
+			epoch++
+			for _, q := range f.Join(brwire.Join{Pool: pool, Epoch: epoch}).Queued {
+				_ = f.grant(q, epoch-1, f.address)
+				_ = f.grant(q, epoch, f.address)
+				_ = f.grant(q, epoch, f.address)
+			}
+		case 4:
+			e := epoch
+			go func() { _ = f.grant(s, e, f.address) }()
+		default:
+			_ = f.grant(s, epoch, f.address)
+		}
+		return nil
+	}
+}
+
+// Guards against a second dispatch of an id, an answer that isn't the whole answer
+// to its own request, and a refusal that says not_run for a request that ran,
+// while schedulers, connections and callers fail at random.
+func TestPromisesUnderFaults(t *testing.T) {
+	const requests, seed = 400, 7
+	f := newFixture(t, brfake.Config{StepBase: 2 * time.Millisecond, MaxBatch: 1000, Faults: map[string]brfake.Faults{"": {FailRate: 0.05}}},
+		brentry.Config{MaxHeld: 250, Grace: 20 * time.Millisecond, ResubmitAfter: 10 * time.Millisecond},
+		func(f *fixture) { f.route.DeadlineMS = 2000; f.unreliable(rand.New(rand.NewPCG(seed, 1))) })
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	kinds, sent, refused := map[string]int{}, map[string]int{}, map[string]int{}
+	attempt := func(id string, life time.Duration) {
+		ctx, cancel := context.WithTimeout(context.Background(), life)
+		defer cancel()
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, f.url+brengine.PathCompletions, strings.NewReader(strings.Replace(streamBody, "8", "40", 1)))
+		req.Header.Set("Authorization", "Bearer k")
+		req.Header.Set(brengine.HeaderRequestID, id)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return
+		}
+		defer resp.Body.Close()
+		b, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return
+		}
+		kind, outcome := "whole", "ran"
+		if text, whole := streamText(t, string(b)); !whole || text != brfake.Text(id, 0, 40) {
+			var e brengine.ErrorBody
+			kind, e = kindOf(t, string(b))
+			outcome = e.Outcome
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		kinds[kind]++
+		if outcome == brerror.NotRun.String() {
+			refused[id]++
+		}
+	}
+	for i := range requests {
+		id, r := newID(0), rand.New(rand.NewPCG(seed, uint64(i)+2))
+		if i%100 == 50 {
+			f.fake.SetFault(brfake.FaultRequest{Faults: brfake.Faults{FailRate: 0.05}, Silence: true})
+		}
+		sent[id] = 1 + r.IntN(2)
+		for range sent[id] {
+			life := 10 * time.Second
+			if r.IntN(4) == 0 {
+				life = time.Duration(r.IntN(100)) * time.Millisecond
+			}
+			wg.Go(func() { attempt(id, life) })
+		}
+	}
+	wg.Wait()
+	for id := range sent {
+		sent[id]++
+		wg.Go(func() { attempt(id, 10*time.Second) })
+	}
+	wg.Wait()
+	if err := f.Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	ran := f.fake.Counts().Requests
+	for id, n := range ran {
+		if n > 1 {
+			t.Errorf("seed %d: %s was dispatched %d times", seed, id, n)
+		}
+	}
+	for id, n := range refused {
+		if n == sent[id] && ran[id] > 0 {
+			t.Errorf("seed %d: %s ran, although each of its callers was told that it did not", seed, id)
+		}
+	}
+	t.Log(kinds)
+	if kinds["whole"] < requests/4 {
+		t.Errorf("seed %d: only %d whole answers; the faults hide what is tested", seed, kinds["whole"])
+	}
+}
