Submit again when the scheduler is not the owner

Cause: a refusal of kind not_owner reached the caller, although the request only has to wait for the pool's next owner. Change: such a refusal is treated like a submit that reached no scheduler; tests for it, for callers without a key and for a resume whose first entry is gone.

--- a/brentry/entry_test.go
+++ b/brentry/entry_test.go
@@ -181,6 +181,17 @@
 				return f.grant(s, 1, f.address)
 			}
 		}, "", "submit submit started first_token done:ran"},
+		{"refused by a scheduler that is not the owner", brfake.Config{}, func(f *fixture) {
+			n := 0
+			f.Submit = func(_ context.Context, s brwire.Submit) error {
+				f.note("submit")
+				if n++; n == 1 {
+					f.Refuse(brwire.Refuse{RequestID: s.RequestID, Error: *brerror.New(brerror.NotOwner, "moved")})
+					return nil
+				}
+				return f.grant(s, 1, f.address)
+			}
+		}, "", "submit submit started first_token done:ran"},
 		{"no grant before the deadline", brfake.Config{}, func(f *fixture) {
 			f.route.DeadlineMS = 50
 			f.Submit = func(context.Context, brwire.Submit) error { return nil }
--- a/brentry/promise_test.go
+++ b/brentry/promise_test.go
@@ -128,3 +128,37 @@
 		t.Errorf("seed %d: only %d whole answers; the faults hide what is tested", seed, kinds["whole"])
 	}
 }
+
+// Guards against work for a caller without a valid key, and against a resume that
+// needs the entry that dispatched the request to be alive.
+func TestKeysAndResumeWithoutFirstEntry(t *testing.T) {
+	a := newFixture(t, brfake.Config{}, brentry.Config{}, nil)
+	b := newFixture(t, brfake.Config{}, brentry.Config{EntryID: "entry-2"}, func(b *fixture) {
+		b.Locate = func(context.Context, brwire.Locate) (brwire.Located, error) {
+			return brwire.Located{Found: true, EntryID: "entry-1", Address: a.address, Customer: "trust"}, nil
+		}
+		b.SendAttach = func(context.Context, string, brwire.Attach) error { return io.ErrUnexpectedEOF }
+	})
+	id := newID(0)
+	a.complete(t, id, streamBody)
+	resp := b.open(t, context.Background(), http.MethodGet, brengine.PathRequests+id+"?offset=3", "", "")
+	body, _ := io.ReadAll(resp.Body)
+	if text, whole := streamText(t, string(body)); !whole || text != brfake.Text(id, 3, 8) {
+		t.Errorf("resumed answer %q", body)
+	}
+	for _, key := range []string{"", "Bearer other", "Basic k", "Bearer "} {
+		req, _ := http.NewRequest(http.MethodPost, a.url+brengine.PathCompletions, strings.NewReader(streamBody))
+		req.Header.Set("Authorization", key)
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != http.StatusUnauthorized {
+			t.Errorf("key %q: status %d", key, resp.StatusCode)
+		}
+	}
+	if n := len(a.fake.Counts().Requests); n != 1 {
+		t.Errorf("engine saw %d requests, want the one with a key", n)
+	}
+}
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -92,6 +92,10 @@
 			if v.shed {
 				return e.giveUp(h, v.err)
 			}
+			if v.err != nil && brerror.Is(v.err, brerror.NotOwner) {
+				retry = e.clock.After(e.config.ResubmitAfter)
+				continue
+			}
 			return v.grant, v.err
 		case <-retry:
 			submit, retry = true, nil
--- a/brentry/scheduler.go
+++ b/brentry/scheduler.go
@@ -7,7 +7,8 @@
 
 // Grant takes a grant of the scheduler. An error means that the grant will not
 // be used. For a request that this entry doesn't hold any more, Withdraw or Done
-// was called before.
+// was called before; after a restart of the entry it was not, so the caller of
+// Grant answers unknown_request with a withdraw of its own.
 func (e *Entry) Grant(g brwire.Grant) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -29,8 +30,9 @@
 	return nil
 }
 
-// Refuse ends a request that waits for a grant. Refusals of an older epoch, and
-// of requests that are not waiting, are ignored.
+// Refuse ends a request that waits for a grant; one of kind not_owner makes the
+// entry submit it again. Refusals of an older epoch, and of requests that are not
+// waiting, are ignored.
 func (e *Entry) Refuse(r brwire.Refuse) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
