--- a/brentry/run.go
+++ b/brentry/run.go
@@ -92,6 +92,10 @@
 			if v.shed {
 				return e.giveUp(h, v.err)
 			}
+			if v.err != nil && brerror.Is(v.err, brerror.NotOwner) {
+				retry = e.clock.After(e.config.ResubmitAfter)
+				continue
+			}
 			return v.grant, v.err
 		case <-retry:
 			submit, retry = true, nil
@@ -181,6 +185,9 @@
 	defer cancel(nil)
 	over := make(chan struct{})
 	pass := func() error {
+		if caller.Err() != nil {
+			return brerror.New(brerror.Canceled, "caller went away before the dispatch")
+		}
 		if err := e.pass(h, g, cancel); err != nil {
 			return err
 		}
--- a/cmd/brfake/main.go
+++ b/cmd/brfake/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -22,7 +23,12 @@
 	c := flags(app)
 	advertise := app.Flag("advertise", "Address that is announced, if not the one listened on.").String()
 	listen := app.Flag("listen", "Address to listen on.").Default("127.0.0.1:0").String()
+	faults := app.Flag("faults", `Faults by version as JSON, such as {"":{"fail_rate":0.1},"v2":{"slow_factor":3}}.`).Default("{}").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if err := json.Unmarshal([]byte(*faults), &c.Faults); err != nil {
+		fmt.Fprintln(os.Stderr, "brfake: faults:", err)
+		os.Exit(1)
+	}
 	if err := run(*listen, *advertise, *c); err != nil {
 		fmt.Fprintln(os.Stderr, "brfake:", err)
 		os.Exit(1)
