Take pools over when their owner is lost

Cause: a refused acquisition restarted the leader's timer of the lease, so a candidate that asked twice a second kept the lease of a killed owner from lapsing for ever.

--- a/brconfig/check.go
+++ b/brconfig/check.go
@@ -62,6 +62,9 @@
 		c.checkRange(p+".headroom_percent", m.HeadroomPercent, 0, MaxHeadroom)
 		c.checkAtLeast(p+".queue_tokens", m.QueueTokens, 0)
 		c.checkAtLeast(p+".outstanding_limit", m.OutstandingLimit, 0)
+		if m.WeightBytes < 0 {
+			c.report(p+".weight_bytes", "must be at least 0, is %d", m.WeightBytes)
+		}
 	}
 }
 
--- a/brconfig/field.go
+++ b/brconfig/field.go
@@ -54,6 +54,7 @@
 		{"models[].kind", "string", "", "", "`engine` or `service`."},
 		{"models[].headroom_percent", "integer", "%", fmt.Sprint(DefaultHeadroomPercent), fmt.Sprintf("Part of the capacity kept for tier 1, up to %d.", MaxHeadroom)},
 		{"models[].queue_tokens", "integer", "tokens", fmt.Sprint(DefaultQueueTokens), "Bound on queued work; for a service in requests."},
+		{"models[].weight_bytes", "integer", "bytes", "not paced", "Read from the weight store by one load of the model; rollouts pace their orders by it."},
 		{"models[].outstanding_limit", "integer", "tokens", "announced capacity", "Bound on outstanding work per endpoint; for a service in requests."},
 	}
 }
--- a/brdaemon/control.go
+++ b/brdaemon/control.go
@@ -73,7 +73,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	reply, change := c.state.Apply(index, data)
-	if c.leading != nil {
+	if c.leading != nil && reply.Error == nil { // a refused command must not restart a lease's timer
 		c.leading.applied(data)
 	}
 	if change != nil {
--- /dev/null
+++ b/brsystem/scheduler_test.go
@@ -0,0 +1,58 @@
+package brsystem
+
+import (
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against requests that are lost, dispatched twice or answered wrongly
+// when the scheduler of their pool is killed: those that wait keep waiting, those
+// that run go on, and a resent id stays bound.
+func TestSchedulerKilled(t *testing.T) {
+	c := newCluster(t, spec{daemons: 5, controls: 3})
+	e := c.addFake("engine-1", "--max-batch=4", "--step-base=20ms", "--capacity-tokens=600")
+	ctx := testContext(t)
+	owner := c.owner(model)
+	var entries []*daemon
+	for _, d := range c.daemons {
+		if d != owner {
+			entries = append(entries, d)
+		}
+	}
+	var wg sync.WaitGroup
+	ids := make([]string, 24)
+	answers := make([]answer, len(ids))
+	started := make(chan struct{}, 1000)
+	for i := range ids {
+		ids[i] = newID()
+		wg.Go(func() {
+			answers[i] = complete(ctx, entries[i%len(entries)].caller, call{id: ids[i], route: "draft", maxTokens: 60, onToken: func(int) {
+				select {
+				case started <- struct{}{}:
+				default:
+				}
+			}})
+		})
+	}
+	<-started
+	owner.kill()
+	killed := time.Now()
+	wg.Wait()
+	runs := e.counts().Requests
+	for i, id := range ids {
+		if !answers[i].right(id, 0, 60) {
+			t.Errorf("request %d: %+v", i, answers[i])
+		}
+		if runs[id] != 1 {
+			t.Errorf("request %s reached the engine %d times", id, runs[id])
+		}
+	}
+	t.Logf("all answered %v after the kill", time.Since(killed).Round(10*time.Millisecond))
+	next := c.owner(model)
+	for i, id := range ids[:6] {
+		if a := complete(ctx, entries[(i+1)%len(entries)].caller, call{id: id, route: "draft", maxTokens: 60}); a.status != 409 {
+			t.Errorf("resend of %s after the failover to %s: %+v", id, next.id, a)
+		}
+	}
+}
