brlog: bound memory and step down when the own disk stalls

Cause: entries of up to 1 MiB were bounded by count only, so the log in memory could outgrow a daemon's 256 MB; and a leader whose sync hangs went on sending heartbeats while nothing could be committed.

--- a/brlog/disk.go
+++ b/brlog/disk.go
@@ -1,5 +1,10 @@
 package brlog
 
+import (
+	"math"
+	"time"
+)
+
 // disk tracks which writes are durable and holds the messages that depend on
 // those that are not.
 type disk struct {
@@ -17,6 +22,13 @@
 type pendingWrite struct {
 	seq         uint64
 	first, last uint64 // entries; 0 for none
+	at          time.Duration
+}
+
+// stuck reports whether a write has been waiting for its sync for longer than
+// the longest election timeout. Such a replica must not lead.
+func (d *disk) stuck(s *State) bool {
+	return len(d.pending) > 0 && s.now-d.pending[0].at > 2*s.cfg.Election
 }
 
 // outgoing is a message with the write that must be durable before it is sent.
@@ -53,9 +65,9 @@
 	if d.hardDirty || d.reset != 0 || d.first != 0 {
 		d.seq++
 		w := Write{Seq: d.seq, HardState: s.hard, Reset: d.reset}
-		p := pendingWrite{seq: d.seq}
+		p := pendingWrite{seq: d.seq, at: s.now}
 		if d.first != 0 {
-			w.Entries = s.log.from(d.first, s.log.last(), int(^uint(0)>>1))
+			w.Entries = s.log.from(d.first, s.log.last(), math.MaxInt)
 			p.first, p.last = d.first, s.log.last()
 		}
 		if d.hardDirty {
--- a/brlog/follower.go
+++ b/brlog/follower.go
@@ -126,9 +126,9 @@
 	if n.Index > s.applied {
 		s.install(n)
 	}
-	if n.Index > s.log.base+s.cfg.Trailing {
-		s.log.compact(n.Index - s.cfg.Trailing)
-		s.emit(Compact{Index: s.log.base})
+	if to := s.log.tail(n.Index, s.cfg.Trailing, trailingBytes); to > s.log.base {
+		s.log.compact(to)
+		s.emit(Compact{Index: to})
 	}
 }
 
--- a/brlog/leader.go
+++ b/brlog/leader.go
@@ -1,6 +1,7 @@
 package brlog
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -26,7 +27,7 @@
 // lead makes this candidate the leader of its term.
 func (s *State) lead() {
 	s.role, s.leader, s.votes = leader, s.id, nil
-	s.transfer = ""
+	s.transfer, s.uncommitted = "", 0
 	s.leaseFloor = s.now
 	s.nextHeartbeat = s.now
 	s.progress = map[ID]*progress{}
@@ -57,6 +58,7 @@
 		entries[i].Index, entries[i].Term = first+uint64(i), s.hard.Term
 	}
 	s.log.put(entries)
+	s.uncommitted += dataBytes(entries)
 	s.appended(first)
 	if entries[0].Kind == EntryMembership {
 		s.findMembership()
@@ -74,7 +76,7 @@
 	case s.role != leader:
 		s.refuse(NotLeader)
 		return
-	case s.transfer != "" || s.log.last()-s.commit > maxUncommitted:
+	case s.transfer != "" || s.log.last()-s.commit > maxUncommitted || s.uncommitted > maxUncommittedBytes:
 		s.refuse(Busy)
 		return
 	case len(data) == 0:
@@ -97,7 +99,8 @@
 func (s *State) tickLeader() {
 	// A leader that has heard from no majority for the longest election
 	// timeout can commit nothing, and its followers may have another leader.
-	if !s.quorumHeard(s.membership, 2*s.cfg.Election) {
+	// One whose own disk has stalled can't commit either.
+	if !s.quorumHeard(s.membership, 2*s.cfg.Election) || s.disk.stuck(s) {
 		s.follow(s.hard.Term, "")
 		return
 	}
@@ -324,6 +327,7 @@
 	if t, ok := s.log.term(to); to <= s.commit || !ok || t != s.hard.Term {
 		return
 	}
+	s.uncommitted -= dataBytes(s.log.from(max(s.commit+1, s.termStart), to, math.MaxInt))
 	s.commit = to
 	s.noteOwnContact()
 	for _, m := range s.membership.Members {
--- a/brlog/memory.go
+++ b/brlog/memory.go
@@ -7,6 +7,7 @@
 type memory struct {
 	base, baseTerm uint64
 	entries        []Entry
+	bytes          int // of the entries' data
 }
 
 func (l *memory) last() uint64 { return l.base + uint64(len(l.entries)) }
@@ -56,9 +57,18 @@
 	}
 	n := first - l.base - 1
 	if n < uint64(len(l.entries)) {
+		l.bytes -= dataBytes(l.entries[n:])
 		l.entries = l.entries[:n:n]
 	}
 	l.entries = append(l.entries, entries...)
+	l.bytes += dataBytes(entries)
+}
+
+func dataBytes(entries []Entry) (n int) {
+	for _, e := range entries {
+		n += len(e.Data)
+	}
+	return n
 }
 
 // compact drops the entries up to i.
@@ -67,9 +77,23 @@
 	if !ok || i == l.base {
 		return
 	}
+	l.bytes -= dataBytes(l.entries[:i-l.base])
 	l.entries = append([]Entry(nil), l.entries[i-l.base:]...)
 	l.base, l.baseTerm = i, t
 }
 
+// tail returns the index before the entries up to i that are the last n, or
+// fewer so that they have no more than maxBytes.
+func (l *memory) tail(i, n uint64, maxBytes int) uint64 {
+	for j, size := i, 0; ; j-- {
+		if j <= l.base || i-j >= n {
+			return j
+		}
+		if size += len(l.entries[j-l.base-1].Data); size > maxBytes {
+			return j
+		}
+	}
+}
+
 // reset drops everything; the next entry is i+1.
 func (l *memory) reset(i, term uint64) { *l = memory{base: i, baseTerm: term} }
--- a/brlog/schedule_test.go
+++ b/brlog/schedule_test.go
@@ -36,6 +36,9 @@
 	s.workLater()
 	s.runUntil(faultTime, func() bool { return false })
 	s.heal()
+	for _, n := range s.nodes {
+		n.latency = min(n.latency, s.ms(0, 120))
+	}
 	s.healed = true
 	var want uint64 // an entry proposed lately; an older one may be lost with its leader
 	var proposeAt time.Duration
@@ -157,6 +160,9 @@
 			s.step(n, Transfer{})
 		}
 		n.latency = s.ms(0, 120)
+		if s.rng.IntN(4) == 0 {
+			n.latency = s.ms(500, 3000)
+		}
 	case 12, 13: // the leader loses one replica, then all, and the others restart within its lease
 		s.idleUntil = s.now + 3*time.Second // so that logs are equal and any of them can win
 		s.cut[[2]int{n.slot, other.slot}] = true
@@ -253,6 +259,24 @@
 	}
 }
 
+// Guards against a leader that keeps its place with a disk that has stalled.
+func TestStalledDisk(t *testing.T) {
+	s := newSim(3, mutation{})
+	s.drop = 0
+	s.workLater()
+	s.runUntil(5*time.Second, func() bool { return s.leaderID() != "" })
+	old := s.leaderID()
+	for _, n := range s.nodes {
+		if n.id == old {
+			n.latency = time.Hour
+		}
+	}
+	s.runUntil(12*time.Second, func() bool { return s.leaderID() != "" && s.leaderID() != old })
+	if got := s.leaderID(); got == "" || got == old {
+		t.Errorf("%s leads 7 s after the disk of %s stalled: %v", got, old, s.summary())
+	}
+}
+
 // Guards against checks that see nothing: each rule that is switched off must
 // be noticed within a bounded number of schedules.
 func TestMutationsAreNoticed(t *testing.T) {
--- a/brlog/state.go
+++ b/brlog/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -16,6 +17,12 @@
 	DefaultSnapshotEvery = 10_000
 	DefaultTrailing      = 1_000
 
+	// maxLogBytes is the size of the entries in memory at which a snapshot is
+	// asked for early, and trailingBytes what is kept before a snapshot. With
+	// both a replica stays well below the 256 MB of a daemon.
+	maxLogBytes   = 48 << 20
+	trailingBytes = 8 << 20
+
 	// DriftBound is the largest relative difference in rate of two clocks.
 	DriftBound = 0.01
 
@@ -24,7 +31,8 @@
 	// maxUncommitted bounds the entries that the leader appends beyond the
 	// last committed one, so that a group without a majority refuses proposals
 	// instead of filling its memory.
-	maxUncommitted = 16_384
+	maxUncommitted      = 16_384
+	maxUncommittedBytes = 32 << 20
 	// entryOverhead is the size of an entry's fields beside its data on the
 	// wire, in bytes.
 	entryOverhead = 40
@@ -113,6 +121,7 @@
 	receiving       *receiving
 	takingSnapshot  bool
 	progress        map[ID]*progress
+	uncommitted     int    // bytes of the leader's own entries
 	termStart       uint64 // index of the leader's first entry
 	nextHeartbeat   time.Duration
 	leaseFloor      time.Duration // heartbeats sent before don't count for the lease
@@ -291,7 +300,7 @@
 		s.tickLeader()
 		return
 	}
-	if s.now >= s.electionAt && !s.blank && s.membership.IsVoter(s.id) {
+	if s.now >= s.electionAt && !s.blank && !s.disk.stuck(s) && s.membership.IsVoter(s.id) {
 		s.startPreVote()
 	}
 }
@@ -319,11 +328,12 @@
 func (s *State) applyCommitted() {
 	to := min(s.commit, s.synced)
 	if to > s.applied {
-		s.emit(Apply{Entries: s.log.from(s.applied+1, to, int(^uint(0)>>1))})
+		s.emit(Apply{Entries: s.log.from(s.applied+1, to, math.MaxInt)})
 		s.applied = to
 	}
 	saving := s.takingSnapshot || s.receiving != nil && s.receiving.saving
-	if !saving && s.applied >= s.snapshot.Index+s.cfg.SnapshotEvery {
+	large := s.log.bytes > maxLogBytes && s.applied > s.snapshot.Index
+	if !saving && (large || s.applied >= s.snapshot.Index+s.cfg.SnapshotEvery) {
 		s.takingSnapshot = true
 		term, _ := s.log.term(s.applied)
 		m, _ := s.membershipAt(s.applied)
