--- a/brcontrol/loop.go
+++ b/brcontrol/loop.go
@@ -140,13 +140,14 @@
 }
 
 func (r *Replica) apply(entries []brlog.Entry) {
+	membership := false
 	for _, e := range entries {
 		var out []byte
 		switch e.Kind {
 		case brlog.EntryData:
 			out = r.cfg.Machine.Apply(e.Index, e.Data)
 		case brlog.EntryMembership:
-			r.membershipApplied()
+			membership = true
 		}
 		if p := r.waiters[e.Index]; p != nil {
 			delete(r.waiters, e.Index)
@@ -162,6 +163,9 @@
 		}
 	}
 	r.setApplied(entries[len(entries)-1].Index)
+	if membership {
+		r.membershipApplied()
+	}
 }
 
 func (r *Replica) restore(s brlog.Snapshot) {
--- a/brcontrol/propose.go
+++ b/brcontrol/propose.go
@@ -158,18 +158,21 @@
 func (r *Replica) waitApplied(ctx context.Context, index uint64) error {
 	for {
 		changed := r.changed.wait()
+		closed := r.ctx.Err() != nil
 		r.mu.Lock()
 		applied := r.applied
 		r.mu.Unlock()
-		if applied >= index {
+		switch {
+		case applied >= index:
 			return nil
+		case closed:
+			return errClosed
 		}
 		select {
 		case <-changed:
+		case <-r.ctx.Done():
 		case <-ctx.Done():
 			return brerror.New(brerror.NoQuorum, "entry %d is not applied yet, at %d: %w", index, applied, ctx.Err())
-		case <-r.ctx.Done():
-			return errClosed
 		}
 	}
 }
--- a/brcontrol/replica_test.go
+++ b/brcontrol/replica_test.go
@@ -179,24 +179,30 @@
 	}
 }
 
-// Guards against a removed replica that goes on, or comes back.
+// Guards against a removed replica that goes on, or comes back, be it a
+// follower or the leader itself.
 func TestRemovedReplicaStops(t *testing.T) {
-	g := newGroup(t, 3, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	l := g.leader()
-	n := g.nodes[0]
-	if n == l {
-		n = g.nodes[1]
-	}
-	id := n.Status().ID
-	if err := l.RemoveReplica(ctx, id); err != nil {
-		t.Fatal(err)
-	}
-	g.stop(n)
-	g.start(n, nil)
-	g.propose(l, "without it")
-	if err := <-n.fatal; !errors.Is(err, ErrRemoved) {
-		t.Errorf("removed replica: %v", err)
+	for _, leads := range []string{"follower", "leader"} {
+		t.Run(leads, func(t *testing.T) {
+			g := newGroup(t, 3, 0)
+			l := g.leader()
+			n := l
+			for _, x := range g.nodes {
+				if leads == "follower" && x != l {
+					n = x
+				}
+			}
+			if err := l.RemoveReplica(ctx, n.Status().ID); err != nil {
+				t.Fatal(err)
+			}
+			g.stop(n)
+			g.propose(g.leader(), "without it")
+			g.start(n, nil)
+			if err := <-n.fatal; !errors.Is(err, ErrRemoved) {
+				t.Errorf("removed replica: %v", err)
+			}
+		})
 	}
 }
