--- a/brrollout/parts_test.go
+++ b/brrollout/parts_test.go
@@ -193,9 +193,8 @@
 
 func BenchmarkStepSamples(b *testing.B) {
 	s := newSim(kinds[9], 1, Policy{})
-	st := s.result().state
+	st, ev := s.result().state, Samples{s.sample(1, "v1", 20, 0.5, 0.5)}
 	st.Phase = Running
-	ev := Samples{s.sample(1, "v1", 20, 0.5, 0.5)}
 	b.ReportAllocs()
 	for b.Loop() {
 		st, _ = Step(st, s.now, ev)
--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -72,7 +72,6 @@
 }
 
 func checkAims(t *testing.T, k kind, rs []result) {
-	t.Helper()
 	finished := 0
 	for i, r := range rs {
 		if r.outcome == Finished {
--- a/brrollout/sim_test.go
+++ b/brrollout/sim_test.go
@@ -173,8 +173,7 @@
 		s.burst = 10 + s.rng.IntN(50)
 	}
 	ready, loading := s.state.count("v2")
-	part := float64(s.share) / 1000
-	newLoad := load
+	part, newLoad := float64(s.share)/1000, load
 	if ready > 0 {
 		newLoad = load * part * float64(s.endpoints-loading) / float64(ready)
 	}
