Add bramleyctl, the operators' command-line tool

Cause: operators had only the JSON interface. Change: package brctl and cmd/bramleyctl with status, members, pools, config, rollout, drain, timeline, orders and replicas; tables or JSON; exit codes for conflict, invalid, unavailable and unknown outcome; a command id that is printed before the command is sent and can be given again. The reference page is generated from the command line. Orders' answers are recorded in the timeline.

--- /dev/null
+++ b/brctl/config.go
@@ -0,0 +1,141 @@
+package brctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/broperator"
+)
+
+func (a *App) addConfig() {
+	config := a.kingpin.Command("config", "Read and change the configuration.")
+	a.add(config.Command("get", "Print the configuration as JSON. Its revision goes to standard error, or with --output=json around the document."), a.configGet)
+
+	check := config.Command("check", "Check a configuration without changing anything.")
+	checked := check.Arg("file", "JSON file; - is standard input.").Required().String()
+	a.add(check, func(ctx context.Context, c client) error { return a.configCheck(ctx, c, *checked) })
+
+	diff := config.Command("diff", "Show what a configuration would change.")
+	compared := diff.Arg("file", "JSON file; - is standard input.").Required().String()
+	a.add(diff, func(ctx context.Context, c client) error { return a.configDiff(ctx, c, *compared) })
+
+	apply := config.Command("apply", "Replace the configuration if its revision is the expected one.")
+	file := apply.Arg("file", "JSON file; - is standard input.").Required().String()
+	expected := apply.Flag("expected-revision", "Revision that config get printed.").Required().Uint64()
+	id := commandID(apply)
+	a.add(apply, func(ctx context.Context, c client) error { return a.configApply(ctx, c, *file, *expected, *id) })
+
+	a.add(config.Command("history", "Show the accepted changes that the control replica remembers, oldest first."), a.configHistory)
+}
+
+func (a *App) configGet(ctx context.Context, c client) error {
+	conf, err := read[broperator.Empty, broperator.Config](ctx, c, "GET", broperator.PathConfig, broperator.Empty{})
+	if err != nil {
+		return err
+	}
+	if a.output == outputJSON {
+		return a.printJSON(conf)
+	}
+	fmt.Fprintln(a.errors, "revision", conf.Revision)
+	return a.printJSON(conf.Document)
+}
+
+func (a *App) document(file string) (brconfig.Document, error) {
+	data, err := a.readFile(file)
+	if err != nil {
+		return brconfig.Document{}, err
+	}
+	doc, err := brconfig.Parse(data)
+	if err != nil {
+		return doc, fmt.Errorf("%s: %w", file, err)
+	}
+	return doc, nil
+}
+
+// stdinFile names standard input, as a dash does.
+const stdinFile = "/dev/stdin"
+
+func (a *App) readFile(file string) ([]byte, error) {
+	if file == stdinFile {
+		return io.ReadAll(a.in)
+	}
+	return os.ReadFile(file)
+}
+
+// problems asks a daemon, whose release decides what is accepted.
+func (a *App) problems(ctx context.Context, c client, file string) (broperator.Problems, error) {
+	doc, err := a.document(file)
+	if err != nil {
+		return broperator.Problems{}, err
+	}
+	return read[brconfig.Document, broperator.Problems](ctx, c, "POST", broperator.PathConfigCheck, doc)
+}
+
+func (a *App) configCheck(ctx context.Context, c client, file string) error {
+	p, err := a.problems(ctx, c, file)
+	if err != nil {
+		return err
+	}
+	err = a.print(p.Problems, func(g *grid) {
+		if len(p.Problems) == 0 {
+			g.row("no problems")
+		}
+		for _, x := range p.Problems {
+			g.row(x.Field, x.Message)
+		}
+	})
+	if err == nil && len(p.Problems) > 0 {
+		return silentError{ExitInvalid}
+	}
+	return err
+}
+
+func (a *App) configDiff(ctx context.Context, c client, file string) error {
+	p, err := a.problems(ctx, c, file)
+	if err != nil {
+		return err
+	}
+	return a.print(p.Diff, func(g *grid) {
+		if len(p.Diff) == 0 {
+			g.row("no difference")
+		}
+		for _, line := range p.Diff {
+			g.row(line)
+		}
+	})
+}
+
+func (a *App) configApply(ctx context.Context, c client, file string, expected uint64, id string) error {
+	doc, err := a.document(file)
+	if err != nil {
+		return err
+	}
+	id = a.announce(id)
+	put := broperator.PutConfig{CommandID: id, ExpectedRevision: expected, Document: doc}
+	acc, err := command[broperator.PutConfig, broperator.Accepted](ctx, c, "PUT", broperator.PathConfig, id, put)
+	if err != nil {
+		return err
+	}
+	return a.print(acc, func(g *grid) { g.row("accepted as revision", acc.Revision) })
+}
+
+func (a *App) configHistory(ctx context.Context, c client) error {
+	entries, err := read[broperator.Empty, []broperator.HistoryEntry](ctx, c, "GET", broperator.PathHistory, broperator.Empty{})
+	if err != nil {
+		return err
+	}
+	return a.print(entries, func(g *grid) {
+		g.row("REVISION", "TIME", "COMMAND", "CHANGE")
+		for _, e := range entries {
+			if len(e.Diff) == 0 {
+				g.row(e.Revision, timeText(e.At), e.CommandID, "")
+			}
+			for _, line := range e.Diff {
+				g.row(e.Revision, timeText(e.At), e.CommandID, line)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/brctl/exit.go
@@ -0,0 +1,105 @@
+package brctl
+
+import (
+	"errors"
+	"fmt"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+)
+
+// Exit codes of bramleyctl.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1 // anything that has no code of its own
+	ExitUsage       = 2 // the command line is wrong
+	ExitConflict    = 3 // the expected revision is not the present one
+	ExitInvalid     = 4 // refused as invalid; the same command will be refused again
+	ExitUnavailable = 5 // not run; it may be sent again later
+	ExitUnknown     = 6 // may have run; the same command must be sent again, with its command id
+)
+
+// ExitCodes describes the exit codes, for the help and the reference page.
+func ExitCodes() []string {
+	return []string{
+		"0  done",
+		"1  failed for another reason, such as an unknown key or a rollout that was taken back",
+		"2  the command line is wrong",
+		"3  conflict: the expected revision is not the present one, which is printed",
+		"4  refused as invalid; the message names the field",
+		"5  unavailable and not run: try again later",
+		"6  outcome unknown: send the command again, with the same --command-id if it has one",
+	}
+}
+
+// usageError is a wrong command line that kingpin doesn't notice.
+type usageError struct{ text string }
+
+// Error returns the text.
+func (e usageError) Error() string { return e.text }
+
+// unknownError is the failure of a command that may have been committed.
+type unknownError struct {
+	commandID string // empty for a command whose repetition is harmless
+	cause     error
+}
+
+// Error says how to learn the outcome.
+func (e *unknownError) Error() string {
+	if e.commandID == "" {
+		return fmt.Sprintf("outcome unknown: %v\nsend the same command again: a repetition changes nothing more", e.cause)
+	}
+	return fmt.Sprintf("outcome unknown: %v\nsend the same command again with --command-id %s: it is carried out at most once and answers what became of it", e.cause, e.commandID)
+}
+
+// Unwrap returns the last failure.
+func (e *unknownError) Unwrap() error { return e.cause }
+
+// unavailableError is a call that no daemon answered and that changed nothing.
+type unavailableError struct{ cause error }
+
+// Error returns the last failure.
+func (e *unavailableError) Error() string { return "unavailable: " + e.cause.Error() }
+
+// Unwrap returns the last failure.
+func (e *unavailableError) Unwrap() error { return e.cause }
+
+// exitCode returns the exit code of an error; nil is ExitOK.
+func exitCode(err error) int {
+	var usage usageError
+	var unknown *unknownError
+	var unavailable *unavailableError
+	var parse *brconfig.ParseError
+	var known *brerror.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &unknown):
+		return ExitUnknown
+	case errors.As(err, &unavailable):
+		return ExitUnavailable
+	case errors.As(err, &parse):
+		return ExitInvalid
+	case errors.As(err, &known):
+		return kindCode(known.Kind)
+	}
+	return ExitFailed
+}
+
+func kindCode(k brerror.Kind) int {
+	switch k {
+	case brerror.RevisionConflict:
+		return ExitConflict
+	case brerror.InvalidRequest, brerror.UnknownModel, brerror.UnknownRequest, brerror.TooLarge, brerror.TooOld, brerror.OrderRefused:
+		return ExitInvalid
+	}
+	switch a := k.Answer(); {
+	case a.Retry && a.Outcome == brerror.NotRun:
+		return ExitUnavailable
+	case a.Retry:
+		return ExitUnknown
+	}
+	return ExitFailed
+}
--- /dev/null
+++ b/brctl/run_test.go
@@ -0,0 +1,159 @@
+package brctl
+
+import (
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brerror"
+	"bramleyroute/broperator"
+	"bramleyroute/brpeer"
+	"bramleyroute/brtimeline"
+	"bramleyroute/brwire"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sebdah/goldie/v2"
+)
+
+const (
+	testKey = "operator-key-0001"
+	page    = "../docs/reference/commands.md"
+)
+
+var at = time.Date(2026, 5, 4, 16, 0, 0, 0, time.UTC)
+
+// stub answers like a daemon. A put with revision 9 is refused as the present
+// one is 7, one with 500 is committed but its answer is lost.
+func stub(t *testing.T, loses bool) string {
+	m := http.NewServeMux()
+	keys := brpeer.Keys{testKey}
+	give(m, keys, "GET "+broperator.PathStatuses, broperator.Statuses{Missing: []string{"vm3"}, Daemons: []broperator.Status{
+		{DaemonID: "vm1", Roles: []brwire.Role{"entry", "control"}, FailureDomain: "a", Ready: true, Confirmation: "confirmed", Revision: 7, ConfirmAgeMS: 120, Held: 2, Running: 3,
+			Replica: &broperator.Replica{ID: "vm1", Leader: "vm1"}, OwnedPools: []string{"model-a@local"}},
+		{DaemonID: "vm2", Roles: []brwire.Role{"entry"}, FailureDomain: "b", Draining: true, Confirmation: "unconfirmed", Revision: 6, ConfirmAgeMS: 4200},
+	}})
+	give(m, keys, "GET "+broperator.PathMembers, []broperator.Member{{State: "confirmed", Revision: 7, Daemon: brwire.Daemon{ID: "vm1", Roles: []brwire.Role{"entry"}, PeerAddress: "10.0.0.1:8081", CallerAddress: "10.0.0.1:8080", Region: "local", FailureDomain: "a"}}})
+	give(m, keys, "GET "+broperator.PathPools, []broperator.Pool{{Name: "model-a@local", Owner: "vm1", Epoch: 3, Reachable: true, Queued: [5]int{0, 0, 0, 9, 0}, Running: 4, Outstanding: 900, Completed: [5]int{5, 0, 0, 1, 0},
+		Endpoints: []broperator.Endpoint{{ID: "engine-1", Address: "10.0.1.1:9000", Version: "v1", State: "in_use", OutstandingTokens: 900, CapacityTokens: 65536}}}})
+	give(m, keys, "GET "+broperator.PathConfig, broperator.Config{Revision: 7, Document: brconfig.Document{Models: []brconfig.Model{{Name: "model-a", Kind: "engine"}}}})
+	give(m, keys, "POST "+broperator.PathConfigCheck, broperator.Problems{Problems: []broperator.Problem{{Field: "models[0].kind", Message: `"motor" is not engine or service`}}, Diff: []string{"model model-a: kind engine -> motor"}})
+	give(m, keys, "GET "+broperator.PathHistory, []broperator.HistoryEntry{{Revision: 7, At: at, CommandID: "c1", Diff: []string{"model model-a: added", "template visits: added"}}})
+	give(m, keys, "GET "+broperator.PathRollouts, []broperator.Rollout{
+		{ID: "rollout-1", Model: "model-a", From: "v1", To: "v2", FinishBy: at, SharePerMille: 50},
+		{ID: "rollout-0", Model: "model-b", From: "v1", To: "v2", FinishBy: at, Outcome: "taken_back", Reason: "errors on route draft", EndedAt: at},
+	})
+	give(m, keys, "POST "+broperator.PathDrain, broperator.Empty{})
+	give(m, keys, "POST "+broperator.PathTimeline, broperator.Timeline{Events: []brtimeline.Event{
+		{Stamp: brtimeline.Stamp{Wall: at.UnixNano()}, Process: "vm1", Kind: brtimeline.RequestReceived, RequestID: "r1", Tier: 1},
+		{Stamp: brtimeline.Stamp{Wall: at.UnixNano(), Logical: 1}, Process: "vm2", Kind: brtimeline.OrderSent, EndpointID: "engine-1", Detail: "load_version v2"},
+	}})
+	broperator.Handle(m, keys, "PUT "+broperator.PathConfig, func(_ context.Context, p broperator.PutConfig) (broperator.Accepted, error) {
+		switch {
+		case loses:
+			return broperator.Accepted{}, brerror.New(brerror.NoQuorum, "command %s was not answered", p.CommandID)
+		case p.ExpectedRevision != 7:
+			return broperator.Accepted{}, brerror.New(brerror.RevisionConflict, "present revision is 7, not %d", p.ExpectedRevision).WithField("expected_revision")
+		}
+		return broperator.Accepted{CommandID: p.CommandID, Revision: 8}, nil
+	})
+	broperator.Handle(m, keys, "POST "+broperator.PathRollouts, func(_ context.Context, s broperator.StartRollout) (broperator.Accepted, error) {
+		return broperator.Accepted{CommandID: s.CommandID, Revision: 9}, nil
+	})
+	s := httptest.NewServer(m)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func give[T any](m *http.ServeMux, keys brpeer.Keys, pattern string, v T) {
+	mux := m
+	broperator.Handle(mux, keys, pattern, func(context.Context, any) (T, error) { return v, nil })
+}
+
+func run(in string, args ...string) (out, errs string, code int) {
+	var o, e bytes.Buffer
+	now := at
+	a := New(Options{In: strings.NewReader(in), Out: &o, Errors: &e, Now: func() time.Time { return now }, NewID: func() string { return "new-id" },
+		Pause: func(_ context.Context, d time.Duration) error { now = now.Add(d); return nil }})
+	code = a.Run(context.Background(), args)
+	return o.String(), e.String(), code
+}
+
+// Guards against output that changes unnoticed under people and scripts, exit
+// codes that differ from the documented ones, a command that is sent before its
+// id is printed, and an outcome that is told as known while it isn't.
+func TestOutput(t *testing.T) {
+	good, lossy := stub(t, false), stub(t, true)
+	const closed = "127.0.0.1:1" // no daemon listens there
+	doc := `{"models":[{"name":"model-a","kind":"motor"}]}`
+	tests := []struct {
+		name    string
+		address string
+		in      string
+		args    []string
+		code    int
+	}{
+		{"status", good, "", []string{"status"}, ExitOK},
+		{"status_json", good, "", []string{"status", "-o", "json"}, ExitOK},
+		{"members", closed + "," + good, "", []string{"members"}, ExitOK},
+		{"pools", good, "", []string{"pools"}, ExitOK},
+		{"drain", good, "", []string{"drain", "vm2"}, ExitOK},
+		{"config_get", good, "", []string{"config", "get"}, ExitOK},
+		{"config_check", good, doc, []string{"config", "check", "-"}, ExitInvalid},
+		{"config_check_field", good, `{"modles":[]}`, []string{"config", "check", "-"}, ExitInvalid},
+		{"config_diff", good, doc, []string{"config", "diff", "-"}, ExitOK},
+		{"config_history", good, "", []string{"config", "history"}, ExitOK},
+		{"apply", good, doc, []string{"config", "apply", "-", "--expected-revision=7"}, ExitOK},
+		{"apply_conflict", good, doc, []string{"config", "apply", "-", "--expected-revision=9"}, ExitConflict},
+		{"apply_unknown", lossy + "," + closed, doc, []string{"config", "apply", "-", "--expected-revision=7"}, ExitUnknown},
+		{"apply_resent", lossy + "," + good, doc, []string{"config", "apply", "-", "--expected-revision=7", "--command-id=first-id"}, ExitOK},
+		{"apply_unavailable", closed, doc, []string{"config", "apply", "-", "--expected-revision=7"}, ExitUnavailable},
+		{"wrong_key", good, "", []string{"status", "--key=wrong"}, ExitFailed},
+		{"usage", good, "", []string{"config", "apply", "-"}, ExitUsage},
+		{"rollout_start", good, "", []string{"rollout", "start", "model-a", "--from=v1", "--to=v2", "--finish-by=2026-05-04T18:00:00+02:00"}, ExitOK},
+		{"rollout_time", good, "", []string{"rollout", "start", "model-a", "--from=v1", "--to=v2", "--finish-by=noon"}, ExitUsage},
+		{"rollout_status", good, "", []string{"rollout", "status"}, ExitOK},
+		{"rollout_wait", good, "", []string{"rollout", "wait", "rollout-0"}, ExitFailed},
+		{"rollout_wait_limit", good, "", []string{"rollout", "wait", "rollout-1", "--limit=1m"}, ExitUnavailable},
+		{"timeline", good, "", []string{"timeline", "--request-id=r1", "--last=10m"}, ExitOK},
+		{"orders", good, "", []string{"orders"}, ExitOK},
+	}
+	golden := goldie.New(t)
+	t.Setenv("BRAMLEYCTL_KEY", testKey)
+	hide := strings.NewReplacer(good, "GOOD", lossy, "LOSSY")
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			out, errs, code := run(c.in, append([]string{"--address=" + c.address}, c.args...)...)
+			if code != c.code {
+				t.Errorf("exit code %d, want %d", code, c.code)
+			}
+			golden.Assert(t, c.name, []byte(hide.Replace(fmt.Sprintf("%s--- standard error\n%s--- exit code %d\n", out, errs, code))))
+		})
+	}
+}
+
+// Guards against a reference page that differs from the command line. With
+// -update, which goldie defines, the page is written.
+func TestReference(t *testing.T) {
+	got := New(Options{In: os.Stdin, Out: os.Stdout, Errors: os.Stderr, Now: time.Now, NewID: func() string { return "" },
+		Pause: func(context.Context, time.Duration) error { return nil }}).Reference()
+	if f := flag.Lookup("update"); f != nil && f.Value.String() == "true" {
+		if err := os.WriteFile(page, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), got); diff != "" {
+		t.Errorf("run go test ./brctl -run TestReference -update: %s", diff)
+	}
+}
--- a/brdaemon/rollouts.go
+++ b/brdaemon/rollouts.go
@@ -172,13 +172,19 @@
 	ctx, cancel := context.WithTimeout(o.l.ctx, orderTimeout)
 	defer cancel()
 	answer := brrollout.OrderAccepted
-	if err := postOrder(ctx, address, e.Order); err != nil {
+	err := postOrder(ctx, address, e.Order)
+	if err != nil {
 		answer = brrollout.OrderUnreachable
 		if brerror.Is(err, brerror.OrderRefused) {
 			answer = brrollout.OrderRefused
 		}
 		o.l.c.d.log.Warn().Err(err).Str("endpoint", e.EndpointID).Str("rollout", rollout).Msg("order failed")
 	}
+	answered := brtimeline.Event{Kind: brtimeline.OrderAnswered, RolloutID: rollout, EndpointID: e.EndpointID, Detail: string(e.Order.Kind) + " " + e.Order.Version}
+	if err != nil {
+		answered.ErrorKind, answered.Reason = brerror.From(err).Kind.String(), err.Error()
+	}
+	o.l.c.d.record(answered)
 	o.inbox.put(func() {
 		o.stepOne(rollout, brrollout.OrderResult{EndpointID: e.EndpointID, OrderID: e.Order.OrderID, Answer: answer})
 	})
