--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -51,7 +51,7 @@
 	dir, err := os.MkdirTemp("", "brsystem-")
 	if err == nil {
 		binaries = dir
-		build := exec.Command("go", "build", "-o", dir+"/", "bramleyroute/cmd/bramleyroute", "bramleyroute/cmd/brfake")
+		build := exec.Command("go", "build", "-o", dir+"/", "bramleyroute/cmd/bramleyroute", "bramleyroute/cmd/bramleyctl", "bramleyroute/cmd/brfake")
 		build.Stderr = os.Stderr
 		err = build.Run()
 	}
