--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -133,6 +133,7 @@
 	daemons []*daemon
 	fakes   []*fake
 	proxies *toxiproxy.ApiServer
+	key     string // of the operators; empty means operatorKey
 }
 
 // spec says what a cluster consists of.
--- a/brsystem/operator_test.go
+++ b/brsystem/operator_test.go
@@ -27,7 +27,7 @@
 		addresses = append(addresses, d.operator)
 	}
 	cmd := exec.Command(binaries+"/bramleyctl", args...)
-	cmd.Env = append(os.Environ(), "BRAMLEYCTL_ADDRESS="+strings.Join(addresses, ","), "BRAMLEYCTL_KEY="+operatorKey)
+	cmd.Env = append(os.Environ(), "BRAMLEYCTL_ADDRESS="+strings.Join(addresses, ","), "BRAMLEYCTL_KEY="+or(c.key, operatorKey))
 	var o, e bytes.Buffer
 	cmd.Stdout, cmd.Stderr = &o, &e
 	_ = cmd.Run() // the exit code says what failed
