--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -128,3 +128,25 @@
 	}
 	return fmt.Sprintf("%v | %v", ds[len(ds)/2].Round(time.Millisecond), ds[len(ds)-1].Round(time.Millisecond))
 }
+
+// Guards against a bad version that gets 2% of the traffic or more, on the seeds
+// on which it was seen. It fails: with the fault visible only under load, or only
+// in refused orders, the early share is spent before the evidence suffices.
+func TestExposureOnSeenSeeds(t *testing.T) {
+	for _, c := range []struct {
+		kind string
+		seed uint64
+	}{
+		{"slow only under load", 2008}, {"slow only under load", 11023}, {"slow only under load", 11030},
+		{"refuses orders", 2064}, {"refuses orders", 5077},
+	} {
+		i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == c.kind })
+		if i < 0 {
+			t.Fatalf("no kind is named %q", c.kind)
+		}
+		r := newSim(kinds[i], c.seed, Policy{}).result()
+		if r.outcome != TakenBack || r.share >= 0.02 {
+			t.Errorf("%s, seed %d: %s with %.2f%% of the traffic", c.kind, c.seed, r.outcome, 100*r.share)
+		}
+	}
+}
