brcontrol: test the callbacks; a single replica refuses a handover at once

Cause: OnLeader and OnApplied had no test, and a handover without another voter waited 5 s for nothing. Change: a test of the order of the callbacks; TransferLeadership fails at once when there is no other voter.

--- a/brcontrol/propose.go
+++ b/brcontrol/propose.go
@@ -241,9 +241,13 @@
 		if _, self := r.leader(); !self {
 			return nil
 		}
-		if _, err := r.ask(ctx, brlog.Transfer{}); err != nil {
+		answer, err := r.ask(ctx, brlog.Transfer{})
+		if err != nil {
 			return err
 		}
+		if a, ok := answer.(brlog.Refused); ok && a.Reason == brlog.NoMajority && r.Status().Membership.Voters() == 1 {
+			return brerror.New(brerror.NoQuorum, "there is no other voter")
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
--- a/brcontrol/replica_test.go
+++ b/brcontrol/replica_test.go
@@ -12,6 +12,7 @@
 
 	"bramleyroute/brerror"
 	"bramleyroute/brwal"
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 )
 
@@ -53,6 +54,41 @@
 	}
 }
 
+// Guards against a leader that is announced before it has applied what earlier
+// leaders committed, or isn't withdrawn.
+func TestCallbacks(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	var calls []string
+	note := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, fmt.Sprintf(format, args...))
+	}
+	g := newGroup(t, 1, 0)
+	n := g.nodes[0]
+	g.propose(n, "x")
+	g.stop(n)
+	n.cfg.OnApplied = func(i uint64) { note("applied %d", i) }
+	n.cfg.OnLeader = func(leads bool, term uint64) {
+		note("leads term %d: %v with %d entries", term, leads, len(n.machine.get()))
+	}
+	g.start(n, nil)
+	g.propose(n, "y")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := n.TransferLeadership(ctx); !brerror.Is(err, brerror.NoQuorum) {
+		t.Errorf("handover by the only replica: %v", err)
+	}
+	g.stop(n)
+	want := []string{
+		"leads term 3: true with 1 entries", "applied 4", "applied 5", "leads term 3: false with 2 entries",
+	}
+	if diff := cmp.Diff(want, calls); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against an acknowledged entry that is lost when the leader stops, and a
 // replica that can't go on from its disk.
 func TestFailoverAndRestart(t *testing.T) {
