brcontrol: keep checking that a joined replica is still a member

Cause: a replica stopped asking to join once it saw itself in the membership, which a new leader may undo while the entry isn't committed. Change: the check goes on every 2 s.

--- a/brcontrol/peers.go
+++ b/brcontrol/peers.go
@@ -139,8 +139,13 @@
 	return l
 }
 
-// retryInterval is the pause between two tries to form or join a group.
-const retryInterval = 100 * time.Millisecond
+const (
+	// retryInterval is the pause between two tries to form or join a group.
+	retryInterval = 100 * time.Millisecond
+	// memberInterval is the pause between two checks that this replica is
+	// still a member.
+	memberInterval = 2 * time.Second
+)
 
 // connectWait bounds the wait for a connection, after which the leader may have
 // changed.
@@ -253,24 +258,26 @@
 			}
 			return brlog.Bootstrap(brlog.ID(r.cfg.Self.ID), members), nil
 		}
-		r.pause()
+		r.pause(retryInterval)
 	}
 	return brlog.Stored{}, nil
 }
 
-func (r *Replica) pause() {
+func (r *Replica) pause(d time.Duration) {
 	select {
-	case <-r.cfg.Clock.After(retryInterval):
+	case <-r.cfg.Clock.After(d):
 	case <-r.ctx.Done():
 	}
 }
 
-// join asks the leader to add this replica until it is a member.
+// join asks the leader to add this replica while it isn't a member. It goes on
+// checking, because a new leader may undo an addition that wasn't committed.
 func (r *Replica) join() {
 	for r.ctx.Err() == nil {
 		st := r.Status()
 		if _, ok := st.Membership.Find(st.ID); ok {
-			return
+			r.pause(memberInterval)
+			continue
 		}
 		if st.Removed {
 			r.fatal(ErrRemoved)
@@ -281,7 +288,7 @@
 				break
 			}
 		}
-		r.pause()
+		r.pause(retryInterval)
 	}
 }
 
