--- a/brcontrol/replica_test.go
+++ b/brcontrol/replica_test.go
@@ -12,6 +12,7 @@
 
 	"bramleyroute/brerror"
 	"bramleyroute/brwal"
+	"github.com/google/go-cmp/cmp"
 	"go.uber.org/goleak"
 )
 
@@ -53,9 +54,45 @@
 	}
 }
 
+// Guards against a leader that is announced before it has applied what earlier
+// leaders committed, or isn't withdrawn.
+func TestCallbacks(t *testing.T) {
+	t.Parallel()
+	var mu sync.Mutex
+	var calls []string
+	note := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		calls = append(calls, fmt.Sprintf(format, args...))
+	}
+	g := newGroup(t, 1, 0)
+	n := g.nodes[0]
+	g.propose(n, "x")
+	g.stop(n)
+	n.cfg.OnApplied = func(i uint64) { note("applied %d", i) }
+	n.cfg.OnLeader = func(leads bool, term uint64) {
+		note("leads term %d: %v with %d entries", term, leads, len(n.machine.get()))
+	}
+	g.start(n, nil)
+	g.propose(n, "y")
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := n.TransferLeadership(ctx); !brerror.Is(err, brerror.NoQuorum) {
+		t.Errorf("handover by the only replica: %v", err)
+	}
+	g.stop(n)
+	want := []string{
+		"leads term 3: true with 1 entries", "applied 4", "applied 5", "leads term 3: false with 2 entries",
+	}
+	if diff := cmp.Diff(want, calls); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // Guards against an acknowledged entry that is lost when the leader stops, and a
 // replica that can't go on from its disk.
 func TestFailoverAndRestart(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3, 20)
 	for i := range 30 {
 		g.propose(g.nodes[i%3], fmt.Sprint(i))
@@ -82,6 +119,7 @@
 // Guards against a lost disk that comes back under its old id, or whose repair
 // leaves the group unable to survive the next loss.
 func TestLostDisks(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3, 20)
 	for i := range 50 {
 		g.propose(g.nodes[0], fmt.Sprint(i))
@@ -103,6 +141,7 @@
 // Guards against a leader that hears nobody and keeps its lease, and proposals
 // that get stuck there.
 func TestCutLeader(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3, 0)
 	g.propose(g.nodes[0], "before")
 	old := g.leader()
@@ -126,6 +165,7 @@
 // Guards against a planned handover that fails proposals in progress or applies
 // one twice.
 func TestTransferUnderLoad(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3, 0)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -160,6 +200,7 @@
 // Guards against a process that goes on after a failed sync, and a group that
 // doesn't go on without it.
 func TestFailedSyncIsFatal(t *testing.T) {
+	t.Parallel()
 	g := newGroup(t, 3, 0)
 	l := g.leader()
 	g.stop(l)
@@ -182,6 +223,7 @@
 // Guards against a removed replica that goes on, or comes back, be it a
 // follower or the leader itself.
 func TestRemovedReplicaStops(t *testing.T) {
+	t.Parallel()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	for _, leads := range []string{"follower", "leader"} {
