Take work only once registered, and tell bindings again

Cause: a daemon was ready before the control group had registered it. The owner of a pool could not send it grants, and a later owner would not have asked it what it dispatched. Two more faults showed in the same test: a notice of a binding was lost with a missing connection, and a refused or failed change of the registered daemons kept the next one back for 5 s. With two registered daemons of which one was killed, the register could not change any more. Change: readiness needs the registration; a new owner waits for the view of its own lease, which has every entry that was registered before; bindings are told again with each submit; members that an operator vouches for as stopped are removed without the majority. The test harness takes ports below the kernel's range for outgoing connections, one of which had taken a daemon's.

--- a/brdaemon/control.go
+++ b/brdaemon/control.go
@@ -284,10 +284,17 @@
 		return brwire.ProposeReply{}, err
 	}
 	out, err := c.replica.Propose(ctx, data)
+	members := cmd.RegisterDaemon != nil || cmd.DeregisterDaemon != nil
 	if err != nil {
+		if members && brerror.Is(err, brerror.NotLeader) {
+			l.memberChangeFailed()
+		}
 		return brwire.ProposeReply{}, err
 	}
 	reply, err := brwire.Decode[brwire.ProposeReply](out)
+	if members && err == nil && reply.Error != nil {
+		l.memberChangeFailed()
+	}
 	if err == nil && reply.Error == nil && cmd.PutConfiguration != nil {
 		err = l.waitApplied(ctx, reply.Revision)
 	}
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -170,9 +170,20 @@
 		st, age := d.session.standing()
 		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
 	}
+	if !d.registered() {
+		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is not registered yet").WithRetryAfter(unconfirmedRetry)
+	}
 	return nil
 }
 
+// registered reports whether the control group knows this start of the daemon. An
+// entry must not take work before: the next owner of a pool asks only registered
+// entries what they have dispatched.
+func (d *Daemon) registered() bool {
+	row, ok := d.session.present().Daemon(d.self.ID)
+	return ok && row.Incarnation == d.self.Incarnation
+}
+
 // Drain stops the daemon gracefully: it is not ready from now on, gives pools
 // and leadership away, finishes every request in progress, and leaves the
 // register. It returns ctx's error when that ends first.
--- a/brdaemon/leading.go
+++ b/brdaemon/leading.go
@@ -161,6 +161,9 @@
 		id = cmd.RegisterDaemon.Daemon.ID
 	} else {
 		id = cmd.DeregisterDaemon.DaemonID
+		if cmd.DeregisterDaemon.Vouched {
+			return nil
+		}
 	}
 	_, known := v.Daemon(id)
 	if known == (cmd.RegisterDaemon != nil) {
@@ -175,6 +178,14 @@
 	return nil
 }
 
+// memberChangeFailed lets the next change of the registered daemons go ahead
+// after one that certainly was not made.
+func (l *leading) memberChangeFailed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.memberChange = 0
+}
+
 // memberChangeWait is how long a proposed change of the registered daemons keeps
 // others back; by then it is committed or its proposer has given up.
 const memberChangeWait = proposeTimeout
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -41,6 +41,7 @@
 	broperator.Handle(m, keys, "POST "+broperator.PathRollouts, d.opStartRollout)
 	broperator.Handle(m, keys, "POST "+broperator.PathRolloutAbort, d.opAbortRollout)
 	broperator.Handle(m, keys, "GET "+broperator.PathMembers, d.opMembers)
+	broperator.Handle(m, keys, "POST "+broperator.PathMemberRemove, d.opRemoveMember)
 	broperator.Handle(m, keys, "GET "+broperator.PathPools, d.opPools)
 	broperator.Handle(m, keys, "POST "+broperator.PathTimeline, d.opTimeline)
 	broperator.Handle(m, keys, "POST "+broperator.PathReplicas, d.opReplicas)
@@ -219,6 +220,13 @@
 	return list, nil
 }
 
+func (d *Daemon) opRemoveMember(ctx context.Context, r broperator.RemoveMember) (broperator.Accepted, error) {
+	if _, ok := d.session.present().Daemon(r.DaemonID); !ok {
+		return broperator.Accepted{}, brerror.New(brerror.InvalidRequest, "no daemon is named %.64q", r.DaemonID).WithField("daemon_id")
+	}
+	return d.command(ctx, brstate.Command{ID: r.CommandID, DeregisterDaemon: &brstate.DeregisterDaemon{DaemonID: r.DaemonID, Vouched: true}})
+}
+
 // callDaemon calls a registered daemon, waiting for the link.
 func callDaemon[Req, Resp any](ctx context.Context, d *Daemon, id, name string, req Req) (Resp, error) {
 	var none Resp
--- a/brdaemon/poollease.go
+++ b/brdaemon/poollease.go
@@ -48,7 +48,7 @@
 
 // mayAsk reports whether this daemon should ask for the pool's lease now.
 func (r *poolRunner) mayAsk(now time.Time) bool {
-	if r.d.draining.Load() || !r.d.session.takesWork() {
+	if r.d.draining.Load() || !r.d.session.takesWork() || !r.d.registered() {
 		return false
 	}
 	v := r.d.session.present()
@@ -106,6 +106,9 @@
 	}
 	r.d.log.Info().Str("pool", r.name).Uint64("epoch", l.Epoch).Msg("pool taken over")
 	r.d.record(brtimeline.Event{Kind: brtimeline.LeaseGranted, Pool: r.name, Epoch: l.Epoch})
+	if !r.awaitView(l.Epoch) {
+		return
+	}
 	r.post(brpool.Takeover{Epoch: l.Epoch, Entries: entriesOf(r.d.session.present())})
 }
 
@@ -123,6 +126,26 @@
 	r.step(brpool.LeaseEnded{})
 }
 
+// awaitView waits until the view shows the pool's own epoch: it then has every
+// entry that was registered before the lease was granted, and all of them are
+// asked what they hold.
+func (r *poolRunner) awaitView(epoch uint64) bool {
+	for r.heldEpoch() == epoch {
+		if o, ok := r.d.session.present().Owner(r.name); ok && o.Epoch >= epoch {
+			return true
+		}
+		select {
+		case <-r.d.clock.After(viewPause):
+		case <-r.stop:
+			return false
+		}
+	}
+	return false
+}
+
+// viewPause is the time between two looks at the view after a takeover.
+const viewPause = 10 * time.Millisecond
+
 func (r *poolRunner) heldEpoch() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/brdaemon/scheduler.go
+++ b/brdaemon/scheduler.go
@@ -236,9 +236,9 @@
 			return brpeer.Push(c, brwire.NameGrant, brwire.Pooled[brwire.Grant]{Pool: r.name, Message: e.Grant})
 		})
 	case brpool.SendBound:
-		if c := r.d.connTo(e.EntryID); c != nil {
-			_ = brpeer.Push(c, brwire.NameBound, brwire.Pooled[brwire.Bound]{Pool: r.name, Message: e.Bound})
-		}
+		r.push(e.EntryID, func(c *brpeer.Conn) error {
+			return brpeer.Push(c, brwire.NameBound, brwire.Pooled[brwire.Bound]{Pool: r.name, Message: e.Bound})
+		})
 	case brpool.SendRefuse:
 		r.push(e.EntryID, func(c *brpeer.Conn) error {
 			return brpeer.Push(c, brwire.NameRefuse, brwire.Pooled[brwire.Refuse]{Pool: r.name, Message: e.Refuse})
--- a/broperator/api.go
+++ b/broperator/api.go
@@ -19,6 +19,7 @@
 	PathRollouts     = "/v1/rollouts"
 	PathRolloutAbort = "/v1/rollouts/abort"
 	PathMembers      = "/v1/members"
+	PathMemberRemove = "/v1/members/remove"
 	PathPools        = "/v1/pools"
 	PathOrders       = "/v1/orders"
 	PathDrain        = "/v1/drain"
@@ -171,6 +172,14 @@
 	CapacityTokens    int    `json:"capacity_tokens"`
 }
 
+// RemoveMember takes a daemon off the register. The operator vouches that it is
+// stopped for good: a majority of the remaining daemons may then decide, also when
+// the majority of the former ones is lost.
+type RemoveMember struct {
+	CommandID string `json:"command_id"`
+	DaemonID  string `json:"daemon_id"`
+}
+
 // Drain asks a daemon to finish what it holds and stop. An empty DaemonID means
 // the daemon that is asked; it passes the request on to any other one.
 type Drain struct {
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -40,8 +40,11 @@
 		p.refuse(entry, s.RequestID, e)
 		return
 	}
-	if p.requests[s.RequestID] != nil {
-		return // the entry's own submit arrived twice
+	if r := p.requests[s.RequestID]; r != nil {
+		if !p.recovering {
+			p.tellBound(r) // the entry's own submit came again; the first notice may be lost
+		}
+		return
 	}
 	r := p.newRequest(now, entry, key, s)
 	idle := p.idle(r)
--- a/brstate/command.go
+++ b/brstate/command.go
@@ -62,6 +62,10 @@
 type DeregisterDaemon struct {
 	DaemonID    string `cbor:"daemon_id"`
 	Incarnation string `cbor:"incarnation,omitempty"`
+	// Vouched says that an operator vouches that the daemon is stopped for good.
+	// The leader then doesn't wait for a majority of the registered daemons, which
+	// may be lost.
+	Vouched bool `cbor:"vouched,omitempty"`
 }
 
 // BeginResult answers BeginRequest. The request may be dispatched only if Begun
--- a/brstate/state_test.go
+++ b/brstate/state_test.go
@@ -207,7 +207,7 @@
 	rows := []any{
 		Command{ID: "1", At: at, PutConfiguration: &PutConfiguration{Expected: 7, Change: &brconfig.Change{Customers: document(1).Customers, RemovedModels: []string{"m"}}}},
 		Command{ID: "2", At: at, RegisterDaemon: &RegisterDaemon{brwire.Daemon{ID: "d", Roles: []brwire.Role{brwire.RoleEntry}}}},
-		Command{ID: "3", At: at, DeregisterDaemon: &DeregisterDaemon{"d", "i"}},
+		Command{ID: "3", At: at, DeregisterDaemon: &DeregisterDaemon{"d", "i", false}},
 		Command{ID: "4", At: at, AcquireLease: &brlease.Acquire{Name: "l", Holder: "d", Duration: time.Second, Lapsed: &brlease.Term{Epoch: 1, Renewals: 2}}},
 		Command{ID: "5", At: at, RenewLease: &brlease.Renew{Name: "l", Holder: "d", Epoch: 1}},
 		Command{ID: "6", At: at, ReleaseLease: &brlease.Release{Name: "l", Holder: "d", Epoch: 1}},
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -415,12 +416,25 @@
 	}
 }
 
+// nextPort counts through ports below the range that the kernel gives to outgoing
+// connections, so that none of those takes a port before its process listens.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	offset := uint32(os.Getpid()) * 101
+	for range portCount {
+		port := firstPort + (offset+nextPort.Add(1))%portCount
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
