brsystem: test the control side under failure

With spec.partitions each pair of daemons has a proxy of its own, so that one daemon can be cut off from all others.

--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -73,6 +74,7 @@
 	logs *os.File
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the present cmd has ended
+	pid  *atomic.Int64 // of the present cmd
 }
 
 func (p *process) start() {
@@ -83,6 +85,7 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatalf("start %s: %v", p.name, err)
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 	done, cmd := make(chan struct{}), p.cmd
 	p.done = done
 	go func() {
@@ -123,6 +126,7 @@
 	advertised             string // peer address that others dial
 	dir                    string
 	proxy                  *toxiproxy.Proxy // in front of peer, with spec.proxied
+	front                  *front           // in front of peer, with spec.partitions
 }
 
 // cluster is a set of daemons and endpoints on loopback.
@@ -139,9 +143,14 @@
 type spec struct {
 	daemons  int // the first of them have the control role too
 	controls int
-	proxied  bool     // peer links between daemons go through proxies
-	domains  []string // failure domains in turn; nil means a, b, c
-	document *brconfig.Document
+	proxied  bool // peer links between daemons go through proxies
+	// partitions gives each pair of daemons a proxy of its own, so that a daemon
+	// can be cut off from others.
+	partitions bool
+	// controlOnly leaves the daemons with the control role without other roles.
+	controlOnly bool
+	domains     []string // failure domains in turn; nil means a, b, c
+	document    *brconfig.Document
 }
 
 // fake is a fake endpoint.
@@ -166,11 +175,17 @@
 			d.proxy = c.newProxy("peer-"+d.id, d.peer)
 			d.advertised = d.proxy.Listen
 		}
+		if s.partitions {
+			d.front = c.newFront(d)
+			d.advertised = d.front.listener.Addr().String()
+		}
 		c.daemons = append(c.daemons, d)
 	}
 	for i, d := range c.daemons {
 		d.process = c.newProcess(d.id, binaries+"/bramleyroute")
 		d.env = c.environment(i, d)
+	}
+	for _, d := range c.daemons {
 		d.start()
 	}
 	t.Cleanup(c.close)
@@ -185,6 +200,9 @@
 	roles := "entry,scheduler"
 	if i < c.spec.controls {
 		roles += ",control"
+		if c.spec.controlOnly {
+			roles = "control"
+		}
 	}
 	domains := c.spec.domains
 	if domains == nil {
@@ -211,7 +229,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	return process{t: c.t, name: name, args: args, logs: logs}
+	return process{t: c.t, name: name, args: args, logs: logs, pid: new(atomic.Int64)}
 }
 
 func (c *cluster) newProxy(name, upstream string) *toxiproxy.Proxy {
