Hand the records of a stopping entry to another entry

An entry that stopped cleanly left the register, and with it went the record of what it had dispatched. When the pool's owner stopped as well, the next owner asked only the registered entries and granted a resend: the engine got each of 10 ids twice (TestStoppedEntryRemembered). When the entry was started again, its short age made the next owner refuse new ids for up to 1 s as unknown_outcome: 994 refusals in a rolling restart of five daemons (TestRollingRestart).

A stopping entry now hands its records to another entry before it leaves the register; if it can't, or requests were cut off, it stays registered and counts as one that doesn't report. The control group marks a process that was registered in place of one that had not left, so only such an entry reports that records from before its start are missing.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -192,7 +192,7 @@
 		}
 		cancel()
 	}
-	d.leave(ctx)
+	d.leave(ctx, err)
 	d.record(brtimeline.Event{Kind: brtimeline.ShutdownEnded})
 	return err
 }
@@ -202,8 +202,9 @@
 const handOverTimeout = 2 * time.Second
 
 // leave takes the daemon off the register, so that a planned stop isn't counted
-// as a lost daemon.
-func (d *Daemon) leave(ctx context.Context) {
+// as a lost daemon. After requests were cut off, or when the records of the entry
+// can't be handed over, it is one.
+func (d *Daemon) leave(ctx context.Context, drained error) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	cmd := brstate.Command{DeregisterDaemon: &brstate.DeregisterDaemon{DaemonID: d.self.ID, Incarnation: d.self.Incarnation}}
@@ -211,6 +212,13 @@
 	if c := d.links.conn(d.session.replica()); c != nil {
 		_, _ = brpeer.Call[brwire.Heartbeat, brwire.HeartbeatReply](ctx, c, brwire.NameHeartbeat, brwire.Heartbeat{Daemon: d.self, Leaving: true})
 	}
+	if d.entry != nil && drained == nil {
+		drained = d.handRecords(ctx)
+	}
+	if drained != nil {
+		d.log.Warn().Err(drained).Msg("daemon stays registered as lost: its records of requests end with it")
+		return
+	}
 	if _, err := d.session.propose(ctx, cmd); err != nil {
 		d.log.Warn().Err(err).Msg("daemon was not deregistered; it counts as lost until it is removed")
 	}
--- /dev/null
+++ b/brdaemon/handover.go
@@ -0,0 +1,83 @@
+package brdaemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brpeer"
+	"bramleyroute/brwire"
+)
+
+// inheritTimeout bounds the attempt to hand the records to one entry.
+const inheritTimeout = time.Second
+
+// handRecords gives the records of this entry to another one. Without it a
+// pool's next owner would not hear of the requests that this entry has
+// dispatched and would grant a resend of one of them. A daemon that can't hand
+// them over stays registered, so that owners count it as one that doesn't
+// report.
+func (d *Daemon) handRecords(ctx context.Context) error {
+	var heirs []brwire.Daemon
+	for _, row := range d.session.present().Daemons {
+		if row.ID != d.self.ID && slices.Contains(row.Roles, brwire.RoleEntry) {
+			heirs = append(heirs, row)
+		}
+	}
+	slices.SortFunc(heirs, func(a, b brwire.Daemon) int {
+		if rendezvous(d.self.Incarnation, a.ID) > rendezvous(d.self.Incarnation, b.ID) {
+			return -1
+		}
+		return 1
+	})
+	parts := d.entry.Leave()
+	err := error(brerror.New(brerror.NotOwner, "no other entry is registered"))
+	for _, row := range heirs {
+		if err = d.handTo(ctx, row, parts); err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func (d *Daemon) handTo(ctx context.Context, heir brwire.Daemon, parts []brwire.Inherit) error {
+	c := d.links.conn(heir.PeerAddress)
+	if c == nil {
+		return brerror.New(brerror.NotOwner, "entry %s can't be reached", heir.ID)
+	}
+	for _, p := range parts {
+		try, cancel := context.WithTimeout(ctx, inheritTimeout)
+		_, err := brpeer.Call[brwire.Inherit, brwire.Ack](try, c, brwire.NameInherit, p)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) inherit(_ context.Context, _ *brpeer.Conn, m brwire.Inherit) (brwire.Ack, error) {
+	if d.entry == nil {
+		return brwire.Ack{}, brerror.New(brerror.InvalidRequest, "daemon %s is no entry", d.self.ID)
+	}
+	return brwire.Ack{}, d.entry.Inherit(m)
+}
+
+// join tells a pool's new owner what this entry holds. Whether records of a
+// former process are missing is known once this process is registered; until
+// then the owner asks again.
+func (d *Daemon) join(_ context.Context, _ *brpeer.Conn, j brwire.Join) (brwire.Recover, error) {
+	if d.entry == nil {
+		return brwire.Recover{}, brerror.New(brerror.InvalidRequest, "daemon %s is no entry", d.self.ID)
+	}
+	row, ok := d.session.present().Daemon(d.self.ID)
+	ok = ok && row.Incarnation == d.self.Incarnation
+	if !ok && !d.draining.Load() {
+		return brwire.Recover{}, brerror.New(brerror.ConfigurationUnconfirmed, "daemon %s is not registered yet", d.self.ID)
+	}
+	if ok && !row.Replaced {
+		d.entry.Continue()
+	}
+	return d.entry.Join(j), nil
+}
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -48,12 +48,8 @@
 			d.entry.Refuse(r.Message)
 		}
 	})
-	brpeer.HandleCall(m, brwire.NameJoin, func(_ context.Context, _ *brpeer.Conn, j brwire.Join) (brwire.Recover, error) {
-		if d.entry == nil {
-			return brwire.Recover{}, brerror.New(brerror.InvalidRequest, "daemon %s is no entry", d.self.ID)
-		}
-		return d.entry.Join(j), nil
-	})
+	brpeer.HandleCall(m, brwire.NameJoin, d.join)
+	brpeer.HandleCall(m, brwire.NameInherit, d.inherit)
 	brpeer.HandleCall(m, brwire.NameAttach, func(_ context.Context, _ *brpeer.Conn, a brwire.Attach) (brwire.Ack, error) {
 		if d.entry == nil {
 			return brwire.Ack{}, brerror.New(brerror.InvalidRequest, "daemon %s is no entry", d.self.ID)
--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -81,17 +81,21 @@
 
 	Counters Counters
 
-	config  Config
-	clock   brclock.Clock
-	client  *brdispatch.Client
-	work    sync.WaitGroup // ledger commits in the background
-	stop    chan struct{}
-	started time.Time // of the entry; what it dispatched before is unknown
+	config Config
+	clock  brclock.Clock
+	client *brdispatch.Client
+	work   sync.WaitGroup // ledger commits in the background
+	stop   chan struct{}
 
 	mu       sync.Mutex
 	draining bool
-	callers  int // being served
-	registry registry
+	left     bool // the records were handed to another entry
+	// started is when the process started; what was dispatched before is unknown.
+	// It is zero when nothing is missing. inherited is the same of entries whose
+	// records this one has.
+	started, inherited time.Time
+	callers            int // being served
+	registry           registry
 }
 
 // New returns an entry that dispatches through client and takes its time from
--- a/brentry/scheduler.go
+++ b/brentry/scheduler.go
@@ -54,7 +54,7 @@
 	defer e.mu.Unlock()
 	r, now := &e.registry, e.clock.Now()
 	out := brwire.Recover{EntryID: e.config.EntryID, Pool: j.Pool, Epoch: max(j.Epoch, r.epochs[j.Pool]),
-		StartedAgo: now.Sub(e.started)}
+		StartedAgo: e.startedAgo(now)}
 	if j.Epoch < r.epochs[j.Pool] {
 		return out
 	}
@@ -80,8 +80,7 @@
 	e.forget(now)
 	for _, id := range r.order {
 		if d := r.ended[id]; d.pool == j.Pool {
-			out.Ended = append(out.Ended, brwire.EndedRef{RequestID: id, EndpointID: d.endpointID,
-				Address: d.address, Customer: d.customer, Ran: d.ran})
+			out.Ended = append(out.Ended, d.ref())
 		}
 	}
 	if e.Record != nil {
--- a/brstate/state.go
+++ b/brstate/state.go
@@ -199,6 +199,7 @@
 	if ok && sameDaemon(old, d) {
 		return s.reply(struct{}{}, nil), nil
 	}
+	d.Replaced = ok && (old.Replaced || old.Incarnation != d.Incarnation)
 	return s.reply(struct{}{}, nil), &Change{Daemons: []brwire.Daemon{d}}
 }
 
--- a/brsystem/observe_test.go
+++ b/brsystem/observe_test.go
@@ -164,18 +164,21 @@
 
 // one sends one request until it is answered.
 func (l *load) one(ctx context.Context, k int) {
-	id := newID()
+	id, tokens := newID(), l.tokens
+	if k%5 == 0 { // some are long
+		tokens *= 8
+	}
 	for try := 0; ctx.Err() == nil; try++ {
 		d := l.entries[(k+try)%len(l.entries)]
 		if !ready(d) {
 			<-time.After(10 * time.Millisecond)
 			continue
 		}
-		a := complete(ctx, d.caller, call{id: id, route: "draft", maxTokens: l.tokens})
+		a := complete(ctx, d.caller, call{id: id, route: "draft", maxTokens: tokens})
 		if errors.Is(a.err, syscall.ECONNREFUSED) {
 			continue // never sent
 		}
-		if a.right(id, 0, l.tokens) {
+		if a.right(id, 0, tokens) {
 			l.mu.Lock()
 			l.answered[id] = true
 			l.mu.Unlock()
--- a/brwire/control.go
+++ b/brwire/control.go
@@ -37,6 +37,9 @@
 	CallerAddress string `cbor:"caller_address" json:"caller_address"`
 	Region        string `cbor:"region" json:"region"`
 	FailureDomain string `cbor:"failure_domain" json:"failure_domain"`
+	// Replaced is set by the control group: this process was registered in place
+	// of another one that had not left.
+	Replaced bool `cbor:"replaced,omitempty" json:"replaced,omitempty"`
 }
 
 // Heartbeat keeps a daemon's session with a control replica and asks it to
