--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -170,20 +170,13 @@
 		st, age := d.session.standing()
 		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
 	}
-	if !d.registered() {
+	// A pool's next owner asks only the registered entries what they dispatched.
+	if !d.session.registered() {
 		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is not registered yet").WithRetryAfter(unconfirmedRetry)
 	}
 	return nil
 }
 
-// registered reports whether the control group knows this start of the daemon. An
-// entry must not take work before: the next owner of a pool asks only registered
-// entries what they have dispatched.
-func (d *Daemon) registered() bool {
-	row, ok := d.session.present().Daemon(d.self.ID)
-	return ok && row.Incarnation == d.self.Incarnation
-}
-
 // Drain stops the daemon gracefully: it is not ready from now on, gives pools
 // and leadership away, finishes every request in progress, and leaves the
 // register. It returns ctx's error when that ends first.
@@ -209,7 +202,7 @@
 		}
 		cancel()
 	}
-	d.leave(ctx)
+	d.leave(ctx, err)
 	d.record(brtimeline.Event{Kind: brtimeline.ShutdownEnded})
 	return err
 }
@@ -219,8 +212,9 @@
 const handOverTimeout = 2 * time.Second
 
 // leave takes the daemon off the register, so that a planned stop isn't counted
-// as a lost daemon.
-func (d *Daemon) leave(ctx context.Context) {
+// as a lost daemon. After requests were cut off, or when the records of the entry
+// can't be handed over, it is one.
+func (d *Daemon) leave(ctx context.Context, drained error) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
 	cmd := brstate.Command{DeregisterDaemon: &brstate.DeregisterDaemon{DaemonID: d.self.ID, Incarnation: d.self.Incarnation}}
@@ -228,6 +222,13 @@
 	if c := d.links.conn(d.session.replica()); c != nil {
 		_, _ = brpeer.Call[brwire.Heartbeat, brwire.HeartbeatReply](ctx, c, brwire.NameHeartbeat, brwire.Heartbeat{Daemon: d.self, Leaving: true})
 	}
+	if d.entry != nil && drained == nil {
+		drained = d.handRecords(ctx)
+	}
+	if drained != nil {
+		d.log.Warn().Err(drained).Msg("daemon stays registered as lost: its records of requests end with it")
+		return
+	}
 	if _, err := d.session.propose(ctx, cmd); err != nil {
 		d.log.Warn().Err(err).Msg("daemon was not deregistered; it counts as lost until it is removed")
 	}
--- a/brdaemon/poollease.go
+++ b/brdaemon/poollease.go
@@ -48,7 +48,7 @@
 
 // mayAsk reports whether this daemon should ask for the pool's lease now.
 func (r *poolRunner) mayAsk(now time.Time) bool {
-	if r.d.draining.Load() || !r.d.session.takesWork() || !r.d.registered() {
+	if r.d.draining.Load() || !r.d.session.takesWork() || !r.d.session.registered() {
 		return false
 	}
 	v := r.d.session.present()
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -60,6 +62,7 @@
 		fmt.Fprintln(os.Stderr, "brsystem: build:", err)
 		os.Exit(1)
 	}
+	nextPort.Store(rand.Int64N(portCount)) // other runs may be under way
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -74,6 +77,7 @@
 	logs *os.File
 	cmd  *exec.Cmd
 	done chan struct{} // closed when the present cmd has ended
+	pid  *atomic.Int64 // of the present cmd
 }
 
 func (p *process) start() {
@@ -84,6 +88,7 @@
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatalf("start %s: %v", p.name, err)
 	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
 	done, cmd := make(chan struct{}), p.cmd
 	p.done = done
 	go func() {
@@ -124,6 +129,7 @@
 	advertised             string // peer address that others dial
 	dir                    string
 	proxy                  *toxiproxy.Proxy // in front of peer, with spec.proxied
+	front                  *front           // in front of peer, with spec.partitions
 }
 
 // cluster is a set of daemons and endpoints on loopback.
@@ -141,9 +147,14 @@
 type spec struct {
 	daemons  int // the first of them have the control role too
 	controls int
-	proxied  bool     // peer links between daemons go through proxies
-	domains  []string // failure domains in turn; nil means a, b, c
-	document *brconfig.Document
+	proxied  bool // peer links between daemons go through proxies
+	// partitions gives each pair of daemons a proxy of its own, so that a daemon
+	// can be cut off from others.
+	partitions bool
+	// controlOnly leaves the daemons with the control role without other roles.
+	controlOnly bool
+	domains     []string // failure domains in turn; nil means a, b, c
+	document    *brconfig.Document
 }
 
 // fake is a fake endpoint.
@@ -158,6 +169,7 @@
 	if testing.Short() {
 		t.Skip("starts whole processes")
 	}
+	takeProcesses(t, s.daemons+fakesPerCluster)
 	c := &cluster{t: t, spec: s, dir: t.TempDir()}
 	c.proxies = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for i := range s.daemons {
@@ -168,11 +180,17 @@
 			d.proxy = c.newProxy("peer-"+d.id, d.peer)
 			d.advertised = d.proxy.Listen
 		}
+		if s.partitions {
+			d.front = c.newFront(d)
+			d.advertised = d.front.listener.Addr().String()
+		}
 		c.daemons = append(c.daemons, d)
 	}
 	for i, d := range c.daemons {
 		d.process = c.newProcess(d.id, binaries+"/bramleyroute")
 		d.env = c.environment(i, d)
+	}
+	for _, d := range c.daemons {
 		d.start()
 	}
 	t.Cleanup(c.close)
@@ -183,10 +201,37 @@
 	return c
 }
 
+const (
+	maxProcesses    = 40 // of all clusters that run at the same time
+	fakesPerCluster = 2
+)
+
+var (
+	processes = make(chan struct{}, maxProcesses)
+	taking    sync.Mutex // one cluster at a time takes its share, so that none waits with a part of it
+)
+
+// takeProcesses waits until n more processes may run, for the time of the test.
+func takeProcesses(t *testing.T, n int) {
+	taking.Lock()
+	defer taking.Unlock()
+	for range n {
+		processes <- struct{}{}
+	}
+	t.Cleanup(func() {
+		for range n {
+			<-processes
+		}
+	})
+}
+
 func (c *cluster) environment(i int, d *daemon) []string {
 	roles := "entry,scheduler"
 	if i < c.spec.controls {
 		roles += ",control"
+		if c.spec.controlOnly {
+			roles = "control"
+		}
 	}
 	domains := c.spec.domains
 	if domains == nil {
@@ -213,7 +258,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	return process{t: c.t, name: name, args: args, logs: logs}
+	return process{t: c.t, name: name, args: args, logs: logs, pid: new(atomic.Int64)}
 }
 
 func (c *cluster) newProxy(name, upstream string) *toxiproxy.Proxy {
