Pass stuck_timeout on, log requests with their fields, record the ledger

Cause: stuck_timeout never reached the entry, because the compiled route already had the default; log lines on requests lacked tier and revision; the timeline had no ledger events. Change: brconfig.Resolved tells whether the template states stuck_ms; entry events carry tier, customer, route and revision; ended requests are logged at debug, failed ones at warn; ledger commits are recorded.

--- a/brconfig/document.go
+++ b/brconfig/document.go
@@ -29,7 +29,7 @@
 	FirstTokenMS  int    `json:"first_token_ms" cbor:"first_token_ms"`   // target for the first token, or for a service's answer
 	TokenMS       int    `json:"token_ms,omitempty" cbor:"token_ms"`     // target for the mean time between tokens
 	DeadlineMS    int    `json:"deadline_ms" cbor:"deadline_ms"`         // the first token later than this is worth nothing
-	StuckMS       int    `json:"stuck_ms,omitempty" cbor:"stuck_ms"`     // without a token for this long a stream is ended; 0 means 60,000
+	StuckMS       int    `json:"stuck_ms,omitempty" cbor:"stuck_ms"`     // without a token for this long a stream is ended; 0 leaves it to the setting stuck_timeout
 	MaxTokens     int    `json:"max_tokens,omitempty" cbor:"max_tokens"` // bound on what a request may ask for; 0 means 4,096
 	NonIdempotent bool   `json:"non_idempotent,omitempty" cbor:"non_idempotent"`
 }
--- a/brconfig/field.go
+++ b/brconfig/field.go
@@ -28,7 +28,7 @@
 		{"templates[].routes[].first_token_ms", "integer", "ms", "", "Target for the first token, or for the answer of a service."},
 		{"templates[].routes[].token_ms", "integer", "ms", "0 (no target)", "Target for the mean time between tokens."},
 		{"templates[].routes[].deadline_ms", "integer", "ms", "", "A first token later than this is worth nothing. At least `first_token_ms`."},
-		{"templates[].routes[].stuck_ms", "integer", "ms", fmt.Sprint(DefaultStuckMS), "A stream without a token for this long is ended with `stuck`."},
+		{"templates[].routes[].stuck_ms", "integer", "ms", "setting `stuck_timeout`", "A stream without a token for this long is ended with `stuck`."},
 		{"templates[].routes[].max_tokens", "integer", "tokens", fmt.Sprint(DefaultMaxTokens), "Bound on what a request may ask for."},
 		{"templates[].routes[].non_idempotent", "boolean", "", "false", "The request runs at most once and is recorded in the ledger."},
 		{"templates[].moves[]", "list", "", "empty", "Version changes; one per model, and the same versions in all templates."},
--- a/brconfig/table.go
+++ b/brconfig/table.go
@@ -20,6 +20,7 @@
 type Resolved struct {
 	Customer string
 	Weight   int
+	StuckSet bool // the template states StuckMS; otherwise it is DefaultStuckMS
 	Route    Route
 	Model    Model
 	Move     *Move // of the route's model, with the customer's own date; nil when the model doesn't move
@@ -152,6 +153,7 @@
 	for _, r := range tp.Routes {
 		rv := Resolved{Customer: c.Name, Weight: orDefault(c.Weight, DefaultWeight), Model: t.models[r.Model]}
 		rv.Route = r.With(parameters[r.Name])
+		rv.StuckSet = r.StuckMS != 0
 		rv.Route.StuckMS = orDefault(r.StuckMS, DefaultStuckMS)
 		rv.Route.MaxTokens = orDefault(r.MaxTokens, DefaultMaxTokens)
 		if m, ok := tp.move(r.Model); ok {
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -12,6 +12,7 @@
 	"bramleyroute/brledger"
 	"bramleyroute/brpeer"
 	"bramleyroute/brstate"
+	"bramleyroute/brtimeline"
 	"bramleyroute/brwire"
 )
 
@@ -95,6 +96,9 @@
 		return a, brerror.New(brerror.InvalidRequest, "route %s uses model %s, not %.64q", route, r.Route.Model, model).WithField("model")
 	}
 	a.Route = r.Route
+	if limit := e.d.settings.StuckTimeout; !r.StuckSet && limit > 0 {
+		a.Route.StuckMS = int(limit.Milliseconds())
+	}
 	return a, nil
 }
 
@@ -167,6 +171,7 @@
 // resend after a lost answer can't begin twice.
 func (e *entry) ledgerBegin(ctx context.Context, r brentry.LedgerRecord) (brentry.LedgerState, error) {
 	reply, err := e.d.session.propose(ctx, beginCommand(r))
+	e.recordLedger(brtimeline.LedgerBegun, r, err)
 	if brerror.Is(err, brerror.InProgress) || brerror.Is(err, brerror.UnknownOutcome) {
 		return brentry.LedgerState{Begun: true, Customer: r.Customer}, nil
 	}
@@ -198,9 +203,20 @@
 		RequestID: r.RequestID, Entry: r.EntryID,
 		Answer: brledger.Answer{Status: a.Status, ContentType: a.ContentType, Body: a.Body, TooLarge: a.Truncated},
 	}})
+	e.recordLedger(brtimeline.LedgerFinished, r, err)
 	return err
 }
 
+// recordLedger writes an attempt to change the ledger's record of a request. Only
+// without an error is the change known to be committed.
+func (e *entry) recordLedger(k brtimeline.Kind, r brentry.LedgerRecord, err error) {
+	ev := brtimeline.Event{Kind: k, RequestID: r.RequestID, EndpointID: r.EndpointID, Customer: r.Customer}
+	if err != nil {
+		ev.ErrorKind, ev.Reason = brerror.From(err).Kind.String(), err.Error()
+	}
+	e.d.record(ev)
+}
+
 // ledgerRelease removes the record of an attempt that was never sent. It repeats
 // the begin first, under the same command id: only if that attempt has begun the
 // record is its own, and a begin that is still on its way can't come later.
@@ -219,6 +235,7 @@
 	_, err = e.d.session.propose(ctx, brstate.Command{ID: r.Attempt + "-release", ReleaseRequest: &brledger.Release{
 		RequestID: r.RequestID, Entry: r.EntryID,
 	}})
+	e.recordLedger(brtimeline.LedgerReleased, r, err)
 	if brerror.Is(err, brerror.UnknownRequest) {
 		return nil
 	}
--- a/brdaemon/notes.go
+++ b/brdaemon/notes.go
@@ -8,6 +8,7 @@
 	"bramleyroute/brerror"
 	"bramleyroute/brpool"
 	"bramleyroute/brtimeline"
+	"github.com/rs/zerolog"
 )
 
 var entryEventKinds = map[brentry.EventName]brtimeline.Kind{
@@ -27,19 +28,34 @@
 }
 
 func (d *Daemon) recordEntryEvent(e brentry.Event) {
-	ev := brtimeline.Event{Kind: entryEventKinds[e.Name], RequestID: e.RequestID, Pool: e.Pool, EndpointID: e.EndpointID, Epoch: e.Epoch, Detail: string(e.Name)}
+	ev := brtimeline.Event{Kind: entryEventKinds[e.Name], RequestID: e.RequestID, Pool: e.Pool, EndpointID: e.EndpointID, Epoch: e.Epoch, Detail: string(e.Name),
+		Customer: e.Customer, Route: e.Route, Tier: e.Tier, Revision: e.Revision}
 	if e.Err != nil {
 		ev.ErrorKind, ev.Reason = brerror.From(e.Err).Kind.String(), e.Err.Error()
 	}
 	d.record(ev)
 	switch e.Name {
 	case brentry.EventStuck:
-		d.log.Error().Str("request_id", e.RequestID).Str("pool", e.Pool).Str("endpoint_id", e.EndpointID).Err(e.Err).Msg("request is stuck and was ended")
+		logRequest(d.log.Error(), e).Msg("request is stuck and was ended")
+	case brentry.EventEnded:
+		if e.Err != nil && !brerror.Is(e.Err, brerror.Canceled) {
+			logRequest(d.log.Warn(), e).Msg("request failed after its dispatch")
+		} else {
+			logRequest(d.log.Debug(), e).Msg("request ended")
+		}
+	case brentry.EventRefused:
+		logRequest(d.log.Debug(), e).Msg("request was refused")
 	case brentry.EventLedger:
 		d.log.Warn().Err(e.Err).Msg("ledger command failed; it is repeated")
 	}
 }
 
+// logRequest adds the fields by which log lines of one request are found.
+func logRequest(l *zerolog.Event, e brentry.Event) *zerolog.Event {
+	return l.Str("request_id", e.RequestID).Str("customer", e.Customer).Str("route", e.Route).Int("tier", e.Tier).
+		Str("pool", e.Pool).Str("endpoint_id", e.EndpointID).Uint64("revision", e.Revision).Err(e.Err)
+}
+
 func (d *Daemon) recordTrip(pool string, t brpool.Trip) {
 	d.log.Error().Str("pool", pool).Str("rollout_id", t.RolloutID).Str("version", t.Version).Str("route", t.Route).Str("reason", t.Reason).Msg("breaker stopped a version")
 	d.record(brtimeline.Event{Kind: brtimeline.RolloutTripped, Pool: pool, RolloutID: t.RolloutID, Version: t.Version, Route: t.Route, Reason: t.Reason})
--- a/brentry/event.go
+++ b/brentry/event.go
@@ -34,6 +34,10 @@
 	RequestID  string
 	Pool       string
 	EndpointID string
+	Customer   string
+	Route      string
+	Tier       int    // 1 to 5; 0 when the event is about no single request
+	Revision   uint64 // of the configuration that admitted the request
 	Epoch      uint64
 	Err        error
 }
@@ -62,5 +66,6 @@
 		return
 	}
 	e.Record(Event{At: e.clock.Now(), Name: name, RequestID: h.submit.RequestID, Pool: h.submit.Pool,
-		EndpointID: g.EndpointID, Epoch: g.Epoch, Err: err})
+		EndpointID: g.EndpointID, Customer: h.submit.Customer, Route: h.submit.Route, Tier: h.submit.Tier,
+		Revision: h.admission.Revision, Epoch: g.Epoch, Err: err})
 }
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -143,6 +143,7 @@
 	proxied  bool     // peer links between daemons go through proxies
 	domains  []string // failure domains in turn; nil means a, b, c
 	document *brconfig.Document
+	env      []string // further settings of every daemon, as NAME=value
 }
 
 // fake is a fake endpoint.
@@ -204,7 +205,7 @@
 	} {
 		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
 	}
-	return env
+	return append(env, c.spec.env...) // the last one of a name counts
 }
 
 func (c *cluster) newProcess(name string, args ...string) process {
