brdaemon: tell the true age of the last confirmation

Cause: a daemon whose own replica had lost the leader reported an age below 1 s while it was unconfirmed, because replies counted when they arrived.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -165,7 +165,7 @@
 	}
 	if !d.session.takesWork() {
 		st, age := d.session.standing()
-		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
+		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation or start %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
 	}
 	return nil
 }
--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -60,7 +60,11 @@
 	view     brstate.View
 	current  int // index into replicas
 	since    time.Time
-	lastGood time.Time // last confirmation
+	lastGood time.Time // last reply of a replica that was in contact with the leader
+	// confirmedAt is the time up to which the daemon is known to have been up to
+	// date, at first that of its start: a reply is as old as the replica's contact
+	// with the leader.
+	confirmedAt time.Time
 
 	quiet  atomic.Bool
 	wg     sync.WaitGroup
@@ -72,7 +76,7 @@
 	s := &session{clock: clock, log: log, self: self, links: l, replicas: replicas}
 	now := clock.Now()
 	s.member = brmember.NewDaemon(now, self.ID)
-	s.since = now
+	s.since, s.confirmedAt = now, now
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
 }
@@ -183,12 +187,24 @@
 	}
 	if reply.Confirmed {
 		s.mu.Lock()
-		s.lastGood = s.clock.Now()
+		now := s.clock.Now()
+		s.confirmedAt = later(s.confirmedAt, now.Add(-reply.Age))
+		// A replica that lost the leader goes on to answer with an old contact.
+		if reply.Age < switchAfter {
+			s.lastGood = now
+		}
 		s.mu.Unlock()
 	}
 	s.step(brmember.ReplyReceived{Reply: reply})
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // ask puts the question of an unconfirmed daemon to another one.
 func (s *session) ask(round uint64, id string) {
 	d, ok := s.present().Daemon(id)
@@ -306,7 +322,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
-	return s.member.Standing(now), now.Sub(s.lastGood)
+	return s.member.Standing(now), now.Sub(s.confirmedAt)
 }
 
 // holds returns the epoch in which the daemon holds a lease now.
