brdaemon: export readiness and the known leader; record started rollouts

Cause: no metric told that a daemon is not ready or that the control group has no leader, and a rollout's timeline began with its first order. Change: gauges ready and control_leader_known, event rollout_started.

--- a/brctl/exit.go
+++ b/brctl/exit.go
@@ -13,7 +13,7 @@
 	ExitOK          = 0
 	ExitFailed      = 1 // anything that has no code of its own
 	ExitUsage       = 2 // the command line is wrong
-	ExitConflict    = 3 // the expected revision is not the present one
+	ExitConflict    = 3 // the present state is not the expected one
 	ExitInvalid     = 4 // refused as invalid; the same command will be refused again
 	ExitUnavailable = 5 // not run; it may be sent again later
 	ExitUnknown     = 6 // may have run; the same command must be sent again, with its command id
@@ -25,7 +25,7 @@
 		"0  done",
 		"1  failed for another reason, such as an unknown key or a rollout that was taken back",
 		"2  the command line is wrong",
-		"3  conflict: the expected revision is not the present one, which is printed",
+		"3  conflict: the present state is not the one that the command expects; the message tells the present one",
 		"4  refused as invalid; the message names the field",
 		"5  unavailable and not run: try again later",
 		"6  outcome unknown: send the command again, with the same --command-id if it has one",
--- a/brdaemon/metrics.go
+++ b/brdaemon/metrics.go
@@ -59,6 +59,7 @@
 	standing, age := d.session.standing()
 	m.scope.Gauge("standing").Update(float64(standing))
 	m.scope.Gauge("confirmation_age_seconds").Update(age.Seconds())
+	m.scope.Gauge("ready").Update(oneIf(d.ready() == nil))
 	m.scope.Gauge("revision").Update(float64(d.session.present().Revision))
 	m.count(m.scope, "", "refused_stamps", d.stamps.refused.Load())
 	if e := d.entry; e != nil {
@@ -78,6 +79,7 @@
 	if c := d.control; c != nil {
 		st := c.replica.Status()
 		s := m.scope.SubScope("control")
+		s.Gauge("leader_known").Update(oneIf(st.Leader != ""))
 		s.Gauge("term").Update(float64(st.Term))
 		s.Gauge("committed_index").Update(float64(st.Commit))
 		s.Gauge("applied_index").Update(float64(st.MachineApplied))
@@ -89,6 +91,13 @@
 	}
 }
 
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (m *metrics) updatePool(r *poolRunner) {
 	st, ok := r.status()
 	if !ok || !st.Owner {
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -169,9 +169,14 @@
 	if s.CommandID == "" {
 		s.CommandID = uuid.NewString()
 	}
-	return d.command(ctx, brstate.Command{ID: s.CommandID, StartRollout: &brstate.StartRollout{
-		ID: "rollout-" + s.CommandID, Model: s.Model, From: s.From, To: s.To, FinishBy: s.FinishBy,
+	id := "rollout-" + s.CommandID
+	acc, err := d.command(ctx, brstate.Command{ID: s.CommandID, StartRollout: &brstate.StartRollout{
+		ID: id, Model: s.Model, From: s.From, To: s.To, FinishBy: s.FinishBy,
 	}})
+	if err == nil {
+		d.record(brtimeline.Event{Kind: brtimeline.RolloutStarted, RolloutID: id, CommandID: s.CommandID, Detail: s.Model + " " + s.From + " to " + s.To})
+	}
+	return acc, err
 }
 
 // opAbortRollout takes a rollout back. The expected revision is the present one;
