Bound the answers of a timeline and read the files on request

Cause: a daemon answered with everything in memory, up to 65,536 events; above 4 MiB the message would have ended the link to the daemon that asked. Events from before a restart could not be read at all.

--- a/brctl/run_test.go
+++ b/brctl/run_test.go
@@ -51,7 +51,7 @@
 		{ID: "rollout-0", Model: "model-b", From: "v1", To: "v2", FinishBy: at, Outcome: "taken_back", Reason: "errors on route draft", EndedAt: at},
 	})
 	give(m, keys, "POST "+broperator.PathDrain, broperator.Empty{})
-	give(m, keys, "POST "+broperator.PathTimeline, broperator.Timeline{Events: []brtimeline.Event{
+	give(m, keys, "POST "+broperator.PathTimeline, broperator.Timeline{Cut: []string{"vm2"}, Events: []brtimeline.Event{
 		{Stamp: brtimeline.Stamp{Wall: at.UnixNano()}, Process: "vm1", Kind: brtimeline.RequestReceived, RequestID: "r1", Tier: 1},
 		{Stamp: brtimeline.Stamp{Wall: at.UnixNano(), Logical: 1}, Process: "vm2", Kind: brtimeline.OrderSent, EndpointID: "engine-1", Detail: "load_version v2"},
 	}})
--- a/brctl/timeline.go
+++ b/brctl/timeline.go
@@ -17,6 +17,7 @@
 	filter   brtimeline.Filter
 	from, to string
 	last     time.Duration
+	files    bool
 }
 
 func (a *App) addTimeline() {
@@ -39,11 +40,12 @@
 	c.Flag("from", "First time, as in 2026-05-04T18:00:00+02:00.").StringVar(&s.from)
 	c.Flag("to", "Time after the last one.").StringVar(&s.to)
 	c.Flag("last", "Only the last part, as in 10m; instead of --from.").DurationVar(&s.last)
+	c.Flag("files", "Also what the daemons' files hold from before their starts; slower.").BoolVar(&s.files)
 	return s
 }
 
 func (s *span) query(now time.Time) (broperator.TimelineQuery, error) {
-	q := broperator.TimelineQuery{Filter: s.filter}
+	q := broperator.TimelineQuery{Filter: s.filter, Files: s.files}
 	for _, f := range []struct {
 		name, text string
 		to         *time.Time
@@ -79,6 +81,9 @@
 		t.Events = slices.DeleteFunc(t.Events, func(e brtimeline.Event) bool { return !slices.Contains(kinds, e.Kind) })
 	}
 	a.warnMissing(t.Missing)
+	if len(t.Cut) > 0 {
+		fmt.Fprintln(a.errors, "warning: older events are left out of", strings.Join(t.Cut, ", ")+"; select fewer")
+	}
 	return a.print(t, func(g *grid) {
 		g.row("TIME", "DAEMON", "EVENT", "DETAILS")
 		for _, e := range t.Events {
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -142,6 +142,7 @@
 	}
 	d.register(mux)
 	d.registerOperator(mux)
+	d.registerTimeline(mux)
 	d.metrics = newMetrics(d)
 	d.wg.Go(d.metrics.run)
 	d.peers = &brpeer.Server{Mux: mux, Keys: d.keys}
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -297,38 +297,6 @@
 	return p, nil
 }
 
-func (d *Daemon) opTimeline(ctx context.Context, q broperator.TimelineQuery) (broperator.Timeline, error) {
-	out := broperator.Timeline{Events: []brtimeline.Event{}, Missing: []string{}}
-	if q.ThisDaemon {
-		out.Events = append(out.Events, d.recorder.Events(q.Filter)...)
-		return out, nil
-	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	lists := [][]brtimeline.Event{d.recorder.Events(q.Filter)}
-	for _, row := range d.session.present().Daemons {
-		if row.ID == d.self.ID {
-			continue
-		}
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
-			defer cancel()
-			list, err := callDaemon[brtimeline.Filter, []brtimeline.Event](ctx, d, row.ID, brwire.NameTimeline, q.Filter)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				out.Missing = append(out.Missing, row.ID)
-				return
-			}
-			lists = append(lists, list)
-		})
-	}
-	wg.Wait()
-	slices.Sort(out.Missing)
-	out.Events = append(out.Events, brtimeline.Merge(lists...)...)
-	return out, nil
-}
-
 func (d *Daemon) opReplicas(ctx context.Context, c broperator.ReplicaChange) (broperator.Empty, error) {
 	switch {
 	case d.control == nil:
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -26,9 +26,6 @@
 		v := d.session.present()
 		return Update{View: &v}, nil
 	})
-	brpeer.HandleCall(m, brwire.NameTimeline, func(_ context.Context, _ *brpeer.Conn, f brtimeline.Filter) ([]brtimeline.Event, error) {
-		return d.recorder.Events(f), nil
-	})
 	d.registerEntry(m)
 	d.registerScheduler(m)
 	d.registerControl(m)
--- a/broperator/api.go
+++ b/broperator/api.go
@@ -189,12 +189,14 @@
 type TimelineQuery struct {
 	brtimeline.Filter
 	ThisDaemon bool `json:"this_daemon"` // don't ask the other daemons
+	Files      bool `json:"files"`       // also what the daemons' files hold from before their starts
 }
 
 // Timeline is the merged timeline of the daemons that answered.
 type Timeline struct {
 	Events  []brtimeline.Event `json:"events"`
 	Missing []string           `json:"missing"` // daemons that did not answer
+	Cut     []string           `json:"cut"`     // daemons that have more events, older ones than those here
 }
 
 // Empty is the body of a call without one.
--- a/brsystem/operator_test.go
+++ b/brsystem/operator_test.go
@@ -112,6 +112,11 @@
 			}
 		}
 	}
+	// What the restarted daemon did before its start is in its file.
+	out, errs, code = c.ctl([]*daemon{c.daemons[3]}, "timeline", "--command-id="+ids[won], "--files")
+	if code != brctl.ExitOK || !strings.Contains(out, restarted.id) || !strings.Contains(out, "command_committed") {
+		t.Errorf("timeline with files: code %d, %s, %s", code, out, errs)
+	}
 	c.checkTimeline(testContext(t))
 }
 
