One name for each field in logs; reads that fail inside a daemon exit with 1

Cause: log lines named endpoint and rollout in two ways and repeated the key daemon; bramleyctl told scripts to retry a read that failed with internal. Change: endpoint_id, rollout_id and daemon_id everywhere; exit code 1.

--- a/brctl/client.go
+++ b/brctl/client.go
@@ -71,7 +71,7 @@
 // read calls something that changes nothing, at each address in turn.
 func read[Req, Resp any](ctx context.Context, c client, method, path string, req Req) (Resp, error) {
 	resp, f, err := try[Req, Resp](ctx, c, method, path, req)
-	if f != settled {
+	if f != settled && !brerror.Is(err, brerror.Internal) {
 		err = &unavailableError{err}
 	}
 	return resp, err
--- a/brdaemon/control.go
+++ b/brdaemon/control.go
@@ -233,7 +233,7 @@
 		if err == nil {
 			return
 		}
-		c.d.log.Debug().Err(err).Str("daemon", d.ID).Msg("daemon was not registered yet")
+		c.d.log.Debug().Err(err).Str("daemon_id", d.ID).Msg("daemon was not registered yet")
 		select {
 		case <-c.d.clock.After(registerPause):
 		case <-c.ctx.Done():
--- a/brdaemon/leading.go
+++ b/brdaemon/leading.go
@@ -215,7 +215,7 @@
 		}
 		cmd := brstate.Command{ID: uuid.NewString(), DeregisterDaemon: &brstate.DeregisterDaemon{DaemonID: id, Incarnation: d.Incarnation}}
 		if _, err := l.c.propose(l.ctx, cmd); err != nil {
-			l.c.d.log.Warn().Err(err).Str("daemon", id).Msg("lost daemon was not removed")
+			l.c.d.log.Warn().Err(err).Str("daemon_id", id).Msg("lost daemon was not removed")
 		}
 	}
 }
--- a/brdaemon/rollouts.go
+++ b/brdaemon/rollouts.go
@@ -163,7 +163,7 @@
 		address := o.models[r.state.Model][e.EndpointID].Address
 		o.l.c.wg.Go(func() { o.readState(r.state.RolloutID, address) })
 	case brrollout.Note:
-		d.log.Info().Str("rollout", e.RolloutID).Msg(e.Text)
+		d.log.Info().Str("rollout_id", e.RolloutID).Msg(e.Text)
 		d.record(brtimeline.Event{Kind: brtimeline.RolloutNote, RolloutID: e.RolloutID, Detail: e.Text})
 	}
 }
@@ -178,7 +178,7 @@
 		if brerror.Is(err, brerror.OrderRefused) {
 			answer = brrollout.OrderRefused
 		}
-		o.l.c.d.log.Warn().Err(err).Str("endpoint", e.EndpointID).Str("rollout", rollout).Msg("order failed")
+		o.l.c.d.log.Warn().Err(err).Str("endpoint_id", e.EndpointID).Str("rollout_id", rollout).Msg("order failed")
 	}
 	answered := brtimeline.Event{Kind: brtimeline.OrderAnswered, RolloutID: rollout, EndpointID: e.EndpointID, Detail: string(e.Order.Kind) + " " + e.Order.Version}
 	if err != nil {
@@ -230,7 +230,7 @@
 	if saved != nil {
 		st, err := brwire.Decode[brrollout.State](saved)
 		if err != nil {
-			c.d.log.Error().Err(err).Str("rollout", row.ID).Msg("saved progress can't be read")
+			c.d.log.Error().Err(err).Str("rollout_id", row.ID).Msg("saved progress can't be read")
 			return nil
 		}
 		r := &rolloutRun{state: st, saved: saved, savedAt: now}
@@ -301,13 +301,13 @@
 		return
 	}
 	if _, err := o.propose(cmd); err != nil {
-		o.l.c.d.log.Warn().Err(err).Str("rollout", row.ID).Msg("rollout was not updated")
+		o.l.c.d.log.Warn().Err(err).Str("rollout_id", row.ID).Msg("rollout was not updated")
 		return
 	}
 	ev := brtimeline.Event{Kind: brtimeline.RolloutShare, RolloutID: row.ID, PerMille: r.state.Share}
 	if r.state.Ended() {
 		ev.Kind, ev.Reason = brtimeline.RolloutEnded, string(r.state.Phase)+": "+r.state.Reason
-		o.l.c.d.log.Info().Str("rollout", row.ID).Str("outcome", string(r.state.Phase)).Str("reason", r.state.Reason).Msg("rollout ended")
+		o.l.c.d.log.Info().Str("rollout_id", row.ID).Str("outcome", string(r.state.Phase)).Str("reason", r.state.Reason).Msg("rollout ended")
 	}
 	o.l.c.d.record(ev)
 }
@@ -321,7 +321,7 @@
 		return true
 	}
 	if _, err := o.propose(brstate.Command{ID: uuid.NewString(), SaveProgress: &brstate.SaveProgress{ID: id, Data: data}}); err != nil {
-		o.l.c.d.log.Warn().Err(err).Str("rollout", id).Msg("progress was not saved")
+		o.l.c.d.log.Warn().Err(err).Str("rollout_id", id).Msg("progress was not saved")
 		return false
 	}
 	r.saved = data
