--- a/brcontrol/loop.go
+++ b/brcontrol/loop.go
@@ -76,33 +76,38 @@
 	r.lastStep = now
 	r.mu.Unlock()
 	for _, e := range effects {
-		if a, ok := e.(brlog.Accepted); ok {
-			for i, p := range batch {
-				index := a.First + uint64(i)
-				if old := r.waiters[index]; old != nil {
-					old.finish(nil, errUnknown)
-				}
-				p.term = a.Term
-				r.waiters[index] = p
-			}
+		switch a := e.(type) {
+		case brlog.Refused:
+			answer = a
+		case brlog.Accepted:
+			answer = a
+			r.await(a, batch)
 		}
 	}
 	for _, e := range effects {
 		if r.ctx.Err() != nil {
-			return nil
-		}
-		switch e.(type) {
-		case brlog.Accepted, brlog.Refused:
-			answer = e
-		default:
-			r.perform(e)
+			break
 		}
+		r.perform(e)
 	}
 	return answer
 }
 
+// await makes the proposals of an accepted batch wait for their entries.
+func (r *Replica) await(a brlog.Accepted, batch []*proposal) {
+	for i, p := range batch {
+		index := a.First + uint64(i)
+		if old := r.waiters[index]; old != nil {
+			old.finish(nil, errUnknown)
+		}
+		p.term = a.Term
+		r.waiters[index] = p
+	}
+}
+
 func (r *Replica) perform(e brlog.Effect) {
 	switch e := e.(type) {
+	case brlog.Accepted, brlog.Refused: // the answer of the step
 	case brlog.Write:
 		r.lastWrite = e.Seq
 		r.disk.put(e)
@@ -140,13 +145,14 @@
 }
 
 func (r *Replica) apply(entries []brlog.Entry) {
+	membership := false
 	for _, e := range entries {
 		var out []byte
 		switch e.Kind {
 		case brlog.EntryData:
 			out = r.cfg.Machine.Apply(e.Index, e.Data)
 		case brlog.EntryMembership:
-			r.membershipApplied()
+			membership = true
 		}
 		if p := r.waiters[e.Index]; p != nil {
 			delete(r.waiters, e.Index)
@@ -162,6 +168,9 @@
 		}
 	}
 	r.setApplied(entries[len(entries)-1].Index)
+	if membership {
+		r.membershipApplied()
+	}
 }
 
 func (r *Replica) restore(s brlog.Snapshot) {
