--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -142,6 +142,7 @@
 	}
 	d.register(mux)
 	d.registerOperator(mux)
+	d.registerTimeline(mux)
 	d.metrics = newMetrics(d)
 	d.wg.Go(d.metrics.run)
 	d.peers = &brpeer.Server{Mux: mux, Keys: d.keys}
@@ -168,7 +169,7 @@
 	}
 	if !d.session.takesWork() {
 		st, age := d.session.standing()
-		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
+		return brerror.New(brerror.ConfigurationUnconfirmed, "daemon is %v; last confirmation or start %v ago", st, age.Round(time.Millisecond)).WithRetryAfter(unconfirmedRetry)
 	}
 	// A pool's next owner asks only the registered entries what they dispatched.
 	if !d.session.registered() {
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -170,9 +170,14 @@
 	if s.CommandID == "" {
 		s.CommandID = uuid.NewString()
 	}
-	return d.command(ctx, brstate.Command{ID: s.CommandID, StartRollout: &brstate.StartRollout{
-		ID: "rollout-" + s.CommandID, Model: s.Model, From: s.From, To: s.To, FinishBy: s.FinishBy,
+	id := "rollout-" + s.CommandID
+	acc, err := d.command(ctx, brstate.Command{ID: s.CommandID, StartRollout: &brstate.StartRollout{
+		ID: id, Model: s.Model, From: s.From, To: s.To, FinishBy: s.FinishBy,
 	}})
+	if err == nil {
+		d.record(brtimeline.Event{Kind: brtimeline.RolloutStarted, RolloutID: id, CommandID: s.CommandID, Detail: s.Model + " " + s.From + " to " + s.To})
+	}
+	return acc, err
 }
 
 // opAbortRollout takes a rollout back. The expected revision is the present one;
@@ -300,38 +305,6 @@
 	return p, nil
 }
 
-func (d *Daemon) opTimeline(ctx context.Context, q broperator.TimelineQuery) (broperator.Timeline, error) {
-	out := broperator.Timeline{Events: []brtimeline.Event{}, Missing: []string{}}
-	if q.ThisDaemon {
-		out.Events = append(out.Events, d.recorder.Events(q.Filter)...)
-		return out, nil
-	}
-	var mu sync.Mutex
-	var wg sync.WaitGroup
-	lists := [][]brtimeline.Event{d.recorder.Events(q.Filter)}
-	for _, row := range d.session.present().Daemons {
-		if row.ID == d.self.ID {
-			continue
-		}
-		wg.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, gatherTimeout)
-			defer cancel()
-			list, err := callDaemon[brtimeline.Filter, []brtimeline.Event](ctx, d, row.ID, brwire.NameTimeline, q.Filter)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				out.Missing = append(out.Missing, row.ID)
-				return
-			}
-			lists = append(lists, list)
-		})
-	}
-	wg.Wait()
-	slices.Sort(out.Missing)
-	out.Events = append(out.Events, brtimeline.Merge(lists...)...)
-	return out, nil
-}
-
 func (d *Daemon) opReplicas(ctx context.Context, c broperator.ReplicaChange) (broperator.Empty, error) {
 	switch {
 	case d.control == nil:
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -62,7 +62,7 @@
 		fmt.Fprintln(os.Stderr, "brsystem: build:", err)
 		os.Exit(1)
 	}
-	nextPort.Store(rand.Int64N(portCount)) // other runs may be under way
+	nextPort.Store(rand.Uint32N(portCount)) // other runs may be under way
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -155,6 +155,7 @@
 	controlOnly bool
 	domains     []string // failure domains in turn; nil means a, b, c
 	document    *brconfig.Document
+	env         []string // further settings of every daemon, as NAME=value
 }
 
 // fake is a fake endpoint.
@@ -250,7 +251,7 @@
 	} {
 		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
 	}
-	return env
+	return append(env, c.spec.env...) // the last one of a name counts
 }
 
 func (c *cluster) newProcess(name string, args ...string) process {
@@ -472,9 +473,8 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	offset := uint32(os.Getpid()) * 101
 	for range portCount {
-		port := firstPort + (offset+nextPort.Add(1))%portCount
+		port := firstPort + nextPort.Add(1)%portCount
 		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
 			l.Close()
 			return l.Addr().String()
