brrollout: shrink the fixed times in rollouts shorter than 10 minutes

Cause: the stages are parts of the time to finish_by, but settleTime (10 s), blocks (5 s) and load averaging (30 s) were fixed, so that in a rollout of 40 s no sample was weighed while the share grew. Change: scaled shrinks the fixed times in proportion below a length of 10 min, down to 1 s; longer rollouts are as before. brfake counts requests by version and keeps the orders that it received.

--- a/brfake/config.go
+++ b/brfake/config.go
@@ -75,6 +75,17 @@
 	Resumes         int            `json:"resumes"`
 	Orders          int            `json:"orders"`
 	OrdersRefused   int            `json:"orders_refused"`
+	Versions        map[string]int `json:"versions"`  // requests received while each version was served
+	OrderLog        []OrderSeen    `json:"order_log"` // the first orders received
 	Running         int            `json:"running"`
 	Waiting         int            `json:"waiting"`
 }
+
+// OrderSeen is an order as an endpoint received it.
+type OrderSeen struct {
+	At           time.Time `json:"at"`
+	OrderID      string    `json:"order_id"`
+	Version      string    `json:"version"`
+	FencingToken uint64    `json:"fencing_token"`
+	Refusal      string    `json:"refusal,omitempty"` // empty when it was carried out
+}
--- a/brfake/engine.go
+++ b/brfake/engine.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -87,7 +89,7 @@
 		state:       brengine.State{EndpointID: c.EndpointID, Model: c.Model, Version: c.Version},
 		sequences:   map[string]*sequence{},
 		cache:       newPrefixCache(c.CacheBlocks),
-		counts:      Counts{Requests: map[string]int{}},
+		counts:      Counts{Requests: map[string]int{}, Versions: map[string]int{}},
 	}
 	for v, f := range c.Faults {
 		e.faults[v] = f
@@ -111,6 +113,7 @@
 	defer e.mu.Unlock()
 	c := e.counts
 	c.Running, c.Waiting = len(e.running), len(e.waiting)
+	c.Versions, c.OrderLog = maps.Clone(e.counts.Versions), slices.Clone(e.counts.OrderLog)
 	c.Requests = make(map[string]int, len(e.counts.Requests))
 	for id, n := range e.counts.Requests {
 		c.Requests[id] = n
--- a/brfake/handler.go
+++ b/brfake/handler.go
@@ -62,6 +62,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.counts.Requests[id]++
+	e.counts.Versions[e.state.Version]++
 	if e.counts.Requests[id] > 1 {
 		e.counts.Duplicates++
 	}
--- a/brfake/order.go
+++ b/brfake/order.go
@@ -9,6 +9,9 @@
 	"bramleyroute/brerror"
 )
 
+// maxOrderLog bounds the orders that are kept for Counts.
+const maxOrderLog = 1000
+
 func (e *Endpoint) serveState(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	s := e.state
@@ -24,6 +27,9 @@
 	}
 	e.mu.Lock()
 	refusal := e.obey(o)
+	if len(e.counts.OrderLog) < maxOrderLog {
+		e.counts.OrderLog = append(e.counts.OrderLog, OrderSeen{At: time.Now(), OrderID: o.OrderID, Version: o.Version, FencingToken: o.FencingToken, Refusal: refusal})
+	}
 	s := e.state
 	e.mu.Unlock()
 	if refusal != "" {
--- a/brrollout/move.go
+++ b/brrollout/move.go
@@ -21,7 +21,7 @@
 		case t.now.Sub(e.LoadingAt) > t.loadTimeout():
 			t.loadFailed(e.ID, e.Loads)
 			continue
-		case !e.Accepted && t.now.Sub(e.OrderedAt) >= resendInterval:
+		case !e.Accepted && t.now.Sub(e.OrderedAt) >= t.scaled(resendInterval):
 			t.send(i)
 		}
 		loading++
@@ -227,7 +227,7 @@
 }
 
 func (t *turn) retryLater(e *Endpoint) {
-	delay := min(retryDelay<<min(e.Attempt, 8), maxRetryDelay)
+	delay := t.scaled(min(retryDelay<<min(e.Attempt, 8), maxRetryDelay))
 	e.Placement, e.Loads, e.RetryAt = Serving, "", t.now.Add(delay)
 }
 
--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -106,8 +106,28 @@
 	maxRetryDelay  = 5 * time.Minute
 	minLoadTimeout = 2 * time.Minute
 	loadTimeFactor = 5 // allowed times of the shortest possible load
+
+	// shortLength is the length of a rollout below which its fixed times shrink
+	// in proportion; see scaled.
+	shortLength = 10 * time.Minute
+	// leastTime is what they shrink to at least: schedulers report each second.
+	leastTime = time.Second
+	// leastLoadTime is the same for the time that a load may take, and covers an
+	// order's timeout and an announcement.
+	leastLoadTime = 10 * time.Second
 )
 
+// scaled returns a fixed time as it holds in this rollout. The plan's stages are
+// parts of the time from start to finish_by; in a rollout shorter than
+// shortLength the fixed times shrink with them, because at full length a single
+// settleTime would last longer than a stage. Requests that last longer than the
+// scaled settleTime then bias the first samples of a stage, so such a rollout
+// suits only a model whose requests take less than a 60th of its length.
+func (s *State) scaled(d time.Duration) time.Duration {
+	part := min(1, float64(s.length())/float64(shortLength))
+	return max(min(d, leastTime), time.Duration(part*float64(d)))
+}
+
 func (s *State) length() time.Duration { return s.FinishBy.Sub(s.StartedAt) }
 
 // at maps a part of the plan to a time. Where loading the fleet needs more than
@@ -216,5 +236,5 @@
 
 // loadTimeout returns how long a load may take.
 func (s *State) loadTimeout() time.Duration {
-	return max(minLoadTimeout, loadTimeFactor*s.Budget.Duration(1, s.LoadBytes))
+	return max(leastLoadTime, s.scaled(minLoadTimeout), loadTimeFactor*s.Budget.Duration(1, s.LoadBytes))
 }
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -94,6 +94,7 @@
 		Phase: Running, FencingToken: e.FencingToken, Budget: e.Budget, TickedAt: t.now,
 		Judge: Judge{OldVersion: e.OldVersion, NewVersion: e.NewVersion},
 	}
+	t.Judge.BlockLength, t.Judge.BlockLimit = t.scaled(blockLength), t.scaled(blockLimit)
 	for _, target := range e.Endpoints {
 		t.seen(target)
 	}
@@ -171,7 +172,7 @@
 		total += l.Outstanding
 	}
 	passed := max(0, t.now.Sub(t.TickedAt))
-	t.Smoothed += (float64(total) - t.Smoothed) * (1 - math.Exp(-passed.Seconds()/loadedTime.Seconds()))
+	t.Smoothed += (float64(total) - t.Smoothed) * (1 - math.Exp(-passed.Seconds()/t.scaled(loadedTime).Seconds()))
 	t.Peak = max(t.Peak, t.Smoothed)
 	switch exposure := t.Exposure(); {
 	case exposure > exposureLimit:
@@ -229,7 +230,7 @@
 	t.SettledShare = min(t.SettledShare, share)
 	if float64(share) > settleRatio*float64(t.SettledShare) {
 		t.SettledShare = share
-		t.SettledAt = t.now.Add(settleTime)
+		t.SettledAt = t.now.Add(t.scaled(settleTime))
 		t.Judge = t.Judge.Flush()
 	}
 	if share != t.Share {
