brdaemon: mend rollouts of whole processes; add their tests

Cause: a second rollout of a model was split by the row of the first; an ended rollout went on sending orders against its successor; a new leader knew no endpoint address for up to 15 s; the outcome was in the timeline of the leader that committed it only; the weight store's rate was divided once, at the start; a short rollout's last tick could miss the time for its outcome. Change: only the last rollout of a model counts; the new leader asks the pools' owners for full reports; control replicas record outcomes; the budget is divided anew when the number of rollouts changes; orders are sent only under the leader's lease; short rollouts keep the share small enough for the report's delay.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -288,6 +288,9 @@
 
 func (d *Daemon) viewChanged(old, v brstate.View) {
 	d.record(brtimeline.Event{Kind: brtimeline.ConfigurationApplied, Revision: v.Revision})
+	if d.control != nil {
+		d.recordOutcomes(old, v)
+	}
 	if d.entry != nil {
 		d.entry.viewChanged(old, v)
 	}
--- a/brdaemon/endpoints.go
+++ b/brdaemon/endpoints.go
@@ -9,13 +9,18 @@
 )
 
 const (
-	nameEndpoints = "endpoints"
+	nameEndpoints    = "endpoints"
+	nameAskEndpoints = "ask_endpoints"
 	// fullReportEvery and deltaEvery pace what the owner of a pool tells the
 	// control leader about its endpoints during a rollout: 217 endpoints of some
 	// 250 bytes in full each second would take 54 KB/s, in full each 15 s it is
 	// 3.6 KB/s of the 21 KB/s that a daemon may spend.
 	fullReportEvery = 15 * time.Second
 	deltaEvery      = 250 * time.Millisecond
+	// completeAfter is how long a daemon has known a pool before it reports in
+	// full. Endpoints announce themselves each second; one that a full report
+	// doesn't list counts as lost, and a restarted owner knows few at first.
+	completeAfter = 3 * time.Second
 )
 
 // report notes an announcement and passes it to the pool.
@@ -35,6 +40,15 @@
 	}
 }
 
+// askEndpoints makes the next report to the control leader a full one.
+func (s *scheduler) askEndpoints(pool string) {
+	if r := s.find(pool); r != nil {
+		r.mu.Lock()
+		r.lastFull = time.Time{}
+		r.mu.Unlock()
+	}
+}
+
 // endpointLost notes that an endpoint is silent or was removed.
 func (r *poolRunner) endpointLost(id string) {
 	r.mu.Lock()
@@ -51,7 +65,7 @@
 	}
 	now := r.d.clock.Now()
 	r.mu.Lock()
-	rep := EndpointReport{Pool: r.name, Full: now.Sub(r.lastFull) >= fullReportEvery}
+	rep := EndpointReport{Pool: r.name, Full: now.Sub(r.lastFull) >= fullReportEvery && now.Sub(r.began) >= completeAfter}
 	if !rep.Full && (now.Sub(r.lastDelta) < deltaEvery || len(r.changed) == 0 && len(r.gone) == 0) {
 		r.mu.Unlock()
 		return
--- a/brdaemon/notes.go
+++ b/brdaemon/notes.go
@@ -7,6 +7,7 @@
 	"bramleyroute/brentry"
 	"bramleyroute/brerror"
 	"bramleyroute/brpool"
+	"bramleyroute/brstate"
 	"bramleyroute/brtimeline"
 )
 
@@ -45,6 +46,19 @@
 	d.record(brtimeline.Event{Kind: brtimeline.RolloutTripped, Pool: pool, RolloutID: t.RolloutID, Version: t.Version, Route: t.Route, Reason: t.Reason})
 }
 
+// recordOutcomes writes the rollouts that ended between two views. Every control
+// replica does, so that the outcome stays in the timeline when the leader that
+// committed it is lost.
+func (d *Daemon) recordOutcomes(old, v brstate.View) {
+	for _, row := range v.Rollouts {
+		was, ok := old.Rollout(row.ID)
+		if row.Active() || ok && !was.Active() || !ok && old.Revision == 0 {
+			continue
+		}
+		d.record(brtimeline.Event{Kind: brtimeline.RolloutEnded, RolloutID: row.ID, Version: row.To, Revision: row.Revision, Reason: string(row.Outcome) + ": " + row.Reason})
+	}
+}
+
 // recordPoolNote writes a timeline note of a pool. Notes on endpoints go into the
 // log as well.
 func (d *Daemon) recordPoolNote(pool string, e brpool.Effect) {
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -68,6 +68,11 @@
 }
 
 func (d *Daemon) registerScheduler(m *brpeer.Mux) {
+	brpeer.HandlePush(m, nameAskEndpoints, func(_ *brpeer.Conn, l brwire.Locate) {
+		if d.scheduler != nil {
+			d.scheduler.askEndpoints(l.Pool)
+		}
+	})
 	pooled(m, d, brwire.NameSubmit, func(entry string, s brwire.Submit) brpool.Event {
 		d.record(brtimeline.Event{Kind: brtimeline.RequestQueued, RequestID: s.RequestID, Pool: s.Pool, Tier: s.Tier, Customer: s.Customer, Route: s.Route, Peer: entry})
 		return brpool.Submit{EntryID: entry, Submit: s}
--- a/brdaemon/rollouts.go
+++ b/brdaemon/rollouts.go
@@ -26,6 +26,8 @@
 	// endpointWait is how long a new leader waits for the schedulers' reports
 	// on endpoints before it starts a rollout on those that it knows.
 	endpointWait = 5 * time.Second
+	// askEvery is how often owners are asked for a full report that is missing.
+	askEvery = 500 * time.Millisecond
 )
 
 // rollouts runs brrollout for each rollout in the control state while this
@@ -36,6 +38,10 @@
 	inbox  *mailbox[func()]
 	runs   map[string]*rolloutRun
 	models map[string]map[string]brwire.Announce // endpoints by model and id
+	full   map[string]string                     // by pool, the owner whose full report has come
+	asked  time.Time                             // when owners were last asked for one
+	since  map[string]time.Time                  // by rollout, when this leader first saw it
+	shares int                                   // rollouts that the budget is divided by
 }
 
 type rolloutRun struct {
@@ -49,6 +55,7 @@
 	return &rollouts{
 		l: l, began: l.c.d.clock.Now(), inbox: newMailbox[func()](),
 		runs: map[string]*rolloutRun{}, models: map[string]map[string]brwire.Announce{},
+		full: map[string]string{}, since: map[string]time.Time{},
 	}
 }
 
@@ -89,6 +96,9 @@
 	}
 	gone := r.Gone
 	if r.Full {
+		if w, ok := o.l.c.view().Owner(r.Pool); ok {
+			o.full[r.Pool] = w.Holder
+		}
 		for id, a := range known {
 			if a.Pool() == r.Pool && !slices.ContainsFunc(r.Endpoints, func(b brwire.Announce) bool { return b.EndpointID == id }) {
 				gone = append(gone, id)
@@ -172,7 +182,10 @@
 	ctx, cancel := context.WithTimeout(o.l.ctx, orderTimeout)
 	defer cancel()
 	answer := brrollout.OrderAccepted
-	err := postOrder(ctx, address, e.Order)
+	err := o.mayOrder()
+	if err == nil {
+		err = postOrder(ctx, address, e.Order)
+	}
 	if err != nil {
 		answer = brrollout.OrderUnreachable
 		if brerror.Is(err, brerror.OrderRefused) {
@@ -190,6 +203,16 @@
 	})
 }
 
+// mayOrder reports an error unless this replica still leads its term. It is
+// asked right before an order is sent: a process that stood still goes on with
+// what it had decided before it notices that another replica leads.
+func (o *rollouts) mayOrder() error {
+	if st := o.l.c.replica.Status(); !st.LeaseValid || st.Term != o.l.term {
+		return brerror.New(brerror.NotLeader, "leadership of term %d ended; the order was not sent", o.l.term)
+	}
+	return nil
+}
+
 func (o *rollouts) readState(rollout, address string) {
 	ctx, cancel := context.WithTimeout(o.l.ctx, orderTimeout)
 	defer cancel()
@@ -204,7 +227,15 @@
 // rows to what the reducers decided.
 func (o *rollouts) advance() {
 	v := o.l.c.view()
+	o.askOwners(v)
+	o.divideBudget(v)
 	for _, row := range v.Rollouts {
+		last, _ := latestRollout(v.Rollouts, func(x brstate.Rollout) bool { return x.Model == row.Model })
+		if last.ID != row.ID {
+			// A later rollout decides what the endpoints serve.
+			delete(o.runs, row.ID)
+			continue
+		}
 		r := o.runs[row.ID]
 		if r == nil {
 			if r = o.begin(row); r == nil {
@@ -236,6 +267,7 @@
 		r := &rolloutRun{state: st, saved: saved, savedAt: now}
 		o.runs[row.ID] = r
 		o.stepOne(row.ID, brrollout.Resumed{FencingToken: o.l.term, FormerLeaseBy: now.Add(formerOrders)})
+		o.stepOne(row.ID, brrollout.BudgetChanged{Budget: o.budget().Divide(max(1, o.shares))})
 		return r
 	}
 	if !row.Active() {
@@ -245,30 +277,23 @@
 	for _, a := range o.models[row.Model] {
 		targets = append(targets, targetOf(a))
 	}
-	if len(targets) < 2 && now.Sub(o.began) < endpointWait {
+	if _, ok := o.since[row.ID]; !ok {
+		o.since[row.ID] = now
+	}
+	if !o.reported(row.Model) && now.Sub(o.since[row.ID]) < endpointWait {
 		return nil
 	}
 	slices.SortFunc(targets, func(a, b brrollout.Target) int { return bytes.Compare([]byte(a.ID), []byte(b.ID)) })
 	r := &rolloutRun{urgent: true}
 	o.runs[row.ID] = r
-	budget := brrollout.Budget{BytesPerSecond: float64(c.d.settings.WeightStoreBytesPerSecond)}
+	budget := o.budget()
 	o.stepOne(row.ID, brrollout.Started{
 		RolloutID: row.ID, Model: row.Model, OldVersion: row.From, NewVersion: row.To, FinishBy: row.FinishBy,
-		FencingToken: o.l.term, Budget: budget.Divide(max(1, o.active())), LoadBytes: o.weights(row.Model), Endpoints: targets,
+		FencingToken: o.l.term, Budget: budget.Divide(max(1, o.shares)), LoadBytes: o.weights(row.Model), Endpoints: targets,
 	})
 	return r
 }
 
-func (o *rollouts) active() int {
-	n := 0
-	for _, row := range o.l.c.view().Rollouts {
-		if row.Active() {
-			n++
-		}
-	}
-	return n
-}
-
 func (o *rollouts) weights(model string) int64 {
 	for _, m := range o.l.c.view().Configuration.Models {
 		if m.Name == model {
@@ -304,12 +329,10 @@
 		o.l.c.d.log.Warn().Err(err).Str("rollout", row.ID).Msg("rollout was not updated")
 		return
 	}
-	ev := brtimeline.Event{Kind: brtimeline.RolloutShare, RolloutID: row.ID, PerMille: r.state.Share}
+	o.l.c.d.record(brtimeline.Event{Kind: brtimeline.RolloutShare, RolloutID: row.ID, PerMille: r.state.Share})
 	if r.state.Ended() {
-		ev.Kind, ev.Reason = brtimeline.RolloutEnded, string(r.state.Phase)+": "+r.state.Reason
 		o.l.c.d.log.Info().Str("rollout", row.ID).Str("outcome", string(r.state.Phase)).Str("reason", r.state.Reason).Msg("rollout ended")
 	}
-	o.l.c.d.record(ev)
 }
 
 func (o *rollouts) save(id string, r *rolloutRun) bool {
--- a/brdaemon/scheduler.go
+++ b/brdaemon/scheduler.go
@@ -160,6 +160,7 @@
 	gone      []string
 	lastFull  time.Time
 	lastDelta time.Time
+	began     time.Time
 }
 
 func newPoolRunner(d *Daemon, name string, kind brwire.EndpointKind) *poolRunner {
@@ -169,7 +170,7 @@
 		inbox: newMailbox[brpool.Event](), ask: make(chan func()),
 		stop: make(chan struct{}), done: make(chan struct{}),
 		released: make(chan struct{}), locates: map[uint64]chan brwire.Located{},
-		endpoints: map[string]brwire.Announce{}, changed: map[string]bool{},
+		endpoints: map[string]brwire.Announce{}, changed: map[string]bool{}, began: d.clock.Now(),
 	}
 }
 
@@ -346,24 +347,37 @@
 	r.post(brpool.SetRollouts{Rollouts: rolloutsOf(v, model, r.name)})
 }
 
+// rolloutsOf returns the rollout that splits a pool's traffic: the last one of
+// its model that covers the pool, running or ended. Earlier ones must not be
+// passed on, because a request belongs to the first rollout that is.
 func rolloutsOf(v brstate.View, model, pool string) []brpool.Rollout {
-	var list []brpool.Rollout
-	for _, o := range v.Rollouts {
-		if o.Model != model || o.Pool != "" && o.Pool != pool {
-			continue
-		}
-		share := o.SharePerMille
-		switch o.Outcome {
-		case brstate.Finished:
-			share = brstate.FullShare
-		case brstate.TakenBack:
-			share = 0
+	o, ok := latestRollout(v.Rollouts, func(o brstate.Rollout) bool {
+		return o.Model == model && (o.Pool == "" || o.Pool == pool)
+	})
+	if !ok {
+		return nil
+	}
+	share := o.SharePerMille
+	switch o.Outcome {
+	case brstate.Finished:
+		share = brstate.FullShare
+	case brstate.TakenBack:
+		share = 0
+	}
+	return []brpool.Rollout{{
+		ID: o.ID, Old: o.From, New: o.To, PerMille: share, Excluded: excludedRoutes(o), Targets: targetsOf(v.Configuration, model),
+	}}
+}
+
+// latestRollout returns the selected row that started last. A model has one
+// running rollout at a time, so the row with the highest revision is the last.
+func latestRollout(rows []brstate.Rollout, selected func(brstate.Rollout) bool) (last brstate.Rollout, ok bool) {
+	for _, o := range rows {
+		if selected(o) && (!ok || o.Revision > last.Revision) {
+			last, ok = o, true
 		}
-		list = append(list, brpool.Rollout{
-			ID: o.ID, Old: o.From, New: o.To, PerMille: share, Excluded: excludedRoutes(o), Targets: targetsOf(v.Configuration, model),
-		})
 	}
-	return list
+	return last, ok
 }
 
 // excludedRoutes returns the routes on which the new version gets nothing while
--- a/brfake/config.go
+++ b/brfake/config.go
@@ -75,8 +75,9 @@
 	Resumes         int            `json:"resumes"`
 	Orders          int            `json:"orders"`
 	OrdersRefused   int            `json:"orders_refused"`
-	Versions        map[string]int `json:"versions"`  // requests received while each version was served
-	OrderLog        []OrderSeen    `json:"order_log"` // the first orders received
+	Versions        map[string]int `json:"versions"`   // requests received while each version was served
+	OrderLog        []OrderSeen    `json:"order_log"`  // the first orders received
+	MostCalls       int            `json:"most_calls"` // highest number of calls of a plain service at a time
 	Running         int            `json:"running"`
 	Waiting         int            `json:"waiting"`
 }
--- a/brfake/engine.go
+++ b/brfake/engine.go
@@ -47,6 +47,7 @@
 	cache     *prefixCache
 	counts    Counts
 	received  int
+	calls     int // of a plain service, in progress
 	announcer announcer
 }
 
--- a/brfake/handler.go
+++ b/brfake/handler.go
@@ -231,6 +231,8 @@
 func (e *Endpoint) serveCall(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(brengine.HeaderRequestID)
 	fails := e.receive(id, r.Header.Get(brengine.HeaderRoute))
+	e.countCall(1)
+	defer e.countCall(-1)
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxBody))
 	if err != nil || !e.pause(e.config.ServiceLatency) {
 		return
@@ -246,6 +248,13 @@
 	writeJSON(w, http.StatusOK, CallAnswer{RequestID: id, Method: r.Method, Path: r.URL.Path, Body: string(body), Run: run})
 }
 
+func (e *Endpoint) countCall(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.calls += change
+	e.counts.MostCalls = max(e.counts.MostCalls, e.calls)
+}
+
 func fail(w http.ResponseWriter, k brerror.Kind, message string) {
 	a := k.Answer()
 	writeJSON(w, a.Status, brengine.Error{Error: brengine.ErrorBody{Kind: a.Name, Message: message, Outcome: a.Outcome.String()}})
--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -112,6 +112,9 @@
 	shortLength = 10 * time.Minute
 	// leastTime is what they shrink to at least: schedulers report each second.
 	leastTime = time.Second
+	// reportLag is the time from a grant to its report in a rollout shorter than
+	// shortLength: the request itself, the report's period and a tick.
+	reportLag = 3 * time.Second
 	// leastLoadTime is the same for the time that a load may take, and covers an
 	// order's timeout and an announcement.
 	leastLoadTime = 10 * time.Second
@@ -159,7 +162,7 @@
 
 func (s *State) finishAt() time.Time {
 	lead := min(time.Duration(finishPart*float64(s.length())), finishLead)
-	return s.FinishBy.Add(-lead)
+	return s.FinishBy.Add(-max(lead, leastTime))
 }
 
 // loaded reports whether the fleet's outstanding work is near its peak.
@@ -190,6 +193,9 @@
 	if 0 < s.Stage && s.Stage < earlyStages && (s.Saving || !s.loaded() && !belowEqual) {
 		share = savingShare
 	}
+	if s.Stage < earlyStages && s.length() < shortLength {
+		share = min(share, s.sparingShare())
+	}
 	if ready < s.wanted(s.Stage) {
 		share = min(share, 1000*ready/(ready+old))
 	}
@@ -199,6 +205,22 @@
 	return share
 }
 
+// sparingShare returns the share in per mille, at least savingShare, with which
+// the exposure stays below exposureLimit until the next reports come in. In an
+// hour's rollout one report is a small part of the traffic; in one of half a
+// minute the requests of reportLag at 10% would alone be more than 1%.
+func (s *State) sparingShare() int {
+	old, fresh := s.Judge.Totals()
+	all := float64(old.Requests + fresh.Requests)
+	passed := s.TickedAt.Sub(s.StartedAt)
+	if all == 0 || passed <= 0 {
+		return savingShare
+	}
+	left := exposureLimit*all - float64(fresh.Requests)
+	perLag := all * reportLag.Seconds() / passed.Seconds()
+	return max(savingShare, int(1000*left/perLag))
+}
+
 // leastShare returns the share that the old version's endpoints cannot carry,
 // per mille; 1000 when a capacity is unknown.
 func (s *State) leastShare() int {
--- a/brrollout/state.go
+++ b/brrollout/state.go
@@ -130,6 +130,24 @@
 	return true
 }
 
+// Moving reports whether loads may follow: the outcome is open, or an endpoint
+// loads or still serves the version that the outcome replaces.
+func (s State) Moving() bool {
+	if !s.Ended() {
+		return s.Phase == Running
+	}
+	replaced := s.NewVersion
+	if s.Phase == Finished {
+		replaced = s.OldVersion
+	}
+	for _, e := range s.Endpoints {
+		if e.Placement == Loading || e.Placement == Serving && e.Version == replaced {
+			return true
+		}
+	}
+	return false
+}
+
 // Exposure returns the part of all ended requests that the new version had.
 func (s State) Exposure() float64 {
 	old, fresh := s.Judge.Totals()
--- a/brsystem/client_test.go
+++ b/brsystem/client_test.go
@@ -34,6 +34,7 @@
 type call struct {
 	id        string // request id; empty lets the entry assign one
 	key       string // customer's key; empty means customerKey
+	model     string // empty means model-a
 	route     string
 	maxTokens int
 	prompt    string
@@ -44,7 +45,7 @@
 
 // complete sends a streamed completion to an entry and reads the answer.
 func complete(ctx context.Context, entry string, c call) answer {
-	body, err := json.Marshal(brengine.Completion{Model: model, Prompt: or(c.prompt, "a short question"), MaxTokens: or(c.maxTokens, 8), Stream: true, Route: or(c.route, "question")})
+	body, err := json.Marshal(brengine.Completion{Model: or(c.model, model), Prompt: or(c.prompt, "a short question"), MaxTokens: or(c.maxTokens, 8), Stream: true, Route: or(c.route, "question")})
 	if err != nil {
 		return answer{err: err}
 	}
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -143,6 +143,7 @@
 	proxied  bool     // peer links between daemons go through proxies
 	domains  []string // failure domains in turn; nil means a, b, c
 	document *brconfig.Document
+	settings map[string]string // further settings of every daemon, by name without the prefix
 }
 
 // fake is a fake endpoint.
@@ -204,6 +205,9 @@
 	} {
 		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
 	}
+	for name, v := range c.spec.settings {
+		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
+	}
 	return env
 }
 
--- /dev/null
+++ b/brsystem/rollout_test.go
@@ -0,0 +1,107 @@
+package brsystem
+
+import (
+	"testing"
+	"time"
+
+	"bramleyroute/brtimeline"
+)
+
+const (
+	rolloutLength = 30 * time.Second
+	rolloutRate   = 40 // requests/s on each model
+)
+
+// Guards against good versions that are not in use on time, and bad ones that
+// stay, get a large share or still get requests after the breaker stopped them:
+// three rollouts of each kind, one after the other, under steady load.
+func TestRolloutKinds(t *testing.T) {
+	t.Parallel()
+	kinds := []struct{ name, fault string }{
+		{"good", ""},
+		{"fails", `{"fail_rate":1}`},
+		{"slow", `{"slow_factor":60}`},
+		{"oneroute", `{"fail_route":"oneroute-draft"}`},
+		{"noload", "fail_load"},
+	}
+	var names []string
+	for _, k := range kinds {
+		names = append(names, k.name)
+	}
+	c := newCluster(t, spec{daemons: 3, controls: 3, document: rolloutDocument(names...)})
+	t.Run("each", func(t *testing.T) {
+		for _, k := range kinds {
+			var flags []string
+			switch k.fault {
+			case "":
+			case "fail_load":
+				flags = []string{`--faults={"v2":{"fail_load":"v2"},"v3":{"fail_load":"v3"},"v4":{"fail_load":"v4"}}`}
+			default:
+				flags = []string{`--faults={"v2":` + k.fault + `,"v3":` + k.fault + `,"v4":` + k.fault + `}`}
+			}
+			fakes := c.rolloutFakes(k.name, 3, flags...)
+			t.Run(k.name, func(t *testing.T) {
+				t.Parallel()
+				l := c.steadyLoad(k.name, rolloutRate)
+				defer l.stop()
+				for i, to := range []string{"v2", "v3", "v4"} {
+					if k.fault == "" {
+						c.goodRollout(t, k.name, fakes, l, []string{"v1", "v2", "v3"}[i], to)
+					} else {
+						c.badRollout(t, k.name, fakes, to)
+					}
+				}
+			})
+		}
+	})
+}
+
+func (c *cluster) goodRollout(t *testing.T, name string, fakes []*fake, l *steadyLoad, from, to string) {
+	t.Helper()
+	failed := l.failed.Load()
+	id := c.startRollout(t, name, from, to, rolloutLength)
+	row := c.rolloutEnd(t, c.daemons[1], id, rolloutLength+5*time.Second)
+	if row.Outcome != "finished" || row.EndedAt.After(row.FinishBy) {
+		t.Fatalf("%s to %s: %+v\n%s", name, to, row, c.notes(c.daemons[1], id))
+	}
+	serving(t, fakes, to)
+	c.sameOutcome(t, id, c.daemons)
+	if n := l.failed.Load() - failed; n > 0 {
+		t.Errorf("%s to %s: %d requests failed", name, to, n)
+	}
+	t.Logf("%s to %s: finished %v before finish_by", name, to, row.FinishBy.Sub(row.EndedAt).Round(time.Millisecond))
+}
+
+// badRollout moves from v1 to a bad version and checks that it is taken back.
+func (c *cluster) badRollout(t *testing.T, name string, fakes []*fake, to string) {
+	t.Helper()
+	before := byVersion(fakes)
+	began := time.Now()
+	id := c.startRollout(t, name, "v1", to, rolloutLength)
+	row := c.rolloutEnd(t, c.daemons[1], id, rolloutLength+5*time.Second)
+	stopped, tripped := row.EndedAt, "no trip"
+	for _, e := range c.rolloutEvents(c.daemons[1], id) {
+		if e.Kind == brtimeline.RolloutTripped {
+			stopped = time.Unix(0, e.Stamp.Wall)
+			tripped = "outcome " + row.EndedAt.Sub(stopped).Round(time.Millisecond).String() + " after the trip"
+		}
+	}
+	// From a second after the trip on nothing may be added.
+	<-time.After(time.Until(stopped.Add(time.Second)))
+	after := byVersion(fakes)
+	if row.Outcome != "taken_back" {
+		t.Fatalf("%s to %s: %+v\n%s", name, to, row, c.notes(c.daemons[1], id))
+	}
+	c.sameOutcome(t, id, c.daemons)
+	serving(t, fakes, "v1")
+	<-time.After(time.Until(stopped.Add(3 * time.Second)))
+	if late := byVersion(fakes)[to] - after[to]; late > 0 {
+		t.Errorf("%s to %s: %d requests more than a second after the trip", name, to, late)
+	}
+	bad, all := after[to]-before[to], total(before, after)
+	share := 100 * float64(bad) / float64(all)
+	if share >= 2 {
+		t.Errorf("%s to %s: %d of %d requests, %.2f%%, went to the bad version\n%s", name, to, bad, all, share, c.notes(c.daemons[1], id))
+	}
+	t.Logf("%s to %s: after %v, %d of %d requests (%.2f%%), %s: %s", name, to, row.EndedAt.Sub(began).Round(100*time.Millisecond), bad, all, share, tripped, row.Reason)
+}
