--- a/brdaemon/endpoints.go
+++ b/brdaemon/endpoints.go
@@ -1,21 +1,29 @@
 package brdaemon
 
 import (
+	"context"
 	"slices"
 	"time"
 
+	"bramleyroute/brerror"
 	"bramleyroute/brpool"
 	"bramleyroute/brwire"
 )
 
 const (
-	nameEndpoints = "endpoints"
+	nameEndpoints    = "endpoints"
+	nameAskEndpoints = "ask_endpoints"
+	nameLoad         = "load"
 	// fullReportEvery and deltaEvery pace what the owner of a pool tells the
 	// control leader about its endpoints during a rollout: 217 endpoints of some
 	// 250 bytes in full each second would take 54 KB/s, in full each 15 s it is
 	// 3.6 KB/s of the 21 KB/s that a daemon may spend.
 	fullReportEvery = 15 * time.Second
 	deltaEvery      = 250 * time.Millisecond
+	// completeAfter is how long a daemon has known a pool before it reports in
+	// full. Endpoints announce themselves each second; one that a full report
+	// doesn't list counts as lost, and a restarted owner knows few at first.
+	completeAfter = 3 * time.Second
 )
 
 // report notes an announcement and passes it to the pool.
@@ -35,6 +43,33 @@
 	}
 }
 
+// askEndpoints makes the next report to the control leader a full one.
+func (s *scheduler) askEndpoints(pool string) {
+	if r := s.find(pool); r != nil {
+		r.mu.Lock()
+		r.lastFull = time.Time{}
+		r.mu.Unlock()
+	}
+}
+
+// load returns when the pool gives no new work to an endpoint that is about to
+// load a version.
+func (r *poolRunner) load(ctx context.Context, l brpool.Load) error {
+	if r.heldEpoch() == 0 {
+		return brerror.New(brerror.NotOwner, "pool %s is owned by another scheduler", r.name)
+	}
+	done := make(chan struct{})
+	select {
+	case r.ask <- func() { r.step(l); close(done) }:
+		<-done
+		return nil
+	case <-r.done:
+		return brerror.New(brerror.ShuttingDown, "daemon is stopping")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // endpointLost notes that an endpoint is silent or was removed.
 func (r *poolRunner) endpointLost(id string) {
 	r.mu.Lock()
@@ -51,7 +86,7 @@
 	}
 	now := r.d.clock.Now()
 	r.mu.Lock()
-	rep := EndpointReport{Pool: r.name, Full: now.Sub(r.lastFull) >= fullReportEvery}
+	rep := EndpointReport{Pool: r.name, Full: now.Sub(r.lastFull) >= fullReportEvery && now.Sub(r.began) >= completeAfter}
 	if !rep.Full && (now.Sub(r.lastDelta) < deltaEvery || len(r.changed) == 0 && len(r.gone) == 0) {
 		r.mu.Unlock()
 		return
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -155,7 +155,7 @@
 	controlOnly bool
 	domains     []string // failure domains in turn; nil means a, b, c
 	document    *brconfig.Document
-	env         []string // further settings of every daemon, as NAME=value
+	settings    map[string]string // further settings of every daemon, by name without the prefix
 }
 
 // fake is a fake endpoint.
@@ -251,7 +251,10 @@
 	} {
 		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
 	}
-	return append(env, c.spec.env...) // the last one of a name counts
+	for name, v := range c.spec.settings {
+		env = append(env, "BRAMLEYROUTE_"+name+"="+v)
+	}
+	return env
 }
 
 func (c *cluster) newProcess(name string, args ...string) process {
--- a/brsystem/manage_test.go
+++ b/brsystem/manage_test.go
@@ -1,8 +1,6 @@
 package brsystem
 
 import (
-	"context"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -21,7 +19,7 @@
 // route states no stuck_ms, so the stream that sends keep-alives and no tokens
 // ends after stuck_timeout, and the log line names the request.
 func TestStuckTimeout(t *testing.T) {
-	c := newCluster(t, spec{daemons: 1, controls: 1, env: []string{"BRAMLEYROUTE_STUCK_TIMEOUT=1500ms"}})
+	c := newCluster(t, spec{daemons: 1, controls: 1, settings: map[string]string{"STUCK_TIMEOUT": "1500ms"}})
 	e := c.addFake("engine-1")
 	e.fault(brfake.FaultRequest{Faults: brfake.Faults{StuckRequest: "*", StuckAt: 3}})
 	id := newID()
@@ -136,18 +134,3 @@
 	}
 	t.Logf("%d requests served during %d restarts", served, 3*len(rounds))
 }
-
-func ready(d *daemon) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, "GET", "http://"+d.caller+"/readyz", nil)
-	if err != nil {
-		return false
-	}
-	res, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return false
-	}
-	res.Body.Close()
-	return res.StatusCode == http.StatusOK
-}
