--- a/brsystem/rollout_harness_test.go
+++ b/brsystem/rollout_harness_test.go
@@ -1,6 +1,7 @@
 package brsystem
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -193,6 +194,21 @@
 	})
 }
 
+// post sends an order and returns the status of the answer.
+func (f *fake) post(o brengine.Order) int {
+	f.t.Helper()
+	b, err := json.Marshal(o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	res, err := http.Post("http://"+f.address+brengine.PathOrders, "application/json", bytes.NewReader(b))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
 // orders returns the orders that an endpoint carried out or refused.
 func (f *fake) orders() []brfake.OrderSeen { return f.counts().OrderLog }
 
--- a/brsystem/rollout_outcome_test.go
+++ b/brsystem/rollout_outcome_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyroute/brconfig"
+	"bramleyroute/brengine"
 	"bramleyroute/broperator"
 )
 
@@ -52,10 +53,31 @@
 			}
 			serving(t, fakes, "v2")
 			checkOrders(t, fakes)
+			c.lateOrder(t, fakes)
 		})
 	}
 }
 
+// lateOrder plays a former leader whose orders arrive after the outcome. The
+// endpoint that checks tokens refuses, the others are sent back.
+func (c *cluster) lateOrder(t *testing.T, fakes []*fake) {
+	t.Helper()
+	for _, f := range fakes {
+		late := brengine.Order{OrderID: "late-" + f.id, Kind: brengine.OrderLoadVersion, Model: "good", Version: "v1", FencingToken: 1}
+		status := f.post(late)
+		checks := f.id == "checks-1"
+		if refused := status >= 400; refused != checks {
+			t.Errorf("%s answered the late order with %d", f.id, status)
+		}
+		if !checks {
+			began := time.Now()
+			within(t, 10*time.Second, f.id+" on v1", func() bool { return f.state().Version == "v1" })
+			serving(t, fakes, "v2")
+			t.Logf("%s was back on v2 %v after the late order", f.id, time.Since(began).Round(10*time.Millisecond))
+		}
+	}
+}
+
 // checkOrders checks that no order with a lower token is carried out after one
 // with a higher token on any endpoint, and that no endpoint is sent back and
 // forth.
@@ -85,10 +107,17 @@
 	}
 }
 
+// The parts run one after the other to bound the number of processes.
+func TestRolloutStarts(t *testing.T) {
+	t.Parallel()
+	t.Run("abort_race", testAbortRace)
+	t.Run("self_started", testSelfStarted)
+	t.Run("by_move", testByMove)
+}
+
 // Guards against two outcomes when operators abort while the breaker trips, and
 // against a rollout that is fought over with an earlier one of the same versions.
-func TestRolloutAbortRace(t *testing.T) {
-	t.Parallel()
+func testAbortRace(t *testing.T) {
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: rolloutDocument("fails")})
 	fakes := c.rolloutFakes("fails", 3, `--faults={"v2":{"fail_rate":1}}`)
 	l := c.steadyLoad("fails", 60)
@@ -125,8 +154,7 @@
 
 // Guards against a template's move that starts no rollout or isn't held to its
 // date, and against loads that take more than the weight store's rate.
-func TestRolloutByMove(t *testing.T) {
-	t.Parallel()
+func testByMove(t *testing.T) {
 	const rate, weights = 1_000_000, 3_000_000 // bytes/s, bytes: 3 s for each load
 	doc := rolloutDocument("moved")
 	doc.Models[0].WeightBytes = weights
@@ -139,7 +167,7 @@
 	if err := json.Unmarshal(b, &move); err != nil {
 		t.Fatal(err)
 	}
-	finishBy := time.Now().Add(50 * time.Second).UTC().Truncate(time.Millisecond)
+	finishBy := time.Now().Add(40 * time.Second).UTC().Truncate(time.Millisecond)
 	move.Templates[0].Moves = []brconfig.Move{{Model: "moved", From: "v1", To: "v2", FinishBy: finishBy}}
 	c.putConfig(move)
 	var id string
@@ -181,8 +209,7 @@
 // Guards against traffic that a version gets because its endpoints were started
 // by hand: those of the new version of a rollout get its share, those of a
 // version that no rollout names get nothing.
-func TestRolloutSelfStarted(t *testing.T) {
-	t.Parallel()
+func testSelfStarted(t *testing.T) {
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: rolloutDocument("mixed")})
 	fakes := c.rolloutFakes("mixed", 2)
 	l := c.steadyLoad("mixed", 40)
--- a/brsystem/service_test.go
+++ b/brsystem/service_test.go
@@ -13,7 +13,6 @@
 // and routes of one service that are treated alike: a resent booking gets its
 // stored answer, a resent look-up is refused, and neither runs again.
 func TestServiceBounded(t *testing.T) {
-	t.Parallel()
 	doc := document(nil)
 	doc.Templates[0].Routes[3].DeadlineMS = 2000
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: &doc})
