--- a/brrollout/parts_test.go
+++ b/brrollout/parts_test.go
@@ -200,3 +200,23 @@
 		st, _ = Step(st, s.now, ev)
 	}
 }
+
+// Guards against a short rollout in which no sample is weighed because the fixed
+// times outlast its stages, and against changed times in one of full length.
+func TestScaled(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, c := range []struct{ length, want time.Duration }{
+		{time.Hour, settleTime},
+		{shortLength, settleTime},
+		{2 * time.Minute, 2 * time.Second},
+		{30 * time.Second, leastTime},
+	} {
+		s := State{StartedAt: start, FinishBy: start.Add(c.length)}
+		if got := s.scaled(settleTime); got != c.want {
+			t.Errorf("settle time in %v: %v, want %v", c.length, got, c.want)
+		}
+		if lead := s.FinishBy.Sub(s.finishAt()); lead < leastTime {
+			t.Errorf("%v before finish_by in %v, which a tick may miss", lead, c.length)
+		}
+	}
+}
--- a/brsystem/rollout_outcome_test.go
+++ b/brsystem/rollout_outcome_test.go
@@ -122,16 +122,16 @@
 	fakes := c.rolloutFakes("fails", 3, `--faults={"v2":{"fail_rate":1}}`)
 	l := c.steadyLoad("fails", 60)
 	defer l.stop()
-	for range 3 {
+	// The third failure trips the breaker, and its outcome follows within 0.3 s.
+	for round, failures := range []int{2, 3, 3} {
 		before := byVersion(fakes)["v2"]
 		id := c.startRollout(t, "fails", "v1", "v2", 40*time.Second)
-		// The third failure trips the breaker.
-		within(t, 30*time.Second, "two failures", func() bool { return byVersion(fakes)["v2"]-before >= 2 })
+		within(t, 30*time.Second, "failures", func() bool { return byVersion(fakes)["v2"]-before >= failures })
 		var wg sync.WaitGroup
 		results := make([]error, 2*len(c.daemons))
 		for i := range results {
 			wg.Go(func() {
-				<-time.After(time.Duration(i) * 30 * time.Millisecond)
+				<-time.After(time.Duration(i+3*round) * 40 * time.Millisecond)
 				_, results[i] = operate[broperator.AbortRollout, broperator.Accepted](c.daemons[i%len(c.daemons)], "POST", broperator.PathRolloutAbort,
 					broperator.AbortRollout{CommandID: newID(), RolloutID: id})
 			})
@@ -159,7 +159,7 @@
 	doc := rolloutDocument("moved")
 	doc.Models[0].WeightBytes = weights
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: doc, settings: map[string]string{"WEIGHT_STORE_BYTES_PER_SECOND": "1000000"}})
-	fakes := c.rolloutFakes("moved", 4)
+	fakes := c.rolloutFakes("moved", 4, `--faults={"v3":{"fail_load":"v3"}}`)
 	l := c.steadyLoad("moved", 30)
 	defer l.stop()
 	var move brconfig.Document
@@ -184,22 +184,34 @@
 	}
 	c.sameOutcome(t, id, c.daemons)
 	serving(t, fakes, "v2")
+	checkPace(t, fakes, "v2", weights/rate*time.Second)
+
+	// Loads that fail follow each other within 2 s if nothing paces them.
+	id = c.startRollout(t, "moved", "v2", "v3", 150*time.Second)
+	if row := c.rolloutEnd(t, c.daemons[2], id, 30*time.Second); row.Outcome != "taken_back" {
+		t.Errorf("%+v", row)
+	}
+	checkPace(t, fakes, "v3", weights/rate*time.Second)
+}
+
+// checkPace checks that three loads of a version or more are at least gap apart.
+func checkPace(t *testing.T, fakes []*fake, version string, gap time.Duration) {
+	t.Helper()
 	var times []time.Time
 	for _, f := range fakes {
 		for _, o := range f.orders() {
-			times = append(times, o.At)
+			if o.Version == version {
+				times = append(times, o.At)
+			}
 		}
 	}
-	checkPace(t, times, weights/rate*time.Second)
-}
-
-// checkPace checks that loads are at least gap apart.
-func checkPace(t *testing.T, times []time.Time, gap time.Duration) {
-	t.Helper()
+	if len(times) < 3 {
+		t.Errorf("%d loads of %s", len(times), version)
+	}
 	slices.SortFunc(times, time.Time.Compare)
 	for i := 1; i < len(times); i++ {
 		d := times[i].Sub(times[i-1])
-		t.Logf("load %d began %v after the one before", i+1, d.Round(time.Millisecond))
+		t.Logf("load %d of "+version+" began %v after the one before", i+1, d.Round(time.Millisecond))
 		if d < gap-50*time.Millisecond { // orders travel for some milliseconds
 			t.Errorf("loads %v apart, the weight store's rate allows one in %v", d, gap)
 		}
