--- a/brsystem/rollout_outcome_test.go
+++ b/brsystem/rollout_outcome_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyroute/brconfig"
+	"bramleyroute/brengine"
 	"bramleyroute/broperator"
 )
 
@@ -52,10 +53,31 @@
 			}
 			serving(t, fakes, "v2")
 			checkOrders(t, fakes)
+			c.lateOrder(t, fakes)
 		})
 	}
 }
 
+// lateOrder plays a former leader whose orders arrive after the outcome. The
+// endpoint that checks tokens refuses, the others are sent back.
+func (c *cluster) lateOrder(t *testing.T, fakes []*fake) {
+	t.Helper()
+	for _, f := range fakes {
+		late := brengine.Order{OrderID: "late-" + f.id, Kind: brengine.OrderLoadVersion, Model: "good", Version: "v1", FencingToken: 1}
+		status := f.post(late)
+		checks := f.id == "checks-1"
+		if refused := status >= 400; refused != checks {
+			t.Errorf("%s answered the late order with %d", f.id, status)
+		}
+		if !checks {
+			began := time.Now()
+			within(t, 10*time.Second, f.id+" on v1", func() bool { return f.state().Version == "v1" })
+			serving(t, fakes, "v2")
+			t.Logf("%s was back on v2 %v after the late order", f.id, time.Since(began).Round(10*time.Millisecond))
+		}
+	}
+}
+
 // checkOrders checks that no order with a lower token is carried out after one
 // with a higher token on any endpoint, and that no endpoint is sent back and
 // forth.
@@ -85,24 +107,31 @@
 	}
 }
 
+// The parts run one after the other to bound the number of processes.
+func TestRolloutStarts(t *testing.T) {
+	t.Parallel()
+	t.Run("abort_race", testAbortRace)
+	t.Run("self_started", testSelfStarted)
+	t.Run("by_move", testByMove)
+}
+
 // Guards against two outcomes when operators abort while the breaker trips, and
 // against a rollout that is fought over with an earlier one of the same versions.
-func TestRolloutAbortRace(t *testing.T) {
-	t.Parallel()
+func testAbortRace(t *testing.T) {
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: rolloutDocument("fails")})
 	fakes := c.rolloutFakes("fails", 3, `--faults={"v2":{"fail_rate":1}}`)
 	l := c.steadyLoad("fails", 60)
 	defer l.stop()
-	for range 3 {
+	// The third failure trips the breaker, and its outcome follows within 0.3 s.
+	for round, failures := range []int{2, 3, 3} {
 		before := byVersion(fakes)["v2"]
 		id := c.startRollout(t, "fails", "v1", "v2", 40*time.Second)
-		// The third failure trips the breaker.
-		within(t, 30*time.Second, "two failures", func() bool { return byVersion(fakes)["v2"]-before >= 2 })
+		within(t, 30*time.Second, "failures", func() bool { return byVersion(fakes)["v2"]-before >= failures })
 		var wg sync.WaitGroup
 		results := make([]error, 2*len(c.daemons))
 		for i := range results {
 			wg.Go(func() {
-				<-time.After(time.Duration(i) * 30 * time.Millisecond)
+				<-time.After(time.Duration(i+3*round) * 40 * time.Millisecond)
 				_, results[i] = operate[broperator.AbortRollout, broperator.Accepted](c.daemons[i%len(c.daemons)], "POST", broperator.PathRolloutAbort,
 					broperator.AbortRollout{CommandID: newID(), RolloutID: id})
 			})
@@ -125,13 +154,12 @@
 
 // Guards against a template's move that starts no rollout or isn't held to its
 // date, and against loads that take more than the weight store's rate.
-func TestRolloutByMove(t *testing.T) {
-	t.Parallel()
+func testByMove(t *testing.T) {
 	const rate, weights = 1_000_000, 3_000_000 // bytes/s, bytes: 3 s for each load
 	doc := rolloutDocument("moved")
 	doc.Models[0].WeightBytes = weights
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: doc, settings: map[string]string{"WEIGHT_STORE_BYTES_PER_SECOND": "1000000"}})
-	fakes := c.rolloutFakes("moved", 4)
+	fakes := c.rolloutFakes("moved", 4, `--faults={"v3":{"fail_load":"v3"}}`)
 	l := c.steadyLoad("moved", 30)
 	defer l.stop()
 	var move brconfig.Document
@@ -139,7 +167,7 @@
 	if err := json.Unmarshal(b, &move); err != nil {
 		t.Fatal(err)
 	}
-	finishBy := time.Now().Add(50 * time.Second).UTC().Truncate(time.Millisecond)
+	finishBy := time.Now().Add(40 * time.Second).UTC().Truncate(time.Millisecond)
 	move.Templates[0].Moves = []brconfig.Move{{Model: "moved", From: "v1", To: "v2", FinishBy: finishBy}}
 	c.putConfig(move)
 	var id string
@@ -156,22 +184,34 @@
 	}
 	c.sameOutcome(t, id, c.daemons)
 	serving(t, fakes, "v2")
+	checkPace(t, fakes, "v2", weights/rate*time.Second)
+
+	// Loads that fail follow each other within 2 s if nothing paces them.
+	id = c.startRollout(t, "moved", "v2", "v3", 150*time.Second)
+	if row := c.rolloutEnd(t, c.daemons[2], id, 30*time.Second); row.Outcome != "taken_back" {
+		t.Errorf("%+v", row)
+	}
+	checkPace(t, fakes, "v3", weights/rate*time.Second)
+}
+
+// checkPace checks that three loads of a version or more are at least gap apart.
+func checkPace(t *testing.T, fakes []*fake, version string, gap time.Duration) {
+	t.Helper()
 	var times []time.Time
 	for _, f := range fakes {
 		for _, o := range f.orders() {
-			times = append(times, o.At)
+			if o.Version == version {
+				times = append(times, o.At)
+			}
 		}
 	}
-	checkPace(t, times, weights/rate*time.Second)
-}
-
-// checkPace checks that loads are at least gap apart.
-func checkPace(t *testing.T, times []time.Time, gap time.Duration) {
-	t.Helper()
+	if len(times) < 3 {
+		t.Errorf("%d loads of %s", len(times), version)
+	}
 	slices.SortFunc(times, time.Time.Compare)
 	for i := 1; i < len(times); i++ {
 		d := times[i].Sub(times[i-1])
-		t.Logf("load %d began %v after the one before", i+1, d.Round(time.Millisecond))
+		t.Logf("load %d of "+version+" began %v after the one before", i+1, d.Round(time.Millisecond))
 		if d < gap-50*time.Millisecond { // orders travel for some milliseconds
 			t.Errorf("loads %v apart, the weight store's rate allows one in %v", d, gap)
 		}
@@ -181,8 +221,7 @@
 // Guards against traffic that a version gets because its endpoints were started
 // by hand: those of the new version of a rollout get its share, those of a
 // version that no rollout names get nothing.
-func TestRolloutSelfStarted(t *testing.T) {
-	t.Parallel()
+func testSelfStarted(t *testing.T) {
 	c := newCluster(t, spec{daemons: 3, controls: 3, document: rolloutDocument("mixed")})
 	fakes := c.rolloutFakes("mixed", 2)
 	l := c.steadyLoad("mixed", 40)
