brdaemon: give each daemon a metrics registry of its own

Two daemons in one process panicked, because both registered their metrics with the default registry of the Prometheus client, while the package says that a process may run several. Each daemon now has its own registry with the Go and process collectors of the default one.

--- a/brdaemon/metrics.go
+++ b/brdaemon/metrics.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"bramleyroute/brpool"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -24,7 +26,11 @@
 }
 
 func newMetrics(d *Daemon) *metrics {
-	r := prometheus.NewReporter(prometheus.Options{})
+	// Each daemon has a registry of its own: a process may run several, and the
+	// default registry refuses the second one's metrics.
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	r := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "bramleyroute", Separator: prometheus.DefaultSeparator, CachedReporter: r,
 	}, metricsEvery)
