--- /dev/null
+++ b/brcapacity/fleet_test.go
@@ -0,0 +1,310 @@
+package brcapacity
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleyroute/brdaemon"
+	"bramleyroute/brpeer"
+	"bramleyroute/brsetting"
+	"bramleyroute/brstate"
+	"bramleyroute/brtimeline"
+	"bramleyroute/brwire"
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+)
+
+var (
+	measure = flag.Bool("measure", false, "run the measurements of docs/CAPACITY.md")
+	peerKey = "peer-key-00000001"
+)
+
+// traffic counts what passes a listener: bytes with the WebSocket framing, and
+// reads and writes, of which each is about one TCP segment.
+type traffic struct{ in, out, reads, writes atomic.Int64 }
+
+type countedListener struct {
+	net.Listener
+	*traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.traffic}, err
+}
+
+type countedConn struct {
+	net.Conn
+	*traffic
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	c.reads.Add(1)
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	c.writes.Add(1)
+	return n, err
+}
+
+func listen() net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	return l
+}
+
+// startDaemon starts a real daemon that counts the traffic of its peer listener.
+func startDaemon(id string, l net.Listener, n *traffic, peers []brsetting.ControlPeer, dir string, roles ...brwire.Role) (*brdaemon.Daemon, error) {
+	s := brsetting.Settings{
+		DaemonID: id, Roles: roles, Region: "local", FailureDomain: "domain-a", ControlPeers: peers, DataDir: dir,
+		PeerKeys: []string{peerKey}, MaxBodyBytes: 1 << 20, EntryBufferRequests: 100, EntryBufferBytes: 1 << 24,
+		StallTimeout: time.Second, StuckTimeout: time.Minute, TimelineEvents: 1000, LeaseDuration: 3 * time.Second,
+	}
+	o := brdaemon.Options{Log: zerolog.Nop(), PeerListener: countedListener{l, n}, Fatal: func(err error) { panic(err) }}
+	if roles[0] == brwire.RoleEntry {
+		o.CallerListener = listen()
+	}
+	return brdaemon.Start(s, o)
+}
+
+// startControl starts n control replicas in this process.
+func startControl(t testing.TB, n int) (peers []brsetting.ControlPeer, daemons []*brdaemon.Daemon, seen *traffic) {
+	var ls []net.Listener
+	seen = &traffic{}
+	for i := range n {
+		ls = append(ls, listen())
+		peers = append(peers, brsetting.ControlPeer{DaemonID: fmt.Sprint("control-", i), Address: ls[i].Addr().String()})
+	}
+	for i, p := range peers {
+		d, err := startDaemon(p.DaemonID, ls[i], seen, peers, t.TempDir(), brwire.RoleControl)
+		if err != nil {
+			t.Fatal(err)
+		}
+		daemons = append(daemons, d)
+	}
+	t.Cleanup(func() {
+		for _, d := range daemons {
+			_ = d.Close()
+		}
+	})
+	return peers, daemons, seen
+}
+
+// fleet is a child process with n daemons. Commands go over its input.
+type fleet struct {
+	t   testing.TB
+	cmd *exec.Cmd
+	in  *os.File
+	out *bufio.Scanner
+}
+
+func startFleet(t testing.TB, n int, role brwire.Role, peers []brsetting.ControlPeer) *fleet {
+	var list []string
+	for _, p := range peers {
+		list = append(list, p.DaemonID+"="+p.Address)
+	}
+	f := &fleet{t: t, cmd: exec.Command(os.Args[0], "-test.run=^$")}
+	f.cmd.Env = append(os.Environ(), "BRCAPACITY_FLEET="+fmt.Sprint(n), "BRCAPACITY_ROLE="+string(role), "BRCAPACITY_PEERS="+strings.Join(list, ","))
+	f.cmd.Stderr = os.Stderr
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.cmd.Stdin, f.in = r, w
+	out, err := f.cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.out = bufio.NewScanner(out)
+	if err := f.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	r.Close()
+	t.Cleanup(func() {
+		w.Close() // the child ends at the end of its input
+		_ = f.cmd.Wait()
+	})
+	return f
+}
+
+// usage is a reading of the child.
+type usage struct {
+	At                    int64 // UnixNano
+	CPU                   time.Duration
+	In, Out, Read, Writes int64
+	Heap, Stack           uint64
+	Goroutines, Ready     int
+	Applied               int   // daemons that applied the asked revision
+	AppliedAt             int64 // UnixNano, of the last of them
+}
+
+// ask returns a reading and the daemons that have applied a revision.
+func (f *fleet) ask(revision uint64) (u usage) {
+	f.t.Helper()
+	fmt.Fprintln(f.in, revision)
+	if !f.out.Scan() {
+		f.t.Fatal("fleet ended")
+	}
+	if _, err := fmt.Sscan(f.out.Text(), &u.At, &u.CPU, &u.In, &u.Out, &u.Read, &u.Writes, &u.Heap, &u.Stack, &u.Goroutines, &u.Ready, &u.Applied, &u.AppliedAt); err != nil {
+		f.t.Fatal(f.out.Text(), err)
+	}
+	return u
+}
+
+// until asks until ok holds, for at most d.
+func (f *fleet) until(d time.Duration, what string, revision uint64, ok func(usage) bool) usage {
+	f.t.Helper()
+	end := time.Now().Add(d)
+	for {
+		u := f.ask(revision)
+		if ok(u) {
+			return u
+		}
+		if time.Now().After(end) {
+			f.t.Fatalf("not within %v: %s; last reading %+v", d, what, u)
+		}
+		time.Sleep(20 * time.Millisecond) // paces the polling only
+	}
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if n := os.Getenv("BRCAPACITY_FLEET"); n != "" {
+		if err := runFleet(n); err != nil {
+			fmt.Fprintln(os.Stderr, "brcapacity: fleet:", err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func runFleet(count string) error {
+	var n int
+	if _, err := fmt.Sscan(count, &n); err != nil {
+		return err
+	}
+	var peers []brsetting.ControlPeer
+	for _, p := range strings.Split(os.Getenv("BRCAPACITY_PEERS"), ",") {
+		id, address, _ := strings.Cut(p, "=")
+		peers = append(peers, brsetting.ControlPeer{DaemonID: id, Address: address})
+	}
+	seen := &traffic{}
+	var daemons []*brdaemon.Daemon
+	for i := range n {
+		d, err := startDaemon(fmt.Sprintf("vm-%03d", i), listen(), seen, peers, "", brwire.Role(os.Getenv("BRCAPACITY_ROLE")))
+		if err != nil {
+			return err
+		}
+		daemons = append(daemons, d)
+	}
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		var revision uint64
+		if _, err := fmt.Sscan(in.Text(), &revision); err != nil {
+			return err
+		}
+		u := read(daemons, revision)
+		fmt.Println(u.At, int64(u.CPU), seen.in.Load(), seen.out.Load(), seen.reads.Load(), seen.writes.Load(), u.Heap, u.Stack, u.Goroutines, u.Ready, u.Applied, u.AppliedAt)
+	}
+	return nil
+}
+
+func read(daemons []*brdaemon.Daemon, revision uint64) (u usage) {
+	u.At, u.CPU, u.Goroutines = time.Now().UnixNano(), processorTime(), runtime.NumGoroutine()
+	for _, d := range daemons {
+		if d.Ready() == nil {
+			u.Ready++
+		}
+		if revision == 0 {
+			continue
+		}
+		for _, e := range d.Recorder().Events(brtimeline.Filter{}) {
+			if e.Kind == brtimeline.ConfigurationApplied && e.Revision >= revision {
+				u.Applied++
+				u.AppliedAt = max(u.AppliedAt, e.Stamp.Wall)
+				break
+			}
+		}
+	}
+	if revision == memoryOnly {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		u.Heap, u.Stack = m.HeapAlloc, m.StackInuse
+	}
+	return u
+}
+
+// memoryOnly is a revision that no daemon reaches; it asks for a collection.
+const memoryOnly = 1 << 62
+
+// processorTime returns the user and system time of this process.
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &r); err != nil {
+		panic(err)
+	}
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
+
+// operator is a link that proposes commands and fetches the view.
+type operator struct {
+	t testing.TB
+	c *brpeer.Conn
+}
+
+func dialOperator(t testing.TB, address string) operator {
+	c, err := brpeer.Dial(t.Context(), address, brpeer.Keys{peerKey}, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return operator{t, c}
+}
+
+func (o operator) propose(cmd brstate.Command) brwire.ProposeReply {
+	o.t.Helper()
+	cmd.ID = uuid.NewString()
+	data, err := cmd.Encode()
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	for end := time.Now().Add(10 * time.Second); ; {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		r, err := brpeer.Call[brwire.Propose, brwire.ProposeReply](ctx, o.c, brwire.NamePropose, brwire.Propose{CommandID: cmd.ID, Command: data})
+		cancel()
+		if err == nil && r.Error == nil {
+			return r
+		}
+		if time.Now().After(end) {
+			o.t.Fatal(err, r.Error)
+		}
+	}
+}
+
+func (o operator) view() brstate.View {
+	o.t.Helper()
+	u, err := brpeer.Call[brwire.Watch, brdaemon.Update](context.Background(), o.c, brwire.NameFetch, brwire.Watch{})
+	if err != nil {
+		o.t.Fatal(err)
+	}
+	return *u.View
+}
