brpeer: queue pointers to frames

A connection's send queue held 4,096 frames by value, 288 KiB each connection whether used or not. A daemon that had asked 399 others during a loss of the control group would have kept 798 connections, 230 MB of its 256 MB. The queue now holds pointers, 32 KiB.

--- a/brpeer/conn.go
+++ b/brpeer/conn.go
@@ -60,7 +60,7 @@
 	mux    *Mux
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	out    chan frame
+	out    chan *frame // of pointers: sendQueue frames by value would take 288 KiB for each connection
 	wg     sync.WaitGroup
 	lastID atomic.Uint64
 	heard  atomic.Int64 // UnixNano of the last frame, on the process's monotonic base
@@ -82,7 +82,7 @@
 		mux:     mux,
 		ctx:     ctx,
 		cancel:  cancel,
-		out:     make(chan frame, sendQueue),
+		out:     make(chan *frame, sendQueue),
 		pending: map[uint64]chan frame{},
 	}
 	ws.SetReadLimit(brwire.MaxMessage + 1024)
@@ -198,7 +198,7 @@
 		f.Wall, f.Logical = st.Wall, st.Logical
 	}
 	select {
-	case c.out <- f:
+	case c.out <- &f:
 		return nil
 	default:
 		c.Abort(fmt.Errorf("brpeer: peer is %d frames behind: %w", sendQueue, ErrClosed))
