--- a/brcapacity/fleet_test.go
+++ b/brcapacity/fleet_test.go
@@ -85,8 +85,14 @@
 	return brdaemon.Start(s, o)
 }
 
+// controlDaemon is a control replica with its data folder.
+type controlDaemon struct {
+	*brdaemon.Daemon
+	dir string
+}
+
 // startControl starts n control replicas in this process.
-func startControl(t testing.TB, n int) (peers []brsetting.ControlPeer, daemons []*brdaemon.Daemon, seen *traffic) {
+func startControl(t testing.TB, n int) (peers []brsetting.ControlPeer, daemons []controlDaemon, seen *traffic) {
 	var ls []net.Listener
 	seen = &traffic{}
 	for i := range n {
@@ -94,11 +100,12 @@
 		peers = append(peers, brsetting.ControlPeer{DaemonID: fmt.Sprint("control-", i), Address: ls[i].Addr().String()})
 	}
 	for i, p := range peers {
-		d, err := startDaemon(p.DaemonID, ls[i], seen, peers, t.TempDir(), brwire.RoleControl)
+		dir := t.TempDir()
+		d, err := startDaemon(p.DaemonID, ls[i], seen, peers, dir, brwire.RoleControl)
 		if err != nil {
 			t.Fatal(err)
 		}
-		daemons = append(daemons, d)
+		daemons = append(daemons, controlDaemon{d, dir})
 	}
 	t.Cleanup(func() {
 		for _, d := range daemons {
