--- /dev/null
+++ b/brcapacity/message_test.go
@@ -0,0 +1,83 @@
+package brcapacity
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"bramleyroute/brclock"
+	"bramleyroute/brerror"
+	"bramleyroute/brpeer"
+	"bramleyroute/brtimeline"
+	"bramleyroute/brwire"
+)
+
+func fileSize(t *testing.T, dir string) int64 {
+	t.Helper()
+	s, err := os.Stat(filepath.Join(dir, brtimeline.FileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s.Size()
+}
+
+// wireBytes returns what a push takes on a link, with the frame and the stamp and
+// without the WebSocket header.
+func wireBytes[T any](t *testing.T, name string, msg T) int {
+	t.Helper()
+	got := make(chan struct{}, 1)
+	m := &brpeer.Mux{}
+	brpeer.HandlePush(m, name, func(*brpeer.Conn, T) { got <- struct{}{} })
+	srv := &brpeer.Server{Mux: m}
+	h := httptest.NewServer(http.HandlerFunc(srv.ServeHTTP))
+	defer h.Close()
+	defer srv.Close()
+	own := &brpeer.Mux{Stamp: brtimeline.NewClock(brclock.System{}, time.Minute).Now}
+	c, err := brpeer.Dial(t.Context(), strings.TrimPrefix(h.URL, "http://"), nil, own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := brpeer.Push(c, name, msg); err != nil {
+		t.Fatal(err)
+	}
+	<-got
+	in, _ := srv.Conns()[0].Bytes()
+	return int(in)
+}
+
+func pooled[T any](m T) brwire.Pooled[T] { return brwire.Pooled[T]{Pool: "model-0@local", Message: m} }
+
+// requestBytes returns the bytes of the messages between the entry and the
+// scheduler for one request with an id of the caller.
+func requestBytes(t *testing.T) map[string]int {
+	id := requestID(start, 1)
+	return map[string]int{
+		"submit": wireBytes(t, brwire.NameSubmit, pooled(submission(start, 1))),
+		"bound":  wireBytes(t, brwire.NameBound, pooled(brwire.Bound{RequestID: id, Epoch: 1000})),
+		"grant": wireBytes(t, brwire.NameGrant, pooled(brwire.Grant{RequestID: id, Epoch: 1000, EndpointID: "engine-0001", Address: "10.1.100.100:8000", Version: "2026-11-01",
+			Window: 500 * time.Millisecond, Number: 1_000_000})),
+		"started":     wireBytes(t, brwire.NameStarted, pooled(brwire.Started{RequestID: id, Epoch: 1000, Number: 1_000_000})),
+		"first_token": wireBytes(t, brwire.NameFirstToken, pooled(brwire.FirstToken{RequestID: id, Epoch: 1000, Number: 1_000_000, Elapsed: 50 * time.Millisecond})),
+		"done": wireBytes(t, brwire.NameDone, pooled(brwire.Done{RequestID: id, Epoch: 1000, Number: 1_000_000, OK: true, Outcome: brerror.Ran, PromptTokens: 900, OutputTokens: 280,
+			FirstToken: 50 * time.Millisecond, Duration: 8 * time.Second})),
+	}
+}
+
+// Measures the messages of one request and one report on the wire.
+func TestMeasureMessages(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; needs -measure")
+	}
+	sum := 0
+	for name, n := range requestBytes(t) {
+		t.Logf("%s %d B", name, n)
+		sum += n
+	}
+	t.Logf("a request %d B", sum)
+	t.Logf("report %d B", wireBytes(t, brwire.NameReport, pooled(announcement(1, 1_000_000))))
+}
