--- a/brcapacity/message_test.go
+++ b/brcapacity/message_test.go
@@ -81,3 +81,28 @@
 	t.Logf("a request %d B", sum)
 	t.Logf("report %d B", wireBytes(t, brwire.NameReport, pooled(announcement(1, 1_000_000))))
 }
+
+// BenchmarkPush measures the processor time of a push over a link, both ends
+// together, at a pace like that of one entry (one message a segment).
+func BenchmarkPush(b *testing.B) {
+	got := make(chan struct{}, 1)
+	m := &brpeer.Mux{}
+	brpeer.HandlePush(m, brwire.NameSubmit, func(*brpeer.Conn, brwire.Pooled[brwire.Submit]) { got <- struct{}{} })
+	srv := &brpeer.Server{Mux: m}
+	h := httptest.NewServer(http.HandlerFunc(srv.ServeHTTP))
+	defer h.Close()
+	defer srv.Close()
+	c, err := brpeer.Dial(b.Context(), strings.TrimPrefix(h.URL, "http://"), nil, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	msg, before := pooled(submission(start, 1)), processorTime()
+	for b.Loop() {
+		if err := brpeer.Push(c, brwire.NameSubmit, msg); err != nil {
+			b.Fatal(err)
+		}
+		<-got
+	}
+	b.ReportMetric(float64((processorTime()-before).Nanoseconds())/float64(b.N), "cpu-ns/message")
+}
