brdaemon: close the links that only questions have used

While the control group is lost, each daemon asks all others whether they are confirmed, over links that then stayed open for good.

--- a/brcapacity/question_test.go
+++ b/brcapacity/question_test.go
@@ -58,7 +58,7 @@
 	}
 	defer again.Close()
 	f.until(20*time.Second, "ready again", 0, func(u usage) bool { return u.Ready == n })
-	time.Sleep(3 * time.Second) // confirmations come each second
+	time.Sleep(11 * time.Second) // links for questions only are closed 10 s after the last
 	u2 := f.ask(0)
 	time.Sleep(3 * time.Second) // the length of the measurement
 	u3 := f.ask(0)
--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -87,6 +87,7 @@
 			case <-s.clock.After(sessionTick):
 				s.step(brmember.Tick{})
 				s.chooseReplica()
+				s.links.dropBrief(s.clock.Now())
 			}
 		}
 	})
@@ -195,7 +196,7 @@
 	if !ok {
 		return
 	}
-	c := s.links.conn(d.PeerAddress)
+	c := s.links.briefConn(d.PeerAddress, s.clock.Now())
 	if c == nil {
 		return
 	}
@@ -234,7 +235,7 @@
 	if !ok {
 		return
 	}
-	c := s.links.conn(d.PeerAddress)
+	c := s.links.briefConn(d.PeerAddress, s.clock.Now())
 	if c == nil {
 		return
 	}
