--- a/brdaemon/poollease.go
+++ b/brdaemon/poollease.go
@@ -53,6 +53,10 @@
 	}
 	v := r.d.session.present()
 	o, _ := v.Owner(r.name)
+	if o.Holder != "" && o.Holder != r.d.self.ID && r.d.connTo(o.Holder) != nil {
+		r.ownerGone = time.Time{}
+		return false // before the candidates are sorted, which takes most of the time of a tick
+	}
 	rank := slices.Index(candidates(v, r.name), r.d.self.ID)
 	if rank < 0 {
 		return false // not registered yet
@@ -60,10 +64,6 @@
 	wait := time.Duration(rank) * candidateStep
 	if o.Holder != "" {
 		wait += ownerSilence
-		if o.Holder != r.d.self.ID && r.d.connTo(o.Holder) != nil {
-			r.ownerGone = time.Time{}
-			return false
-		}
 	}
 	if r.ownerGone.IsZero() {
 		r.ownerGone = now
