--- a/brcapacity/fleet_test.go
+++ b/brcapacity/fleet_test.go
@@ -328,3 +328,14 @@
 	}
 	return *u.View
 }
+
+// until waits until the view of the replica's own daemon is as ok says.
+func (o operator) until(what string, ok func(brstate.View) bool) {
+	o.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(o.view()); {
+		if time.Now().After(end) {
+			o.t.Fatalf("not within 10 s: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond) // paces the polling only
+	}
+}
--- a/brcapacity/scheduler_test.go
+++ b/brcapacity/scheduler_test.go
@@ -140,6 +140,46 @@
 	}
 }
 
+// Measures a takeover: every entry tells what it ran in the last 10 minutes.
+func TestMeasureTakeover(t *testing.T) {
+	if !*measure {
+		t.Skip("a measurement; needs -measure")
+	}
+	const ended = 600 * 250 // ids of 10 minutes of one pool
+	for _, entries := range []int{10, 100, 400} {
+		p := newPool(217, 60_000)
+		reports, size := make([]brwire.Recover, entries), 0
+		var ids []string
+		for i := range entries {
+			r := brwire.Recover{EntryID: fmt.Sprintf("vm-%03d", i), Pool: "model-0@local", Epoch: 2, StartedAgo: time.Hour}
+			ids = append(ids, r.EntryID)
+			for k := range ended / entries {
+				r.Ended = append(r.Ended, brwire.EndedRef{RequestID: requestID(start, i*ended+k), EndpointID: "engine-0001", Address: "10.1.100.100:8000", Customer: "customer-001", Ran: true})
+			}
+			data, err := brwire.Encode(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			size += len(data)
+			reports[i] = r
+		}
+		p.Step(start.Add(time.Second), brpool.Takeover{Epoch: 2, Entries: ids})
+		began := processorTime()
+		for _, r := range reports {
+			p.Step(start.Add(time.Second), brpool.Recovered{Recover: r})
+		}
+		took := processorTime() - began
+		at := time.Now()
+		for _, r := range reports {
+			data, _ := brwire.Encode(r)
+			if _, err := brwire.Decode[brwire.Recover](data); err != nil {
+				t.Fatal(err)
+			}
+		}
+		t.Logf("%d entries: %d B in reports, %v to apply, %v to encode and decode, recovering %v, %d ids on record", entries, size, took, time.Since(at), p.Status().Recovering, p.Status().Finished)
+	}
+}
+
 // Measures the timeline's file for the events of one request at its entry and its
 // scheduler.
 func TestMeasureTimeline(t *testing.T) {
--- a/brcapacity/state_test.go
+++ b/brcapacity/state_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"bramleyroute/brconfig"
 	"bramleyroute/brledger"
 	"bramleyroute/brstate"
 	"bramleyroute/brwire"
@@ -19,24 +20,30 @@
 	at    time.Time
 }
 
-func (m *machine) apply(c brstate.Command) {
+func (m *machine) apply(c brstate.Command) *brstate.Change {
 	m.index++
 	c.ID, c.At = fmt.Sprint("command-", m.index), m.at
 	data, err := c.Encode()
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	if r, _ := m.state.Apply(m.index, data); r.Error != nil {
+	r, change := m.state.Apply(m.index, data)
+	if r.Error != nil {
 		m.t.Fatal(r.Error)
 	}
+	return change
+}
+
+// change puts one customer.
+func (m *machine) change(c brconfig.Customer) brstate.Change {
+	return *m.apply(brstate.Command{PutConfiguration: &brstate.PutConfiguration{
+		Expected: m.state.View().ConfigurationRevision, Change: &brconfig.Change{Customers: []brconfig.Customer{c}}}})
 }
 
 func (m *machine) fill(daemons, customers int) {
 	m.apply(brstate.Command{PutConfiguration: &brstate.PutConfiguration{Document: document(customers)}})
 	for i := range daemons {
-		m.apply(brstate.Command{RegisterDaemon: &brstate.RegisterDaemon{Daemon: brwire.Daemon{ID: fmt.Sprintf("vm-%03d", i),
-			Incarnation: fmt.Sprintf("00000000-0000-7000-8000-%012d", i), Roles: []brwire.Role{brwire.RoleEntry}, PeerAddress: "10.1.100.100:8081",
-			CallerAddress: "10.1.100.100:8080", Region: "gauteng", FailureDomain: "gauteng-a"}}})
+		m.apply(brstate.Command{RegisterDaemon: &brstate.RegisterDaemon{Daemon: announcedDaemon(i)}})
 	}
 }
 
