--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -91,6 +91,7 @@
 			case <-s.clock.After(sessionTick):
 				s.step(brmember.Tick{})
 				s.chooseReplica()
+				s.links.dropBrief(s.clock.Now())
 			}
 		}
 	})
@@ -211,7 +212,7 @@
 	if !ok {
 		return
 	}
-	c := s.links.conn(d.PeerAddress)
+	c := s.links.briefConn(d.PeerAddress, s.clock.Now())
 	if c == nil {
 		return
 	}
@@ -250,7 +251,7 @@
 	if !ok {
 		return
 	}
-	c := s.links.conn(d.PeerAddress)
+	c := s.links.briefConn(d.PeerAddress, s.clock.Now())
 	if c == nil {
 		return
 	}
