Add brload: seeded open-loop load, baselines and experiments with processes

Cause: nothing measured the system with real processes under overload. Change: package brload and cmd/brload generate Poisson arrivals with bursts, send them to entries or, as baselines, directly to fake engines, check each answer against its own text and count goodput, refusals and wasted prefill.

--- /dev/null
+++ b/brload/account.go
@@ -0,0 +1,147 @@
+package brload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Histograms record microseconds from 1 µs to 10 minutes with two digits.
+const (
+	histogramMost   = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 2
+)
+
+// Latency is a histogram of durations.
+type Latency struct{ h *hdrhistogram.Histogram }
+
+// NewLatency returns an empty histogram.
+func NewLatency() Latency { return Latency{hdrhistogram.New(1, histogramMost, histogramDigits)} }
+
+// Record adds a duration; those out of range count as the nearest in range.
+func (l Latency) Record(d time.Duration) {
+	_ = l.h.RecordValue(min(histogramMost, max(1, d.Microseconds()))) // in range
+}
+
+// Quantile returns the duration below which q percent lie, 0 when empty.
+func (l Latency) Quantile(q float64) time.Duration {
+	if l.h.TotalCount() == 0 {
+		return 0
+	}
+	return time.Duration(l.h.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Quantiles are the usual quantiles of a Latency, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+}
+
+// String returns the three quantiles in milliseconds.
+func (q Quantiles) String() string { return fmt.Sprintf("%.2f / %.2f / %.2f", q.P50, q.P95, q.P99) }
+
+// Quantiles returns the usual quantiles.
+func (l Latency) Quantiles() Quantiles {
+	ms := func(q float64) float64 { return float64(l.Quantile(q).Microseconds()) / 1000 }
+	return Quantiles{l.h.TotalCount(), ms(50), ms(95), ms(99)}
+}
+
+// TierReport counts the requests of one tier.
+type TierReport struct {
+	Offered     int            `json:"offered"`
+	Good        int            `json:"good"`          // whole answer within the deadline
+	FirstInTime int            `json:"first_in_time"` // whole answer, its first token within the deadline
+	Late        int            `json:"late"`          // whole answer after the deadline
+	Refused     map[string]int `json:"refused"`       // tries that were not run, by kind
+	Failed      map[string]int `json:"failed"`        // requests that ran and failed, by kind
+	Lost        int            `json:"lost"`          // requests whose connection or stream broke
+	Foreign     int            `json:"foreign"`       // answers with anything but the request's own text
+	Retries     int            `json:"retries"`
+	FirstToken  Quantiles      `json:"first_token"`    // whole answers, from the planned arrival
+	Between     Quantiles      `json:"between_tokens"` // whole answers
+	Total       Quantiles      `json:"total"`          // whole answers, from the planned arrival
+}
+
+// Percent returns part of the offered requests in percent, 0 without any.
+func (t TierReport) Percent(part int) float64 {
+	if t.Offered == 0 {
+		return 0
+	}
+	return 100 * float64(part) / float64(t.Offered)
+}
+
+// Report is the account of one run against one target.
+type Report struct {
+	Name   string            `json:"name"`
+	Rate   float64           `json:"rate"`   // good answers per second of the plan
+	Tokens float64           `json:"tokens"` // tokens received per second of the plan
+	Tiers  [Tiers]TierReport `json:"tiers"`
+	Waste  Waste             `json:"waste"`
+	Errors []string          `json:"errors,omitempty"` // broken invariants
+}
+
+// Account counts outcomes of a plan of a length.
+func Account(name string, length time.Duration, outcomes []Outcome) Report {
+	r := Report{Name: name}
+	var first, between, total [Tiers]Latency
+	for i := range Tiers {
+		r.Tiers[i].Refused, r.Tiers[i].Failed = map[string]int{}, map[string]int{}
+		first[i], between[i], total[i] = NewLatency(), NewLatency(), NewLatency()
+	}
+	good, tokens := 0, 0
+	for _, o := range outcomes {
+		i := o.Tier - 1
+		r.Tiers[i].count(o)
+		a := o.Last()
+		tokens += a.Tokens
+		if o.Good() {
+			good++
+		}
+		if !a.Whole {
+			continue
+		}
+		first[i].Record(a.First.Sub(o.Due))
+		total[i].Record(a.Last.Sub(o.Due))
+		for _, g := range a.Gaps {
+			between[i].Record(g)
+		}
+	}
+	for i := range Tiers {
+		t := &r.Tiers[i]
+		t.FirstToken, t.Between, t.Total = first[i].Quantiles(), between[i].Quantiles(), total[i].Quantiles()
+	}
+	r.Rate, r.Tokens = float64(good)/length.Seconds(), float64(tokens)/length.Seconds()
+	return r
+}
+
+func (t *TierReport) count(o Outcome) {
+	t.Offered++
+	t.Retries += len(o.Tries) - 1
+	for _, a := range o.Tries {
+		if a.NotRun() {
+			t.Refused[a.Failure.Kind]++
+		}
+		if a.Foreign {
+			t.Foreign++
+		}
+	}
+	a := o.Last()
+	switch {
+	case a.Whole:
+		if o.FirstInTime() {
+			t.FirstInTime++
+		}
+		if o.Good() {
+			t.Good++
+		} else {
+			t.Late++
+		}
+	case a.Failure.Kind != "" && !a.NotRun():
+		t.Failed[a.Failure.Kind]++
+	case a.Failure.Kind == "":
+		t.Lost++
+	}
+}
--- /dev/null
+++ b/brload/experiment.go
@@ -0,0 +1,115 @@
+package brload
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+var experiments = map[string]func(ctx context.Context, x Experiment) (Result, error){
+	"overload":   overload,
+	"headofline": headOfLine,
+	"prefill":    prefill,
+}
+
+// Experiments returns the names of the experiments.
+func Experiments() []string { return slices.Sorted(maps.Keys(experiments)) }
+
+// Run runs the experiment with a name and writes its tables to x.Out. An error
+// names every invariant that was broken.
+func Run(ctx context.Context, name string, x Experiment) (Result, error) {
+	run := experiments[name]
+	if run == nil {
+		return Result{}, fmt.Errorf("no experiment named %q", name)
+	}
+	r, err := run(ctx, x)
+	if err != nil {
+		return r, err
+	}
+	r.Name, r.Seed = name, x.Seed
+	WriteTable(x.Out, r)
+	return r, r.Errors()
+}
+
+// bursts doubles the rate for a quarter of each 2 s.
+var bursts = Season{Period: 2 * time.Second, Length: 500 * time.Millisecond, Factor: 2}
+
+// overload plays the standard mix at several multiples of the capacity.
+func overload(ctx context.Context, x Experiment) (Result, error) {
+	m := StandardMix()
+	f, err := newFleet(ctx, x, m)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
+	for i, load := range x.loads(0.7, 1, 1.5, 3) {
+		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
+		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
+		if err != nil {
+			return r, err
+		}
+		r.Phases = append(r.Phases, ph)
+	}
+	return r, nil
+}
+
+// questionPart is the part of the capacity that questions arrive at in the
+// headofline experiment.
+const questionPart = 0.3
+
+// headOfLine plays the travellers' questions alone, and the same questions
+// while drafts of three times the capacity arrive.
+func headOfLine(ctx context.Context, x Experiment) (Result, error) {
+	m := StandardMix().Only("question", "draft", "proof")
+	f, err := newFleet(ctx, x, m)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
+	rate := questionPart * r.Capacity
+	alone := Plan{Seed: x.Seed, Rate: rate, Length: x.Length, Mix: m.Only("question")}
+	ph, err := f.play(ctx, alone, "alone")
+	if err != nil {
+		return r, err
+	}
+	r.Phases = append(r.Phases, ph)
+	for i := range m.Classes {
+		m.Classes[i].Part = map[string]float64{"question": rate, "draft": 3 * r.Capacity, "proof": 0.01 * r.Capacity}[m.Classes[i].Route]
+	}
+	both := Plan{Seed: x.Seed, Rate: rate + 3*r.Capacity, Length: x.Length, Mix: m}
+	ph, err = f.play(ctx, both, "behind drafts")
+	r.Phases = append(r.Phases, ph)
+	return r, err
+}
+
+// prefill plays prompts of mostly shared prefixes, once to warm the caches and
+// then below and above the capacity.
+func prefill(ctx context.Context, x Experiment) (Result, error) {
+	m := PrefixMix()
+	f, err := newFleet(ctx, x, m)
+	if err != nil {
+		return Result{}, err
+	}
+	defer f.Close()
+	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
+	for i, load := range x.loads(0.5, 0.7, 1.5) {
+		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
+		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
+		if err != nil {
+			return r, err
+		}
+		r.Phases = append(r.Phases, ph)
+	}
+	return r, nil
+}
+
+func (x Experiment) loads(usual ...float64) []float64 {
+	if len(x.Loads) > 0 {
+		return x.Loads
+	}
+	return usual
+}
--- /dev/null
+++ b/brload/mix.go
@@ -0,0 +1,117 @@
+package brload
+
+import (
+	"bramleyroute/brconfig"
+)
+
+// Tiers is the number of tiers; tier 1 is the highest.
+const Tiers = brconfig.Tiers
+
+// Range is an inclusive range of tokens.
+type Range struct{ Least, Most int }
+
+// Class is one kind of request in a Mix.
+type Class struct {
+	Route      string
+	Tier       int
+	Part       float64 // share of the arrivals, relative to the other classes
+	Prefix     int     // tokens of the prompt that the requests of a template share
+	Templates  int     // number of different prefixes; at least 1
+	Body       Range   // further prompt tokens
+	Output     Range   // tokens
+	DeadlineMS int
+}
+
+// Customer is an organisation that sends requests.
+type Customer struct {
+	Name string
+	Key  string
+	Part float64 // share of the arrivals, relative to the other customers
+}
+
+// Mix is the composition of the arrivals.
+type Mix struct {
+	Model     string
+	Classes   []Class
+	Customers []Customer
+}
+
+// Model is the name of the model of the built-in mixes.
+const Model = "model-a"
+
+// maxOutput bounds what a request of the built-in routes may ask for, in tokens.
+const maxOutput = 100_000
+
+// StandardMix returns the mix of the experiments: short questions of travellers
+// in tier 1, summaries in tier 2, drafts in tier 4 and proof reviews in tier 5,
+// of which some have prompts a hundred times longer than a question's. Two of
+// the five customers send three quarters of the requests.
+func StandardMix() Mix {
+	return Mix{
+		Model: Model,
+		Classes: []Class{
+			{Route: "question", Tier: 1, Part: 15, Prefix: 128, Templates: 8, Body: Range{20, 80}, Output: Range{8, 24}, DeadlineMS: 1500},
+			{Route: "summary", Tier: 2, Part: 25, Prefix: 256, Templates: 8, Body: Range{200, 800}, Output: Range{16, 48}, DeadlineMS: 3000},
+			{Route: "draft", Tier: 4, Part: 58, Prefix: 512, Templates: 12, Body: Range{50, 400}, Output: Range{30, 100}, DeadlineMS: 5000},
+			{Route: "proof", Tier: 5, Part: 1.5, Prefix: 2048, Templates: 4, Body: Range{1000, 3000}, Output: Range{40, 120}, DeadlineMS: 8000},
+			{Route: "proof", Tier: 5, Part: 0.5, Prefix: 2048, Templates: 4, Body: Range{16_000, 20_000}, Output: Range{40, 120}, DeadlineMS: 8000},
+		},
+		Customers: customers(),
+	}
+}
+
+// PrefixMix returns the mix of the prefill experiment: prompts are mostly shared
+// prefixes, all of which together are three times what one engine caches.
+func PrefixMix() Mix {
+	m := StandardMix()
+	m.Classes = []Class{
+		{Route: "question", Tier: 1, Part: 20, Prefix: 256, Templates: 8, Body: Range{20, 60}, Output: Range{8, 24}, DeadlineMS: 1500},
+		{Route: "draft", Tier: 4, Part: 60, Prefix: 1024, Templates: 24, Body: Range{20, 60}, Output: Range{30, 100}, DeadlineMS: 5000},
+		{Route: "proof", Tier: 5, Part: 20, Prefix: 4096, Templates: 12, Body: Range{20, 60}, Output: Range{40, 120}, DeadlineMS: 8000},
+	}
+	return m
+}
+
+// Only returns the mix with the classes of the routes named.
+func (m Mix) Only(routes ...string) Mix {
+	var kept []Class
+	for _, c := range m.Classes {
+		for _, r := range routes {
+			if c.Route == r {
+				kept = append(kept, c)
+			}
+		}
+	}
+	m.Classes = kept
+	return m
+}
+
+func customers() []Customer {
+	return []Customer{
+		{Name: "large-a", Key: "customer-key-large-a", Part: 45},
+		{Name: "large-b", Key: "customer-key-large-b", Part: 30},
+		{Name: "small-a", Key: "customer-key-small-a", Part: 9},
+		{Name: "small-b", Key: "customer-key-small-b", Part: 8},
+		{Name: "small-c", Key: "customer-key-small-c", Part: 8},
+	}
+}
+
+// Document returns the configuration that gives the daemons the routes and
+// customers of m.
+func (m Mix) Document() brconfig.Document {
+	t := brconfig.Template{Name: "load"}
+	seen := map[string]bool{}
+	for _, c := range m.Classes {
+		if seen[c.Route] {
+			continue
+		}
+		seen[c.Route] = true
+		t.Routes = append(t.Routes, brconfig.Route{Name: c.Route, Model: m.Model, Tier: c.Tier,
+			FirstTokenMS: c.DeadlineMS, DeadlineMS: c.DeadlineMS, MaxTokens: maxOutput})
+	}
+	d := brconfig.Document{Models: []brconfig.Model{{Name: m.Model, Kind: "engine"}}, Templates: []brconfig.Template{t}}
+	for _, c := range m.Customers {
+		d.Customers = append(d.Customers, brconfig.Customer{Name: c.Name, Template: t.Name, Keys: []string{c.Key}})
+	}
+	return d
+}
