--- a/brload/compare.go
+++ b/brload/compare.go
@@ -53,13 +53,10 @@
 // The small fleet of the experiments: three daemons, and for each of the four
 // targets four engines of its own, so that all are measured at the same time.
 const (
-	fleetDaemons = 3
-	fleetEngines = 4
-	fleetBatch   = 8
-	// fleetCapacity is what the engines announce, in tokens. It is near what
-	// their batch holds of the standard mix.
-	fleetCapacity = 9000
-	fleetBlocks   = 192 // about a third of the prefixes of each mix
+	fleetDaemons  = 3
+	fleetEngines  = 4
+	fleetBatch    = 8
+	fleetBlocks   = 512                   // of the 1,184 of PrefixMix
 	fleetPrefill  = 50 * time.Microsecond // the default of brfake
 	fleetStep     = 10 * time.Millisecond
 	fleetSequence = 500 * time.Microsecond
@@ -71,7 +68,8 @@
 // fleet is a system with a target for the entries and for each baseline.
 type fleet struct {
 	*System
-	lanes []lane
+	lanes    []lane
+	capacity int // that engines announce, in tokens: what their batch holds of the mix
 }
 
 // lane is a target with its own engines.
@@ -79,6 +77,7 @@
 	target  Target
 	engines []Engine
 	system  bool // behind the entries
+	warm    *warmth
 }
 
 func newFleet(ctx context.Context, x Experiment, m Mix) (*fleet, error) {
@@ -86,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{System: s}
+	f := &fleet{System: s, capacity: int(fleetBatch * m.MeanTokens())}
 	if err := f.open(ctx, m); err != nil {
 		f.Close()
 		return nil, err
@@ -128,16 +127,16 @@
 		return err
 	}
 	f.lanes = []lane{
-		{Entries(callers), own, true},
-		{RoundRobin(Model, robin), robin, false},
-		{LeastOutstanding(Model, least, reports), least, false},
-		{FirstCome(Model, first), first, false},
+		{Entries(callers), own, true, newWarmth(fleetBlocks)},
+		{RoundRobin(Model, robin), robin, false, newWarmth(fleetBlocks)},
+		{LeastOutstanding(Model, least, reports), least, false, newWarmth(fleetBlocks)},
+		{FirstCome(Model, first), first, false, newWarmth(fleetBlocks)},
 	}
 	return nil
 }
 
 func (f *fleet) engines(ctx context.Context, name string, daemons []string) ([]Engine, error) {
-	return f.StartFakes(ctx, Fakes{Name: name, Count: fleetEngines, MaxBatch: fleetBatch, Capacity: fleetCapacity,
+	return f.StartFakes(ctx, Fakes{Name: name, Count: fleetEngines, MaxBatch: fleetBatch, Capacity: f.capacity,
 		CacheBlocks: fleetBlocks, Prefill: fleetPrefill, StepBase: fleetStep, StepPerSeq: fleetSequence, Daemons: daemons, GOMAXPROCS: 1})
 }
 
@@ -149,10 +148,11 @@
 	f.System.Close()
 }
 
-// capacity returns the requests per second that the engines of the first come
+// calibrate returns the requests per second that the engines of the first come
 // target end when it always has more requests than places.
-func (f *fleet) capacity(ctx context.Context, seed uint64, m Mix) float64 {
+func (f *fleet) calibrate(ctx context.Context, seed uint64, m Mix) float64 {
 	l := f.lanes[len(f.lanes)-1]
+	m.Salt = "calibration." // leaves the caches without the prefixes of the phases
 	arrivals := Plan{Seed: seed + 1000, Rate: 1000, Length: time.Hour, Limit: 4000, Mix: m}.Arrivals()
 	work := make(chan Arrival, len(arrivals))
 	for _, a := range arrivals {
@@ -206,7 +206,7 @@
 	ph := Phase{Name: name, Load: p.Rate}
 	for i, l := range f.lanes {
 		r := Account(l.target.Name, p.Length, outcomes[i])
-		r.Waste = measureWaste(outcomes[i], after.since(before, i), fleetBlocks)
+		r.Waste = measureWaste(l.warm, outcomes[i], after.since(before, i))
 		r.Errors = checkRuns(outcomes[i], after.engines[i])
 		if l.system {
 			r.Waste.Scheduler = after.scheduler(before)
--- a/brload/experiment.go
+++ b/brload/experiment.go
@@ -44,7 +44,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
+	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
 	for i, load := range x.loads(0.7, 1, 1.5, 3) {
 		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
 		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
@@ -69,7 +69,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
+	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
 	rate := questionPart * r.Capacity
 	alone := Plan{Seed: x.Seed, Rate: rate, Length: x.Length, Mix: m.Only("question")}
 	ph, err := f.play(ctx, alone, "alone")
@@ -95,8 +95,8 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.capacity(ctx, x.Seed, m)}
-	for i, load := range x.loads(0.5, 0.7, 1.5) {
+	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
+	for i, load := range x.loads(0.5, 0.7, 1, 1.5) {
 		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
 		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
 		if err != nil {
--- a/brload/mix.go
+++ b/brload/mix.go
@@ -32,6 +32,7 @@
 // Mix is the composition of the arrivals.
 type Mix struct {
 	Model     string
+	Salt      string // begins every prompt; prompts with different salts share no prefix
 	Classes   []Class
 	Customers []Customer
 }
@@ -61,7 +62,8 @@
 }
 
 // PrefixMix returns the mix of the prefill experiment: prompts are mostly shared
-// prefixes, all of which together are three times what one engine caches.
+// prefixes, which together are more than one engine of the experiments caches
+// and less than all four do.
 func PrefixMix() Mix {
 	m := StandardMix()
 	m.Classes = []Class{
@@ -86,6 +88,16 @@
 	return m
 }
 
+// MeanTokens returns the mean tokens of a request, prompt and answer.
+func (m Mix) MeanTokens() float64 {
+	sum, parts := 0.0, 0.0
+	for _, c := range m.Classes {
+		parts += c.Part
+		sum += c.Part * (float64(c.Prefix) + float64(c.Body.Least+c.Body.Most+c.Output.Least+c.Output.Most)/2)
+	}
+	return sum / parts
+}
+
 func customers() []Customer {
 	return []Customer{
 		{Name: "large-a", Key: "customer-key-large-a", Part: 45},
--- a/brload/plan.go
+++ b/brload/plan.go
@@ -89,7 +89,7 @@
 	return Arrival{
 		At: at, Number: number, Customer: u, Route: c.Route, Tier: c.Tier, Output: output,
 		MaxTokens: 4 * c.Output.Most, Deadline: time.Duration(c.DeadlineMS) * time.Millisecond,
-		Prompt: prompt(c, rng.IntN(max(1, c.Templates)), number, c.Body.draw(rng), output),
+		Prompt: prompt(m.Salt, c, rng.IntN(max(1, c.Templates)), number, c.Body.draw(rng), output),
 	}
 }
 
@@ -112,9 +112,9 @@
 
 // prompt returns a shared prefix and words of its own. The last word sets the
 // length of brfake's answer.
-func prompt(c Class, template, number, body, output int) string {
+func prompt(salt string, c Class, template, number, body, output int) string {
 	var b strings.Builder
-	shared := fmt.Sprintf("%s%d", c.Route, template)
+	shared := fmt.Sprintf("%s%s%d", salt, c.Route, template)
 	for i := range c.Prefix {
 		b.WriteString(shared)
 		b.WriteByte('.')
--- a/brload/waste.go
+++ b/brload/waste.go
@@ -27,17 +27,15 @@
 func (w Waste) Percent() float64 { return 100 * float64(w.Sum()) / float64(max(1, w.Computed)) }
 
 // measureWaste derives the wasted prefill from the outcomes and the engines'
-// counts. What was cached elsewhere is what the answers so far had put into a
-// cache of blocks prefix blocks, least recently used first out, at the arrival
-// of a request.
-func measureWaste(outcomes []Outcome, counts []brfake.Counts, blocks int) Waste {
+// counts. What was cached elsewhere is what the answers so far had put into the
+// caches at the arrival of a request, as warm follows them.
+func measureWaste(warm *warmth, outcomes []Outcome, counts []brfake.Counts) Waste {
 	var w Waste
 	for _, c := range counts {
 		w.Computed += c.PrefillComputed
 		w.Cached += c.PrefillCached
 		w.Unfinished += c.PrefillWasted
 	}
-	warm := newWarmth(blocks)
 	for _, e := range warm.events(outcomes) {
 		if e.store {
 			warm.store(e.outcome)
@@ -55,7 +53,8 @@
 	return w
 }
 
-// warmth follows the prefix caches of engines by their answers.
+// warmth follows the prefix caches of engines by their answers, as caches of a
+// number of blocks, least recently used first out.
 type warmth struct {
 	blocks int
 	caches map[string][]uint64 // by engine; the last is the most recently used
