--- a/brload/compare.go
+++ b/brload/compare.go
@@ -27,7 +27,11 @@
 	Name     string  `json:"name"`
 	Seed     uint64  `json:"seed"`
 	Capacity float64 `json:"capacity"` // requests per second that the engines of one target end when saturated
-	Phases   []Phase `json:"phases"`
+	Phases   []Phase `json:"phases,omitempty"`
+
+	Latency    []LatencyRow    `json:"latency,omitempty"`
+	Throughput []ThroughputRow `json:"throughput,omitempty"`
+	Memory     []MemoryRow     `json:"memory,omitempty"`
 }
 
 // Phase is one load, played on every target at the same time.
--- a/brload/experiment.go
+++ b/brload/experiment.go
@@ -12,6 +12,8 @@
 	"overload":   overload,
 	"headofline": headOfLine,
 	"prefill":    prefill,
+	"latency":    latency,
+	"throughput": throughput,
 }
 
 // Experiments returns the names of the experiments.
--- /dev/null
+++ b/brload/single.go
@@ -0,0 +1,148 @@
+package brload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// The latency experiment calls an engine directly and through entries in turns.
+const (
+	latencyPairs   = 400
+	latencyWorkers = 4
+	latencyTokens  = 8
+	latencyPrompt  = 64 // tokens
+)
+
+// LatencyRow is the latency of one way to an engine.
+type LatencyRow struct {
+	Way   string    `json:"way"`
+	First Quantiles `json:"first_token"`
+	Total Quantiles `json:"total"`
+}
+
+// latency measures the same requests sent directly to an engine, through the
+// entry that owns the pool, and through an entry that doesn't.
+func latency(ctx context.Context, x Experiment) (Result, error) {
+	s, engines, err := small(ctx, x, 3, 0, Fakes{Name: "engine", Count: 1, MaxBatch: 64, Capacity: 1_000_000,
+		CacheBlocks: 64, Prefill: time.Microsecond, StepBase: time.Millisecond})
+	if err != nil {
+		return Result{}, err
+	}
+	defer s.Close()
+	p, ok := s.Pool(ctx)
+	if !ok {
+		return Result{}, fmt.Errorf("no owner of the pool")
+	}
+	ways := []Target{Direct(Model, engines[0].Address)}
+	ways[0].Name = "direct"
+	for _, d := range s.daemons {
+		t := Entries([]string{d.Caller})
+		switch {
+		case d.ID == p.Owner:
+			t.Name = "entry that owns the pool"
+		case len(ways) == 1 || ways[len(ways)-1].Name != "entry beside the owner":
+			t.Name = "entry beside the owner"
+		}
+		if t.Name != "bramleyroute" {
+			ways = append(ways, t)
+		}
+	}
+	rows, err := inTurns(ctx, ways, x.Seed)
+	for _, w := range ways {
+		w.Close()
+	}
+	return Result{Latency: rows}, err
+}
+
+// inTurns sends one request of each worker by each way in turn.
+func inTurns(ctx context.Context, ways []Target, seed uint64) ([]LatencyRow, error) {
+	class := Class{Route: "question", Tier: 1, Part: 1, Body: Range{latencyPrompt, latencyPrompt}, Output: Range{latencyTokens, latencyTokens}, DeadlineMS: 5000}
+	m := StandardMix()
+	m.Classes = []Class{class}
+	arrivals := Plan{Seed: seed, Rate: 1000, Length: time.Hour, Limit: latencyPairs * latencyWorkers, Mix: m}.Arrivals()
+	first, total := make([]Latency, len(ways)), make([]Latency, len(ways))
+	for i := range ways {
+		first[i], total[i] = NewLatency(), NewLatency()
+	}
+	type sample struct {
+		way          int
+		first, total time.Duration
+		err          error
+	}
+	samples := make(chan sample)
+	for w := range latencyWorkers {
+		go func() {
+			for n, a := range arrivals[w*latencyPairs : (w+1)*latencyPairs] {
+				for k := range ways {
+					way := (k + n) % len(ways) // no way always follows the same other
+					begin := time.Now()
+					ans := ways[way].Send(ctx, a)
+					e := sample{way: way, first: ans.First.Sub(begin), total: ans.Last.Sub(begin)}
+					if !ans.Whole {
+						e.err = fmt.Errorf("%s: %s %w", ways[way].Name, ans.Failure.Kind, nonNil(ans.Err))
+					}
+					samples <- e
+				}
+			}
+		}()
+	}
+	var failed error
+	for range latencyPairs * latencyWorkers * len(ways) {
+		e := <-samples
+		if e.err != nil {
+			failed = e.err
+			continue
+		}
+		first[e.way].Record(e.first)
+		total[e.way].Record(e.total)
+	}
+	var rows []LatencyRow
+	for i, w := range ways {
+		rows = append(rows, LatencyRow{w.Name, first[i].Quantiles(), total[i].Quantiles()})
+	}
+	return rows, failed
+}
+
+// small starts a few daemons and one group of engines that announce to them.
+func small(ctx context.Context, x Experiment, daemons, maxProcs int, f Fakes) (*System, []Engine, error) {
+	s, err := NewSystem(x.Binaries)
+	if err != nil {
+		return nil, nil, err
+	}
+	m := StandardMix()
+	for i := range m.Classes {
+		m.Classes[i].DeadlineMS = int(time.Minute / time.Millisecond) // waiting is what is measured
+	}
+	all, err := s.StartDaemons(ctx, daemons, maxProcs, m)
+	if err != nil {
+		s.Close()
+		return nil, nil, err
+	}
+	for _, d := range all {
+		f.Daemons = append(f.Daemons, d.Peer)
+	}
+	engines, err := s.StartFakes(ctx, f)
+	if err == nil {
+		err = s.WaitEngines(ctx, engines)
+	}
+	if err != nil {
+		s.Close()
+		return nil, nil, err
+	}
+	return s, engines, nil
+}
+
+func writeLatency(w io.Writer, rows []LatencyRow) {
+	fmt.Fprint(w, "| Way | requests | first token p50 / p95 / p99, ms | added | whole answer p50 / p95 / p99, ms | added |\n|"+strings.Repeat("---|", 6)+"\n")
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %s | %d | %s | %s | %s | %s |\n", r.Way, r.First.Count, r.First, r.First.minus(rows[0].First), r.Total, r.Total.minus(rows[0].Total))
+	}
+	fmt.Fprintln(w)
+}
+
+func (q Quantiles) minus(o Quantiles) Quantiles {
+	return Quantiles{P50: q.P50 - o.P50, P95: q.P95 - o.P95, P99: q.P99 - o.P99}
+}
--- a/brload/table.go
+++ b/brload/table.go
@@ -10,7 +10,19 @@
 
 // WriteTable writes a result as Markdown tables. Errors of w are ignored.
 func WriteTable(w io.Writer, r Result) {
-	fmt.Fprintf(w, "### %s, seed %d: capacity %.1f requests/s\n\n", r.Name, r.Seed, r.Capacity)
+	fmt.Fprintf(w, "### %s, seed %d\n\n", r.Name, r.Seed)
+	switch {
+	case len(r.Phases) > 0:
+		writePhases(w, r)
+	case len(r.Latency) > 0:
+		writeLatency(w, r.Latency)
+	case len(r.Throughput) > 0:
+		writeThroughput(w, r.Throughput, r.Memory)
+	}
+}
+
+func writePhases(w io.Writer, r Result) {
+	fmt.Fprintf(w, "Capacity: %.1f requests/s\n\n", r.Capacity)
 	fmt.Fprint(w, "| Load | Target | good/s |")
 	tiers := usedTiers(r)
 	for _, t := range tiers {
--- /dev/null
+++ b/brload/throughput.go
@@ -0,0 +1,219 @@
+package brload
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The throughput experiment: one daemon with every role, in front of engines
+// that are faster than it.
+const (
+	throughputTime    = 4 * time.Second
+	throughputStreams = 256
+	streamTokens      = 2000
+	waitingRequests   = 1000
+	streamingRequests = 400
+	// clockTicks is the unit of CPU times in /proc, per second. It is 100 on all
+	// architectures that Linux runs Go on.
+	clockTicks = 100
+)
+
+// ThroughputRow is what one daemon carried.
+type ThroughputRow struct {
+	Work          string  `json:"work"`
+	MaxProcs      int     `json:"gomaxprocs"`
+	Requests      float64 `json:"requests_per_second"`
+	Tokens        float64 `json:"tokens_per_second"`
+	Cores         float64 `json:"cores"` // CPU time of the daemon per second
+	TokensPerCore float64 `json:"tokens_per_core_second"`
+	Failed        int     `json:"failed"`
+}
+
+// MemoryRow is the resident memory of the daemon for each request.
+type MemoryRow struct {
+	State    string  `json:"state"` // waiting or streaming
+	Requests int     `json:"requests"`
+	KiB      float64 `json:"kib_per_request"`
+}
+
+// throughput measures one daemon at GOMAXPROCS 1 and 4, and its memory.
+func throughput(ctx context.Context, x Experiment) (Result, error) {
+	var r Result
+	for _, procs := range []int{1, 4} {
+		rows, err := carried(ctx, x, procs)
+		if err != nil {
+			return r, err
+		}
+		r.Throughput = append(r.Throughput, rows...)
+	}
+	rows, err := memory(ctx, x)
+	r.Memory = rows
+	return r, err
+}
+
+func carried(ctx context.Context, x Experiment, procs int) ([]ThroughputRow, error) {
+	s, _, err := small(ctx, x, 1, procs, Fakes{Name: "engine", Count: 2, MaxBatch: throughputStreams, Capacity: 50_000_000,
+		CacheBlocks: 64, StepBase: time.Millisecond, GOMAXPROCS: 4})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	var rows []ThroughputRow
+	for _, w := range []struct {
+		work            string
+		streams, tokens int
+	}{{"short requests, 4 tokens", 64, 4}, {"streams, 2,000 tokens", throughputStreams, streamTokens}} {
+		row, err := saturate(ctx, s.daemons[0], w.streams, w.tokens, x.Seed)
+		if err != nil {
+			return rows, err
+		}
+		row.Work, row.MaxProcs = w.work, procs
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// saturate keeps a number of streams open on a daemon.
+func saturate(ctx context.Context, d Daemon, streams, tokens int, seed uint64) (ThroughputRow, error) {
+	run, cancel := context.WithTimeout(ctx, throughputTime)
+	defer cancel()
+	t := Entries([]string{d.Caller})
+	defer t.Close()
+	var requests, received, failed atomic.Int64
+	before, err := cpuTime(d.PID)
+	if err != nil {
+		return ThroughputRow{}, err
+	}
+	begin := time.Now()
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			for n := 0; run.Err() == nil; n++ {
+				a := t.Send(run, probe(seed, i, n, tokens))
+				received.Add(int64(a.Tokens))
+				switch {
+				case a.Whole:
+					requests.Add(1)
+				case run.Err() == nil:
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	<-run.Done()
+	took := time.Since(begin).Seconds()
+	after, err := cpuTime(d.PID)
+	wg.Wait()
+	cores := (after - before).Seconds() / took
+	row := ThroughputRow{Requests: float64(requests.Load()) / took, Tokens: float64(received.Load()) / took, Cores: cores, Failed: int(failed.Load())}
+	row.TokensPerCore = row.Tokens / max(cores, 0.001)
+	return row, err
+}
+
+// probe returns a short prompt for an answer of a number of tokens.
+func probe(seed uint64, stream, number, tokens int) Arrival {
+	return Arrival{Customer: customers()[stream%5], Route: "question", Tier: 1, Output: tokens, MaxTokens: tokens,
+		Prompt: fmt.Sprintf("probe %d %d %d", seed, stream, number), Deadline: time.Minute}
+}
+
+// memory measures the daemon's resident memory for requests that wait for a
+// grant, and for requests whose streams are open.
+func memory(ctx context.Context, x Experiment) ([]MemoryRow, error) {
+	var rows []MemoryRow
+	for _, w := range []struct {
+		state       string
+		n, capacity int
+	}{{"waiting", waitingRequests, 1}, {"streaming", streamingRequests, 50_000_000}} {
+		s, _, err := small(ctx, x, 1, 0, Fakes{Name: "engine", Count: 1, MaxBatch: 1024, Capacity: w.capacity, CacheBlocks: 64, StepBase: 100 * time.Millisecond})
+		if err != nil {
+			return rows, err
+		}
+		row, err := hold(ctx, s.daemons[0], w.n, x.Seed)
+		s.Close()
+		if err != nil {
+			return rows, err
+		}
+		row.State = w.state
+		rows = append(rows, row)
+	}
+	return rows, nil
+}
+
+// holdTime is how long the requests are open before the memory is read.
+const holdTime = 3 * time.Second
+
+func hold(ctx context.Context, d Daemon, n int, seed uint64) (MemoryRow, error) {
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t := Entries([]string{d.Caller})
+	defer t.Close()
+	t.Send(run, probe(seed, 0, -1, 2)) // what is allocated once is not counted
+	before, err := residentKiB(d.PID)
+	if err != nil {
+		return MemoryRow{}, err
+	}
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { t.Send(run, probe(seed, i, 0, streamTokens)) })
+	}
+	sleep(ctx, holdTime)
+	after, err := residentKiB(d.PID)
+	cancel()
+	wg.Wait()
+	return MemoryRow{Requests: n, KiB: float64(after-before) / float64(n)}, err
+}
+
+// cpuTime returns the CPU time of a process from /proc (proc(5): fields 14, 15).
+func cpuTime(pid int) (time.Duration, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(b), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("stat of process %d has %d fields", pid, len(fields))
+	}
+	ticks := 0
+	for _, f := range fields[11:13] {
+		n, err := strconv.Atoi(f)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks, nil
+}
+
+// residentKiB returns the resident memory of a process from /proc.
+func residentKiB(pid int) (int, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(b)) {
+		if v, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			return strconv.Atoi(strings.Fields(v)[0])
+		}
+	}
+	return 0, fmt.Errorf("status of process %d has no VmRSS", pid)
+}
+
+func writeThroughput(w io.Writer, rows []ThroughputRow, memory []MemoryRow) {
+	fmt.Fprint(w, "| Work | GOMAXPROCS | requests/s | tokens/s | cores used | tokens for each core second | failed |\n|"+strings.Repeat("---|", 7)+"\n")
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %s | %d | %.0f | %.0f | %.2f | %.0f | %d |\n", r.Work, r.MaxProcs, r.Requests, r.Tokens, r.Cores, r.TokensPerCore, r.Failed)
+	}
+	fmt.Fprint(w, "\n| State | requests | resident KiB a request |\n|---|---|---|\n")
+	for _, r := range memory {
+		fmt.Fprintf(w, "| %s | %d | %.1f |\n", r.State, r.Requests, r.KiB)
+	}
+	fmt.Fprintln(w)
+}
