brroute: count only the uncached part of a prompt when an endpoint is asked for room

Cause: with shared prefixes most cache misses came from a warm endpoint that had no room for the whole prompt, although engines share cached blocks. Change: fits asks for room for the uncached part and the answer; the whole request counts once it is granted, so an endpoint exceeds its limit by one cached prompt at most. The bound on pending prefill doesn't hold back requests that add under 15 ms.

--- a/brroute/choose.go
+++ b/brroute/choose.go
@@ -20,6 +20,10 @@
 	// on an endpoint. Engines admit in arrival order, so all of it delays the
 	// next tier 1 request; a grant takes a few milliseconds to replace it.
 	maxPending = 0.150
+	// smallPrefill is the prefill, in seconds, that a request may add to an
+	// endpoint whose pending prefill is at maxPending: what a prompt adds whose
+	// prefix is cached there.
+	smallPrefill = 0.015
 )
 
 // Choice is an endpoint for a request. It is valid until the next call of a
@@ -109,7 +113,7 @@
 			}
 			continue
 		}
-		if t.fits(e, r.Tier, tokens) {
+		if t.fits(e, r, tokens) {
 			t.offer(candidate{e, t.cost(e, r)})
 		}
 	}
@@ -148,23 +152,30 @@
 	t.best[i] = c
 }
 
-// fits reports whether e may take tokens more of a tier. An endpoint without
-// work takes a request of any length.
-func (t *Table) fits(e *endpoint, tier, tokens int) bool {
+// fits reports whether e may take r, of tokens in all. An endpoint without work
+// takes a request of any length. The part of the prompt that e has cached needs
+// no room, since engines share cached blocks; it counts once r is granted, so an
+// endpoint is over its limit by one cached prompt at most.
+func (t *Table) fits(e *endpoint, r Request, tokens int) bool {
 	occupied := max(e.load, e.outstanding)
 	if occupied == 0 {
 		return true
 	}
+	cached := 0
+	if t.opts.Kind == brwire.KindEngine {
+		cached = t.cachedOn(e, r)
+	}
 	limit := t.limitOf(e)
-	if tier > 1 {
+	if r.Tier > 1 {
 		limit = limit * (100 - t.headroom) / 100
 		if t.opts.Kind == brwire.KindEngine && e.pending > 0 {
-			if s := t.speedOf(e); s.prefill*float64(e.pending) > maxPending {
+			s := t.speedOf(e)
+			if s.prefill*float64(r.PromptTokens-cached) > smallPrefill && s.prefill*float64(e.pending) > maxPending {
 				return false
 			}
 		}
 	}
-	return occupied+tokens <= limit
+	return occupied+tokens-cached <= limit
 }
 
 // cost returns the expected seconds that r costs on e: the wait behind pending
