brload: take the capacity from a flag and state the caller's deadline

Cause: two runs with measured capacities have different arrivals, so their counts can't be compared; and callers that retry have less time than the route.

--- a/brengine/api.go
+++ b/brengine/api.go
@@ -4,6 +4,7 @@
 const (
 	HeaderRequestID = "Request-Id"       // UUIDv7 of the request
 	HeaderRoute     = "Route"            // route of a call to a plain service
+	HeaderDeadline  = "Deadline-Ms"      // from callers: milliseconds left, if fewer than the route's deadline
 	HeaderEntry     = "Bramley-Entry"    // daemon that held the request
 	HeaderEndpoint  = "Bramley-Endpoint" // endpoint that ran it
 	HeaderRevision  = "Bramley-Revision" // configuration revision it was admitted under
--- a/brload/compare.go
+++ b/brload/compare.go
@@ -18,7 +18,8 @@
 	Binaries string // folder of the built bramleyroute and brfake
 	Seed     uint64
 	Length   time.Duration // of the arrivals of one phase
-	Loads    []float64     // multiples of the capacity, for overload
+	Loads    []float64     // multiples of the capacity; nil means the experiment's own
+	Capacity float64       // requests per second taken as the capacity; 0 means that it is measured
 	Out      io.Writer     // of the table
 }
 
@@ -153,11 +154,14 @@
 }
 
 // calibrate returns the requests per second that the engines of the first come
-// target end when it always has more requests than places.
-func (f *fleet) calibrate(ctx context.Context, seed uint64, m Mix) float64 {
+// target end when it always has more requests than places, unless x names it.
+func (f *fleet) calibrate(ctx context.Context, x Experiment, m Mix) float64 {
+	if x.Capacity > 0 {
+		return x.Capacity
+	}
 	l := f.lanes[len(f.lanes)-1]
 	m.Salt = "calibration." // leaves the caches without the prefixes of the phases
-	arrivals := Plan{Seed: seed + 1000, Rate: 1000, Length: time.Hour, Limit: 4000, Mix: m}.Arrivals()
+	arrivals := Plan{Seed: x.Seed + 1000, Rate: 1000, Length: time.Hour, Limit: 4000, Mix: m}.Arrivals()
 	work := make(chan Arrival, len(arrivals))
 	for _, a := range arrivals {
 		a.Deadline = time.Hour
--- a/brload/exchange.go
+++ b/brload/exchange.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -46,8 +47,9 @@
 	key     string // bearer key; empty sends none
 	id      string // request id, which the text must carry
 	body    brengine.Completion
-	want    int    // tokens of the whole answer
-	onFirst func() // at the first token; may be nil
+	want    int           // tokens of the whole answer
+	left    time.Duration // until the caller's deadline; 0 states none
+	onFirst func()        // at the first token; may be nil
 }
 
 // exchange posts c and reads the answer.
@@ -63,6 +65,9 @@
 		return a
 	}
 	r.Header.Set(brengine.HeaderRequestID, c.id)
+	if c.left > 0 {
+		r.Header.Set(brengine.HeaderDeadline, strconv.FormatInt(max(1, c.left.Milliseconds()), 10))
+	}
 	if c.key != "" {
 		r.Header.Set("Authorization", "Bearer "+c.key)
 	}
--- a/brload/experiment.go
+++ b/brload/experiment.go
@@ -46,7 +46,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
+	r := Result{Capacity: f.calibrate(ctx, x, m)}
 	for i, load := range x.loads(0.7, 1, 1.5, 3) {
 		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
 		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
@@ -71,7 +71,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
+	r := Result{Capacity: f.calibrate(ctx, x, m)}
 	rate := questionPart * r.Capacity
 	alone := Plan{Seed: x.Seed, Rate: rate, Length: x.Length, Mix: m.Only("question")}
 	ph, err := f.play(ctx, alone, "alone")
@@ -97,7 +97,7 @@
 		return Result{}, err
 	}
 	defer f.Close()
-	r := Result{Capacity: f.calibrate(ctx, x.Seed, m)}
+	r := Result{Capacity: f.calibrate(ctx, x, m)}
 	for i, load := range x.loads(0.5, 0.7, 1, 1.5) {
 		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
 		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
--- a/brload/target.go
+++ b/brload/target.go
@@ -53,7 +53,7 @@
 		defer late.Stop()
 		c := brengine.Completion{Route: r.Route, Prompt: r.Prompt, MaxTokens: r.MaxTokens, Stream: true}
 		address := addresses[next.Add(1)%uint64(len(addresses))]
-		a := exchange(ctx, client, call{address: address, key: r.Customer.Key, id: newID(), body: c, want: r.Output, onFirst: func() { late.Stop() }})
+		a := exchange(ctx, client, call{address: address, key: r.Customer.Key, id: newID(), body: c, want: r.Output, left: r.Deadline, onFirst: func() { late.Stop() }})
 		if a.Err != nil && context.Cause(ctx) == context.DeadlineExceeded {
 			a.Failure.Kind = gaveUp
 		}
--- a/cmd/brload/main.go
+++ b/cmd/brload/main.go
@@ -82,6 +82,7 @@
 	c.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&x.Seed)
 	c.Flag("length", "Time in which the requests of a phase arrive.").Default("5s").DurationVar(&x.Length)
 	c.Flag("load", "Multiple of the capacity (repeatable); the experiment's own without any.").Float64ListVar(&x.Loads)
+	c.Flag("capacity", "Requests per second taken as the capacity, so that runs have the same arrivals; measured if 0.").Default("0").Float64Var(&x.Capacity)
 	format := formatFlag(c)
 	return func(ctx context.Context) error {
 		x.Out = os.Stdout
