Own pools in their region; apply views in order

Cause: docs/CAPACITY.md showed that two of three pools would be owned in another region, at a round trip for each grant. Reading brdaemon showed that two updates of the view that arrive by different links could come into force in the wrong order, and an older configuration after a newer one. Measured: go test ./brdaemon and go test ./brsystem -run 'WholePath|SchedulerKilled|StoppedEntry' pass; the order of updates has no test of its own.

--- a/brdaemon/handover.go
+++ b/brdaemon/handover.go
@@ -21,7 +21,7 @@
 func (d *Daemon) handRecords(ctx context.Context) error {
 	var heirs []brwire.Daemon
 	for _, row := range d.session.present().Daemons {
-		if row.ID != d.self.ID && slices.Contains(row.Roles, brwire.RoleEntry) {
+		if row.ID != d.self.ID && row.Region == d.self.Region && slices.Contains(row.Roles, brwire.RoleEntry) {
 			heirs = append(heirs, row)
 		}
 	}
@@ -32,7 +32,7 @@
 		return 1
 	})
 	parts := d.entry.Leave()
-	err := error(brerror.New(brerror.NotOwner, "no other entry is registered"))
+	err := error(brerror.New(brerror.NotOwner, "no other entry of region %s is registered", d.self.Region))
 	for _, row := range heirs {
 		if err = d.handTo(ctx, row, parts); err == nil || ctx.Err() != nil {
 			return err
--- a/brdaemon/poollease.go
+++ b/brdaemon/poollease.go
@@ -6,9 +6,7 @@
 
 	"bramleyroute/brerror"
 	"bramleyroute/brpool"
-	"bramleyroute/brstate"
 	"bramleyroute/brtimeline"
-	"bramleyroute/brwire"
 	"time"
 )
 
@@ -109,7 +107,7 @@
 	if !r.awaitView(l.Epoch) {
 		return
 	}
-	r.post(brpool.Takeover{Epoch: l.Epoch, Entries: entriesOf(r.d.session.present())})
+	r.post(brpool.Takeover{Epoch: l.Epoch, Entries: entriesOf(r.d.session.present(), r.name)})
 }
 
 // lost ends the ownership in this process.
@@ -182,13 +180,3 @@
 	r.post(brpool.LeaseEnded{})
 	close(r.released)
 }
-
-func entriesOf(v brstate.View) []string {
-	var ids []string
-	for _, d := range v.Daemons {
-		if slices.Contains(d.Roles, brwire.RoleEntry) {
-			ids = append(ids, d.ID)
-		}
-	}
-	return ids
-}
--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -8,13 +8,10 @@
 	"time"
 
 	"bramleyroute/brclock"
-	"bramleyroute/brerror"
-	"bramleyroute/brlease"
 	"bramleyroute/brmember"
 	"bramleyroute/brpeer"
 	"bramleyroute/brstate"
 	"bramleyroute/brwire"
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 )
 
@@ -55,6 +52,10 @@
 	onLeases  func(lost []string)
 	onExtends func(names []string, until time.Time)
 
+	// updating keeps updates that arrive by several links in the order of their
+	// revisions until they are in force; otherwise an older one could come last.
+	updating sync.Mutex
+
 	mu       sync.Mutex
 	member   *brmember.Daemon
 	view     brstate.View
@@ -278,6 +279,8 @@
 
 // update applies what a replica or another daemon sent.
 func (s *session) update(u Update) {
+	s.updating.Lock()
+	defer s.updating.Unlock()
 	s.mu.Lock()
 	old := s.view
 	if u.View != nil && u.View.Revision > s.view.Revision {
@@ -338,93 +341,3 @@
 	defer s.mu.Unlock()
 	return s.member.Holds(s.clock.Now(), name)
 }
-
-// propose sends a command until it is answered. The command's id is set if it
-// is empty; a resend through another replica gets the first answer.
-func (s *session) propose(ctx context.Context, cmd brstate.Command) (brwire.ProposeReply, error) {
-	if cmd.ID == "" {
-		cmd.ID = uuid.NewString()
-	}
-	data, err := cmd.Encode()
-	if err != nil {
-		return brwire.ProposeReply{}, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
-	defer cancel()
-	p := brwire.Propose{CommandID: cmd.ID, Command: data}
-	first := s.currentIndex()
-	for try := 0; ; try++ {
-		reply, err := s.proposeTo(ctx, s.replicas[(first+try)%len(s.replicas)], p)
-		if err == nil {
-			if reply.Error != nil {
-				return reply, reply.Error
-			}
-			return reply, nil
-		}
-		if k := brerror.From(err).Kind; k != brerror.Internal && k != brerror.NotLeader && k != brerror.NoQuorum {
-			return reply, err
-		}
-		select {
-		case <-ctx.Done():
-			return reply, brerror.New(brerror.NoQuorum, "command %s was not answered: %w", cmd.ID, err)
-		case <-s.ctx.Done():
-			return reply, brerror.New(brerror.ShuttingDown, "daemon is stopping")
-		case <-s.clock.After(proposePause):
-		}
-	}
-}
-
-// proposePause is the time between two sendings of a command.
-const proposePause = 50 * time.Millisecond
-
-func (s *session) currentIndex() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.current
-}
-
-func (s *session) proposeTo(ctx context.Context, address string, p brwire.Propose) (brwire.ProposeReply, error) {
-	c := s.links.conn(address)
-	if c == nil {
-		return brwire.ProposeReply{}, brerror.New(brerror.NotLeader, "no connection to control replica %s", address)
-	}
-	ctx, cancel := context.WithTimeout(ctx, proposeTry)
-	defer cancel()
-	return brpeer.Call[brwire.Propose, brwire.ProposeReply](ctx, c, brwire.NamePropose, p)
-}
-
-// acquire, renew and release change a lease and keep the member's holdings.
-func (s *session) acquire(ctx context.Context, name string, d time.Duration) (brlease.Lease, error) {
-	sent := s.clock.Now()
-	l, err := s.lease(ctx, brstate.Command{AcquireLease: &brlease.Acquire{Name: name, Holder: s.self.ID, Duration: d}})
-	if err == nil {
-		s.step(brmember.LeaseGranted{Lease: l, Sent: sent})
-	}
-	return l, err
-}
-
-func (s *session) renew(ctx context.Context, name string, epoch uint64) error {
-	sent := s.clock.Now()
-	l, err := s.lease(ctx, brstate.Command{RenewLease: &brlease.Renew{Name: name, Holder: s.self.ID, Epoch: epoch}})
-	switch {
-	case err == nil:
-		s.step(brmember.LeaseRenewed{Lease: l, Sent: sent})
-	case brerror.Is(err, brerror.NotOwner):
-		s.step(brmember.LeaseEnded{Name: name})
-	}
-	return err
-}
-
-func (s *session) release(ctx context.Context, name string, epoch uint64) error {
-	s.step(brmember.LeaseEnded{Name: name})
-	_, err := s.propose(ctx, brstate.Command{ReleaseLease: &brlease.Release{Name: name, Holder: s.self.ID, Epoch: epoch}})
-	return err
-}
-
-func (s *session) lease(ctx context.Context, cmd brstate.Command) (brlease.Lease, error) {
-	reply, err := s.propose(ctx, cmd)
-	if err != nil {
-		return brlease.Lease{}, err
-	}
-	return brwire.Decode[brlease.Lease](reply.Result)
-}
