brsystem: watch dispatches after a thaw; restart a control replica too

After a thaw nothing may be dispatched under the former epoch, by the timeline of all daemons. The restart after 1,000 changes also restarts a control replica, whose disk has an old configuration.

--- a/brsystem/control_test.go
+++ b/brsystem/control_test.go
@@ -6,6 +6,9 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bramleyroute/broperator"
+	"bramleyroute/brtimeline"
 )
 
 // inForce is the promise: an accepted configuration is in force on every daemon
@@ -59,12 +62,15 @@
 }
 
 // Guards against a daemon that takes work after a restart before it has the
-// present configuration, and against a history that is too long to catch up.
+// present configuration, and against a history that is too long to catch up. One
+// of the two that restart is a control replica, which has an old one on its disk.
 func TestRestartAfterManyChanges(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, spec{daemons: 5, controls: 3})
-	lone := c.daemons[4]
-	lone.kill()
+	lone := []*daemon{c.daemons[2], c.daemons[4]}
+	for _, d := range lone {
+		d.kill()
+	}
 	const changes = 1000
 	var wg sync.WaitGroup
 	var last uint64
@@ -85,10 +91,12 @@
 	}
 	wg.Wait()
 	t.Logf("%d changes in %v", changes, time.Since(began).Round(time.Millisecond))
-	lone.start()
-	c.waitReady(lone)
-	if n, m := configAt(lone); n < last || m != marker(changes-1) {
-		t.Errorf("ready with revision %d, present %d", n, last)
+	for _, d := range lone {
+		d.start()
+		c.waitReady(d)
+		if n, m := configAt(d); n < last || m != marker(changes-1) {
+			t.Errorf("%s is ready with revision %d, present %d", d.id, n, last)
+		}
 	}
 }
 
@@ -254,12 +262,22 @@
 	})
 	t.Logf("pool moved %v after the freeze", time.Since(frozen).Round(10*time.Millisecond))
 	c.eventually("frozen for longer than a lease", func() bool { return time.Since(frozen) > 4*time.Second })
+	thawed := time.Now()
 	owner.thaw()
 	c.eventually("thawed owner gave the pool up", func() bool {
 		s, err := status(owner)
 		return err == nil && len(s.OwnedPools) == 0
 	})
 	wg.Wait()
+	line, err := operate[broperator.TimelineQuery, broperator.Timeline](rest[0], "POST", broperator.PathTimeline, broperator.TimelineQuery{Filter: brtimeline.Filter{From: thawed}})
+	if err != nil || len(line.Events) == 0 || len(line.Missing) > 0 {
+		t.Errorf("timeline: %d events, missing %v, %v", len(line.Events), line.Missing, err)
+	}
+	for _, e := range line.Events {
+		if e.Kind == brtimeline.DispatchBegun && e.Epoch <= before.Epoch {
+			t.Errorf("%s dispatched %s under epoch %d after the thaw", e.Process, e.RequestID, e.Epoch)
+		}
+	}
 	runs := engine.counts().Requests
 	for i, id := range ids {
 		if runs[id] > 1 {
--- a/brsystem/times_test.go
+++ b/brsystem/times_test.go
@@ -36,9 +36,9 @@
 	c := newCluster(t, spec{daemons: 7, controls: 3})
 	t.Logf("7 daemons started and registered in %v", time.Since(began).Round(time.Millisecond))
 	c.addFake("engine-1", "--capacity-tokens=4000")
-	ctx := testContext(t)
 	var leaderless, owned, served, accepted, inForceAll spread
 	for i := range *failoverRuns {
+		ctx := testContext(t)
 		old := c.leader(c.daemons[:3])
 		old.kill()
 		at := time.Now()
