--- a/brdaemon/leading.go
+++ b/brdaemon/leading.go
@@ -20,8 +20,8 @@
 	// rule on lapsed leases.
 	reportEvery = 200 * time.Millisecond
 	// reportSoon is the same while a change waits for the news that a majority
-	// has applied it, for reportSoonFor after it began to wait. With reportEvery
-	// alone, the daemons of a new cluster register at about three per second.
+	// has applied it, for reportSoonFor after it began to wait. Daemons register
+	// one after the other; see docs/measurements/failover.md.
 	reportSoon    = 50 * time.Millisecond
 	reportSoonFor = time.Second
 	// removeEvery is how often daemons without a session are looked for.
