--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -157,17 +157,30 @@
 }
 
 func (e *entry) ledgerLookup(ctx context.Context, requestID string) (brentry.LedgerState, error) {
-	c := e.d.links.conn(e.d.session.replica())
-	if c == nil {
-		return brentry.LedgerState{}, brerror.New(brerror.NotLeader, "no connection to a control replica")
-	}
-	r, err := brpeer.Call[RecordQuery, RecordReply](ctx, c, nameRequest, RecordQuery{RequestID: requestID})
-	if err != nil || !r.Found {
-		return brentry.LedgerState{}, err
+	err := error(brerror.New(brerror.NotLeader, "no connection to a control replica"))
+	for _, address := range e.d.session.replicasInTurn() {
+		c := e.d.links.conn(address)
+		if c == nil {
+			continue
+		}
+		var r RecordReply
+		try, cancel := context.WithTimeout(ctx, lookupTry)
+		r, err = brpeer.Call[RecordQuery, RecordReply](try, c, nameRequest, RecordQuery{RequestID: requestID})
+		cancel()
+		if err == nil && r.Found {
+			return ledgerState(r.Record), nil
+		}
+		if err == nil {
+			return brentry.LedgerState{}, nil
+		}
 	}
-	return ledgerState(r.Record), nil
+	return brentry.LedgerState{}, err
 }
 
+// lookupTry bounds the question to one replica, so that the next ones are asked
+// within the entry's limit when the first has just failed.
+const lookupTry = 500 * time.Millisecond
+
 // ledgerBegin commits the record. The command's id is the attempt, so that a
 // resend after a lost answer can't begin twice.
 func (e *entry) ledgerBegin(ctx context.Context, r brentry.LedgerRecord) (brentry.LedgerState, error) {
--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,6 +154,15 @@
 	return s.replicas[s.current]
 }
 
+// replicasInTurn returns the addresses of the control replicas, the session's
+// own first.
+func (s *session) replicasInTurn() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.current
+	return append(slices.Clone(s.replicas[n:]), s.replicas[:n]...)
+}
+
 // chooseReplica moves the session on when the present replica has not confirmed
 // the daemon for switchAfter.
 func (s *session) chooseReplica() {
