--- /dev/null
+++ b/brdaemon/versions.go
@@ -0,0 +1,66 @@
+package brdaemon
+
+import (
+	"time"
+
+	"bramleyroute/brconfig"
+	"bramleyroute/brpool"
+	"bramleyroute/brstate"
+)
+
+// rolloutsOf returns the rollout that splits a pool's traffic: the last one of
+// its model that covers the pool, running or ended. Earlier ones must not be
+// passed on, because a request belongs to the first rollout that is.
+func rolloutsOf(v brstate.View, model, pool string) []brpool.Rollout {
+	o, ok := latestRollout(v.Rollouts, func(o brstate.Rollout) bool {
+		return o.Model == model && (o.Pool == "" || o.Pool == pool)
+	})
+	if !ok {
+		return nil
+	}
+	share := o.SharePerMille
+	switch o.Outcome {
+	case brstate.Finished:
+		share = brstate.FullShare
+	case brstate.TakenBack:
+		share = 0
+	}
+	return []brpool.Rollout{{
+		ID: o.ID, Old: o.From, New: o.To, PerMille: share, Excluded: excludedRoutes(o), Targets: targetsOf(v.Configuration, model),
+	}}
+}
+
+// latestRollout returns the selected row that started last. A model has one
+// running rollout at a time, so the row with the highest revision is the last.
+func latestRollout(rows []brstate.Rollout, selected func(brstate.Rollout) bool) (last brstate.Rollout, ok bool) {
+	for _, o := range rows {
+		if selected(o) && (!ok || o.Revision > last.Revision) {
+			last, ok = o, true
+		}
+	}
+	return last, ok
+}
+
+// excludedRoutes returns the routes on which the new version gets nothing while
+// the rollout is open.
+func excludedRoutes(o brstate.Rollout) []string {
+	if !o.Active() {
+		return nil
+	}
+	return o.Tripped
+}
+
+func targetsOf(doc brconfig.Document, model string) []brpool.Target {
+	var list []brpool.Target
+	seen := map[string]bool{}
+	for _, t := range doc.Templates {
+		for _, rt := range t.Routes {
+			if rt.Model != model || seen[rt.Name] {
+				continue
+			}
+			seen[rt.Name] = true
+			list = append(list, brpool.Target{Route: rt.Name, FirstToken: rt.FirstToken(), Token: time.Duration(rt.TokenMS) * time.Millisecond})
+		}
+	}
+	return list
+}
