brsystem: take ports below the ephemeral range; don't ask the frozen daemon

Cause: freeAddress took ports from the range of outgoing connections, so that a connection could take one before its daemon listened (TestExamples failed in 2 of 4 runs with 'address already in use'). Change: ports of 10000 to 29999; the frozen daemon is never the one that is asked. The bounds that the tests check are the same.

--- a/brsystem/dispatch_test.go
+++ b/brsystem/dispatch_test.go
@@ -120,9 +120,10 @@
 	c := newCluster(t, spec{daemons: 4, controls: 3})
 	leaving, staying := c.addFake("engine-1"), c.addFake("engine-2")
 	ctx := testContext(t)
+	// The first daemon is the one that endpointState asks.
 	frozen := c.daemons[3]
 	if c.owner(model) == frozen {
-		frozen = c.daemons[0]
+		frozen = c.daemons[1]
 	}
 	for range 6 {
 		id := newID()
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -419,12 +421,23 @@
 	}
 }
 
+// nextPort is the port that freeAddress tries next. Ports of 10000 to 29999 are
+// below those that the system gives to outgoing connections, of which the tests
+// open hundreds a second: one of them could take a port before its process
+// listens there.
+var nextPort atomic.Uint32
+
+func init() { nextPort.Store(rand.Uint32()) }
+
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 10_000+nextPort.Add(1)%20_000))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
