--- a/brsystem/dispatch_test.go
+++ b/brsystem/dispatch_test.go
@@ -120,6 +120,7 @@
 	c := newCluster(t, spec{daemons: 4, controls: 3})
 	leaving, staying := c.addFake("engine-1"), c.addFake("engine-2")
 	ctx := testContext(t)
+	// The first daemon is the one that endpointState asks.
 	frozen := c.daemons[3]
 	if c.owner(model) == frozen {
 		frozen = c.daemons[2] // the first daemon answers the test's questions
