brload: show the steps inside the entry in the latency experiment

Cause: the added latency alone doesn't say which hop it comes from, and the table listed one of the entries beside the owner twice. Change: quantiles between the timeline events of a request, and one row for each way.

--- a/brload/compare.go
+++ b/brload/compare.go
@@ -31,6 +31,7 @@
 	Phases   []Phase `json:"phases,omitempty"`
 
 	Latency    []LatencyRow    `json:"latency,omitempty"`
+	Steps      []LatencyRow    `json:"steps,omitempty"` // of latency, between the events in the entry
 	Throughput []ThroughputRow `json:"throughput,omitempty"`
 	Memory     []MemoryRow     `json:"memory,omitempty"`
 }
--- a/brload/single.go
+++ b/brload/single.go
@@ -6,6 +6,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"bramleyroute/brtimeline"
 )
 
 // The latency experiment calls an engine directly and through entries in turns.
@@ -37,24 +39,52 @@
 		return Result{}, fmt.Errorf("no owner of the pool")
 	}
 	ways := []Target{Direct(Model, engines[0].Address)}
-	ways[0].Name = "direct"
+	beside := false
 	for _, d := range s.daemons {
 		t := Entries([]string{d.Caller})
-		switch {
-		case d.ID == p.Owner:
-			t.Name = "entry that owns the pool"
-		case len(ways) == 1 || ways[len(ways)-1].Name != "entry beside the owner":
-			t.Name = "entry beside the owner"
-		}
-		if t.Name != "bramleyroute" {
-			ways = append(ways, t)
+		t.Name = "entry that owns the pool"
+		if d.ID != p.Owner {
+			if beside {
+				continue
+			}
+			beside, t.Name = true, "entry beside the owner"
 		}
+		ways = append(ways, t)
 	}
+	begin := time.Now()
 	rows, err := inTurns(ctx, ways, x.Seed)
 	for _, w := range ways {
 		w.Close()
 	}
-	return Result{Latency: rows}, err
+	if err != nil {
+		return Result{Latency: rows}, err
+	}
+	t, err := s.Timeline(ctx, begin)
+	return Result{Latency: rows, Steps: steps(t.Events)}, err
+}
+
+// steps returns the times between the events of requests in their entry.
+func steps(events []brtimeline.Event) []LatencyRow {
+	kinds := []brtimeline.Kind{brtimeline.RequestReceived, brtimeline.RequestGranted, brtimeline.DispatchBegun, brtimeline.FirstToken}
+	type key struct {
+		id   string
+		kind brtimeline.Kind
+	}
+	at := map[key]time.Time{}
+	for _, e := range events {
+		at[key{e.RequestID, e.Kind}] = e.Stamp.Time()
+	}
+	var rows []LatencyRow
+	for i, k := range kinds[1:] {
+		l := NewLatency()
+		for e, t := range at {
+			if from, ok := at[key{e.id, kinds[i]}]; ok && e.kind == k && e.id != "" {
+				l.Record(t.Sub(from))
+			}
+		}
+		rows = append(rows, LatencyRow{Way: kinds[i].String() + " to " + k.String(), First: l.Quantiles()})
+	}
+	return rows
 }
 
 // inTurns sends one request of each worker by each way in turn.
@@ -135,11 +165,15 @@
 	return s, engines, nil
 }
 
-func writeLatency(w io.Writer, rows []LatencyRow) {
+func writeLatency(w io.Writer, rows, steps []LatencyRow) {
 	fmt.Fprint(w, "| Way | requests | first token p50 / p95 / p99, ms | added | whole answer p50 / p95 / p99, ms | added |\n|"+strings.Repeat("---|", 6)+"\n")
 	for _, r := range rows {
 		fmt.Fprintf(w, "| %s | %d | %s | %s | %s | %s |\n", r.Way, r.First.Count, r.First, r.First.minus(rows[0].First), r.Total, r.Total.minus(rows[0].Total))
 	}
+	fmt.Fprint(w, "\n| Step in the entry | requests | p50 / p95 / p99, ms |\n|---|---|---|\n")
+	for _, r := range steps {
+		fmt.Fprintf(w, "| %s | %d | %s |\n", r.Way, r.First.Count, r.First)
+	}
 	fmt.Fprintln(w)
 }
 
--- a/brload/table.go
+++ b/brload/table.go
@@ -15,7 +15,7 @@
 	case len(r.Phases) > 0:
 		writePhases(w, r)
 	case len(r.Latency) > 0:
-		writeLatency(w, r.Latency)
+		writeLatency(w, r.Latency, r.Steps)
 	case len(r.Throughput) > 0:
 		writeThroughput(w, r.Throughput, r.Memory)
 	}
