--- a/brload/throughput.go
+++ b/brload/throughput.go
@@ -1,6 +1,7 @@
 package brload
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -27,13 +28,13 @@
 
 // ThroughputRow is what one daemon carried.
 type ThroughputRow struct {
-	Work          string  `json:"work"`
-	MaxProcs      int     `json:"gomaxprocs"`
-	Requests      float64 `json:"requests_per_second"`
-	Tokens        float64 `json:"tokens_per_second"`
-	Cores         float64 `json:"cores"` // CPU time of the daemon per second
-	TokensPerCore float64 `json:"tokens_per_core_second"`
-	Failed        int     `json:"failed"`
+	Work          string         `json:"work"`
+	MaxProcs      int            `json:"gomaxprocs"`
+	Requests      float64        `json:"requests_per_second"`
+	Tokens        float64        `json:"tokens_per_second"`
+	Cores         float64        `json:"cores"` // CPU time of the daemon per second
+	TokensPerCore float64        `json:"tokens_per_core_second"`
+	Failed        map[string]int `json:"failed"` // by kind; "connection" without one
 }
 
 // MemoryRow is the resident memory of the daemon for each request.
@@ -86,7 +87,9 @@
 	defer cancel()
 	t := Entries([]string{d.Caller})
 	defer t.Close()
-	var requests, received, failed atomic.Int64
+	var requests, received atomic.Int64
+	var mu sync.Mutex
+	failed := map[string]int{}
 	before, err := cpuTime(d.PID)
 	if err != nil {
 		return ThroughputRow{}, err
@@ -102,7 +105,9 @@
 				case a.Whole:
 					requests.Add(1)
 				case run.Err() == nil:
-					failed.Add(1)
+					mu.Lock()
+					failed[cmp.Or(a.Failure.Kind, "connection")]++
+					mu.Unlock()
 				}
 			}
 		})
@@ -112,7 +117,7 @@
 	after, err := cpuTime(d.PID)
 	wg.Wait()
 	cores := (after - before).Seconds() / took
-	row := ThroughputRow{Requests: float64(requests.Load()) / took, Tokens: float64(received.Load()) / took, Cores: cores, Failed: int(failed.Load())}
+	row := ThroughputRow{Requests: float64(requests.Load()) / took, Tokens: float64(received.Load()) / took, Cores: cores, Failed: failed}
 	row.TokensPerCore = row.Tokens / max(cores, 0.001)
 	return row, err
 }
@@ -209,7 +214,7 @@
 func writeThroughput(w io.Writer, rows []ThroughputRow, memory []MemoryRow) {
 	fmt.Fprint(w, "| Work | GOMAXPROCS | requests/s | tokens/s | cores used | tokens for each core second | failed |\n|"+strings.Repeat("---|", 7)+"\n")
 	for _, r := range rows {
-		fmt.Fprintf(w, "| %s | %d | %.0f | %.0f | %.2f | %.0f | %d |\n", r.Work, r.MaxProcs, r.Requests, r.Tokens, r.Cores, r.TokensPerCore, r.Failed)
+		fmt.Fprintf(w, "| %s | %d | %.0f | %.0f | %.2f | %.0f | %s |\n", r.Work, r.MaxProcs, r.Requests, r.Tokens, r.Cores, r.TokensPerCore, list(r.Failed))
 	}
 	fmt.Fprint(w, "\n| State | requests | resident KiB a request |\n|---|---|---|\n")
 	for _, r := range memory {
