--- a/brentry/completion.go
+++ b/brentry/completion.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"bramleyroute/brconfig"
@@ -20,6 +21,9 @@
 // 16,384 tokens and take about 2.3 KB.
 const maxPrefixBlocks = 256
 
+// maxDeadlineMS bounds the deadline that a caller may state: a day.
+const maxDeadlineMS = 86_400_000
+
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	defer e.serving()()
 	h, c, err := e.admitCompletion(r)
@@ -168,15 +172,34 @@
 	} else if err := checkAhead(id, now); err != nil {
 		return nil, err
 	}
+	deadline, err := deadlineOf(r, a.Route)
+	if err != nil {
+		return nil, err
+	}
 	return &held{
-		admission: a, deadline: now.Add(a.Route.Deadline()),
+		admission: a, deadline: now.Add(deadline),
 		submit: brwire.Submit{RequestID: id, Assigned: assigned, Pool: brwire.PoolName(a.Route.Model, e.config.Region),
-			Customer: a.Customer, Route: a.Route.Name, Tier: a.Route.Tier, Deadline: a.Route.Deadline(),
+			Customer: a.Customer, Route: a.Route.Name, Tier: a.Route.Tier, Deadline: deadline,
 			NonIdempotent: a.Route.NonIdempotent},
 		verdict: make(chan verdict, 1), gone: make(chan struct{}, 1), readers: make(chan struct{}, 1),
 	}, nil
 }
 
+// deadlineOf returns the route's deadline, or less if the caller states less. A
+// caller that retries has less time left than the route gives, and without its
+// statement the retry would be dispatched after the caller has given up.
+func deadlineOf(r *http.Request, route brconfig.Route) (time.Duration, error) {
+	v := r.Header.Get(brengine.HeaderDeadline)
+	if v == "" {
+		return route.Deadline(), nil
+	}
+	ms, err := strconv.Atoi(v)
+	if err != nil || ms < 1 || ms > maxDeadlineMS {
+		return 0, brerror.New(brerror.InvalidRequest, "not a number of milliseconds from 1 to %d", maxDeadlineMS).WithField(brengine.HeaderDeadline)
+	}
+	return min(route.Deadline(), time.Duration(ms)*time.Millisecond), nil
+}
+
 func stuckAfter(r brconfig.Route) time.Duration {
 	return or(time.Duration(r.StuckMS)*time.Millisecond, brdispatch.DefaultStuckAfter)
 }
