--- a/brload/single.go
+++ b/brload/single.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"bramleyroute/brpool"
 	"bramleyroute/brtimeline"
 )
 
@@ -136,6 +137,10 @@
 	return rows, failed
 }
 
+// startDoubt is the time after the start of an entry in which ids that callers
+// mint are answered with unknown_outcome: brpool.ClockSkew and a margin.
+const startDoubt = brpool.ClockSkew + time.Second
+
 // small starts a few daemons and one group of engines that announce to them.
 func small(ctx context.Context, x Experiment, daemons, maxProcs int, f Fakes) (*System, []Engine, error) {
 	s, err := NewSystem(x.Binaries)
@@ -158,6 +163,7 @@
 	if err == nil {
 		err = s.WaitEngines(ctx, engines)
 	}
+	sleep(ctx, startDoubt)
 	if err != nil {
 		s.Close()
 		return nil, nil, err
