Dial an entry at once when it has shown that it is up

Cause: the scheduler's own link to a restarted entry waited out its delay of up to 1 s, while the entry was ready; the first grant was lost and made again. Change: the entry's hello wakes the scheduler's link.

--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -159,6 +159,11 @@
 	if !d.isEntry(h.DaemonID) {
 		return
 	}
+	if row, ok := d.session.present().Daemon(h.DaemonID); ok {
+		if l := d.links.get(row.PeerAddress); l != nil {
+			l.Wake() // grants go by the link that this daemon dials
+		}
+	}
 	d.scheduler.entryConnected(h.DaemonID)
 	d.wg.Go(func() { d.watchEntry(h.DaemonID, c) })
 }
--- a/brpeer/link.go
+++ b/brpeer/link.go
@@ -23,6 +23,7 @@
 	mux       *Mux
 	onConnect func(*Conn)
 
+	wake   chan struct{}
 	cancel context.CancelFunc
 	done   chan struct{}
 
@@ -37,7 +38,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Link{
 		address: address, keys: keys, mux: mux, onConnect: onConnect,
-		cancel: cancel, done: make(chan struct{}), changed: make(chan struct{}),
+		wake: make(chan struct{}, 1), cancel: cancel, done: make(chan struct{}), changed: make(chan struct{}),
 	}
 	go l.run(ctx)
 	return l
@@ -72,6 +73,15 @@
 	}
 }
 
+// Wake makes a link that waits between two dials dial at once. It is called when
+// the other end has shown that it is up again.
+func (l *Link) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
 // Close ends the connection and waits for it.
 func (l *Link) Close() {
 	l.cancel()
@@ -91,6 +101,8 @@
 		delay = min(2*delay, reconnectMax)
 		select {
 		case <-time.After(wait):
+		case <-l.wake:
+			delay = reconnectMin
 		case <-ctx.Done():
 		}
 	}
