Count what a killed entry dispatched as lost when it is started again soon

Cause: found by reading. An entry that was killed and started again within 3 s was never counted as lost, so what its former process had dispatched stayed on its endpoints' account for ever and took their capacity. Change: a report of a younger process orphans what was granted before its start; it stops counting after a minute, as for a lost entry. Measured: the golden list restarted_soon gave in_progress for ever before and unknown_outcome after a minute now; the model test passes 60,000 schedules; go test ./brsystem -run 'Killed|Stopped|Rolling' passes.

--- a/brpool/pool_test.go
+++ b/brpool/pool_test.go
@@ -141,6 +141,12 @@
 			{50, Recovered{brwire.Recover{EntryID: "b", Epoch: 1, StartedAgo: time.Hour,
 				Queued: []brwire.Submit{submit("b", id(2), 2, 100).Submit, submit("b", id(3), 2, 100).Submit}}}},
 		},
+		"restarted_soon": { // a killed process is started again before it counts as lost
+			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)}, {10, submit("a", id(1), 2, 100)},
+			{20, Started{"a", brwire.Started{RequestID: id(1), Epoch: 1, Number: 1}}}, {30, EntryAway{"a"}}, {1000, EntryJoined{"a"}},
+			{1010, Recovered{brwire.Recover{EntryID: "a", Epoch: 1, StartedAgo: 500 * time.Millisecond}}},
+			{61_000, Tick{}}, {62_100, Tick{}}, {62_200, submit("b", id(1), 2, 100)},
+		},
 		"handover": {
 			{0, Takeover{Epoch: 1}}, {0, announce("e1", "v1", 1, 10_000)},
 			{10, submit("a", id(1), 2, 100)}, {10, submit("b", id(2), 2, 100)}, {20, Release{}},
--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -73,6 +73,7 @@
 		}
 		p.submit(now, m.EntryID, s)
 	}
+	p.orphanEarlier(now, m)
 	if p.waiting[m.EntryID] && m.StartedAgo < Retention {
 		// Callers' ids from before its start may have been dispatched, under an
 		// earlier owner, by the entry's earlier process, which reports to nobody.
@@ -214,11 +215,30 @@
 	delete(p.joining, entry)
 	p.entryAway(now, entry)
 	for _, r := range p.sorted(func(r *request) bool { return r.entry == entry && r.orphaned.IsZero() }) {
-		p.acknowledged(r)
-		r.orphaned = now.Add(orphanLimit)
+		p.orphan(now, r)
 	}
 }
 
+// orphanEarlier treats what was granted to an earlier process of an entry like
+// the requests of a lost entry: nobody will report their end. A process that is
+// started again soon enough is never counted as lost.
+func (p *Pool) orphanEarlier(now time.Time, m brwire.Recover) {
+	started := now.Add(-m.StartedAgo)
+	for _, r := range p.sorted(func(r *request) bool {
+		return r.entry == m.EntryID && r.state != queued && r.orphaned.IsZero() && r.granted.Before(started)
+	}) {
+		if !slices.ContainsFunc(m.Running, func(ref brwire.RunningRef) bool { return ref.Submit.RequestID == r.ID }) {
+			p.orphan(now, r)
+		}
+	}
+}
+
+// orphan lets a granted request count on its endpoint for orphanLimit.
+func (p *Pool) orphan(now time.Time, r *request) {
+	p.acknowledged(r)
+	r.orphaned = now.Add(orphanLimit)
+}
+
 // checkReleased tells once that no grant of a released pool is under way.
 func (p *Pool) checkReleased() {
 	if p.releasing && !p.released && p.unacked == 0 {
