Let operators remove daemons that are lost for good

Cause: the register changes only with a majority of the registered daemons; after the loss of a majority nothing could be changed any more, by nobody. Measured: go test ./brsystem -run TestMajorityOfDaemonsLost: no change is accepted with 4 of 6 daemons lost, and one is after they were forgotten.

--- a/brctl/app.go
+++ b/brctl/app.go
@@ -70,6 +70,7 @@
 	a.addRollout()
 	a.addTimeline()
 	a.addReplicas()
+	a.addForget()
 	return a
 }
 
