Split the test harness and merge what stood twice

Measured: vet and staticcheck clean; go test ./brload and go test ./brsystem -run 'Leaving|WholePath' pass.

--- a/brload/experiment.go
+++ b/brload/experiment.go
@@ -40,14 +40,18 @@
 
 // overload plays the standard mix at several multiples of the capacity.
 func overload(ctx context.Context, x Experiment) (Result, error) {
-	m := StandardMix()
+	return ramp(ctx, x, StandardMix(), x.loads(0.7, 1, 1.5, 3))
+}
+
+// ramp plays a mix at several multiples of the capacity, one after the other.
+func ramp(ctx context.Context, x Experiment, m Mix, loads []float64) (Result, error) {
 	f, err := newFleet(ctx, x, m)
 	if err != nil {
 		return Result{}, err
 	}
 	defer f.Close()
 	r := Result{Capacity: f.calibrate(ctx, x, m)}
-	for i, load := range x.loads(0.7, 1, 1.5, 3) {
+	for i, load := range loads {
 		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
 		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
 		if err != nil {
@@ -88,25 +92,9 @@
 	return r, err
 }
 
-// prefill plays prompts of mostly shared prefixes, once to warm the caches and
-// then below and above the capacity.
+// prefill plays prompts of mostly shared prefixes, below and above the capacity.
 func prefill(ctx context.Context, x Experiment) (Result, error) {
-	m := PrefixMix()
-	f, err := newFleet(ctx, x, m)
-	if err != nil {
-		return Result{}, err
-	}
-	defer f.Close()
-	r := Result{Capacity: f.calibrate(ctx, x, m)}
-	for i, load := range x.loads(0.5, 0.7, 1, 1.5) {
-		p := Plan{Seed: x.Seed + uint64(i)*100, Rate: load * r.Capacity, Length: x.Length, Season: bursts, Mix: m}
-		ph, err := f.play(ctx, p, fmt.Sprintf("%.1f", load))
-		if err != nil {
-			return r, err
-		}
-		r.Phases = append(r.Phases, ph)
-	}
-	return r, nil
+	return ramp(ctx, x, PrefixMix(), x.loads(0.5, 0.7, 1, 1.5))
 }
 
 func (x Experiment) loads(usual ...float64) []float64 {
--- a/brsystem/dispatch_test.go
+++ b/brsystem/dispatch_test.go
@@ -1,8 +1,6 @@
 package brsystem
 
 import (
-	"bytes"
-	"encoding/json"
 	"net/http"
 	"sync"
 	"syscall"
@@ -154,19 +152,11 @@
 	}
 }
 
+// order sends an order that the endpoint must accept.
 func (f *fake) order(o brengine.Order) {
 	f.t.Helper()
-	b, err := json.Marshal(o)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	res, err := http.Post("http://"+f.address+brengine.PathOrders, "application/json", bytes.NewReader(b))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	res.Body.Close()
-	if res.StatusCode >= 300 {
-		f.t.Fatalf("order %s: status %d", o.OrderID, res.StatusCode)
+	if code := f.post(o); code >= 300 {
+		f.t.Fatalf("order %s: status %d", o.OrderID, code)
 	}
 }
 
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -3,28 +3,22 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"bramleyroute/brconfig"
 	_ "bramleyroute/brdaemon" // or go test would show kept results after a change of the daemon
 	"bramleyroute/brerror"
-	"bramleyroute/brfake"
 	"bramleyroute/broperator"
 	"bramleyroute/brpeer"
 
@@ -69,59 +63,6 @@
 	os.Exit(code)
 }
 
-// process is one started program.
-type process struct {
-	t    *testing.T
-	name string
-	args []string
-	env  []string
-	logs *os.File
-	cmd  *exec.Cmd
-	done chan struct{} // closed when the present cmd has ended
-	pid  *atomic.Int64 // of the present cmd
-}
-
-func (p *process) start() {
-	p.t.Helper()
-	p.cmd = exec.Command(p.args[0], p.args[1:]...)
-	p.cmd.Env = append(os.Environ(), p.env...)
-	p.cmd.Stderr, p.cmd.Stdout = p.logs, p.logs
-	if err := p.cmd.Start(); err != nil {
-		p.t.Fatalf("start %s: %v", p.name, err)
-	}
-	p.pid.Store(int64(p.cmd.Process.Pid))
-	done, cmd := make(chan struct{}), p.cmd
-	p.done = done
-	go func() {
-		_ = cmd.Wait() // killed on purpose in many tests
-		close(done)
-	}()
-}
-
-func (p *process) signal(s syscall.Signal) {
-	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
-		p.t.Errorf("signal %s: %v", p.name, err)
-	}
-}
-
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	<-p.done
-}
-
-func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
-func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
-
-// waitEnd waits until the process has ended by itself.
-func (p *process) waitEnd(d time.Duration) {
-	p.t.Helper()
-	select {
-	case <-p.done:
-	case <-time.After(d):
-		p.t.Fatalf("%s did not end within %v", p.name, d)
-	}
-}
-
 // daemon is a bramleyroute process.
 type daemon struct {
 	process
@@ -159,13 +100,6 @@
 	settings    map[string]string // further settings of every daemon, by name without the prefix
 }
 
-// fake is a fake endpoint.
-type fake struct {
-	process
-	id, address string
-	proxy       *toxiproxy.Proxy // in front of the endpoint
-}
-
 func newCluster(t *testing.T, s spec) *cluster {
 	t.Helper()
 	if testing.Short() {
@@ -290,53 +224,6 @@
 	p.Toxics.ResetToxics(context.Background())
 }
 
-// addFake starts a fake endpoint behind a proxy and waits until a scheduler
-// knows it.
-func (c *cluster) addFake(id string, flags ...string) *fake {
-	c.t.Helper()
-	f := &fake{id: id, address: freeAddress(c.t)}
-	f.proxy = c.newProxy(id, f.address)
-	args := []string{binaries + "/brfake", "--id=" + id, "--listen=" + f.address, "--advertise=" + f.proxy.Listen, "--region=" + region}
-	if !slices.ContainsFunc(flags, func(x string) bool { return strings.HasPrefix(x, "--model=") }) {
-		args = append(args, "--model="+model)
-	}
-	for _, d := range c.daemons {
-		args = append(args, "--daemon="+d.peer)
-	}
-	f.process = c.newProcess(id, append(args, flags...)...)
-	f.start()
-	c.fakes = append(c.fakes, f)
-	c.eventually("endpoint "+id+" in a pool", func() bool { return c.endpointState(id) == "in_use" })
-	return f
-}
-
-func (f *fake) counts() brfake.Counts {
-	f.t.Helper()
-	var n brfake.Counts
-	res, err := http.Get("http://" + f.address + "/debug/counts")
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	defer res.Body.Close()
-	if err := json.NewDecoder(res.Body).Decode(&n); err != nil {
-		f.t.Fatal(err)
-	}
-	return n
-}
-
-func (f *fake) fault(r brfake.FaultRequest) {
-	f.t.Helper()
-	b, err := json.Marshal(r)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	res, err := http.Post("http://"+f.address+"/debug/fault", "application/json", bytes.NewReader(b))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	res.Body.Close()
-}
-
 func (c *cluster) close() {
 	for _, f := range c.fakes {
 		f.kill()
@@ -465,25 +352,3 @@
 		},
 	}
 }
-
-// nextPort counts through ports below the range that the kernel gives to outgoing
-// connections, so that none of those takes a port before its process listens.
-var nextPort atomic.Uint32
-
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
-			l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
--- /dev/null
+++ b/brsystem/process_test.go
@@ -0,0 +1,88 @@
+package brsystem
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// process is one started program.
+type process struct {
+	t    *testing.T
+	name string
+	args []string
+	env  []string
+	logs *os.File
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the present cmd has ended
+	pid  *atomic.Int64 // of the present cmd
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(p.args[0], p.args[1:]...)
+	p.cmd.Env = append(os.Environ(), p.env...)
+	p.cmd.Stderr, p.cmd.Stdout = p.logs, p.logs
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", p.name, err)
+	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
+	done, cmd := make(chan struct{}), p.cmd
+	p.done = done
+	go func() {
+		_ = cmd.Wait() // killed on purpose in many tests
+		close(done)
+	}()
+}
+
+func (p *process) signal(s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.t.Errorf("signal %s: %v", p.name, err)
+	}
+}
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// waitEnd waits until the process has ended by itself.
+func (p *process) waitEnd(d time.Duration) {
+	p.t.Helper()
+	select {
+	case <-p.done:
+	case <-time.After(d):
+		p.t.Fatalf("%s did not end within %v", p.name, d)
+	}
+}
+
+// nextPort counts through ports below the range that the kernel gives to outgoing
+// connections, so that none of those takes a port before its process listens.
+var nextPort atomic.Uint32
+
+const (
+	firstPort = 10_000
+	portCount = 20_000
+)
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range portCount {
+		port := firstPort + nextPort.Add(1)%portCount
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			l.Close()
+			return l.Addr().String()
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
