--- a/brerror/error_test.go
+++ b/brerror/error_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -47,3 +50,33 @@
 		t.Error("plain and nil errors map to Internal and nil")
 	}
 }
+
+var update = flag.Bool("update", false, "write the reference page")
+
+const page = "../docs/reference/errors.md"
+
+// Guards against a reference page that differs from the table.
+func TestReferencePage(t *testing.T) {
+	var b strings.Builder
+	b.WriteString("# Error kinds\n\nGenerated from the table in `brerror` by `go test ./brerror -update`. The outcome says whether the request ran; with `retry` the same request may be sent again after `retry_after_ms`.\n\n| Kind | HTTP status | Outcome | |\n|---|---|---|---|\n")
+	for _, k := range Kinds() {
+		a := k.Answer()
+		retry := ""
+		if a.Retry {
+			retry = "retry"
+		}
+		fmt.Fprintf(&b, "| `%s` | %d | `%v` | %s |\n", a.Name, a.Status, a.Outcome, retry)
+	}
+	if *update {
+		if err := os.WriteFile(page, []byte(b.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(string(want), b.String()); diff != "" {
+		t.Errorf("run go test ./brerror -update: %s", diff)
+	}
+}
