Name the suspicion of the own network by what it is

Cause: 'calm' and 'heirs' are no terms of the field. Change: OwnNetworkSuspected, OwnNetworkGrace, successors. Measured: go test ./brmember passes.

--- a/brdaemon/control.go
+++ b/brdaemon/control.go
@@ -215,7 +215,7 @@
 			c.wg.Go(func() { c.register(e.Daemon) })
 		case brmember.Lost:
 			c.d.log.Warn().Strs("daemons", e.DaemonIDs).Msg("daemons are silent")
-		case brmember.Calm:
+		case brmember.OwnNetworkSuspected:
 			c.d.log.Warn().Bool("suspected", e.Suspected).Msg("many daemons silent at once: own network suspected")
 		}
 	}
--- a/brdaemon/handover.go
+++ b/brdaemon/handover.go
@@ -19,13 +19,13 @@
 // them over stays registered, so that owners count it as one that doesn't
 // report.
 func (d *Daemon) handRecords(ctx context.Context) error {
-	var heirs []brwire.Daemon
+	var successors []brwire.Daemon
 	for _, row := range d.session.present().Daemons {
 		if row.ID != d.self.ID && row.Region == d.self.Region && slices.Contains(row.Roles, brwire.RoleEntry) {
-			heirs = append(heirs, row)
+			successors = append(successors, row)
 		}
 	}
-	slices.SortFunc(heirs, func(a, b brwire.Daemon) int {
+	slices.SortFunc(successors, func(a, b brwire.Daemon) int {
 		if rendezvous(d.self.Incarnation, a.ID) > rendezvous(d.self.Incarnation, b.ID) {
 			return -1
 		}
@@ -33,7 +33,7 @@
 	})
 	parts := d.entry.Leave()
 	err := error(brerror.New(brerror.NotOwner, "no other entry of region %s is registered", d.self.Region))
-	for _, row := range heirs {
+	for _, row := range successors {
 		if err = d.handTo(ctx, row, parts); err == nil || ctx.Err() != nil {
 			return err
 		}
@@ -41,8 +41,8 @@
 	return err
 }
 
-func (d *Daemon) handTo(ctx context.Context, heir brwire.Daemon, parts []brwire.Inherit) error {
-	l := d.links.get(heir.PeerAddress)
+func (d *Daemon) handTo(ctx context.Context, successor brwire.Daemon, parts []brwire.Inherit) error {
+	l := d.links.get(successor.PeerAddress)
 	if l == nil {
 		return brerror.New(brerror.ShuttingDown, "daemon is closed")
 	}
@@ -50,7 +50,7 @@
 	c, err := l.Wait(wait) // it may be dialled only now
 	cancel()
 	if err != nil {
-		return brerror.New(brerror.NotOwner, "entry %s can't be reached: %w", heir.ID, err)
+		return brerror.New(brerror.NotOwner, "entry %s can't be reached: %w", successor.ID, err)
 	}
 	for _, p := range parts {
 		try, cancel := context.WithTimeout(ctx, inheritTimeout)
--- a/brmember/member_test.go
+++ b/brmember/member_test.go
@@ -105,8 +105,8 @@
 	}{
 		{"one", []int{0}, map[int][]SessionEffect{3000: {Lost{[]string{"d00"}}}}},
 		{"one per domain", []int{0, 4, 8}, map[int][]SessionEffect{3000: {Lost{[]string{"d00", "d04", "d08"}}}}},
-		{"half of a domain", []int{0, 1}, map[int][]SessionEffect{3000: {Calm{true}}, 8000: {Lost{[]string{"d00", "d01"}}}, 8100: {Calm{false}}}},
-		{"a third of all", []int{0, 4, 8, 9}, map[int][]SessionEffect{3000: {Calm{true}}, 8000: {Lost{[]string{"d00", "d04", "d08", "d09"}}}, 8100: {Calm{false}}}},
+		{"half of a domain", []int{0, 1}, map[int][]SessionEffect{3000: {OwnNetworkSuspected{true}}, 8000: {Lost{[]string{"d00", "d01"}}}, 8100: {OwnNetworkSuspected{false}}}},
+		{"a third of all", []int{0, 4, 8, 9}, map[int][]SessionEffect{3000: {OwnNetworkSuspected{true}}, 8000: {Lost{[]string{"d00", "d04", "d08", "d09"}}}, 8100: {OwnNetworkSuspected{false}}}},
 	} {
 		s, got := &Sessions{}, map[int][]SessionEffect{}
 		for ms := 0; ms <= 9000; ms += 100 {
--- a/brmember/sessions.go
+++ b/brmember/sessions.go
@@ -13,7 +13,7 @@
 const (
 	HeartbeatInterval = time.Second
 	SuspectAfter      = 3 * time.Second // without a heartbeat
-	CalmTime          = 5 * time.Second // further, while the replica suspects its own network
+	OwnNetworkGrace   = 5 * time.Second // further, while the replica suspects its own network
 )
 
 // Parts of a group that go silent together only when the network of the replica
@@ -30,7 +30,7 @@
 // replica. Its zero value has none. It is not safe for concurrent use.
 type Sessions struct {
 	sessions map[string]*session
-	calm     bool
+	suspected     bool
 }
 
 type session struct {
@@ -76,7 +76,7 @@
 func (SessionTick) sessionEvent()       {}
 func (SessionClosed) sessionEvent()     {}
 
-// SessionEffect is an output of Sessions: Joined, Lost or Calm.
+// SessionEffect is an output of Sessions: Joined, Lost or OwnNetworkSuspected.
 type SessionEffect interface{ sessionEffect() }
 
 // Joined reports a daemon with a new or returned session, or a new incarnation.
@@ -85,12 +85,12 @@
 // Lost reports daemons, sorted, that have been silent for too long.
 type Lost struct{ DaemonIDs []string }
 
-// Calm reports that the replica began or ceased to suspect its own network.
-type Calm struct{ Suspected bool }
+// OwnNetworkSuspected reports that the replica began or ceased to suspect its own network.
+type OwnNetworkSuspected struct{ Suspected bool }
 
-func (Joined) sessionEffect() {}
-func (Lost) sessionEffect()   {}
-func (Calm) sessionEffect()   {}
+func (Joined) sessionEffect()              {}
+func (Lost) sessionEffect()                {}
+func (OwnNetworkSuspected) sessionEffect() {}
 
 // Report is a row of what a replica tells the leader in answer to a message.
 // All times are ages at the sending of the report.
@@ -194,15 +194,15 @@
 }
 
 func (s *Sessions) tick(now time.Time) []SessionEffect {
-	silent, calm := s.silent(now)
+	silent, suspected := s.silent(now)
 	var effects []SessionEffect
-	if calm != s.calm {
-		s.calm = calm
-		effects = append(effects, Calm{calm})
+	if suspected != s.suspected {
+		s.suspected = suspected
+		effects = append(effects, OwnNetworkSuspected{suspected})
 	}
 	wait := SuspectAfter
-	if calm {
-		wait += CalmTime
+	if suspected {
+		wait += OwnNetworkGrace
 	}
 	var lost []string
 	for _, id := range silent {
@@ -219,7 +219,7 @@
 
 // silent returns the suspected daemons that are not reported yet, sorted, and
 // whether they are so many that the replica suspects its own network.
-func (s *Sessions) silent(now time.Time) (ids []string, calm bool) {
+func (s *Sessions) silent(now time.Time) (ids []string, suspected bool) {
 	all, domains, quiet := 0, map[string]int{}, map[string]int{}
 	for _, id := range slices.Sorted(maps.Keys(s.sessions)) {
 		t := s.sessions[id]
@@ -233,9 +233,9 @@
 			quiet[t.daemon.FailureDomain]++
 		}
 	}
-	calm = len(ids) >= silentAtOnce && len(ids)*allPart > all
+	suspected = len(ids) >= silentAtOnce && len(ids)*allPart > all
 	for name, n := range quiet {
-		calm = calm || n >= silentAtOnce && n*domainPart > domains[name]
+		suspected = suspected || n >= silentAtOnce && n*domainPart > domains[name]
 	}
-	return ids, calm
+	return ids, suspected
 }
