--- a/brmember/sessions.go
+++ b/brmember/sessions.go
@@ -29,8 +29,8 @@
 // Sessions holds the sessions of the daemons that send their heartbeats to one
 // replica. Its zero value has none. It is not safe for concurrent use.
 type Sessions struct {
-	sessions map[string]*session
-	suspected     bool
+	sessions  map[string]*session
+	suspected bool
 }
 
 type session struct {
