--- a/cmd/bramleyroute/demo.go
+++ b/cmd/bramleyroute/demo.go
@@ -56,7 +56,7 @@
 		ControlPeers: []brsetting.ControlPeer{{DaemonID: "demo", Address: peer}},
 		PeerKeys:     []string{"demo-peer-key-0001"}, OperatorKeys: []string{demoOpKey}, LeaseDuration: 3 * time.Second,
 	}, brdaemon.Options{
-		Log: zerolog.New(os.Stderr).Level(zerolog.WarnLevel), Fatal: func(err error) { fmt.Fprintln(os.Stderr, err); os.Exit(exitFailed) },
+		Log: zerolog.New(os.Stderr).Level(zerolog.ErrorLevel), Fatal: func(err error) { fmt.Fprintln(os.Stderr, err); os.Exit(exitFailed) },
 		CallerListener: lis[0], PeerListener: lis[1], OperatorListener: lis[2],
 	})
 	if err != nil {
