Use cmp.Or and one check of resends

Change: cmp.Or, resendAfterMove with the same assertions, the names removed, the comment corrected, imports in order.

--- a/brdaemon/poollease.go
+++ b/brdaemon/poollease.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"bramleyroute/brerror"
 	"bramleyroute/brpool"
 	"bramleyroute/brtimeline"
-	"time"
 )
 
 // tendLease renews the pool's lease, gives it up when it has ended, and asks for
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"bramleyroute/brerror"
 	"bramleyroute/brmember"
@@ -10,11 +11,10 @@
 	"bramleyroute/brpool"
 	"bramleyroute/brtimeline"
 	"bramleyroute/brwire"
-	"time"
 )
 
-// register adds the handlers of the peer links. Every daemon registers all of
-// them, so that a message to a daemon without the role gets an answer.
+// register adds the handlers of the peer links. Those of entries and schedulers
+// are on every daemon, so that a message to one without the role gets an answer.
 func (d *Daemon) register(m *brpeer.Mux) {
 	brpeer.HandlePush(m, brwire.NameHello, d.hello)
 	brpeer.HandlePush(m, brwire.NameChange, func(_ *brpeer.Conn, u Update) { d.session.update(u) })
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -42,8 +43,8 @@
 // EndpointFailed, Stuck (no whole answer in time) or Canceled otherwise; an
 // error of Boundary is returned wrapped.
 func (c *Client) Call(ctx context.Context, call Call) (Answer, Result, error) {
-	timeout := or(call.Timeout, DefaultStuckAfter)
-	timed, cancel := context.WithTimeoutCause(ctx, timeout+or(c.DialTimeout, DefaultDialTimeout), context.DeadlineExceeded)
+	timeout := cmp.Or(call.Timeout, DefaultStuckAfter)
+	timed, cancel := context.WithTimeoutCause(ctx, timeout+cmp.Or(c.DialTimeout, DefaultDialTimeout), context.DeadlineExceeded)
 	defer cancel()
 	req := newRequest(call.Method, call.Address, call.Path, bytes.NewReader(call.Body), int64(len(call.Body)))
 	req.Header = forwarded(call.Header)
@@ -94,7 +95,7 @@
 func (c *Client) readAnswer(ctx context.Context, cn *conn, resp *http.Response) (Answer, error) {
 	defer cn.Close()
 	defer context.AfterFunc(ctx, func() { _ = cn.Close() })()
-	limit := or(c.MaxAnswer, DefaultMaxAnswer)
+	limit := cmp.Or(c.MaxAnswer, DefaultMaxAnswer)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
 	if err != nil {
 		return Answer{}, err
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -77,7 +78,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string, silence time.Duration) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, or(c.DialTimeout, DefaultDialTimeout))
+	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.DialTimeout, DefaultDialTimeout))
 	defer cancel()
 	dial := c.Dial
 	if dial == nil {
@@ -185,11 +186,3 @@
 	}
 	return c.Clock
 }
-
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -103,7 +104,7 @@
 		s.start()
 		return nil
 	}
-	cn, resp, sent, err := c.dispatch(ctx, r.Address, or(c.Silence, DefaultSilence), boundary, req, s.conn)
+	cn, resp, sent, err := c.dispatch(ctx, r.Address, cmp.Or(c.Silence, DefaultSilence), boundary, req, s.conn)
 	s.result.Dispatched = sent
 	if !sent {
 		return s.result, err
@@ -131,7 +132,7 @@
 }
 
 func (c *Client) newStream(ctx context.Context, r Request) *stream {
-	r.StuckAfter = or(r.StuckAfter, DefaultStuckAfter)
+	r.StuckAfter = cmp.Or(r.StuckAfter, DefaultStuckAfter)
 	return &stream{
 		client: c, ctx: ctx, request: r,
 		conn:  connReaders.Get().(*bufio.Reader),
@@ -155,12 +156,12 @@
 func (s *stream) finish(err error) (Result, error) {
 	c := s.client
 	attempts, reached := 0, s.result.Next
-	backoff := or(c.ResumeBackoff, DefaultResumeBackoff)
+	backoff := cmp.Or(c.ResumeBackoff, DefaultResumeBackoff)
 	for err != nil && s.ctx.Err() == nil && errors.Is(err, errBroken) {
 		if s.result.Next > reached {
 			attempts, reached = 0, s.result.Next
 		}
-		if attempts == or(c.ResumeAttempts, DefaultResumeAttempts) {
+		if attempts == cmp.Or(c.ResumeAttempts, DefaultResumeAttempts) {
 			err = brerror.New(brerror.EndpointFailed, "%d resumes at offset %d failed: %w", attempts, s.result.Next, err)
 			break
 		}
@@ -197,7 +198,7 @@
 	c := s.client
 	c.Counters.Resumes.Add(1)
 	s.result.Resumes++
-	cn, err := c.dial(s.ctx, s.request.Address, or(c.Silence, DefaultSilence))
+	cn, err := c.dial(s.ctx, s.request.Address, cmp.Or(c.Silence, DefaultSilence))
 	if err != nil {
 		return fmt.Errorf("%w: dial: %w", errBroken, err)
 	}
--- a/brentry/answer.go
+++ b/brentry/answer.go
@@ -1,6 +1,7 @@
 package brentry
 
 import (
+	"cmp"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -24,7 +25,7 @@
 	body := brengine.ErrorBody{Kind: a.Name, Message: be.Message, Field: be.Field, Outcome: a.Outcome.String(),
 		RequestID: requestID, EntryID: be.EntryID, EndpointAddress: be.EndpointAddress}
 	if a.Retry {
-		body.RetryAfterMS = e.jitter(or(be.RetryAfter, defaultRetryAfter)).Milliseconds()
+		body.RetryAfterMS = e.jitter(cmp.Or(be.RetryAfter, defaultRetryAfter)).Milliseconds()
 	}
 	return brengine.Error{Error: body}, a
 }
--- a/brentry/completion.go
+++ b/brentry/completion.go
@@ -1,6 +1,7 @@
 package brentry
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -201,5 +202,5 @@
 }
 
 func stuckAfter(r brconfig.Route) time.Duration {
-	return or(time.Duration(r.StuckMS)*time.Millisecond, brdispatch.DefaultStuckAfter)
+	return cmp.Or(time.Duration(r.StuckMS)*time.Millisecond, brdispatch.DefaultStuckAfter)
 }
--- a/brentry/decode.go
+++ b/brentry/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"io"
@@ -84,11 +85,11 @@
 
 // limitTokens applies the route's bound on the answer's length.
 func limitTokens(c brengine.Completion, r brconfig.Route) (brengine.Completion, error) {
-	limit := or(r.MaxTokens, defaultMaxTokens)
+	limit := cmp.Or(r.MaxTokens, defaultMaxTokens)
 	if c.MaxTokens > limit {
 		return c, brerror.New(brerror.InvalidRequest, "%d exceeds the route's limit of %d", c.MaxTokens, limit).WithField("max_tokens")
 	}
-	c.MaxTokens = or(c.MaxTokens, limit)
+	c.MaxTokens = cmp.Or(c.MaxTokens, limit)
 	return c, nil
 }
 
--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -1,6 +1,7 @@
 package brentry
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync"
@@ -104,28 +105,20 @@
 	if c.EntryID == "" {
 		panic("brentry: no entry id")
 	}
-	c.MaxBody = or(c.MaxBody, 1<<20)
-	c.MaxPromptTokens = or(c.MaxPromptTokens, 131_072)
-	c.MaxHeld = or(c.MaxHeld, 2048)
-	c.MaxHeldBytes = or(c.MaxHeldBytes, 160<<20)
-	c.MaxFinished = or(c.MaxFinished, 200_000)
-	c.Retention = or(c.Retention, 10*time.Minute)
-	c.Grace = or(c.Grace, 5*time.Second)
-	c.ResubmitAfter = or(c.ResubmitAfter, 250*time.Millisecond)
-	c.GrantAttempts = or(c.GrantAttempts, 3)
-	c.WriteTimeout = or(c.WriteTimeout, 30*time.Second)
-	c.DrainStuck = or(c.DrainStuck, 15*time.Second)
+	c.MaxBody = cmp.Or(c.MaxBody, 1<<20)
+	c.MaxPromptTokens = cmp.Or(c.MaxPromptTokens, 131_072)
+	c.MaxHeld = cmp.Or(c.MaxHeld, 2048)
+	c.MaxHeldBytes = cmp.Or(c.MaxHeldBytes, 160<<20)
+	c.MaxFinished = cmp.Or(c.MaxFinished, 200_000)
+	c.Retention = cmp.Or(c.Retention, 10*time.Minute)
+	c.Grace = cmp.Or(c.Grace, 5*time.Second)
+	c.ResubmitAfter = cmp.Or(c.ResubmitAfter, 250*time.Millisecond)
+	c.GrantAttempts = cmp.Or(c.GrantAttempts, 3)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, 30*time.Second)
+	c.DrainStuck = cmp.Or(c.DrainStuck, 15*time.Second)
 	return &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry(), started: clock.Now()}
 }
 
-func or[T comparable](v, fallback T) T {
-	var zero T
-	if v == zero {
-		return fallback
-	}
-	return v
-}
-
 // Handler returns the callers' HTTP interface. It panics if a function field
 // that every request needs is not set.
 func (e *Entry) Handler() http.Handler {
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -1,6 +1,7 @@
 package brentry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -220,7 +221,7 @@
 
 func (e *Entry) finish(h *held, g brwire.Grant, res brdispatch.Result, err error) {
 	d := brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, OK: err == nil, Outcome: brerror.Ran,
-		PromptTokens: or(res.Usage.PromptTokens, h.submit.PromptTokens), CachedTokens: res.Usage.CachedTokens,
+		PromptTokens: cmp.Or(res.Usage.PromptTokens, h.submit.PromptTokens), CachedTokens: res.Usage.CachedTokens,
 		OutputTokens: res.Next, FirstToken: res.FirstToken, Duration: res.Duration}
 	if err != nil {
 		be := brerror.From(err)
--- a/brsystem/restart_test.go
+++ b/brsystem/restart_test.go
@@ -1,6 +1,7 @@
 package brsystem
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"syscall"
@@ -79,13 +80,23 @@
 		d.signal(syscall.SIGTERM)
 		d.waitEnd(20 * time.Second)
 	}
-	c.eventually("pool moved", func() bool { p, ok := poolAt(rest[0], model); return ok && p.Owner != owner.id && p.Reachable })
+	c.resendAfterMove(ctx, owner, rest, engine, ids)
+}
+
+// resendAfterMove waits until the pool has left its former owner, and checks that
+// ids that have run are refused through every other daemon and don't run again.
+func (c *cluster) resendAfterMove(ctx context.Context, former *daemon, rest []*daemon, engine *fake, ids []string) {
+	c.t.Helper()
+	c.eventually("pool moved", func() bool {
+		p, ok := poolAt(rest[0], model)
+		return ok && p.Owner != former.id && p.Reachable
+	})
 	for i, id := range ids {
 		if a := complete(ctx, rest[i%len(rest)].caller, call{id: id}); a.status != http.StatusConflict {
-			t.Errorf("resend of %s: %+v", id, a)
+			c.t.Errorf("resend of %s: %+v", id, a)
 		}
 		if n := engine.counts().Requests[id]; n != 1 {
-			t.Errorf("request %s reached the engine %d times", id, n)
+			c.t.Errorf("request %s reached the engine %d times", id, n)
 		}
 	}
 }
@@ -113,13 +124,5 @@
 	c.waitReady(killed)
 	owner.signal(syscall.SIGTERM)
 	owner.waitEnd(20 * time.Second)
-	c.eventually("pool moved", func() bool { p, ok := poolAt(rest[0], model); return ok && p.Owner != owner.id && p.Reachable })
-	for i, id := range ids {
-		if a := complete(ctx, rest[i%len(rest)].caller, call{id: id}); a.status != http.StatusConflict {
-			t.Errorf("resend of %s: %+v", id, a)
-		}
-		if n := engine.counts().Requests[id]; n != 1 {
-			t.Errorf("request %s reached the engine %d times", id, n)
-		}
-	}
+	c.resendAfterMove(ctx, owner, rest, engine, ids)
 }
--- a/brwire/control.go
+++ b/brwire/control.go
@@ -122,7 +122,6 @@
 
 // Names of the messages by which daemons learn of changes and hand samples on.
 const (
-	NameView  = "view"  // answers watch; followed by change
 	NameFetch = "fetch" // call between daemons: the view or the changes after a revision
 	NameTrip  = "trip"
 )
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -15,7 +15,6 @@
 	NameFirstToken = "first_token"
 	NameDone       = "done"
 	NameJoin       = "join"
-	NameRecover    = "recover"
 	NameBound      = "bound"
 	NameLocate     = "locate"
 	NameAttach     = "attach"
