--- a/brrollout/judge.go
+++ b/brrollout/judge.go
@@ -31,6 +31,9 @@
 	// Alpha bounds the probability that a version as good as the old one is
 	// ever called worse, over all routes and metrics and the whole rollout.
 	Alpha = 0.001
+	// AlphaDoubt is the same bound for the level that suffices once the new
+	// version has had the traffic that a bad one may have.
+	AlphaDoubt = 0.009
 	// AlphaHold is the same bound for the level that holds growth.
 	AlphaHold = 0.2
 
@@ -233,6 +236,7 @@
 // Verdict is what the Judge says at one time.
 type Verdict struct {
 	Worse   bool   // the new version is worse
+	Doubt   bool   // the evidence has reached the level of AlphaDoubt
 	Content bool   // nothing stands against growth
 	Reason  string // what is worse, or what holds growth
 }
@@ -250,6 +254,7 @@
 				continue
 			}
 			v.Content, v.Reason = false, j.reason(i, m, got)
+			v.Doubt = v.Doubt || got >= limit(i, AlphaDoubt)
 			if got >= back {
 				v.Worse = true
 				return v
--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -35,11 +35,13 @@
 	// lateStart is the Earliest of the first stage after the early ones.
 	lateStart = 0.75
 
+	// exposureAim is the part of all traffic that a bad version is to stay below.
 	// exposureLimit is the part of all traffic above which the early stages go
 	// back to savingShare, and exposureResume the part below which they grow
-	// again. The aim of 2% leaves room for what is under way at detection. The
+	// again. exposureAim leaves room for what is under way at detection. The
 	// two are far apart because the samples of settleTime after each growth are
 	// not weighed.
+	exposureAim    = 0.02
 	exposureLimit  = 0.016
 	exposureResume = 0.012
 	// savingShare is the share in per mille of the early stages after the first
@@ -67,6 +69,10 @@
 	// counts as loaded, and loadedTime the averaging time of the work.
 	loadedPart = 0.85
 	loadedTime = 30 * time.Second
+	// peakPart of the capacity is the least load that is waited for as the peak
+	// until the part peakBy of the time.
+	peakPart = 0.65
+	peakBy   = 0.5
 
 	// settleTime is how long samples are not weighed after the share was raised
 	// by more than settleRatio: of the requests begun then, the first to end are
@@ -98,8 +104,13 @@
 	// probability of at most exp(-failLimit) = 0.00055.
 	flakyRate = 0.05
 	badRate   = 0.8
-	failLimit = 7.5
-	failFloor = -5
+	// Above trustLimit, which one failure after many successes doesn't reach, the
+	// new version's share stays low until more moves succeed. Above doubtLimit,
+	// which takes two failures in a row, more traffic isn't risked for the test.
+	failLimit  = 7.5
+	doubtLimit = 3
+	trustLimit = -2
+	failFloor  = -5
 
 	resendInterval = 5 * time.Second // between sends of an unanswered order
 	retryDelay     = 15 * time.Second
@@ -166,7 +177,28 @@
 }
 
 // loaded reports whether the fleet's outstanding work is near its peak.
-func (s *State) loaded() bool { return s.Peak > 0 && s.Smoothed >= loadedPart*s.Peak }
+func (s *State) loaded() bool {
+	peak := s.Peak
+	if s.TickedAt.Before(s.at(peakBy)) {
+		peak = max(peak, peakPart*float64(s.capacity()))
+	}
+	return peak > 0 && s.Smoothed >= loadedPart*peak
+}
+
+// capacity returns the tokens that all endpoints carry, or 0 if one is unknown.
+func (s *State) capacity() int {
+	sum := 0
+	for _, e := range s.Endpoints {
+		if e.Placement == Lost {
+			continue
+		}
+		if e.CapacityTokens == 0 {
+			return 0
+		}
+		sum += e.CapacityTokens
+	}
+	return sum
+}
 
 // wanted returns how many endpoints a stage needs on the new version.
 func (s *State) wanted(stage int) int {
@@ -199,12 +231,38 @@
 	if ready < s.wanted(s.Stage) {
 		share = min(share, 1000*ready/(ready+old))
 	}
-	if s.Suspect && earlyStages <= s.Stage && s.Stage < len(stages)-1 {
-		share = min(share, max(suspectShare, s.leastShare()))
+	if earlyStages <= s.Stage && s.Stage < len(stages)-1 {
+		share = min(share, s.doubtfulShare())
 	}
 	return share
 }
 
+// doubtfulShare returns the share in per mille that the later stages have while
+// something speaks against the new version, and 1000 if nothing does. Failed
+// loads and refused orders are no evidence that more traffic would add to.
+func (s *State) doubtfulShare() int {
+	switch {
+	case !s.movesTrusted():
+		return max(savingShare, s.leastShare())
+	case s.Suspect && s.Exposure() > exposureLimit:
+		return max(suspectShare, s.leastShare())
+	}
+	return 1000
+}
+
+// movesTrusted reports whether loads of the new version, and orders to load it,
+// succeed often enough to raise its share.
+func (s *State) movesTrusted() bool {
+	return s.LoadFails.trusted() && s.OrderFails.trusted()
+}
+
+// spent reports whether the new version has had exposureLimit of the traffic and
+// would stay below exposureAim if it were taken back now.
+func (s *State) spent() bool {
+	exposure := s.Exposure()
+	return exposureLimit < exposure && exposure < exposureAim
+}
+
 // sparingShare returns the share in per mille, at least savingShare, with which
 // the exposure stays below exposureLimit until the next reports come in. In an
 // hour's rollout one report is a small part of the traffic; in one of half a
--- a/brrollout/state.go
+++ b/brrollout/state.go
@@ -64,6 +64,10 @@
 	return f
 }
 
+func (f FailTest) trusted() bool { return f.Failed == 0 || f.Score <= trustLimit }
+
+func (f FailTest) doubtful() bool { return f.Score > doubtLimit }
+
 // Load is the last outstanding work that one scheduler reported.
 type Load struct {
 	Pool        string `cbor:"pool"`
@@ -95,14 +99,15 @@
 	FormerLeaseBy time.Time `cbor:"former_lease_by"`
 	Budget        Budget    `cbor:"budget"`
 
-	Stage        int       `cbor:"stage"`         // index into Stages
-	StageSince   time.Time `cbor:"stage_since"`   // when the share first was the stage's; zero before
-	StageLoaded  int       `cbor:"stage_loaded"`  // new version's requests at the stage's share under load
-	Share        int       `cbor:"share"`         // per mille, as last set
-	Saving       bool      `cbor:"saving"`        // early share kept at the least to stay within exposureLimit
-	Suspect      bool      `cbor:"suspect"`       // the Judge is not content
-	SettledAt    time.Time `cbor:"settled_at"`    // samples before this are not weighed
-	SettledShare int       `cbor:"settled_share"` // share that the samples are settled at
+	Stage        int       `cbor:"stage"`             // index into Stages
+	StageSince   time.Time `cbor:"stage_since"`       // when the share first was the stage's; zero before
+	StageLoaded  int       `cbor:"stage_loaded"`      // new version's requests at the stage's share under load
+	Share        int       `cbor:"share"`             // per mille, as last set
+	Saving       bool      `cbor:"saving"`            // early share kept at the least to stay within exposureLimit
+	Suspect      bool      `cbor:"suspect"`           // the Judge is not content
+	Doubted      string    `cbor:"doubted,omitempty"` // why the Judge once was near to calling the version worse
+	SettledAt    time.Time `cbor:"settled_at"`        // samples before this are not weighed
+	SettledShare int       `cbor:"settled_share"`     // share that the samples are settled at
 
 	Judge     Judge      `cbor:"judge"`
 	Endpoints []Endpoint `cbor:"endpoints"`
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -186,11 +186,18 @@
 	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share == 1000)
 	v := t.policy.Verdict(t.Judge)
 	t.Suspect = !v.Content
+	if v.Doubt {
+		t.Doubted = v.Reason
+	}
 	last := t.Stage == len(stages)-1
 	held := !t.StageSince.IsZero() && t.now.Sub(t.StageSince) >= t.minHold()
 	switch {
 	case v.Worse:
 		t.takeBack("judge: " + v.Reason)
+	case t.spent() && (t.LoadFails.doubtful() || t.OrderFails.doubtful()):
+		t.takeBack("moves to the new version fail, with the exposure at its limit")
+	case t.spent() && t.Suspect && t.Doubted != "":
+		t.takeBack("judge, with the exposure at its limit: " + t.Doubted)
 	case !t.now.Before(t.FinishBy):
 		t.takeBack("not finished by finish_by: " + t.missing(v))
 	case t.Stage == 0 && t.StageSince.IsZero() && !t.now.Before(t.at(stages[1].Latest)):
@@ -242,10 +249,12 @@
 	}
 }
 
-// reached reports whether the stage's share is set or, in the early stages, kept
-// lower only because the fleet isn't loaded or the exposure is at its limit.
+// reached reports whether the stage's share is set or kept lower for a reason
+// that doesn't hold growth: in the early stages because the fleet isn't loaded or
+// the exposure is at its limit, later because moves fail, which only more moves
+// can clear up.
 func (t *turn) reached() bool {
-	return t.Share == stages[t.Stage].PerMille || t.Stage < earlyStages
+	return t.Share == stages[t.Stage].PerMille || t.Stage < earlyStages || !t.movesTrusted()
 }
 
 func (t *turn) finish() {
