Link large fleets sparsely, and send shorter load reports

Above 24 daemons those without a replica now link to three replicas and two others of their kind; replicas link to each other and relay the load reports of the daemons that chose them. Heartbeats without news are passed on every 5 s. Reports list the endpoints used in the last half second; the pace of an endpoint is remembered without them.

The tests of the relay and the topology were seen to fail with rules removed on a scratch copy; two removals that they first missed are now covered.

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -19,6 +19,9 @@
 	// forgotten. Endpoints that fail are noticed far earlier by what they do; one
 	// that is only cut off from the daemons that take heartbeats can go on.
 	endpointLifetime = 15 * time.Second
+	// endpointRenew is the age of an endpoint's record from which on a heartbeat
+	// without news is passed on. Two of them may be lost within the lifetime.
+	endpointRenew = 5 * time.Second
 	// withdrawn is the sequence of an endpoint that has said that it is gone; no
 	// heartbeat of the same start is newer.
 	withdrawn = math.MaxUint64
@@ -47,10 +50,23 @@
 	if a.Endpoint.Leaving && f.isolated() {
 		return ErrIsolated
 	}
-	f.publishEndpoint(a)
+	if !f.repeats(a) {
+		f.publishEndpoint(a)
+	}
 	return nil
 }
 
+// repeats reports whether a heartbeat says what all daemons have been told a short
+// time ago.
+func (f *Fleet) repeats(a Announcement) bool {
+	r, ok := f.node.Get(kindEndpoint + "/" + a.Endpoint.ID)
+	if !ok || r.Age >= endpointRenew || r.Version.Epoch != a.Born || r.Version.Seq > a.Sequence {
+		return false
+	}
+	known, err := brwire.Decode[Announcement](r.Value)
+	return err == nil && known.Endpoint == a.Endpoint
+}
+
 // Withdraw takes the message of an endpoint that it is gone, and tells all
 // daemons.
 func (f *Fleet) Withdraw(id string) error {
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -62,6 +62,7 @@
 	policies  policies
 	rollouts  rollouts
 	leaving   atomic.Bool
+	daemons   atomic.Int64 // that are known and not leaving
 
 	dirty chan struct{}
 	stop  chan struct{}
@@ -206,6 +207,7 @@
 			}
 		}
 		f.proxy.SetDaemons(known)
+		f.daemons.Store(int64(known))
 	}
 }
 
--- a/brfleet/fleet_test.go
+++ b/brfleet/fleet_test.go
@@ -316,6 +316,43 @@
 	}
 }
 
+// TestHeartbeatsWithoutNewsStayHere guards against heartbeats that are all sent
+// to every daemon, which costs endpoints times daemons, and against a change that
+// isn't.
+func TestHeartbeatsWithoutNewsStayHere(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	f := c.fleets[0]
+	a := Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 2}, Born: 7, Sequence: 1}
+	published := func() uint64 {
+		t.Helper()
+		if err := f.Announce(a); err != nil {
+			t.Fatal(err)
+		}
+		r, ok := f.node.Get(kindEndpoint + "/e")
+		if !ok {
+			t.Fatal("the endpoint is not known")
+		}
+		return r.Version.Seq
+	}
+	steps := []struct {
+		name   string
+		change func()
+		want   uint64
+	}{
+		{"first", func() {}, 1},
+		{"the same again", func() { a.Sequence = 2 }, 1},
+		{"more slots", func() { a.Sequence, a.Endpoint.Slots = 3, 4 }, 3},
+		{"an older one", func() { a.Sequence, a.Endpoint.Slots = 2, 2 }, 3},
+		{"a new start", func() { a.Born, a.Sequence = 8, 1 }, 1},
+	}
+	for _, step := range steps {
+		step.change()
+		if got := published(); got != step.want {
+			t.Errorf("%s: sequence %d is published, want %d", step.name, got, step.want)
+		}
+	}
+}
+
 // TestServeWhileReplicasFail guards against callers' requests that wait for one
 // other VM: they are served while every replica is gone.
 func TestServeWhileReplicasFail(t *testing.T) {
--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -17,9 +17,12 @@
 	// no longer count.
 	loadLifetime = 2 * time.Second
 	// loadRenew is the longest pause between two reports.
-	loadRenew = 500 * time.Millisecond
-	// loadPause is the shortest pause between two reports.
-	loadPause = 20 * time.Millisecond
+	loadRenew = 400 * time.Millisecond
+	// loadPause is the shortest pause between two reports, and loadSpread what it
+	// grows to for each daemon of a large fleet: all of them take 400 reports a
+	// second, whatever their number.
+	loadPause  = 20 * time.Millisecond
+	loadSpread = 2500 * time.Microsecond
 )
 
 // load is what one daemon tells the others about its work.
@@ -49,7 +52,7 @@
 		select {
 		case <-f.stop:
 			return
-		case <-f.cfg.Clock.After(loadPause):
+		case <-f.cfg.Clock.After(max(loadPause, time.Duration(f.daemons.Load())*loadSpread)):
 		}
 	}
 }
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -21,8 +21,10 @@
 	kindTally = "tally" // by daemon: what the versions answered
 
 	// judgeInterval is the pause between two decisions on the running rollouts,
-	// and between two reports of what the versions answered.
+	// and between two reports of what the versions answered in a fleet of up to
+	// tallyDaemons. In a larger one the pause between reports grows in proportion.
 	judgeInterval = 100 * time.Millisecond
+	tallyDaemons  = 16
 	// recordInterval is the pause between two records of a rollout's progress in
 	// the log, from which the next leader goes on.
 	recordInterval = time.Second
@@ -141,13 +143,15 @@
 // runRollouts reports what this daemon's callers got, and decides on the running
 // rollouts while its replica leads.
 func (f *Fleet) runRollouts() {
-	for {
+	for round := int64(0); ; round++ {
 		select {
 		case <-f.stop:
 			return
 		case <-f.cfg.Clock.After(judgeInterval):
 		}
-		f.publishTally()
+		if round%max(1, f.daemons.Load()/tallyDaemons) == 0 {
+			f.publishTally()
+		}
 		if f.core.Leads() {
 			f.judgeAll()
 		}
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -16,24 +17,12 @@
 	// KindDaemon is the kind of the records by which daemons find each other.
 	KindDaemon = "daemon"
 
-	// DefaultFlush is how long changes are collected before they are sent.
-	DefaultFlush = 25 * time.Millisecond
-
 	daemonLifetime = 15 * time.Second
 	renewInterval  = 5 * time.Second // of the own daemon record
-	linkInterval   = 250 * time.Millisecond
-	// acceptWait is how long the daemon with the greater address waits for the
-	// other one to dial before it dials itself.
-	acceptWait = time.Second
-	// maxBatch bounds the records of one message.
-	maxBatch = 64
-	// quietPeers is the number of links up to which changes are sent at the flush
-	// interval. Beyond it the interval grows in proportion, so that the cost of a
-	// daemon doesn't grow with the square of the fleet.
-	quietPeers = 16
-
-	pushHello  = "gossip_hello"
-	pushRecord = "gossip_records"
+
+	pushHello     = "gossip_hello"
+	pushRecord    = "gossip_records"
+	pushSubscribe = "gossip_subscribe"
 )
 
 // Daemon is what a daemon tells about itself.
@@ -68,9 +57,11 @@
 	// OnLink is told when a link to a daemon opened or ended.
 	OnLink func(address string, open bool)
 
-	Direct map[string]bool // kinds that only their writer sends on
-	Flush  time.Duration   // 0 means DefaultFlush
-	Clock  brclock.Clock   // nil means the system's
+	// Direct holds the kinds of records that are not flooded: their writer sends
+	// them, and in a large fleet relays pass them on.
+	Direct map[string]bool
+	Flush  time.Duration // 0 means DefaultFlush
+	Clock  brclock.Clock // nil means the system's
 }
 
 // Node keeps links to the other daemons and floods records over them. It is safe
@@ -83,6 +74,9 @@
 	peers   map[*brpeer.Conn]*peer
 	links   map[string]*brpeer.Link
 	missing map[string]time.Time // address: since when there is no link
+	daemons map[string]Daemon    // by record key
+	sorted  []Daemon             // the same by address; nil when daemons has changed
+	relay   *brpeer.Conn         // that passes direct records on for this daemon, in a large fleet
 	seq     uint64
 	closed  bool
 
@@ -92,8 +86,10 @@
 }
 
 type peer struct {
-	address string
-	pending map[string]struct{}
+	address    string
+	pending    map[string]struct{}
+	relayed    bool // wants to be sent direct records of others
+	subscribed bool // was asked for them
 }
 
 // New returns a node that doesn't run yet. It adds its handlers to cfg.Mux, which
@@ -114,11 +110,13 @@
 		peers:   map[*brpeer.Conn]*peer{},
 		links:   map[string]*brpeer.Link{},
 		missing: map[string]time.Time{},
+		daemons: map[string]Daemon{},
 		wake:    make(chan struct{}, 1),
 		stop:    make(chan struct{}),
 	}
 	brpeer.HandlePush(cfg.Mux, pushHello, func(c *brpeer.Conn, h hello) { n.open(c, h.Address) })
 	brpeer.HandlePush(cfg.Mux, pushRecord, n.receive)
+	brpeer.HandlePush(cfg.Mux, pushSubscribe, n.subscribed)
 	return n
 }
 
@@ -165,17 +163,14 @@
 func (n *Node) Daemons() []Daemon {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var all []Daemon
-	for _, r := range n.store.All(n.cfg.Clock.Now()) {
-		if r.Kind() != KindDaemon {
-			continue
-		}
-		if d, err := brwire.Decode[Daemon](r.Value); err == nil {
-			all = append(all, d)
-		}
+	return slices.Clone(n.topology().daemons)
+}
+
+func (n *Node) topology() topology {
+	if n.sorted == nil {
+		n.sorted = slices.SortedFunc(maps.Values(n.daemons), func(a, b Daemon) int { return strings.Compare(a.Address, b.Address) })
 	}
-	slices.SortFunc(all, func(a, b Daemon) int { return strings.Compare(a.Address, b.Address) })
-	return all
+	return topology{self: n.cfg.Self, daemons: n.sorted}
 }
 
 // Linked returns the addresses of the daemons with an open link.
@@ -194,6 +189,10 @@
 func (n *Node) Conn(address string) *brpeer.Conn {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	return n.conn(address)
+}
+
+func (n *Node) conn(address string) *brpeer.Conn {
 	var best *brpeer.Conn
 	for c, p := range n.peers {
 		if p.address == address && (best == nil || c.Silent() < best.Silent()) {
@@ -241,11 +240,10 @@
 	if p != nil {
 		delete(p.pending, r.Key)
 	}
-	if from == nil || !n.cfg.Direct[r.Kind()] {
-		for c, q := range n.peers {
-			if c != from {
-				q.pending[r.Key] = struct{}{}
-			}
+	n.noteDaemon(r)
+	if targets := n.targets(r, from); len(targets) > 0 {
+		for _, q := range targets {
+			q.pending[r.Key] = struct{}{}
 		}
 		n.wakeFlush()
 	}
@@ -253,6 +251,31 @@
 	return true
 }
 
+// targets returns the peers that a newer record is sent to.
+func (n *Node) targets(r Record, from *brpeer.Conn) []*peer {
+	if n.cfg.Direct[r.Kind()] {
+		return n.directTargets(from)
+	}
+	var targets []*peer
+	for c, p := range n.peers {
+		if c != from {
+			targets = append(targets, p)
+		}
+	}
+	return targets
+}
+
+// noteDaemon takes a newer record of a daemon.
+func (n *Node) noteDaemon(r Record) {
+	if r.Kind() != KindDaemon {
+		return
+	}
+	// A value that can't be decoded is of a later release; its daemon isn't linked.
+	if d, err := brwire.Decode[Daemon](r.Value); err == nil && n.daemons[r.Key] != d {
+		n.daemons[r.Key], n.sorted = d, nil
+	}
+}
+
 // known drops a pending record that the peer has shown to have.
 func (n *Node) known(p *peer, r Record) {
 	if e, ok := n.store.entries[r.Key]; ok && e.record.Version == r.Version {
@@ -311,159 +334,3 @@
 		n.cfg.OnLink(address, open)
 	}
 }
-
-// runFlush sends what is pending, at most once an interval.
-func (n *Node) runFlush() {
-	for {
-		select {
-		case <-n.stop:
-			return
-		case <-n.wake:
-		}
-		n.flush()
-		n.mu.Lock()
-		wait := n.cfg.Flush * time.Duration(max(1, len(n.peers)/quietPeers))
-		n.mu.Unlock()
-		select {
-		case <-n.stop:
-			return
-		case <-n.cfg.Clock.After(wait):
-		}
-	}
-}
-
-func (n *Node) flush() {
-	type message struct {
-		conn *brpeer.Conn
-		body []byte
-	}
-	var out []message
-	n.mu.Lock()
-	now := n.cfg.Clock.Now()
-	encoded := map[string][]byte{} // most peers get the same batch
-	for c, p := range n.peers {
-		for _, keys := range chunks(p.pending) {
-			id := fmt.Sprint(keys)
-			body, ok := encoded[id]
-			if !ok {
-				body = n.encode(now, keys)
-				encoded[id] = body
-			}
-			out = append(out, message{c, body})
-		}
-		clear(p.pending)
-	}
-	n.mu.Unlock()
-	for _, m := range out {
-		// An error means that the connection has ended; the peer gets everything
-		// again when it reconnects.
-		_ = brpeer.PushEncoded(m.conn, pushRecord, m.body)
-	}
-}
-
-// chunks returns the pending keys sorted, in batches.
-func chunks(pending map[string]struct{}) [][]string {
-	if len(pending) == 0 {
-		return nil
-	}
-	keys := make([]string, 0, len(pending))
-	for key := range pending {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return slices.Collect(slices.Chunk(keys, maxBatch))
-}
-
-func (n *Node) encode(now time.Time, keys []string) []byte {
-	var b batch
-	for _, key := range keys {
-		if r, ok := n.store.Get(now, key); ok {
-			b.Records = append(b.Records, r)
-		}
-	}
-	body, err := brwire.Encode(b)
-	if err != nil {
-		panic(fmt.Sprintf("brgossip: encode records: %v", err))
-	}
-	return body
-}
-
-// runLinks keeps the links and the own record up to date, and drops old records.
-func (n *Node) runLinks() {
-	renewed := n.cfg.Clock.Now()
-	for {
-		now := n.cfg.Clock.Now()
-		if now.Sub(renewed) >= renewInterval {
-			renewed = now
-			n.announce()
-		}
-		n.expire(now)
-		n.adjustLinks(now)
-		select {
-		case <-n.stop:
-			return
-		case <-n.cfg.Clock.After(linkInterval):
-		}
-	}
-}
-
-func (n *Node) expire(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, r := range n.store.Expire(now) {
-		if n.cfg.OnExpired != nil {
-			n.cfg.OnExpired(r)
-		}
-	}
-}
-
-// adjustLinks dials the daemons that this one should dial, and gives up links to
-// addresses that nobody is known at.
-func (n *Node) adjustLinks(now time.Time) {
-	wanted := map[string]bool{}
-	for _, s := range n.cfg.Seeds() {
-		wanted[s] = true
-	}
-	for _, d := range n.Daemons() {
-		wanted[d.Address] = true
-	}
-	delete(wanted, n.cfg.Self.Address)
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.closed {
-		return
-	}
-	open := map[string]bool{}
-	for _, p := range n.peers {
-		open[p.address] = true
-	}
-	for address := range wanted {
-		if n.links[address] == nil && !open[address] && n.shouldDial(now, address) {
-			n.links[address] = brpeer.NewLink(address, n.cfg.Keys, n.cfg.Mux, func(c *brpeer.Conn) {
-				// An error means that the connection has ended already.
-				_ = brpeer.Push(c, pushHello, hello{n.cfg.Self.Address})
-				n.open(c, address)
-			})
-		}
-	}
-	for address, l := range n.links {
-		if !wanted[address] {
-			delete(n.links, address)
-			n.wg.Go(l.Close)
-		}
-	}
-}
-
-// shouldDial reports whether this daemon dials address: it has the smaller
-// address, or the other one hasn't dialled for a while.
-func (n *Node) shouldDial(now time.Time, address string) bool {
-	if n.cfg.Self.Address < address {
-		return true
-	}
-	since, ok := n.missing[address]
-	if !ok {
-		n.missing[address] = now
-		return false
-	}
-	return now.Sub(since) >= acceptWait
-}
--- a/brgossip/node_test.go
+++ b/brgossip/node_test.go
@@ -23,6 +23,13 @@
 }
 
 func startNode(t *testing.T, id string, seeds func() []string) *testNode {
+	t.Helper()
+	return startNodeWith(t, Daemon{ID: id}, seeds)
+}
+
+// startNodeWith starts a node at a port of its own, for which load records are
+// direct.
+func startNodeWith(t *testing.T, self Daemon, seeds func() []string) *testNode {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -30,8 +37,9 @@
 	}
 	n := &testNode{address: l.Addr().String(), seen: map[string]string{}}
 	mux := &brpeer.Mux{}
+	self.Address = n.address
 	n.node = New(Config{
-		Self: Daemon{ID: id, Address: n.address}, Epoch: 1, Mux: mux, Seeds: seeds,
+		Self: self, Epoch: 1, Mux: mux, Seeds: seeds, Direct: map[string]bool{"load": true},
 		OnRecord: func(r Record) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -98,7 +98,7 @@
 // tooSlow reports whether the stream of r is not expected to end in time at e.
 func (s *State) tooSlow(e *endpoint, r *Request) bool {
 	left := r.Deadline.Sub(s.now)
-	return r.Events*float64(e.pace()) > finishShare*float64(left)
+	return r.Events*float64(e.pace) > finishShare*float64(left)
 }
 
 func overflow(r *Request) int {
@@ -112,7 +112,7 @@
 // answer weighted less.
 func (s *State) cost(v *service, e *endpoint, r *Request) time.Duration {
 	slow := 1.0
-	if p := e.pace(); p > 0 && v.pace > 0 {
+	if p := e.pace; p > 0 && v.pace > 0 {
 		slow = float64(p) / float64(v.pace)
 	}
 	own := slow * float64(r.Prompt) / prefillRate * float64(time.Millisecond)
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -31,35 +31,25 @@
 	own        Usage // of this daemon
 	others     total // of the other daemons
 	health     sample
+	endedAt    time.Time     // when a request of this daemon last ended
 	progressed time.Time     // of the last sign of life in an answer
+	pace       time.Duration // moving average between two events of a stream, of all daemons; 0 when not known
 	duration   time.Duration // moving average of a request's time at the endpoint
 	suspended  time.Time     // until when
 	penalty    time.Duration // the last suspension
 }
 
 // total is the sum of other daemons' usage.
-type total struct {
-	active, prompt int
-	pace           time.Duration // sum
-	paces          int           // daemons that know a pace
-}
+type total struct{ active, prompt int }
 
 func (t *total) add(u Usage) {
 	t.active += u.Active
 	t.prompt += u.Prompt
-	if u.Pace > 0 {
-		t.pace += u.Pace
-		t.paces++
-	}
 }
 
 func (t *total) remove(u Usage) {
 	t.active -= u.Active
 	t.prompt -= u.Prompt
-	if u.Pace > 0 {
-		t.pace -= u.Pace
-		t.paces--
-	}
 }
 
 // sample counts requests, with less weight for older ones.
@@ -88,19 +78,6 @@
 // prompt returns the tokens of prompts that the endpoint has yet to read.
 func (e *endpoint) prompt() int { return e.own.Prompt + e.others.prompt }
 
-// pace returns the mean time between two events of a stream, over the daemons
-// that know one, or 0.
-func (e *endpoint) pace() time.Duration {
-	sum, n := e.others.pace, e.others.paces
-	if e.own.Pace > 0 {
-		sum, n = sum+e.own.Pace, n+1
-	}
-	if n == 0 {
-		return 0
-	}
-	return sum / time.Duration(n)
-}
-
 func (e *endpoint) usable(now time.Time) bool {
 	return !e.Leaving && !now.Before(e.suspended)
 }
@@ -110,6 +87,7 @@
 	e.duration = average(e.duration, took, durationWeight)
 	if pace > 0 {
 		e.own.Pace = average(e.own.Pace, pace, paceWeight)
+		e.pace = average(e.pace, pace, paceWeight)
 	}
 }
 
@@ -167,7 +145,7 @@
 	n := 0
 	for _, e := range v.endpoints {
 		e.health.age()
-		if p := e.pace(); p > 0 {
+		if p := e.pace; p > 0 {
 			sum += p
 			n++
 		}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -82,11 +82,15 @@
 	return s.effects
 }
 
-// Report returns what this daemon has running.
-func (s *State) Report() Report {
+// recentTime is how long an endpoint without a running request stays in the
+// reports, so that the others learn how its last request ended.
+const recentTime = 500 * time.Millisecond
+
+// Report returns what this daemon has running, or had until a short time ago.
+func (s *State) Report(now time.Time) Report {
 	r := Report{}
 	for id, e := range s.endpoints {
-		if e.own != (Usage{}) {
+		if e.own.Active > 0 || now.Sub(e.endedAt) < recentTime {
 			r[id] = e.own
 		}
 	}
@@ -180,6 +184,9 @@
 		}
 		e.others.add(u)
 		before, known := old[id]
+		if u.Pace != before.Pace {
+			e.pace = average(e.pace, u.Pace, paceWeight)
+		}
 		if known && u.Ended >= before.Ended && u.Failed >= before.Failed {
 			s.observe(e, u.Ended-before.Ended, u.Failed-before.Failed)
 			if u.Failed > before.Failed {
@@ -222,6 +229,7 @@
 	delete(s.flights, ev.ID)
 	e, v := f.endpoint, s.service(f.request.Service)
 	e.own.Active--
+	e.endedAt = s.now
 	if !f.began {
 		e.own.Prompt -= f.request.Prompt
 	}
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -263,6 +263,39 @@
 	}
 }
 
+// TestReportIsShort guards against reports that list every endpoint a daemon ever
+// used, whose size grows with the fleet, and against ones that leave out how the
+// last request of an endpoint ended.
+func TestReportIsShort(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b")
+	s.Step(at(0), Submit{request(1, 0, 0)})
+	s.Step(at(0), Submit{request(2, 0, 0)})
+	s.Step(at(100), Ended{ID: 1, Result: Failed})
+	want := Report{"a": {Ended: 1, Failed: 1}, "b": {Active: 1, Prompt: 400}}
+	if diff := cmp.Diff(want, s.Report(at(200))); diff != "" {
+		t.Error("soon after the end:", diff)
+	}
+	if diff := cmp.Diff(Report{"b": {Active: 1, Prompt: 400}}, s.Report(at(100).Add(recentTime))); diff != "" {
+		t.Error("later:", diff)
+	}
+}
+
+// TestPaceIsRemembered guards against a daemon that forgets how fast an endpoint
+// is as soon as no other daemon has a request there.
+func TestPaceIsRemembered(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b")
+	s.Step(at(0), PeerReported{Daemon: "p", Report: Report{
+		"a": {Active: 1, Pace: 90 * time.Millisecond}, "b": {Active: 1, Pace: 10 * time.Millisecond},
+	}})
+	s.Step(at(10), PeerReported{Daemon: "p", Report: Report{}})
+	s.Step(at(20), Tick{})
+	long := request(1, 0, 30)
+	long.Events, long.Deadline = 100, at(5030)
+	check(t, "long stream", s.Step(at(30), Submit{long}), "dispatch 1 b")
+}
+
 // BenchmarkSubmit measures a placement among the endpoints of one service.
 func BenchmarkSubmit(b *testing.B) {
 	for _, size := range []int{18, 140, 650} {
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -157,7 +157,7 @@
 func (p *Proxy) Reports() (brplace.Report, brquota.Report) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.place.Report(), p.ledger.Report()
+	return p.place.Report(p.cfg.Clock.Now()), p.ledger.Report()
 }
 
 // step applies an event and hands the effects to the requests that wait.
