Let each daemon prefer endpoints of its own; break answers off in the soak

Cause: at 67 daemons, pictures 100 ms old made daemons choose the same endpoints (521 to 986 of 14,300 arrivals were turned away by full endpoints), and a daemon used a connection again once in ten seconds. The random part of an endpoint's cost is now a hash of daemon and endpoint, with a share of 0.5 instead of 0.15.

--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -49,17 +49,6 @@
 	return Stats{p.dialed, p.reused}
 }
 
-// Forget closes the idle connections to an address.
-func (p *Pool) Forget(address string) {
-	p.mu.Lock()
-	conns := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range conns {
-		c.net.Close()
-	}
-}
-
 // Close closes all idle connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -94,7 +94,7 @@
 	f.metrics = newMetrics()
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
-		Dialect: cfg.Dialect, Pool: f.pool, Zone: cfg.Zone, Quota: cfg.Quota, Changed: f.changed, Log: cfg.Log, Clock: cfg.Clock,
+		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, Zone: cfg.Zone, Quota: cfg.Quota, Changed: f.changed, Log: cfg.Log, Clock: cfg.Clock,
 		Steer: f.steerVersion, Judged: f.judged, FirstByte: f.metrics.firstByte.RecordDuration,
 	})
 	f.node = brgossip.New(brgossip.Config{
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -40,9 +40,10 @@
 	// endpoint that is fast enough.
 	choosyShare = 0.7
 
-	// costNoise is the largest random increase of a cost, so that daemons with the
-	// same picture don't choose the same endpoint.
-	costNoise = 0.15
+	// affinityShare is the largest increase of a cost for an endpoint that the
+	// daemon doesn't prefer. Each daemon prefers others, so that daemons with the
+	// same picture don't choose the same endpoint, and use their connections again.
+	affinityShare = 0.5
 
 	// defaultDuration is the assumed time of a request at an endpoint that has
 	// ended none.
@@ -137,7 +138,7 @@
 	if e.Zone != s.cfg.Zone {
 		cost += remoteCost
 	}
-	return cost + time.Duration(costNoise*s.cfg.Random()*float64(cost))
+	return cost + time.Duration(affinityShare*e.remoteness*float64(cost))
 }
 
 // streamCost weighs the time that a whole stream is expected to take: slots are
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -28,8 +28,9 @@
 // endpoint is what this daemon knows of one endpoint.
 type endpoint struct {
 	Endpoint
-	own        Usage // of this daemon
-	others     total // of the other daemons
+	remoteness float64 // in [0, 1), a hash of the daemon and the endpoint; see affinityShare
+	own        Usage   // of this daemon
+	others     total   // of the other daemons
 	health     sample
 	endedAt    time.Time     // when a request of this daemon last ended
 	progressed time.Time     // of the last sign of life in an answer
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -3,10 +3,13 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Config is what a State starts with.
 type Config struct {
+	Daemon string         // id of this daemon
 	Zone   string         // failure domain of this daemon
 	Random func() float64 // uniform in [0, 1)
 }
@@ -106,15 +109,6 @@
 	return n
 }
 
-// Endpoint returns what an endpoint announced, and whether it is known.
-func (s *State) Endpoint(id string) (Endpoint, bool) {
-	e, ok := s.endpoints[id]
-	if !ok {
-		return Endpoint{}, false
-	}
-	return e.Endpoint, true
-}
-
 func (s *State) service(name string) *service {
 	v := s.services[name]
 	if v == nil {
@@ -128,7 +122,7 @@
 	e := s.endpoints[n.ID]
 	switch {
 	case e == nil:
-		e = &endpoint{Endpoint: n}
+		e = &endpoint{Endpoint: n, remoteness: float64(xxhash.Sum64String(s.cfg.Daemon+"/"+n.ID)) / (1 << 64)}
 		s.endpoints[n.ID] = e
 		s.attach(e)
 		for _, r := range s.peers {
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -296,6 +296,33 @@
 	check(t, "long stream", s.Step(at(30), Submit{long}), "dispatch 1 b")
 }
 
+// TestDaemonsPreferDifferentEndpoints guards against daemons with the same picture
+// that all choose the same endpoint, and against one that opens a connection to
+// another endpoint for each request.
+func TestDaemonsPreferDifferentEndpoints(t *testing.T) {
+	const daemons, endpoints = 200, 8
+	chosen := map[string]int{}
+	for d := range daemons {
+		s := New(Config{Daemon: strconv.Itoa(d), Zone: "z1", Random: func() float64 { return 0 }})
+		addEndpoints(s, "a", "b", "c", "d", "e", "f", "g", "h")
+		first := s.Step(at(0), Submit{request(1, 0, 0)})[0].(Dispatch).Endpoint.ID
+		s.Step(at(10), Began{ID: 1})
+		s.Step(at(20), Ended{ID: 1, Result: Good})
+		if again := s.Step(at(30), Submit{request(2, 0, 30)})[0].(Dispatch).Endpoint.ID; again != first {
+			t.Errorf("daemon %d goes to %s, then to %s", d, first, again)
+		}
+		chosen[first]++
+	}
+	for id, n := range chosen {
+		if n > 2*daemons/endpoints {
+			t.Errorf("%d of %d daemons choose %s", n, daemons, id)
+		}
+	}
+	if len(chosen) != endpoints {
+		t.Errorf("only %d of %d endpoints are chosen", len(chosen), endpoints)
+	}
+}
+
 // BenchmarkSubmit measures a placement among the endpoints of one service.
 func BenchmarkSubmit(b *testing.B) {
 	for _, size := range []int{18, 140, 650} {
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -23,6 +23,7 @@
 type Config struct {
 	Dialect Dialect
 	Pool    *brconn.Pool
+	Daemon  string // id of this daemon
 	Zone    string // failure domain of this daemon
 	Quota   brquota.Config
 	// Changed is told that the reports of Report have changed. It must not block.
@@ -83,7 +84,7 @@
 	}
 	p := &Proxy{
 		cfg:     cfg,
-		place:   brplace.New(brplace.Config{Zone: cfg.Zone, Random: rand.Float64}),
+		place:   brplace.New(brplace.Config{Daemon: cfg.Daemon, Zone: cfg.Zone, Random: rand.Float64}),
 		ledger:  brquota.NewLedger(cfg.Quota),
 		waiting: map[uint64]chan brplace.Effect{},
 		known:   make(chan struct{}),
--- a/brsoak/endpoint.go
+++ b/brsoak/endpoint.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,6 +39,9 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
+	breaking atomic.Bool   // every second answer is broken off
+	answers  atomic.Uint64 // while breaking
+
 	mu       sync.Mutex
 	sequence uint64
 	leaving  bool
@@ -162,6 +166,11 @@
 	sleep(r.Context(), plainTime)
 	text := body(kind, id, e.id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+	if e.breaksOff() {
+		// What was written is cut off as well; the connection is closed.
+		_, _ = w.Write([]byte(text[:len(text)/2]))
+		panic(http.ErrAbortHandler)
+	}
 	_, err := w.Write([]byte(text))
 	ended(err == nil && http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil)
 }
@@ -169,15 +178,24 @@
 func (e *endpoint) stream(w http.ResponseWriter, r *http.Request, id string) bool {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	for i := range streamEvents {
+	last := streamEvents
+	if e.breaksOff() {
+		last /= 2
+	}
+	for i := range last {
 		sleep(r.Context(), eventTime)
 		if _, err := w.Write([]byte(event(i, id, e.id))); err != nil || control.Flush() != nil || r.Context().Err() != nil {
 			return false
 		}
 	}
+	if last < streamEvents {
+		panic(http.ErrAbortHandler)
+	}
 	return true
 }
 
+func (e *endpoint) breaksOff() bool { return e.breaking.Load() && e.answers.Add(1)%2 == 0 }
+
 func (e *endpoint) refuse(w http.ResponseWriter, id string, status int) {
 	e.soak.adapter.Stamp(w.Header(), id, e.id)
 	e.soak.adapter.MarkNotRun(w.Header())
--- a/brsoak/plan.go
+++ b/brsoak/plan.go
@@ -20,6 +20,7 @@
 	LoseDisk                 // the daemon is killed, loses its data folder and starts again
 	CutPeers                 // links to the daemon get Mode for For
 	CutEndpoint              // connections to the endpoint get Mode for For
+	BreakEndpoint            // the endpoint breaks every second answer off in the middle for For
 	CrashEndpoint            // the endpoint ends without a word and another one starts
 	DrainEndpoint            // the endpoint announces that it leaves, leaves and another one starts
 	acts
@@ -28,7 +29,7 @@
 // String returns the name of a.
 func (a Act) String() string {
 	return [...]string{"kill", "terminate", "freeze", "reload", "kill_all", "lose_disk", "cut_peers", "cut_endpoint",
-		"crash_endpoint", "drain_endpoint"}[a]
+		"break_endpoint", "crash_endpoint", "drain_endpoint"}[a]
 }
 
 // Fault is one fault of a plan.
@@ -87,7 +88,7 @@
 		case LoseDisk:
 			lost = true
 			f.Target = rng.IntN(size.Replicas)
-		case CutEndpoint, CrashEndpoint, DrainEndpoint:
+		case CutEndpoint, BreakEndpoint, CrashEndpoint, DrainEndpoint:
 			f.Target = rng.IntN(size.Endpoints)
 		default:
 			f.Target = rng.IntN(size.Daemons)
--- a/brsoak/soak.go
+++ b/brsoak/soak.go
@@ -203,6 +203,11 @@
 		r.procs[f.Target].trySignal(syscall.SIGHUP)
 	case CutEndpoint:
 		r.disturb(allDaemons, from, f.For, func() { cut(ctx, r.endpointAt(f.Target).proxy, f) })
+	case BreakEndpoint:
+		e := r.endpointAt(f.Target)
+		e.breaking.Store(true)
+		sleep(ctx, f.For)
+		e.breaking.Store(false)
 	case CrashEndpoint:
 		r.disturb(allDaemons, from, f.For, func() { r.replaceEndpoint(ctx, f, (*endpoint).crash) })
 	case DrainEndpoint:
