--- a/brsoak/endpoint.go
+++ b/brsoak/endpoint.go
@@ -39,7 +39,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 
-	breaking atomic.Bool   // every second answer is broken off
+	breaking atomic.Bool   // half of the answers are broken off
 	answers  atomic.Uint64 // while breaking
 
 	mu       sync.Mutex
@@ -158,43 +158,80 @@
 	}
 	ended := e.soak.history.Begins(Execution{ID: id, Endpoint: e.id, Began: time.Now()})
 	kind := kindOf(id)
+	breaks := e.breaks()
+	if breaks == atOnce {
+		ended(Broken)
+		panic(http.ErrAbortHandler)
+	}
 	e.soak.adapter.Stamp(w.Header(), id, e.id)
 	if kind == Stream {
-		ended(e.stream(w, r, id))
+		e.stream(w, r, id, breaks, ended)
 		return
 	}
 	sleep(r.Context(), plainTime)
 	text := body(kind, id, e.id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(text)))
-	if e.breaksOff() {
+	if breaks == halfway {
 		// What was written is cut off as well; the connection is closed.
 		_, _ = w.Write([]byte(text[:len(text)/2]))
+		ended(Broken)
 		panic(http.ErrAbortHandler)
 	}
 	_, err := w.Write([]byte(text))
-	ended(err == nil && http.NewResponseController(w).Flush() == nil && r.Context().Err() == nil)
+	if err == nil {
+		err = http.NewResponseController(w).Flush()
+	}
+	ended(outcome(r, err))
 }
 
-func (e *endpoint) stream(w http.ResponseWriter, r *http.Request, id string) bool {
+func outcome(r *http.Request, err error) Outcome {
+	if err != nil || r.Context().Err() != nil {
+		return Stopped
+	}
+	return Answered
+}
+
+func (e *endpoint) stream(w http.ResponseWriter, r *http.Request, id string, breaks breakOff, ended func(Outcome)) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
 	last := streamEvents
-	if e.breaksOff() {
+	if breaks == halfway {
 		last /= 2
 	}
 	for i := range last {
 		sleep(r.Context(), eventTime)
-		if _, err := w.Write([]byte(event(i, id, e.id))); err != nil || control.Flush() != nil || r.Context().Err() != nil {
-			return false
+		_, err := w.Write([]byte(event(i, id, e.id)))
+		if err == nil {
+			err = control.Flush()
+		}
+		if o := outcome(r, err); o != Answered {
+			ended(o)
+			return
 		}
 	}
 	if last < streamEvents {
+		ended(Broken)
 		panic(http.ErrAbortHandler)
 	}
-	return true
+	ended(Answered)
 }
 
-func (e *endpoint) breaksOff() bool { return e.breaking.Load() && e.answers.Add(1)%2 == 0 }
+// breakOff is where an answer ends with its connection.
+type breakOff uint8
+
+const (
+	never breakOff = iota
+	atOnce
+	halfway
+)
+
+// breaks returns where the next answer ends.
+func (e *endpoint) breaks() breakOff {
+	if !e.breaking.Load() {
+		return never
+	}
+	return [...]breakOff{never, atOnce, never, halfway}[e.answers.Add(1)%4]
+}
 
 func (e *endpoint) refuse(w http.ResponseWriter, id string, status int) {
 	e.soak.adapter.Stamp(w.Header(), id, e.id)
--- a/brsoak/history.go
+++ b/brsoak/history.go
@@ -17,7 +17,7 @@
 	AtMostOnce     = "a request that may run once ran twice"
 	NotRunIsTrue   = "a request that was said not to have run ran"
 	WholeAnswers   = "an answer that looks whole isn't the endpoint's"
-	AnswersArrive  = "an answer that was ready wasn't delivered"
+	AnswersArrive  = "a request that an endpoint ran got no answer"
 	ConfigIsNewest = "a reader was shown a policy older than an acknowledged one"
 	ConfigApplies  = "an acknowledged policy isn't in force in time"
 	QuotaHolds     = "a customer got more than its quota"
@@ -55,12 +55,23 @@
 	Left     bool // the caller gave up
 }
 
+// Outcome is how an execution ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Running  Outcome = iota
+	Answered         // in full
+	Broken           // by the endpoint, on purpose
+	Stopped          // because the connection ended
+)
+
 // Execution is what an endpoint saw of one request.
 type Execution struct {
 	ID       string
 	Endpoint string
 	Began    time.Time
-	Answered bool // in full, without an error
+	Outcome  Outcome
 }
 
 // History holds what was seen and checks it. It is safe for concurrent use.
@@ -143,8 +154,8 @@
 }
 
 // Begins notes that an endpoint runs a request. The returned function is called
-// when its answer has been written, or could not be.
-func (h *History) Begins(r Execution) (ended func(answered bool)) {
+// when it has ended.
+func (h *History) Begins(r Execution) (ended func(Outcome)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	earlier := h.runs[r.ID]
@@ -160,10 +171,10 @@
 	h.runs[r.ID] = append(earlier, r)
 	h.order = append(h.order, r)
 	n := len(earlier)
-	return func(answered bool) {
+	return func(o Outcome) {
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.runs[r.ID][n].Answered = answered
+		h.runs[r.ID][n].Outcome = o
 	}
 }
 
@@ -230,8 +241,8 @@
 	}
 }
 
-// Broken notes a promise that was seen broken elsewhere.
-func (h *History) Broken(promise, detail string) {
+// Breaks notes a promise that was seen broken elsewhere.
+func (h *History) Breaks(promise, detail string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.violate(promise, "%s", detail)
@@ -264,16 +275,16 @@
 	h.checkRetries()
 }
 
-// checkDelivery finds answers that an endpoint gave in full and that a waiting
-// caller of an undisturbed daemon never got.
+// checkDelivery finds requests that an endpoint ran without a fault and whose
+// waiting caller got no whole answer from an undisturbed daemon.
 func (h *History) checkDelivery() {
 	for id, a := range h.attempts {
 		if a.Status != 0 || a.Left || !h.undisturbed(a) {
 			continue
 		}
 		for _, r := range h.runs[id] {
-			if r.Answered {
-				h.violate(AnswersArrive, "%s of daemon %d, answered by %s", id, a.Daemon, r.Endpoint)
+			if r.Outcome != Broken {
+				h.violate(AnswersArrive, "%s of daemon %d, run by %s", id, a.Daemon, r.Endpoint)
 			}
 		}
 	}
--- a/brsoak/history_test.go
+++ b/brsoak/history_test.go
@@ -13,7 +13,7 @@
 
 // runs notes an execution that is answered.
 func runs(h *History, id, endpoint string, ms int) {
-	h.Begins(Execution{ID: id, Endpoint: endpoint, Began: at(ms)})(true)
+	h.Begins(Execution{ID: id, Endpoint: endpoint, Began: at(ms)})(Answered)
 }
 
 // TestHistory guards against a check that overlooks a broken promise, and against
@@ -60,6 +60,14 @@
 			runs(h, "safe-1-1", "e1", 1)
 			h.Ends(Attempt{ID: "safe-1-1", Daemon: 3, Sent: at(0), Ended: at(5)})
 		}, nil},
+		{"cut off by a daemon", func(h *History) {
+			h.Begins(Execution{ID: "safe-1-1", Endpoint: "e1", Began: at(1)})(Stopped)
+			h.Ends(Attempt{ID: "safe-1-1", Sent: at(0), Ended: at(5)})
+		}, []string{AnswersArrive}},
+		{"broken off by the endpoint", func(h *History) {
+			h.Begins(Execution{ID: "safe-1-1", Endpoint: "e1", Began: at(1)})(Broken)
+			h.Ends(Attempt{ID: "safe-1-1", Sent: at(0), Ended: at(5)})
+		}, nil},
 		{"the caller left", func(h *History) {
 			runs(h, "safe-1-1", "e1", 1)
 			h.Ends(Attempt{ID: "safe-1-1", Sent: at(0), Ended: at(5), Left: true})
--- a/brsoak/operator.go
+++ b/brsoak/operator.go
@@ -50,7 +50,7 @@
 			return true
 		}
 		if err == nil && status < http.StatusInternalServerError {
-			r.history.Broken(ConfigIsNewest, fmt.Sprintf("policy %d was refused with status %d", version, status))
+			r.history.Breaks(ConfigIsNewest, fmt.Sprintf("policy %d was refused with status %d", version, status))
 		}
 		sleep(ctx, 50*time.Millisecond)
 	}
@@ -71,7 +71,7 @@
 		}
 		status, _, err := r.do(ctx, req, operatorTimeout)
 		if err == nil && status == http.StatusNotFound && r.history.Calm(acked.Add(-calmTime)) {
-			r.history.Broken(ConfigApplies, fmt.Sprintf("policy %d at daemon %d, %v after its acknowledgement", version, i, time.Since(acked)))
+			r.history.Breaks(ConfigApplies, fmt.Sprintf("policy %d at daemon %d, %v after its acknowledgement", version, i, time.Since(acked)))
 		}
 	}
 }
@@ -98,7 +98,7 @@
 	}
 	version, err := r.adapter.Version(text)
 	if err != nil {
-		r.history.Broken(ConfigIsNewest, fmt.Sprintf("daemon %d: %v", i, err))
+		r.history.Breaks(ConfigIsNewest, fmt.Sprintf("daemon %d: %v", i, err))
 		return false
 	}
 	r.history.Reads(i, version, least)
--- a/brsoak/plan.go
+++ b/brsoak/plan.go
@@ -20,7 +20,7 @@
 	LoseDisk                 // the daemon is killed, loses its data folder and starts again
 	CutPeers                 // links to the daemon get Mode for For
 	CutEndpoint              // connections to the endpoint get Mode for For
-	BreakEndpoint            // the endpoint breaks every second answer off in the middle for For
+	BreakEndpoint            // the endpoint breaks half of its answers off, at once or halfway, for For
 	CrashEndpoint            // the endpoint ends without a word and another one starts
 	DrainEndpoint            // the endpoint announces that it leaves, leaves and another one starts
 	acts
--- a/brsoak/soak.go
+++ b/brsoak/soak.go
@@ -267,9 +267,13 @@
 	down := time.Now()
 	sleep(ctx, f.For)
 	r.start(p)
-	r.history.Disturbs(f.Target, down, time.Now().Add(settleTime))
+	r.history.Disturbs(f.Target, down.Add(exitTime), time.Now().Add(settleTime))
 }
 
+// exitTime is how long after a daemon's end its callers still see what the end cut
+// off.
+const exitTime = 100 * time.Millisecond
+
 func cut(ctx context.Context, p *Proxy, f Fault) {
 	p.Set(f.Mode)
 	sleep(ctx, f.For)
@@ -332,7 +336,7 @@
 	for i, address := range r.addresses {
 		for !r.ready(limit, i) || !r.readAt(limit, i, address) {
 			if limit.Err() != nil {
-				r.history.Broken(Recovers, fmt.Sprintf("daemon %d isn't ready or shows no policy", i))
+				r.history.Breaks(Recovers, fmt.Sprintf("daemon %d isn't ready or shows no policy", i))
 				return
 			}
 			sleep(limit, 50*time.Millisecond)
@@ -345,7 +349,7 @@
 			return
 		}
 	}
-	r.history.Broken(Recovers, "too few requests get a good answer")
+	r.history.Breaks(Recovers, "too few requests get a good answer")
 }
 
 func (r *run) close() {
