Let customers beyond their rate in by chance; fewer load reports in large fleets

With reports 100 ms and more old, 86 daemons each saw room in the bucket at the same moment and each let a request in. Daemons now report what they are asked for, and let a request in only if the bucket holds a random part of what all are asked for in the age of the reports.

--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -20,10 +20,10 @@
 	// loadRenew is the longest pause between two reports.
 	loadRenew = 400 * time.Millisecond
 	// loadPause is the shortest pause between two reports, and loadSpread what it
-	// grows to for each daemon of a large fleet: each takes 1,600 reports a second
+	// grows to for each daemon of a large fleet: each takes 1,000 reports a second
 	// at most, whatever their number.
 	loadPause  = 20 * time.Millisecond
-	loadSpread = 625 * time.Microsecond
+	loadSpread = time.Millisecond
 	// spentSpread is the pause between two reports of what customers spent, for
 	// each daemon: between reports the others assume that it goes on.
 	spentSpread = 1500 * time.Microsecond
--- a/brquota/ledger.go
+++ b/brquota/ledger.go
@@ -1,6 +1,7 @@
 package brquota
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -14,6 +15,13 @@
 	// customers times daemons.
 	refillPause = 10 * time.Millisecond
 
+	// reportLag is the age of what is known of other daemons in a small fleet, and
+	// lagSpread what each daemon adds, since reports are rarer in a large one.
+	reportLag = 100 * time.Millisecond
+	lagSpread = 6 * time.Millisecond
+	// maxWait bounds what a refused customer is told to wait.
+	maxWait = 5 * time.Second
+
 	// rateTime is the time over which the rate of another daemon is averaged.
 	rateTime = 500 * time.Millisecond
 
@@ -36,6 +44,7 @@
 // Report is one daemon's running totals since its start.
 type Report struct {
 	Spent    map[string]float64 `cbor:"spent,omitempty"`    // by customer
+	Asked    map[string]float64 `cbor:"asked,omitempty"`    // by customer, refused requests included
 	Requests map[string]float64 `cbor:"requests,omitempty"` // by service
 	Retries  map[string]float64 `cbor:"retries,omitempty"`  // by service
 }
@@ -47,6 +56,7 @@
 	// refused within the limit is a request lost; the rest covers what daemons
 	// admit at the same moment, or while they are cut off from each other.
 	Tolerance float64
+	Random    func() float64 // uniform in [0, 1); nil means a generator of the standard library
 }
 
 // Ledger is one daemon's copy of all buckets. It isn't safe for concurrent use.
@@ -67,16 +77,21 @@
 	report  Report
 	at      time.Time
 	rates   map[string]float64 // moving average of what it spends in a second, by customer
+	asked   map[string]float64 // the same of what it is asked for
 	assumed map[string]float64 // taken off the buckets since the report, by customer
 }
 
 type bucket struct {
-	level float64
-	burst float64
+	level  float64
+	burst  float64
+	demand float64 // asked for in a second, over all daemons; from reports
 }
 
 // NewLedger returns a Ledger without limits.
 func NewLedger(cfg Config) *Ledger {
+	if cfg.Random == nil {
+		cfg.Random = rand.Float64
+	}
 	return &Ledger{
 		cfg:     cfg,
 		buckets: map[string]*bucket{},
@@ -87,7 +102,7 @@
 }
 
 func newReport() Report {
-	return Report{Spent: map[string]float64{}, Requests: map[string]float64{}, Retries: map[string]float64{}}
+	return Report{Spent: map[string]float64{}, Asked: map[string]float64{}, Requests: map[string]float64{}, Retries: map[string]float64{}}
 }
 
 // SetLimits replaces the limits, by customer.
@@ -120,24 +135,31 @@
 }
 
 // Spend takes cost from a customer's bucket. It reports false, and the time after
-// which there is room again, when the bucket holds less than one unit. A request
-// that costs more than what is left is admitted, so that large requests have the
-// same chance as small ones; the bucket makes up for it afterwards.
+// which there is room again, when the bucket holds too little: less than one unit,
+// or less than a random part of what all daemons are asked for until they hear of
+// each other. Without that part all of them let in a customer far beyond its rate
+// at once, whenever the bucket holds something. A request that costs more than what
+// is left is admitted, so that large requests have the same chance as small ones;
+// the bucket makes up for it afterwards.
 func (l *Ledger) Spend(now time.Time, customer string, cost float64) (wait time.Duration, ok bool) {
 	limit := l.limits[customer]
 	if limit.Rate <= 0 {
 		return 0, true
 	}
 	b := l.bucket(now, customer, limit)
-	if b.level < 1 {
-		wait := (1 - b.level) / (limit.Rate * l.reach(now)) // seconds
-		return time.Duration(wait*float64(time.Second)) + time.Millisecond, false
+	l.own.Asked[customer] += cost
+	if need := max(1, l.cfg.Random()*b.demand*l.lag().Seconds()); b.level < need {
+		wait := (need - b.level) / (limit.Rate * l.reach(now)) // seconds
+		return min(time.Duration(wait*float64(time.Second))+time.Millisecond, maxWait), false
 	}
 	b.level -= cost
 	l.own.Spent[customer] += cost
 	return 0, true
 }
 
+// lag returns how old the reports of the other daemons are taken to be.
+func (l *Ledger) lag() time.Duration { return reportLag + time.Duration(l.daemons)*lagSpread }
+
 // Refund gives back what a request took that was not run.
 func (l *Ledger) Refund(now time.Time, customer string, cost float64) {
 	limit := l.limits[customer]
@@ -178,9 +200,21 @@
 		limit := l.limits[customer]
 		b.level += passed.Seconds()*limit.Rate*share - l.assume(now, customer, passed.Seconds())
 		b.level = min(b.level, b.burst)
+		b.demand = l.demand(now, customer)
 	}
 }
 
+// demand returns what the other daemons were asked for in a second.
+func (l *Ledger) demand(now time.Time, customer string) float64 {
+	sum := 0.0
+	for _, p := range l.peers {
+		if now.Sub(p.at) < reportAge {
+			sum += p.asked[customer]
+		}
+	}
+	return sum
+}
+
 // assume returns what the other daemons are taken to have spent in the last
 // seconds: as much as before, until they report or count as not heard from.
 // Without it, daemons that lose contact would spend the same quota at first.
@@ -233,6 +267,9 @@
 	for k, v := range o.Spent {
 		r.Spent[k] = v
 	}
+	for k, v := range o.Asked {
+		r.Asked[k] = v
+	}
 	for k, v := range o.Requests {
 		r.Requests[k] = v
 	}
@@ -246,7 +283,7 @@
 func (l *Ledger) PeerReported(now time.Time, daemon string, r Report) {
 	p := l.peers[daemon]
 	if p == nil {
-		l.peers[daemon] = &peer{report: r, at: now, rates: map[string]float64{}, assumed: map[string]float64{}}
+		l.peers[daemon] = &peer{report: r, at: now, rates: map[string]float64{}, asked: map[string]float64{}, assumed: map[string]float64{}}
 		return
 	}
 	old := p.report
@@ -254,9 +291,12 @@
 		if limit := l.limits[customer]; limit.Rate > 0 {
 			b := l.bucket(now, customer, limit)
 			b.level -= spent - old.Spent[customer] - p.assumed[customer]
-			p.learn(customer, spent-old.Spent[customer], now.Sub(p.at))
+			learn(p.rates, customer, spent-old.Spent[customer], now.Sub(p.at))
 		}
 	}
+	for customer, asked := range r.Asked {
+		learn(p.asked, customer, asked-old.Asked[customer], now.Sub(p.at))
+	}
 	p.report, p.at = r, now
 	clear(p.assumed)
 	for service, n := range r.Requests {
@@ -268,13 +308,13 @@
 	}
 }
 
-// learn takes what the daemon spent between two reports into its rate.
-func (p *peer) learn(customer string, spent float64, passed time.Duration) {
+// learn takes what was added to a total between two reports into its rate.
+func learn(rates map[string]float64, customer string, added float64, passed time.Duration) {
 	if passed <= 0 {
 		return
 	}
 	weight := min(1, passed.Seconds()/rateTime.Seconds())
-	p.rates[customer] += weight * (max(0, spent)/passed.Seconds() - p.rates[customer])
+	rates[customer] += weight * (max(0, added)/passed.Seconds() - rates[customer])
 }
 
 // PeerLost forgets a daemon.
--- a/brquota/ledger_test.go
+++ b/brquota/ledger_test.go
@@ -1,6 +1,7 @@
 package brquota
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -55,6 +56,59 @@
 	}
 }
 
+// TestQuotaOverManyDaemons guards against a customer far beyond its rate that is
+// let in by all daemons of a large fleet at once, since their reports are old, and
+// against one within its rate that is refused.
+func TestQuotaOverManyDaemons(t *testing.T) {
+	const (
+		daemons  = 86
+		rate     = 330000.0
+		burst    = 330000.0
+		cost     = 3000.0
+		step     = 25 * time.Millisecond
+		age      = 16 // steps between two reports of a daemon, as under load
+		duration = 8 * time.Second
+	)
+	for _, c := range []struct {
+		demand      float64 // of the rate
+		least, most float64 // of what the limit allows or, if that is less, of what is asked for
+	}{{8, 0.9, 1.1}, {0.7, 0.97, 1}} {
+		rng := rand.New(rand.NewPCG(1, 2))
+		start := time.Unix(1000, 0)
+		var all []*Ledger
+		for range daemons {
+			l := NewLedger(Config{Tolerance: 0.1, Random: rng.Float64})
+			l.SetLimits(map[string]Limit{"c": {Rate: rate, Burst: burst}})
+			l.SetDaemons(daemons)
+			all = append(all, l)
+		}
+		asked, admitted := 0.0, 0.0
+		for round := 0; time.Duration(round)*step < duration; round++ {
+			now := start.Add(time.Duration(round) * step)
+			for i, l := range all {
+				for rng.Float64() < c.demand*rate*step.Seconds()/cost/daemons/(1+c.demand*rate*step.Seconds()/cost/daemons) {
+					asked += cost
+					if _, ok := l.Spend(now, "c", cost); ok {
+						admitted += cost
+					}
+				}
+				if (round+i)%age != 0 {
+					continue
+				}
+				for j, o := range all {
+					if i != j {
+						o.PeerReported(now, strconv.Itoa(i), l.Report())
+					}
+				}
+			}
+		}
+		bound := min(asked, rate*duration.Seconds()+burst)
+		if admitted > c.most*bound || admitted < c.least*bound {
+			t.Errorf("demand of %.1f of the rate: admitted %.3f of %.0f", c.demand, admitted/bound, bound)
+		}
+	}
+}
+
 // TestTolerance guards against a customer that is refused within its limit, and
 // against more than the tolerance that the users state.
 func TestTolerance(t *testing.T) {
