--- a/cmd/brsoak/main.go
+++ b/cmd/brsoak/main.go
@@ -23,9 +23,19 @@
 	parallel int
 	callers  int
 	size     brsoak.Size
+	network  int
 	keep     string
 }
 
+// result is how one seed ended.
+type result uint8
+
+const (
+	clean result = iota
+	broken
+	notRun
+)
+
 func main() {
 	app := kingpin.New("brsoak", "Fault soak of bramleyroute's real programs on loopback.")
 	app.DefaultEnvars()
@@ -38,35 +48,39 @@
 	app.Flag("daemons", "Daemons of each fleet.").Default("5").IntVar(&s.size.Daemons)
 	app.Flag("replicas", "Daemons with a replica.").Default("3").IntVar(&s.size.Replicas)
 	app.Flag("endpoints", "Endpoints of each fleet.").Default("6").IntVar(&s.size.Endpoints)
+	app.Flag("network", "First of the loopback networks, one for each parallel seed; runs at the same time need different ones.").
+		Default("0").IntVar(&s.network)
 	app.Flag("keep", "Folder for the processes' files; those of clean seeds are removed.").Default("brsoak-runs").StringVar(&s.keep)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
-	broken, err := s.run()
+	count, err := s.run()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "brsoak:", err)
 		os.Exit(2)
 	}
-	if broken > 0 {
+	fmt.Printf("%d seeds: %d without a broken promise, %d with one, %d not run\n", s.seeds, count[clean], count[broken], count[notRun])
+	if count[clean] < int(s.seeds) {
 		os.Exit(1)
 	}
 }
 
-// run plays the seeds and returns how many of them broke a promise.
-func (s settings) run() (broken int, err error) {
+// run plays the seeds and returns how many ended in which way.
+func (s settings) run() (count map[result]int, err error) {
 	if s.program == "" {
 		dir, err := os.MkdirTemp("", "brsoak")
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
 		defer os.RemoveAll(dir)
 		s.program = filepath.Join(dir, "daemon")
 		if out, err := exec.Command("go", "build", "-o", s.program, "./platform/cmd/bramleyroute-platform").CombinedOutput(); err != nil {
-			return 0, fmt.Errorf("build: %w: %s", err, out)
+			return nil, fmt.Errorf("build: %w: %s", err, out)
 		}
 	}
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	next := s.first
-	for network := range s.parallel {
+	count = map[result]int{}
+	for i := range s.parallel {
 		wg.Go(func() {
 			for {
 				mu.Lock()
@@ -76,22 +90,19 @@
 				if seed >= s.first+s.seeds {
 					return
 				}
-				ok := s.play(seed, network)
+				r := s.play(seed, s.network+i)
 				mu.Lock()
-				if !ok {
-					broken++
-				}
+				count[r]++
 				mu.Unlock()
 			}
 		})
 	}
 	wg.Wait()
-	fmt.Printf("%d of %d seeds broke a promise\n", broken, s.seeds)
-	return broken, nil
+	return count, nil
 }
 
-// play plays one seed and reports whether nothing was broken.
-func (s settings) play(seed uint64, network int) bool {
+// play plays one seed.
+func (s settings) play(seed uint64, network int) result {
 	dir := filepath.Join(s.keep, fmt.Sprint("seed-", seed))
 	// The disks of an earlier run hold its policies.
 	err := os.RemoveAll(dir)
@@ -100,7 +111,7 @@
 	}
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
-		return false
+		return notRun
 	}
 	report, err := brsoak.Run(context.Background(), brsoak.Config{
 		Seed: seed, Size: s.size, Callers: s.callers, Dir: dir, Network: network, Adapter: soak.Adapter(s.program),
@@ -108,7 +119,7 @@
 	})
 	if err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
-		return false
+		return notRun
 	}
 	fmt.Printf("seed %d: %d faults, %d of %d requests answered, %d promises broken\n",
 		seed, len(report.Faults), report.Good, report.Attempts, len(report.Violations))
@@ -120,10 +131,10 @@
 		fmt.Printf("seed %d: %s: %s\n", seed, v.Promise, v.Detail)
 	}
 	if len(report.Violations) > 0 {
-		return false
+		return broken
 	}
 	if err := os.RemoveAll(dir); err != nil {
 		fmt.Printf("seed %d: %v\n", seed, err)
 	}
-	return true
+	return clean
 }
