Share hop-by-hop fields, the metrics exporter and brclock.Later

brproxy had a second list of the fields that concern one connection beside brdispatch's, brfleet a second exporter beside brdaemon's, brdaemon a second later() beside brpool's. One piece of each serves both now. brconn's Buffered, which nothing called, is gone. Behaviour is unchanged.

--- a/brclock/clock.go
+++ b/brclock/clock.go
@@ -25,6 +25,14 @@
 // After returns time.After(d).
 func (System) After(d time.Duration) <-chan time.Time { return time.After(d) }
 
+// Later returns the later one of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Manual is a Clock that moves only when it is told to. Its zero value starts
 // at the zero time. It is safe for concurrent use.
 type Manual struct {
--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -155,9 +155,6 @@
 	return n, err
 }
 
-// Buffered returns the number of bytes that can be read without waiting.
-func (x *Exchange) Buffered() int { return x.conn.reader.Buffered() }
-
 // Close ends the exchange. The connection is kept if the exchange is complete
 // and the endpoint didn't ask to close it. Close may be called more than once.
 func (x *Exchange) Close() {
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -261,7 +261,7 @@
 		err = d.control.close()
 	}
 	d.wg.Wait()
-	return errors.Join(err, d.metrics.close(), d.recorder.Close())
+	return errors.Join(err, d.metrics.Close(), d.recorder.Close())
 }
 
 // connected runs for each connection that this daemon dialled.
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -52,7 +52,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	m.Handle("GET /metrics", d.metrics.handler())
+	m.Handle("GET /metrics", d.metrics.Handler())
 	m.HandleFunc("/debug/pprof/", guarded(keys, pprof.Index))
 	m.HandleFunc("/debug/pprof/profile", guarded(keys, pprof.Profile))
 	m.HandleFunc("/debug/pprof/trace", guarded(keys, pprof.Trace))
--- a/brdaemon/session.go
+++ b/brdaemon/session.go
@@ -200,7 +200,7 @@
 	if reply.Confirmed {
 		s.mu.Lock()
 		now := s.clock.Now()
-		s.confirmedAt = later(s.confirmedAt, now.Add(-reply.Age))
+		s.confirmedAt = brclock.Later(s.confirmedAt, now.Add(-reply.Age))
 		// A replica that lost the leader goes on to answer with an old contact.
 		if reply.Age < switchAfter {
 			s.lastGood = now
@@ -210,13 +210,6 @@
 	s.step(brmember.ReplyReceived{Reply: reply})
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // ask puts the question of an unconfirmed daemon to another one.
 func (s *session) ask(round uint64, id string) {
 	d, ok := s.present().Daemon(id)
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -7,12 +7,11 @@
 	"context"
 	"io"
 	"net/http"
-	"net/textproto"
-	"strings"
 	"time"
 
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
+	"bramleyroute/brheader"
 )
 
 // Call is one call of a plain service.
@@ -106,28 +105,16 @@
 	return Answer{Status: resp.StatusCode, Header: forwarded(resp.Header), Body: body}, nil
 }
 
-// withheld are the headers that belong to one connection, or that would let a
-// retrying client treat the request as repeatable, or that are the caller's key.
-var withheld = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Expect": true, "Content-Length": true, "Authorization": true,
-	"Idempotency-Key": true, "X-Idempotency-Key": true,
-}
+// withheld are the end-to-end fields that aren't passed on: they would let a
+// retrying client treat the request as repeatable, are the caller's key, or are
+// set anew.
+var withheld = []string{"Expect", "Content-Length", "Authorization", "Idempotency-Key", "X-Idempotency-Key"}
 
 // forwarded returns the headers that may be passed on.
 func forwarded(h http.Header) http.Header {
-	out := make(http.Header, len(h))
-	dropped := map[string]bool{}
-	for _, v := range h["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			dropped[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	for name, values := range h {
-		if !withheld[name] && !dropped[name] {
-			out[name] = values
-		}
+	out := brheader.EndToEnd(h)
+	for _, name := range withheld {
+		out.Del(name)
 	}
 	return out
 }
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -152,7 +152,7 @@
 	f.wg.Wait()
 	f.proxy.Close()
 	f.pool.Close()
-	if err := f.metrics.closer.Close(); err != nil {
+	if err := f.metrics.Close(); err != nil {
 		f.cfg.Log.Warn().Err(err).Msg("closing the metrics failed")
 	}
 }
--- /dev/null
+++ b/brheader/doc.go
@@ -0,0 +1,3 @@
+// Package brheader has what all forwarders of HTTP messages need to know about
+// header fields.
+package brheader
--- /dev/null
+++ b/brheader/header_test.go
@@ -0,0 +1,25 @@
+package brheader
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestEndToEnd guards against fields of one connection that are passed on, and
+// against a change of the header that was given.
+func TestEndToEnd(t *testing.T) {
+	in := http.Header{
+		"Connection": {"close, X-Hop", "x-other"}, "Keep-Alive": {"timeout=3"}, "Transfer-Encoding": {"chunked"},
+		"X-Hop": {"1"}, "X-Other": {"2"}, "X-End": {"3", "4"},
+	}
+	before := in.Clone()
+	if diff := cmp.Diff(http.Header{"X-End": {"3", "4"}}, EndToEnd(in)); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(before, in); diff != "" {
+		t.Error("the header was changed:", diff)
+	}
+	EndToEnd(nil).Set("X-End", "1") // panics on a nil map
+}
--- /dev/null
+++ b/brmetrics/exporter_test.go
@@ -0,0 +1,27 @@
+package brmetrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestCount guards against totals that are added up again at each export, and
+// against a second exporter in a process that panics.
+func TestCount(t *testing.T) {
+	e := New()
+	for _, total := range []int64{3, 5, 5, 2, 4} {
+		e.Count(e.Scope, "", "requests", total)
+	}
+	if err := e.Close(); err != nil { // hands the counters to the reporter
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	e.Handler().ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	if want := "bramleyroute_requests 7\n"; !strings.Contains(w.Body.String(), want) {
+		t.Errorf("no line %q in %s", want, w.Body.String())
+	}
+	if err := New().Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/brpool/recover.go
+++ b/brpool/recover.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleyroute/brclock"
 	"bramleyroute/brerror"
 	"bramleyroute/brqueue"
 	"bramleyroute/brwire"
@@ -78,7 +79,7 @@
 		// Callers' ids from before its start may have been dispatched, under an
 		// earlier owner, by the entry's earlier process, which reports to nobody.
 		// What it dispatched under this owner is on record.
-		p.restarted = later(p.restarted, earlier(now.Add(-m.StartedAgo+ClockSkew), p.horizon()))
+		p.restarted = brclock.Later(p.restarted, earlier(now.Add(-m.StartedAgo+ClockSkew), p.horizon()))
 		p.refuseBeyondRecord(now)
 	}
 	delete(p.waiting, m.EntryID)
@@ -166,7 +167,7 @@
 	for _, r := range p.sorted(func(r *request) bool { return r.state == queued }) {
 		p.tellBound(r)
 	}
-	p.emit(NoteRecovery{Epoch: p.epoch, Missing: missing, Horizon: later(p.missing, p.restarted)})
+	p.emit(NoteRecovery{Epoch: p.epoch, Missing: missing, Horizon: brclock.Later(p.missing, p.restarted)})
 }
 
 // horizon returns the latest minting time of an id that a grant of an earlier
@@ -260,13 +261,6 @@
 	return out
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyroute/brclock"
 	"bramleyroute/brerror"
 	"bramleyroute/brqueue"
 	"bramleyroute/brroute"
@@ -108,7 +109,7 @@
 // beyondRecord reports whether an entry that did not report at the takeover may
 // have dispatched the id.
 func (p *Pool) beyondRecord(key requestKey, s brwire.Submit) bool {
-	return !s.Assigned && s.Bound == 0 && key.minted().Before(later(p.missing, p.restarted))
+	return !s.Assigned && s.Bound == 0 && key.minted().Before(brclock.Later(p.missing, p.restarted))
 }
 
 func unseenOutcome() *brerror.Error {
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -39,23 +39,3 @@
 	// Matches reports whether an answer belongs to the request with an id.
 	Matches func(id string, a *brconn.Answer) bool
 }
-
-// hopByHop are the fields that concern one connection only (RFC 9110, 7.6.1).
-var hopByHop = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer", "Upgrade",
-	"Proxy-Authenticate", "Proxy-Authorization",
-}
-
-// EndToEnd returns a copy of h without the fields that concern one connection.
-func EndToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, value := range h.Values("Connection") {
-		for _, name := range splitList(value) {
-			out.Del(name)
-		}
-	}
-	for _, name := range hopByHop {
-		out.Del(name)
-	}
-	return out
-}
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brheader"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 )
@@ -241,7 +242,7 @@
 // on with the length that the endpoint stated, if any.
 func (p *Proxy) copyHead(q *request, x *brconn.Exchange, length int64) {
 	h := q.out.Header()
-	for name, values := range EndToEnd(x.Answer.Header) {
+	for name, values := range brheader.EndToEnd(x.Answer.Header) {
 		h[name] = values
 	}
 	if length >= maxPlain {
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -193,11 +192,3 @@
 		p.cfg.Pool.Sweep()
 	}
 }
-
-func splitList(s string) []string {
-	parts := strings.Split(s, ",")
-	for i := range parts {
-		parts[i] = strings.TrimSpace(parts[i])
-	}
-	return parts
-}
--- a/brproxy/proxy_test.go
+++ b/brproxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brheader"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 
@@ -31,7 +32,7 @@
 		return c, nil
 	},
 	Outgoing: func(in http.Header, d Dispatch) http.Header {
-		h := EndToEnd(in)
+		h := brheader.EndToEnd(in)
 		h.Del("Key")
 		h.Set("Endpoint", d.Endpoint)
 		h.Set("Customer", d.Customer)
