Encode and decode fleet records in one place; refill quotas in one pass

Six copies of decoding with a log line and five of encoding with a panic become two generic functions; a policy that can't be read is now a warning like the others.

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -92,21 +92,16 @@
 }
 
 func (f *Fleet) publishEndpoint(a Announcement) {
-	value, err := brwire.Encode(a)
-	if err != nil {
-		panic(fmt.Sprintf("brfleet: encode announcement: %v", err))
-	}
 	f.node.Publish(brgossip.Record{
 		Key: kindEndpoint + "/" + a.Endpoint.ID, Version: brgossip.Version{Epoch: a.Born, Seq: a.Sequence},
-		Value: value, Lifetime: endpointLifetime,
+		Value: encode(a), Lifetime: endpointLifetime,
 	})
 }
 
 // endpointRecord takes the newest heartbeat of an endpoint.
 func (f *Fleet) endpointRecord(r brgossip.Record) {
-	a, err := brwire.Decode[Announcement](r.Value)
-	if err != nil {
-		f.cfg.Log.Warn().Str("endpoint", r.Name()).Err(err).Msg("record of an endpoint can't be read")
+	a, ok := decode[Announcement](f, r)
+	if !ok {
 		return
 	}
 	change := f.endpoints.take(a)
--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -1,13 +1,11 @@
 package brfleet
 
 import (
-	"fmt"
 	"time"
 
 	"bramleyroute/brgossip"
 	"bramleyroute/brplace"
 	"bramleyroute/brquota"
-	"bramleyroute/brwire"
 )
 
 const (
@@ -64,12 +62,8 @@
 }
 
 func publishReport[T any](f *Fleet, kind string, seq uint64, report T) {
-	value, err := brwire.Encode(report)
-	if err != nil {
-		panic(fmt.Sprintf("brfleet: encode %s: %v", kind, err))
-	}
 	f.node.Publish(brgossip.Record{
-		Key: kind + "/" + f.incarnation, Version: brgossip.Version{Seq: seq}, Value: value, Lifetime: loadLifetime,
+		Key: kind + "/" + f.incarnation, Version: brgossip.Version{Seq: seq}, Value: encode(report), Lifetime: loadLifetime,
 	})
 }
 
@@ -77,22 +71,16 @@
 	if r.Name() == f.incarnation {
 		return
 	}
-	report, err := brwire.Decode[brplace.Report](r.Value)
-	if err != nil {
-		f.cfg.Log.Warn().Str("daemon", r.Name()).Err(err).Msg("load of a daemon can't be read")
-		return
+	if report, ok := decode[brplace.Report](f, r); ok {
+		f.proxy.Place(brplace.PeerReported{Daemon: r.Name(), Report: report})
 	}
-	f.proxy.Place(brplace.PeerReported{Daemon: r.Name(), Report: report})
 }
 
 func (f *Fleet) spentRecord(r brgossip.Record) {
 	if r.Name() == f.incarnation {
 		return
 	}
-	report, err := brwire.Decode[brquota.Report](r.Value)
-	if err != nil {
-		f.cfg.Log.Warn().Str("daemon", r.Name()).Err(err).Msg("spending of a daemon can't be read")
-		return
+	if report, ok := decode[brquota.Report](f, r); ok {
+		f.proxy.PeerReported(r.Name(), report)
 	}
-	f.proxy.PeerReported(r.Name(), report)
 }
--- a/brfleet/policy.go
+++ b/brfleet/policy.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 
 	"bramleyroute/brcore"
 	"bramleyroute/brgossip"
 	"bramleyroute/brpolicy"
-	"bramleyroute/brwire"
 )
 
 const (
@@ -56,18 +54,13 @@
 
 // publishDocument shares the document that the replica has confirmed.
 func (f *Fleet) publishDocument(d brcore.Document) {
-	value, err := brwire.Encode(d)
-	if err != nil {
-		panic(fmt.Sprintf("brfleet: encode document: %v", err))
-	}
-	f.node.Publish(brgossip.Record{Key: policyKey, Version: brgossip.Version{Seq: d.Index}, Value: value})
+	f.node.Publish(brgossip.Record{Key: policyKey, Version: brgossip.Version{Seq: d.Index}, Value: encode(d)})
 }
 
 // policyRecord schedules a newer document.
 func (f *Fleet) policyRecord(r brgossip.Record) {
-	d, err := brwire.Decode[brcore.Document](r.Value)
-	if err != nil {
-		f.cfg.Log.Error().Err(err).Msg("policy of another daemon can't be read")
+	d, ok := decode[brcore.Document](f, r)
+	if !ok {
 		return
 	}
 	f.policies.mu.Lock()
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"strings"
@@ -13,7 +12,6 @@
 	"bramleyroute/brcore"
 	"bramleyroute/brgossip"
 	"bramleyroute/brproxy"
-	"bramleyroute/brwire"
 )
 
 const (
@@ -167,11 +165,8 @@
 	f.rollouts.counted = false
 	f.rollouts.seq++
 	seq := f.rollouts.seq
-	value, err := brwire.Encode(f.rollouts.own)
+	value := encode(f.rollouts.own)
 	f.rollouts.mu.Unlock()
-	if err != nil {
-		panic(fmt.Sprintf("brfleet: encode tally: %v", err))
-	}
 	f.node.Publish(brgossip.Record{
 		Key: kindTally + "/" + f.incarnation, Version: brgossip.Version{Seq: seq},
 		Value: value, Lifetime: tallyLifetime,
@@ -179,9 +174,8 @@
 }
 
 func (f *Fleet) tallyRecord(r brgossip.Record) {
-	t, err := brwire.Decode[tallies](r.Value)
-	if err != nil {
-		f.cfg.Log.Warn().Str("daemon", r.Name()).Err(err).Msg("tally of a daemon can't be read")
+	t, ok := decode[tallies](f, r)
+	if !ok {
 		return
 	}
 	f.rollouts.mu.Lock()
@@ -193,9 +187,8 @@
 }
 
 func (f *Fleet) steerRecord(r brgossip.Record) {
-	s, err := brwire.Decode[steer](r.Value)
-	if err != nil {
-		f.cfg.Log.Warn().Str("service", r.Name()).Err(err).Msg("share of a rollout can't be read")
+	s, ok := decode[steer](f, r)
+	if !ok {
 		return
 	}
 	f.rollouts.mu.Lock()
@@ -294,14 +287,10 @@
 	if same {
 		return
 	}
-	value, err := brwire.Encode(s)
-	if err != nil {
-		panic(fmt.Sprintf("brfleet: encode share: %v", err))
-	}
 	key := kindSteer + "/" + s.Rollout.Service
 	var seq uint64
 	if r, ok := f.node.Get(key); ok && r.Version.Epoch == s.Rollout.Index {
 		seq = r.Version.Seq
 	}
-	f.node.Publish(brgossip.Record{Key: key, Version: brgossip.Version{Epoch: s.Rollout.Index, Seq: seq + 1}, Value: value})
+	f.node.Publish(brgossip.Record{Key: key, Version: brgossip.Version{Epoch: s.Rollout.Index, Seq: seq + 1}, Value: encode(s)})
 }
--- a/brquota/ledger.go
+++ b/brquota/ledger.go
@@ -1,6 +1,7 @@
 package brquota
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 )
@@ -119,19 +120,24 @@
 // corresponds to the others, since they may spend theirs.
 func (l *Ledger) SetDaemons(n int) { l.daemons = n }
 
-// reach returns the part of the daemons that have reported of late, this one
-// included.
-func (l *Ledger) reach(now time.Time) float64 {
-	heard := 1
+// heard returns the other daemons that have reported of late.
+func (l *Ledger) heard(now time.Time) []*peer {
+	var heard []*peer
 	for _, p := range l.peers {
 		if now.Sub(p.at) < reportAge {
-			heard++
+			heard = append(heard, p)
 		}
 	}
-	share := min(1, float64(heard)/float64(max(1, l.daemons)))
+	return heard
+}
+
+// share returns the part of each rate that this daemon adds to its buckets while it
+// hears from some of the other daemons.
+func (l *Ledger) share(heard int) float64 {
+	part := min(1, float64(heard+1)/float64(max(1, l.daemons)))
 	// Daemons that hear from different parts of the others overlap; the square
 	// keeps their sum below the limit at some cost to customers at their limit.
-	return share * share
+	return part * part
 }
 
 // Spend takes cost from a customer's bucket. It reports false, and the time after
@@ -149,7 +155,7 @@
 	b := l.bucket(now, customer, limit)
 	l.own.Asked[customer] += cost
 	if need := max(1, l.cfg.Random()*b.demand*l.lag().Seconds()); b.level < need {
-		wait := (need - b.level) / (limit.Rate * l.reach(now)) // seconds
+		wait := (need - b.level) / (limit.Rate * l.share(len(l.heard(now)))) // seconds
 		return min(time.Duration(wait*float64(time.Second))+time.Millisecond, maxWait), false
 	}
 	b.level -= cost
@@ -195,39 +201,30 @@
 	if first {
 		return
 	}
-	share := l.reach(now)
+	heard := l.heard(now)
+	share := l.share(len(heard))
 	for customer, b := range l.buckets {
-		limit := l.limits[customer]
-		b.level += passed.Seconds()*limit.Rate*share - l.assume(now, customer, passed.Seconds())
-		b.level = min(b.level, b.burst)
-		b.demand = l.demand(now, customer)
-	}
-}
-
-// demand returns what the other daemons were asked for in a second.
-func (l *Ledger) demand(now time.Time, customer string) float64 {
-	sum := 0.0
-	for _, p := range l.peers {
-		if now.Sub(p.at) < reportAge {
-			sum += p.asked[customer]
+		b.level += passed.Seconds() * l.limits[customer].Rate * share
+		b.demand = 0
+		for _, p := range heard {
+			b.level -= p.assume(customer, passed)
+			b.demand += p.asked[customer]
 		}
+		b.level = min(b.level, b.burst)
 	}
-	return sum
 }
 
-// assume returns what the other daemons are taken to have spent in the last
-// seconds: as much as before, until they report or count as not heard from.
-// Without it, daemons that lose contact would spend the same quota at first.
-func (l *Ledger) assume(now time.Time, customer string, seconds float64) float64 {
-	sum := 0.0
-	for _, p := range l.peers {
-		if rate := p.rates[customer]; rate > 0 && now.Sub(p.at) < reportAge {
-			spent := rate * seconds
-			p.assumed[customer] += spent
-			sum += spent
-		}
+// assume returns what the daemon is taken to have spent in a time: as much as
+// before, until it reports or counts as not heard from. Without it, daemons that
+// lose contact would spend the same quota at first.
+func (p *peer) assume(customer string, passed time.Duration) float64 {
+	rate := p.rates[customer]
+	if rate == 0 {
+		return 0
 	}
-	return sum
+	spent := rate * passed.Seconds()
+	p.assumed[customer] += spent
+	return spent
 }
 
 // CountRequest counts the first dispatch of a request to a service.
@@ -258,23 +255,9 @@
 
 // Report returns a copy of this daemon's totals.
 func (l *Ledger) Report() Report {
-	r := newReport()
-	r.merge(l.own)
-	return r
-}
-
-func (r Report) merge(o Report) {
-	for k, v := range o.Spent {
-		r.Spent[k] = v
-	}
-	for k, v := range o.Asked {
-		r.Asked[k] = v
-	}
-	for k, v := range o.Requests {
-		r.Requests[k] = v
-	}
-	for k, v := range o.Retries {
-		r.Retries[k] = v
+	return Report{
+		Spent: maps.Clone(l.own.Spent), Asked: maps.Clone(l.own.Asked),
+		Requests: maps.Clone(l.own.Requests), Retries: maps.Clone(l.own.Retries),
 	}
 }
 
--- a/brsoak/history.go
+++ b/brsoak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -145,12 +146,7 @@
 func (h *History) Calm(since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, d := range h.disturbed {
-		if d.to.After(since) {
-			return false
-		}
-	}
-	return true
+	return !h.disturbedIn(since, time.Now(), func(int) bool { return true })
 }
 
 // Begins notes that an endpoint runs a request. The returned function is called
@@ -165,7 +161,7 @@
 	if a, ok := h.attempts[r.ID]; ok && a.Promise {
 		h.violate(NotRunIsTrue, "%s at %s, %v after status %d", r.ID, r.Endpoint, r.Began.Sub(a.Ended), a.Status)
 	}
-	if at, ok := h.left[r.Endpoint]; ok && r.Began.Sub(at) > drainTime && h.calmBetween(at, r.Began) {
+	if at, ok := h.left[r.Endpoint]; ok && r.Began.Sub(at) > drainTime && !h.disturbedIn(at, r.Began, func(int) bool { return true }) {
 		h.violate(LeavingIsLeft, "%s at %s, %v after its leave was acknowledged", r.ID, r.Endpoint, r.Began.Sub(at))
 	}
 	h.runs[r.ID] = append(earlier, r)
@@ -178,15 +174,6 @@
 	}
 }
 
-func (h *History) calmBetween(from, to time.Time) bool {
-	for _, d := range h.disturbed {
-		if d.from.Before(to) && d.to.After(from) {
-			return false
-		}
-	}
-	return true
-}
-
 // Ends notes what a caller saw.
 func (h *History) Ends(a Attempt) {
 	h.mu.Lock()
@@ -279,7 +266,8 @@
 // waiting caller got no whole answer from an undisturbed daemon.
 func (h *History) checkDelivery() {
 	for id, a := range h.attempts {
-		if a.Status != 0 || a.Left || !h.undisturbed(a) {
+		own := func(daemon int) bool { return daemon == a.Daemon || daemon == allDaemons }
+		if a.Status != 0 || a.Left || h.disturbedIn(a.Sent, a.Ended, own) {
 			continue
 		}
 		for _, r := range h.runs[id] {
@@ -290,13 +278,11 @@
 	}
 }
 
-func (h *History) undisturbed(a Attempt) bool {
-	for _, d := range h.disturbed {
-		if (d.daemon == a.Daemon || d.daemon == allDaemons) && d.from.Before(a.Ended) && d.to.After(a.Sent) {
-			return false
-		}
-	}
-	return true
+// disturbedIn reports whether one of some daemons was disturbed in a time.
+func (h *History) disturbedIn(from, to time.Time, daemon func(int) bool) bool {
+	return slices.ContainsFunc(h.disturbed, func(d disturbance) bool {
+		return d.from.Before(to) && d.to.After(from) && daemon(d.daemon)
+	})
 }
 
 func (h *History) checkQuota() {
--- a/brsoak/proxy.go
+++ b/brsoak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -145,10 +146,7 @@
 		p.mu.Lock()
 		mode, changed, closed := p.mode, p.changed, p.closed
 		p.mu.Unlock()
-		held := false
-		for _, m := range silent {
-			held = held || m == mode
-		}
+		held := slices.Contains(silent, mode)
 		switch {
 		case closed:
 			return false
