--- /dev/null
+++ b/cmd/bramleyctl/doc.go
@@ -0,0 +1,2 @@
+// Command bramleyctl operates a bramleyroute installation.
+package main
--- a/cmd/bramleyctl/main.go
+++ b/cmd/bramleyctl/main.go
@@ -1,4 +1,3 @@
-// Command bramleyctl operates a bramleyroute installation.
 package main
 
 import (
--- /dev/null
+++ b/cmd/brfake/doc.go
@@ -0,0 +1,2 @@
+// Command brfake runs a fake engine or plain service on one address.
+package main
