--- a/brfleet/fleet_test.go
+++ b/brfleet/fleet_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -20,6 +19,7 @@
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
+	"bramleyroute/brtest"
 
 	"github.com/rs/zerolog"
 )
@@ -36,12 +36,7 @@
 	t.Helper()
 	c := &cluster{t: t, fleets: make([]*Fleet, daemons)}
 	for i := range daemons {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		c.addresses = append(c.addresses, l.Addr().String())
-		l.Close()
+		c.addresses = append(c.addresses, brtest.FreeAddress(t))
 		dir := ""
 		if i < disks {
 			dir = filepath.Join(t.TempDir(), "data")
--- a/brsystem/examples_test.go
+++ b/brsystem/examples_test.go
@@ -17,6 +17,7 @@
 	"bramleyroute/brengine"
 	"bramleyroute/broperator"
 	"bramleyroute/brsetting"
+	"bramleyroute/brtest"
 	"bramleyroute/brwire"
 )
 
@@ -76,7 +77,7 @@
 				if k, v, ok := strings.Cut(strings.TrimSpace(line), "="); ok && !strings.HasPrefix(k, "#") {
 					env[k] = addressPattern.ReplaceAllStringFunc(v, func(a string) string {
 						if local[a] == "" {
-							local[a] = freeAddress(t)
+							local[a] = brtest.FreeAddress(t)
 						}
 						return local[a]
 					})
@@ -169,7 +170,7 @@
 
 // startEndpoint starts a fake endpoint of a model without a proxy.
 func (c *cluster) startEndpoint(m brconfig.Model, id string, s brsetting.Settings) {
-	f := &fake{id: id, address: freeAddress(c.t)}
+	f := &fake{id: id, address: brtest.FreeAddress(c.t)}
 	args := []string{binaries + "/brfake", "--id=" + id, "--listen=" + f.address, "--kind=" + m.Kind, "--model=" + m.Name,
 		"--region=" + s.Region, "--failure-domain=" + s.FailureDomain, "--key=" + s.EndpointKeys[0]}
 	for _, d := range c.daemons {
--- a/brsystem/fake_test.go
+++ b/brsystem/fake_test.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"bramleyroute/brfake"
+	"bramleyroute/brtest"
 	"github.com/Shopify/toxiproxy/v2"
 )
 
@@ -22,7 +23,7 @@
 // in use.
 func (c *cluster) addFake(id string, flags ...string) *fake {
 	c.t.Helper()
-	f := &fake{id: id, address: freeAddress(c.t)}
+	f := &fake{id: id, address: brtest.FreeAddress(c.t)}
 	f.proxy = c.newProxy(id, f.address)
 	args := []string{binaries + "/brfake", "--id=" + id, "--listen=" + f.address, "--advertise=" + f.proxy.Listen, "--region=" + region}
 	if !slices.ContainsFunc(flags, func(x string) bool { return strings.HasPrefix(x, "--model=") }) {
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"flag"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -21,6 +20,7 @@
 	"bramleyroute/brerror"
 	"bramleyroute/broperator"
 	"bramleyroute/brpeer"
+	"bramleyroute/brtest"
 
 	"github.com/Shopify/toxiproxy/v2"
 	"github.com/prometheus/client_golang/prometheus"
@@ -57,7 +57,6 @@
 		fmt.Fprintln(os.Stderr, "brsystem: build:", err)
 		os.Exit(1)
 	}
-	nextPort.Store(rand.Uint32N(portCount)) // reduces port conflicts with other test runs at the same time
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -111,7 +110,7 @@
 	c := &cluster{t: t, spec: s, dir: t.TempDir()}
 	c.proxies = toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 	for i := range s.daemons {
-		d := &daemon{id: fmt.Sprintf("vm%d", i), peer: freeAddress(t), caller: freeAddress(t), operator: freeAddress(t)}
+		d := &daemon{id: fmt.Sprintf("vm%d", i), peer: brtest.FreeAddress(t), caller: brtest.FreeAddress(t), operator: brtest.FreeAddress(t)}
 		d.dir = filepath.Join(c.dir, d.id)
 		d.advertised = d.peer
 		if s.proxied {
--- a/brsystem/process_test.go
+++ b/brsystem/process_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"sync/atomic"
@@ -65,27 +63,3 @@
 		p.t.Fatalf("%s did not end within %v", p.name, d)
 	}
 }
-
-// nextPort counts through ports below the kernel's range for outgoing
-// connections, so that no such connection takes a port before its process
-// listens on it.
-var nextPort atomic.Uint32
-
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-// freeAddress returns a loopback address with a free port.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		port := firstPort + nextPort.Add(1)%portCount
-		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
-			l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port in the range of the tests")
-	return ""
-}
--- /dev/null
+++ b/brtest/doc.go
@@ -0,0 +1,2 @@
+// Package brtest contains helpers that the tests of several packages share.
+package brtest
