Stop sending to endpoints that say in a response that they leave or pause

- brproxy calls Config.OnLeaving for every response of the endpoint meant, also failed, retried and resumed ones; brfleet publishes the endpoint as withdrawn, so that all daemons know, until it starts again.
The registry remembers the withdrawn start, since its record expires after 15 s and a heartbeat of the same start may come later (TestWithdrawalOutlivesItsRecord).

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -91,6 +91,18 @@
 	return nil
 }
 
+// endpointLeaving marks an endpoint as leaving, since it said so in a response, and
+// publishes that to all daemons. It stays marked until it starts again.
+func (f *Fleet) endpointLeaving(id string) {
+	a, ok := f.endpoints.serving(id)
+	if !ok {
+		return
+	}
+	f.cfg.Log.Info().Str("endpoint", id).Msg("endpoint says in a response that it is leaving")
+	a.Endpoint.Leaving, a.Sequence = true, withdrawnSequence
+	f.publishEndpoint(a)
+}
+
 // isolated reports whether other daemons are known but none can be reached.
 func (f *Fleet) isolated() bool {
 	return len(f.node.Daemons()) > 1 && len(f.node.LinkedAddresses()) == 0
@@ -118,6 +130,7 @@
 	if !change.changed {
 		return
 	}
+	a.Endpoint = change.endpoint
 	f.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: a.Endpoint})
 	f.cfg.Log.Info().Str("endpoint", a.Endpoint.ID).Str("address", a.Endpoint.Address).Str("service", a.Endpoint.Service).
 		Str("version", a.Endpoint.Version).Bool("leaving", a.Endpoint.Leaving).Uint64("born", a.Born).
@@ -129,12 +142,20 @@
 	mu            sync.Mutex
 	announcements map[string]Announcement // by endpoint ID
 	idByAddress   map[string]string       // endpoint ID by address
+	// withdrawn holds the start of each withdrawn endpoint. Its record expires earlier
+	// than a heartbeat of the same start may still arrive.
+	withdrawn map[string]uint64
 }
 
+// maxWithdrawn limits the number of withdrawn endpoints that are remembered after
+// their records have expired.
+const maxWithdrawn = 10_000
+
 // endpointUpdate is the result of registry.update.
 type endpointUpdate struct {
-	changed   bool   // the endpoint is new, or its data or start time differs
-	displaced string // ID of the endpoint that previously had the address
+	endpoint  brplace.Endpoint // as it is from now on
+	changed   bool             // the endpoint is new, or its data or start time differs
+	displaced string           // ID of the endpoint that previously had the address
 }
 
 // update applies the newest announcement of an endpoint. If two endpoints announce
@@ -145,11 +166,12 @@
 	if g.announcements == nil {
 		g.announcements, g.idByAddress = map[string]Announcement{}, map[string]string{}
 	}
+	g.applyWithdrawal(&a)
 	e := a.Endpoint
 	if e.Address == "" {
 		return endpointUpdate{} // withdrawn before its first announcement
 	}
-	var change endpointUpdate
+	change := endpointUpdate{endpoint: e}
 	if other, ok := g.idByAddress[e.Address]; ok && other != e.ID {
 		if g.announcements[other].Born > a.Born {
 			return endpointUpdate{}
@@ -167,6 +189,36 @@
 	return change
 }
 
+// applyWithdrawal records that a is the withdrawal of an endpoint, or marks a as
+// leaving if the same start of its endpoint was withdrawn before.
+func (g *registry) applyWithdrawal(a *Announcement) {
+	id := a.Endpoint.ID
+	born, ok := g.withdrawn[id]
+	switch {
+	case a.Sequence == withdrawnSequence:
+		if g.withdrawn == nil {
+			g.withdrawn = map[string]uint64{}
+		}
+		if len(g.withdrawn) >= maxWithdrawn {
+			clear(g.withdrawn)
+		}
+		g.withdrawn[id] = a.Born
+	case ok && born == a.Born:
+		a.Endpoint.Leaving = true
+	case ok && born < a.Born:
+		delete(g.withdrawn, id)
+	}
+}
+
+// serving returns the announcement of an endpoint that isn't leaving, and whether
+// there is one.
+func (g *registry) serving(id string) (Announcement, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a, ok := g.announcements[id]
+	return a, ok && !a.Endpoint.Leaving
+}
+
 func (g *registry) remove(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -97,7 +97,7 @@
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain, Quota: cfg.Quota, ReportsChanged: f.scheduleReport, Log: cfg.Log, Clock: cfg.Clock,
-		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnFirstByte: f.metrics.firstByte.RecordDuration,
+		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnFirstByte: f.metrics.firstByte.RecordDuration,
 	})
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
--- a/brfleet/fleet_test.go
+++ b/brfleet/fleet_test.go
@@ -66,6 +66,7 @@
 			EncodeHeader: func(in http.Header, _ brproxy.DispatchParams) http.Header { return in },
 			NotRun:       func(*brconn.Response) bool { return false },
 			Misdirected:  func(*brconn.Response) bool { return false },
+			Leaving:      func(res *brconn.Response) bool { return res.Header.Get("Leaving") != "" },
 		},
 		DecodePolicy: func(body []byte) (brpolicy.Policy, error) {
 			var p brpolicy.Policy
@@ -318,6 +319,80 @@
 	}
 }
 
+// TestLeavingResponseReachesAll guards against daemons that go on sending requests to
+// an endpoint that told only one of them, in a response, that it is leaving.
+func TestLeavingResponseReachesAll(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Leaving", "1")
+		io.WriteString(w, "ok")
+	}))
+	defer endpoint.Close()
+	c.put(0, 1)
+	c.awaitInForce(1)
+	a := Announcement{
+		Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: endpoint.Listener.Addr().String(), Slots: 4}, Born: 1, Sequence: 1,
+	}
+	announce := func(i int) {
+		t.Helper()
+		if err := c.fleets[i].Announce(a); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitLeaving := func(what string, want bool) {
+		t.Helper()
+		for _, f := range c.fleets {
+			c.await(what, func() bool {
+				f.endpoints.mu.Lock()
+				defer f.endpoints.mu.Unlock()
+				a, ok := f.endpoints.announcements["e"]
+				return ok && a.Endpoint.Leaving == want
+			})
+		}
+	}
+	announce(1)
+	awaitLeaving("endpoint is known", false)
+	front := httptest.NewServer(c.fleets[2].Proxy())
+	defer front.Close()
+	r, err := http.NewRequest("GET", front.URL+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	awaitLeaving("endpoint is leaving", true)
+	a.Sequence = 9
+	announce(0)
+	awaitLeaving("heartbeat of the same start changes nothing", true)
+	a.Born, a.Sequence = 2, 1
+	announce(0)
+	awaitLeaving("endpoint has started again", false)
+}
+
+// TestWithdrawalOutlivesItsRecord guards against using a withdrawn endpoint again
+// because of a heartbeat that arrives after the record of the withdrawal has expired.
+func TestWithdrawalOutlivesItsRecord(t *testing.T) {
+	var g registry
+	a := Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:1", Slots: 2}, Born: 100, Sequence: 4}
+	g.update(a)
+	withdrawn := a
+	withdrawn.Endpoint.Leaving, withdrawn.Sequence = true, withdrawnSequence
+	g.update(withdrawn)
+	g.remove("e")
+	a.Sequence = 5
+	if u := g.update(a); !u.endpoint.Leaving {
+		t.Error("heartbeat of the withdrawn start: the endpoint is in use again, want leaving")
+	}
+	a.Born, a.Sequence = 101, 1
+	if u := g.update(a); u.endpoint.Leaving {
+		t.Error("heartbeat of the next start: the endpoint is leaving, want in use")
+	}
+}
+
 // TestUnchangedHeartbeatsAreNotPublished guards against sending every heartbeat to
 // every daemon, which costs endpoints times daemons messages, and against dropping
 // a heartbeat that contains a change.
--- a/brheader/doc.go
+++ b/brheader/doc.go
@@ -1,3 +1,3 @@
-// Package brheader selects the header fields that may be forwarded with an HTTP
-// message.
+// Package brheader interprets header fields of HTTP messages: it selects those that may
+// be forwarded and reads Retry-After.
 package brheader
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -1,6 +1,9 @@
 package brplace
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minSuspendTime is the duration of the first suspension of an endpoint. If
@@ -19,6 +22,10 @@
 	// with dispatched requests is suspended.
 	stallTimeout = 900 * time.Millisecond
 
+	// pauseSpread is the longest random delay added to the Retry-After of requests
+	// rejected because of a pause, so that they don't all return at its end.
+	pauseSpread = 500 * time.Millisecond
+
 	// sampleDecay is the factor applied to the weight of past requests at each tick.
 	sampleDecay = 0.96
 
@@ -41,6 +48,7 @@
 	duration       time.Duration // moving average of request durations
 	suspendedUntil time.Time
 	lastSuspension time.Duration // duration of the last suspension
+	pausedUntil    time.Time     // until then the endpoint wants no requests of this daemon
 }
 
 // usageSum is the sum of the usage by other daemons.
@@ -83,9 +91,54 @@
 // process, over all daemons.
 func (e *endpoint) pendingPrompt() int { return e.own.PendingPromptTokens + e.others.prompt }
 
-// usable reports whether the endpoint accepts new requests and isn't suspended.
+// usable reports whether the endpoint accepts new requests and is neither suspended
+// nor paused.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Leaving && !now.Before(e.suspendedUntil)
+	return !e.Leaving && !now.Before(e.suspendedUntil) && !now.Before(e.pausedUntil)
+}
+
+// pause keeps this daemon's requests from an endpoint for the duration that the
+// endpoint asked for, and rejects the waiting requests that can't be placed in time.
+func (s *State) pause(id string, duration time.Duration) {
+	e := s.endpoints[id]
+	if e == nil {
+		return
+	}
+	if until := s.now.Add(duration); until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+	v := s.service(e.Service)
+	v.queue = slices.DeleteFunc(v.queue, func(r *Request) bool { return s.rejectPaused(v, r) })
+}
+
+// rejectPaused rejects r if every endpoint that is eligible for it stays paused for
+// longer than r may wait, and reports whether it did.
+func (s *State) rejectPaused(v *service, r *Request) bool {
+	pause := s.pauseOf(v, r)
+	if pause <= r.MaxQueueTime-s.now.Sub(r.Arrived) {
+		return false
+	}
+	s.reject(r, Paused, pause+time.Duration(s.cfg.Random()*float64(pauseSpread)))
+	return true
+}
+
+// pauseOf returns the time until the first of the endpoints that are eligible for r is
+// no longer paused. It is 0 if one of them isn't paused, or if there is none.
+func (s *State) pauseOf(v *service, r *Request) time.Duration {
+	var first time.Duration
+	for _, e := range v.endpoints {
+		if e.Leaving || !eligible(e, r) {
+			continue
+		}
+		pause := e.pausedUntil.Sub(s.now)
+		if pause <= 0 {
+			return 0
+		}
+		if first == 0 || pause < first {
+			first = pause
+		}
+	}
+	return first
 }
 
 // recordSuccess adds the duration of a request and the event interval of its
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -43,8 +43,8 @@
 	ExcludedEndpoints []string      // IDs of endpoints to exclude
 }
 
-// Event is one of EndpointChanged, EndpointLost, PeerReported, PeerLost, Submit,
-// Cancel, FirstByte, Ended and Tick.
+// Event is one of EndpointChanged, EndpointLost, EndpointPaused, PeerReported,
+// PeerLost, Submit, Cancel, FirstByte, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
@@ -53,6 +53,13 @@
 // EndpointLost removes an endpoint.
 type EndpointLost struct{ ID string }
 
+// EndpointPaused reports that an endpoint asked this daemon to send it no requests for
+// Duration.
+type EndpointPaused struct {
+	ID       string
+	Duration time.Duration
+}
+
 // PeerReported carries the latest report of another daemon.
 type PeerReported struct {
 	Daemon string
@@ -138,10 +145,12 @@
 	NoEndpoint   Reason = "no_endpoint" // no endpoint of the service is eligible
 	Overload     Reason = "overload"    // the expected queueing time exceeds MaxQueueTime
 	QueueTimeout Reason = "waited"      // the request has waited for longer than MaxQueueTime
+	Paused       Reason = "paused"      // every eligible endpoint asked for a pause that outlasts MaxQueueTime
 )
 
 func (EndpointChanged) event() {}
 func (EndpointLost) event()    {}
+func (EndpointPaused) event()  {}
 func (PeerReported) event()    {}
 func (PeerLost) event()        {}
 func (Submit) event()          {}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -28,13 +28,16 @@
 	v := s.service(r.Service)
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
-			s.reject(&r, NoEndpoint)
+			s.reject(&r, NoEndpoint, s.retryDelay())
 			return
 		}
 		// The daemon may have just started. Endpoints announce themselves to it within
 		// one heartbeat, so half the maximum wait is enough.
 		r.MaxQueueTime /= 2
 	}
+	if s.rejectPaused(v, &r) {
+		return
+	}
 	if len(v.queue) == 0 {
 		if e := s.choose(v, &r); e != nil {
 			s.place(&r, e)
@@ -46,7 +49,7 @@
 	position := slices.Index(v.queue, &r)
 	if position >= 0 && time.Duration(position+1)*v.startInterval > r.MaxQueueTime {
 		v.queue = slices.Delete(v.queue, position, position+1)
-		s.reject(&r, Overload)
+		s.reject(&r, Overload, s.retryDelay())
 	}
 }
 
@@ -132,17 +135,21 @@
 		if s.now.Sub(r.Arrived) < r.MaxQueueTime {
 			return false
 		}
-		s.reject(r, QueueTimeout)
+		s.reject(r, QueueTimeout, s.retryDelay())
 		return true
 	})
 }
 
-// reject rejects r with a random retry delay.
-func (s *State) reject(r *Request, reason Reason) {
+// reject rejects r. retryAfter is the time after which its caller may send it again.
+func (s *State) reject(r *Request, reason Reason, retryAfter time.Duration) {
 	v := s.service(r.Service)
-	spread := time.Duration(s.cfg.Random() * float64(maxRetryAfter-minRetryAfter))
 	_, free := s.slots(v)
 	s.effects = append(s.effects, Reject{
-		ID: r.ID, Reason: reason, RetryAfter: minRetryAfter + spread, Waiting: len(v.queue), FreeSlots: free,
+		ID: r.ID, Reason: reason, RetryAfter: retryAfter, Waiting: len(v.queue), FreeSlots: free,
 	})
 }
+
+// retryDelay returns a random retry delay.
+func (s *State) retryDelay() time.Duration {
+	return minRetryAfter + time.Duration(s.cfg.Random()*float64(maxRetryAfter-minRetryAfter))
+}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -66,6 +66,8 @@
 		s.changeEndpoint(e.Endpoint)
 	case EndpointLost:
 		s.removeEndpoint(e.ID)
+	case EndpointPaused:
+		s.pause(e.ID, e.Duration)
 	case PeerReported:
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -41,6 +41,9 @@
 	// Misdirected reports whether a response was sent by an endpoint other than the
 	// intended one.
 	Misdirected func(a *brconn.Response) bool
+	// Leaving reports whether a response states that its endpoint is shutting down and
+	// wants no new requests.
+	Leaving func(a *brconn.Response) bool
 	// Matches reports whether a response belongs to the request with the given ID.
 	Matches func(id string, a *brconn.Response) bool
 }
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -58,6 +58,7 @@
 		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
+	p.observeResponse(q, e, &x.Response)
 	switch {
 	case p.cfg.Dialect.Misdirected(&x.Response):
 		a.result = brplace.WrongAddress
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -36,6 +36,9 @@
 	// OnResult is called with the result of each conclusive dispatch, for the
 	// evaluation of rollouts. It may be nil.
 	OnResult func(VersionResult)
+	// OnLeaving is called when a response states that its endpoint is leaving. It may be
+	// nil.
+	OnLeaving func(endpointID string)
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
@@ -77,7 +80,7 @@
 // function of cfg.Dialect is nil. The caller must call Close.
 func New(cfg Config) *Proxy {
 	d := cfg.Dialect
-	if d.Decode == nil || d.EncodeHeader == nil || d.NotRun == nil || d.Misdirected == nil || cfg.Pool == nil {
+	if d.Decode == nil || d.EncodeHeader == nil || d.NotRun == nil || d.Misdirected == nil || d.Leaving == nil || cfg.Pool == nil {
 		panic("brproxy: nil Pool or Dialect function in Config")
 	}
 	if cfg.Clock == nil {
--- a/brproxy/proxy_test.go
+++ b/brproxy/proxy_test.go
@@ -44,6 +44,7 @@
 	},
 	NotRun:      func(a *brconn.Response) bool { return a.Header.Get("Not-Run") != "" },
 	Misdirected: func(a *brconn.Response) bool { return a.Status == http.StatusMisdirectedRequest },
+	Leaving:     func(a *brconn.Response) bool { return a.Header.Get("Leaving") != "" },
 }
 
 // fakeEndpoint records the headers of its requests and responds with a function.
