brconn: limit what an endpoint may send outside of a body

The body of a response that says the request has not run was awaited before the retry, and one of 1 TB to another request was read to its end.

Headers are limited to 64 KiB and 8 informational responses, bodies of other requests to 256 KiB; Exchange.Discard reads the rest of an unneeded body in the background, 64 KiB and 100 ms at most, and Pool.Close waits for that. The event reader no longer scans its whole buffer after each read.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -50,23 +50,61 @@
 // request.
 var ErrResponseMismatch = errors.New("brconn: response belongs to another request")
 
-// maxMismatches is the number of responses to other requests that are discarded
-// on a connection before Send fails.
-const maxMismatches = 2
+// ErrHeadTooLarge reports that an endpoint sent more than maxHeadBytes before the end
+// of a response header, or more than maxInformational informational responses.
+var ErrHeadTooLarge = errors.New("brconn: response header is too large")
+
+const (
+	// maxMismatches is the number of responses to other requests that are discarded
+	// on a connection before Send fails.
+	maxMismatches = 2
+	// maxMismatchBytes is the maximum size in bytes of the body of such a response.
+	maxMismatchBytes = 256 << 10
+	// maxInformational is the maximum number of informational responses to a request.
+	maxInformational = 8
+	// maxHeadBytes is the maximum size in bytes of the status line and header of a
+	// response.
+	maxHeadBytes = 64 << 10
+	// maxDiscardBytes and discardTimeout limit what Discard reads.
+	maxDiscardBytes = 64 << 10
+	discardTimeout  = 100 * time.Millisecond
+)
+
+// headLimiter reads from a connection and limits the size of response headers.
+type headLimiter struct {
+	net net.Conn
+	// remaining is the number of bytes that may still be read; negative means no limit.
+	remaining int
+}
+
+// Read implements io.Reader. It returns ErrHeadTooLarge when no bytes remain.
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if l.remaining < 0 {
+		return l.net.Read(b)
+	}
+	if l.remaining == 0 {
+		return 0, ErrHeadTooLarge
+	}
+	n, err := l.net.Read(b[:min(len(b), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
 
 // conn is a pooled connection with its buffers.
 type conn struct {
 	net     net.Conn
 	address string
-	reader  *bufio.Reader
+	limiter *headLimiter
+	reader  *bufio.Reader // reads from limiter
 	writer  *bufio.Writer
 	expires time.Time // time after which an idle connection is not reused
 }
 
 func newConn(n net.Conn, address string) *conn {
+	l := &headLimiter{net: n, remaining: -1}
 	return &conn{
-		net: n, address: address,
-		reader: bufio.NewReaderSize(n, bufferBytes),
+		net: n, address: address, limiter: l,
+		reader: bufio.NewReaderSize(l, bufferBytes),
 		writer: bufio.NewWriterSize(n, bufferBytes),
 	}
 }
@@ -126,22 +164,19 @@
 
 // readHead reads response headers until one matches the request. It returns
 // ErrResponseMismatch after more than maxMismatches mismatches, or after one whose
-// body length is unknown.
+// body is longer than maxMismatchBytes or of unknown length.
 func (x *Exchange) readHead(r Request) error {
 	for range maxMismatches + 1 {
-		response, err := http.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
+		response, err := x.conn.readFinalHead(r.Method)
 		if err != nil {
 			return err
 		}
 		a := Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
-		if response.StatusCode < http.StatusOK {
-			continue // an informational response has no body
-		}
 		if x.pool.Matches == nil || x.pool.Matches(r.ID, &a) {
 			x.Response, x.response = a, response
 			return nil
 		}
-		if response.ContentLength < 0 {
+		if response.ContentLength < 0 || response.ContentLength > maxMismatchBytes {
 			return ErrResponseMismatch
 		}
 		if _, err := io.Copy(io.Discard, response.Body); err != nil {
@@ -151,6 +186,23 @@
 	return ErrResponseMismatch
 }
 
+// readFinalHead reads the header of the next response that isn't informational. Errors
+// include ErrHeadTooLarge.
+func (c *conn) readFinalHead(method string) (*http.Response, error) {
+	for range maxInformational + 1 {
+		c.limiter.remaining = maxHeadBytes
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		c.limiter.remaining = -1
+		if err != nil {
+			return nil, err
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, ErrHeadTooLarge
+}
+
 // Read reads the response body. It returns io.EOF only at the end of a complete
 // body.
 func (x *Exchange) Read(b []byte) (int, error) {
@@ -168,14 +220,53 @@
 	if x.closed.Swap(true) {
 		return
 	}
+	if !x.stopCancel() {
+		x.conn.net.Close()
+		return
+	}
+	x.release()
+}
+
+// release returns the connection to the pool if it may be reused, and closes it
+// otherwise.
+func (x *Exchange) release() {
 	timeout, keep := x.idleTimeout()
-	if !x.stopCancel() || !keep {
+	if !keep {
 		x.conn.net.Close()
 		return
 	}
 	x.pool.putIdle(x.conn, timeout)
 }
 
+// Discard ends the exchange without its body, and doesn't wait for it. So that the
+// connection can be reused, up to maxDiscardBytes of the body are read in the
+// background for at most discardTimeout; a longer or slower body closes the connection.
+func (x *Exchange) Discard() {
+	if x.closed.Swap(true) {
+		return
+	}
+	if !x.stopCancel() {
+		x.conn.net.Close()
+		return
+	}
+	if n := x.response.ContentLength; n >= 0 && n <= int64(x.conn.reader.Buffered()) {
+		x.discardBody()
+		return
+	}
+	x.pool.background.Go(x.discardBody)
+}
+
+func (x *Exchange) discardBody() {
+	// A failed deadline, read or write shows in idleTimeout, which then closes the
+	// connection.
+	_ = x.conn.net.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxDiscardBytes+1))
+	if x.conn.net.SetReadDeadline(time.Time{}) != nil {
+		x.complete = false
+	}
+	x.release()
+}
+
 // idleTimeout returns how long the connection may stay idle in the pool, and
 // whether it may be reused at all.
 func (x *Exchange) idleTimeout() (time.Duration, bool) {
@@ -244,8 +335,10 @@
 			e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
 		}
 		n, err := e.exchange.Read(e.buffer[e.length:])
+		from := max(0, e.length-maxSeparatorBytes) // the part before has no end of an event
 		e.length += n
-		if end := lastEventEnd(e.buffer[:e.length]); end > 0 && (err == nil || err != io.EOF) {
+		if end := lastEventEnd(e.buffer[from:e.length]); end > 0 && (err == nil || err != io.EOF) {
+			end += from
 			e.returned = end
 			return e.buffer[:end], nil // the next Read returns the error again
 		}
@@ -256,6 +349,9 @@
 	}
 }
 
+// maxSeparatorBytes is the size in bytes of the longest separator of two events.
+const maxSeparatorBytes = 4
+
 // lastEventEnd returns the index after the last complete event in b, or 0.
 func lastEventEnd(b []byte) int {
 	end := 0
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -37,7 +37,10 @@
 	// nil accepts every response.
 	Matches func(id string, answer *Response) bool
 
+	background sync.WaitGroup // discards bodies
+
 	mu     sync.Mutex
+	closed bool
 	idle   map[string][]*conn // by address; the most recently used is last
 	dialed uint64
 	reused uint64
@@ -53,12 +56,14 @@
 	return Stats{p.dialed, p.reused}
 }
 
-// Close closes all idle connections.
+// Close closes all idle connections, and those in use at the end of their exchange. It
+// waits until no body is being discarded.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	idle := p.idle
-	p.idle = nil
+	p.idle, p.closed = nil, true
 	p.mu.Unlock()
+	p.background.Wait()
 	for _, conns := range idle {
 		for _, c := range conns {
 			c.net.Close()
@@ -131,11 +136,16 @@
 	return c
 }
 
-// putIdle adds an idle connection that may be reused until the timeout has passed.
+// putIdle adds an idle connection that may be reused until the timeout has passed. If
+// the pool is closed, it closes the connection.
 func (p *Pool) putIdle(c *conn, timeout time.Duration) {
 	c.expires = p.clock().Now().Add(timeout)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		c.net.Close()
+		return
+	}
 	if p.idle == nil {
 		p.idle = map[string][]*conn{}
 	}
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -64,7 +64,7 @@
 		a.result = brplace.WrongAddress
 		return p.retry(ctx, q, "misdirected", http.StatusServiceUnavailable)
 	case p.cfg.Dialect.NotRun(&x.Response):
-		p.discardBody(x)
+		x.Discard()
 		return p.retry(ctx, q, "endpoint_full", http.StatusServiceUnavailable)
 	}
 	q.mayHaveRun = true
@@ -196,13 +196,6 @@
 	return ok
 }
 
-// discardBody reads up to maxBufferedBody bytes of a body, so that the connection
-// can be reused if the body is no longer than that.
-func (p *Proxy) discardBody(x *brconn.Exchange) {
-	// If the body can't be read, the connection is closed instead of reused.
-	_, _ = io.Copy(io.Discard, io.LimitReader(x, maxBufferedBody))
-}
-
 // relayResponse relays a response that isn't a stream. It buffers the body up to
 // maxBufferedBody bytes, so that an incomplete response can be retried.
 func (p *Proxy) relayResponse(ctx context.Context, q *request, a *attempt, x *brconn.Exchange) outcome {
