brquota: admit customers within their rate whatever the age of the reports

Cause: with 200 daemons a bucket had to hold a random part of the demand of 1.3 s, though it holds at most one second of the rate, and a daemon whose report was older than 0.8 s cut the refill of all buckets by the square of the part heard from.

A customer is now admitted while the demand of all daemons is within its rate, or the bucket covers what they may admit until their reports arrive; beyond that, each daemon admits the part of the demand that the rate covers, corrected by the level. The peer timeout grows by 4 ms a daemon. A quarter of the slack that the users allow is added to the burst, since one large request may be more than the burst of a small customer. The first report of a daemon that has just started counts.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -38,6 +38,8 @@
 	Keys          brpeer.Keys
 	Dialect       brproxy.Dialect
 	Quota         brquota.Config
+	// QuotaSlackTokens is as in brproxy.Config.
+	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
 	DecodePolicy func(body []byte) (brpolicy.Policy, error)
 	Log          zerolog.Logger
@@ -96,7 +98,7 @@
 	f.metrics = newMetrics()
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
-		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain, Quota: cfg.Quota, ReportsChanged: f.scheduleReport, Log: cfg.Log, Clock: cfg.Clock,
+		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, ReportsChanged: f.scheduleReport, Log: cfg.Log, Clock: cfg.Clock,
 		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnFirstByte: f.metrics.firstByte.RecordDuration,
 	})
 	f.node = brgossip.New(brgossip.Config{
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -26,6 +26,9 @@
 	Daemon        string       // ID of this daemon
 	FailureDomain string       // failure domain of this daemon
 	Quota         brquota.Config
+	// QuotaSlackTokens is the number of tokens by which a customer with a quota in
+	// tokens may exceed its limit in any window of time.
+	QuotaSlackTokens float64
 	// ReportsChanged is called when the reports returned by Reports have changed. It
 	// must not block. It may be nil.
 	ReportsChanged func()
@@ -119,7 +122,11 @@
 func (p *Proxy) SetPolicy(t *brpolicy.Table) {
 	limits := map[string]brquota.Limit{}
 	for _, c := range t.Policy().Customers {
-		limits[c.Name] = brquota.Limit{Rate: c.Rate, Burst: c.Burst}
+		limit := brquota.Limit{Rate: c.Rate, Burst: c.Burst}
+		if c.QuotaInTokens {
+			limit.Slack = p.cfg.QuotaSlackTokens
+		}
+		limits[c.Name] = limit
 	}
 	p.mu.Lock()
 	p.limiter.SetLimits(limits)
--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -7,26 +7,30 @@
 )
 
 const (
-	// peerTimeout is the age of the last report of a daemon at which the daemon
-	// counts as disconnected. Daemons report at least twice per second. It limits
-	// the time for which daemons separated by a network partition spend the same
-	// quota.
-	peerTimeout = 800 * time.Millisecond
-
-	// minRefillInterval is the minimum time between two refills of the buckets,
-	// whose cost is proportional to the number of customers times the number of
-	// daemons.
+	// basePeerTimeout is the age of the last report of a daemon at which the daemon
+	// counts as disconnected, in a small fleet. Daemons report at least twice per second.
+	// It limits the time for which daemons separated by a network partition spend the
+	// same quota. In a large fleet reports are less frequent and take longer, so that it
+	// grows by peerTimeoutPerDaemon for each daemon.
+	basePeerTimeout      = 800 * time.Millisecond
+	peerTimeoutPerDaemon = 4 * time.Millisecond
+
+	// minRefillInterval is the minimum time between two refills by Spend, whose cost is
+	// proportional to the number of customers and of daemons.
 	minRefillInterval = 10 * time.Millisecond
 
 	// baseReportAge is the expected age of the reports of other daemons in a small
-	// fleet. reportAgePerDaemon is the increase for each daemon, since reports are
-	// less frequent in a large fleet.
+	// fleet. reportAgePerDaemon is the increase for each daemon.
 	baseReportAge      = 100 * time.Millisecond
-	reportAgePerDaemon = 6 * time.Millisecond
+	reportAgePerDaemon = 3 * time.Millisecond
 
 	// maxRetryAfter limits the wait that Spend returns to a refused customer.
 	maxRetryAfter = 5 * time.Second
 
+	// maxFirstUptime is the uptime of a daemon up to which the totals in its first report
+	// count. Those of a daemon that was disconnected are older than the buckets.
+	maxFirstUptime = 2 * time.Second
+
 	// rateWindow is the averaging time of the rates of another daemon.
 	rateWindow = 500 * time.Millisecond
 
@@ -46,6 +50,9 @@
 type Limit struct {
 	Rate  float64 // refill rate per second; 0 means no limit
 	Burst float64 // capacity of the bucket
+	// Slack is the amount by which the customer may exceed its limit in any window of
+	// time. A quarter of it is added to Burst.
+	Slack float64
 }
 
 // Report holds the cumulative totals of one daemon since its start.
@@ -54,6 +61,7 @@
 	Demand   map[string]float64 `cbor:"asked,omitempty"`    // quota requested including refused requests, by customer
 	Requests map[string]float64 `cbor:"requests,omitempty"` // number of requests, by service
 	Retries  map[string]float64 `cbor:"retries,omitempty"`  // number of retries, by service
+	Uptime   time.Duration      `cbor:"uptime,omitempty"`   // time over which the totals were counted
 }
 
 // Config configures a Limiter.
@@ -74,27 +82,36 @@
 	retries     map[string]float64 // available retries, by service
 	own         Report
 	peers       map[string]*peer
+	activePeers int       // number of peers that are active
 	daemonCount int       // number of daemons, including this one
+	startedAt   time.Time // time of the first refill
 	lastRefill  time.Time // time of the last refill of the buckets
 }
 
-// peer holds the latest report of another daemon and an estimate of its usage since
-// that report.
+// peer holds the latest report of another daemon, and its rates, which are assumed to
+// continue until its next report.
 type peer struct {
 	report      Report
 	reportedAt  time.Time
+	active      bool               // its report is younger than the peer timeout
+	estimatedTo time.Time          // end of the time for which the buckets hold its estimated usage, if not active
 	spendRates  map[string]float64 // moving average of quota spent per second, by customer
 	demandRates map[string]float64 // moving average of quota requested per second, by customer
-	estimated   map[string]float64 // estimated usage deducted from the buckets since the report, by customer
 }
 
 // bucket is the token bucket of one customer.
 type bucket struct {
-	level  float64 // available quota; negative after a request larger than the level
-	burst  float64 // upper bound of level
-	demand float64 // quota requested per second at the other daemons, from their reports
+	level       float64 // available quota; negative after a request larger than the level
+	burst       float64 // upper bound of level
+	spendRate   float64 // quota spent per second at the active peers
+	demandRate  float64 // quota requested per second at the active peers
+	ownDemand   float64 // moving average of the quota requested per second at this daemon
+	ownRequests float64 // quota requested at this daemon since the last refill
 }
 
+// demand returns the quota requested per second at all daemons.
+func (b *bucket) demand() float64 { return b.demandRate + b.ownDemand }
+
 // NewLimiter returns a Limiter without limits.
 func NewLimiter(cfg Config) *Limiter {
 	if cfg.Random == nil {
@@ -119,6 +136,7 @@
 	l.limits = map[string]Limit{}
 	for customer, limit := range limits {
 		limit.Rate *= 1 + l.cfg.Tolerance/4
+		limit.Burst += limit.Slack / 4
 		l.limits[customer] = limit
 	}
 }
@@ -128,16 +146,10 @@
 // disconnected daemons may spend the rest.
 func (l *Limiter) SetDaemonCount(n int) { l.daemonCount = n }
 
-// activePeers returns the other daemons whose last report is younger than
-// peerTimeout.
-func (l *Limiter) activePeers(now time.Time) []*peer {
-	var active []*peer
-	for _, p := range l.peers {
-		if now.Sub(p.reportedAt) < peerTimeout {
-			active = append(active, p)
-		}
-	}
-	return active
+// peerTimeout returns the age of the last report of a daemon at which the daemon counts
+// as disconnected.
+func (l *Limiter) peerTimeout() time.Duration {
+	return basePeerTimeout + time.Duration(l.daemonCount)*peerTimeoutPerDaemon
 }
 
 // refillShare returns the fraction of each rate at which this daemon refills its
@@ -150,14 +162,18 @@
 	return fraction * fraction
 }
 
-// Spend deducts cost from the bucket of a customer. If the level of the bucket is
-// too low, Spend returns false and the time after which to retry. The level is too
-// low if it is less than one unit, or less than a random fraction of the demand at
-// the other daemons within the expected age of their reports. Without that
-// fraction, all daemons would admit a customer far beyond its rate at the same time
-// whenever the bucket isn't empty. A cost above the level is admitted, so that large
-// requests have the same chance as small ones; the level becomes negative and has
-// to be refilled first.
+// Spend deducts cost from the bucket of a customer. If Spend returns false, it also
+// returns the time after which to retry.
+//
+// A customer whose demand at all daemons is within its rate is admitted while its
+// bucket holds at least one unit. A cost above the level is admitted, so that large
+// requests have the same chance as small ones; the level becomes negative and has to be
+// refilled first.
+//
+// Of a customer beyond its rate each daemon admits the fraction of the demand that the
+// rate covers, and up to three times that fraction while the bucket isn't empty. The copies of
+// a bucket are as old as the reports, so that daemons which looked only at the level
+// would all admit the customer at the same time whenever it isn't empty.
 func (l *Limiter) Spend(now time.Time, customer string, cost float64) (wait time.Duration, ok bool) {
 	limit := l.limits[customer]
 	if limit.Rate <= 0 {
@@ -165,17 +181,32 @@
 	}
 	b := l.bucket(now, customer, limit)
 	l.own.Demand[customer] += cost
-	if need := max(1, l.cfg.Random()*b.demand*l.expectedReportAge().Seconds()); b.level < need {
-		wait := (need - b.level) / (limit.Rate * l.refillShare(len(l.activePeers(now)))) // seconds
-		return min(time.Duration(wait*float64(time.Second))+time.Millisecond, maxRetryAfter), false
+	b.ownRequests += cost
+	missing := 1 - b.level
+	if missing <= 0 && l.admits(b, limit) {
+		b.level -= cost
+		l.own.Spent[customer] += cost
+		return 0, true
 	}
-	b.level -= cost
-	l.own.Spent[customer] += cost
-	return 0, true
+	seconds := max(0, missing, cost*(b.demand()/limit.Rate-1)) / (limit.Rate * l.refillShare(l.activePeers))
+	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxRetryAfter), false
 }
 
-// expectedReportAge returns the expected age of the reports of the other daemons.
-func (l *Limiter) expectedReportAge() time.Duration {
+// admits reports whether a request of a customer may be admitted with regard to what
+// the other daemons may admit before their reports arrive.
+func (l *Limiter) admits(b *bucket, limit Limit) bool {
+	demand := b.demand()
+	if demand <= limit.Rate || b.level >= demand*l.reportAge().Seconds() {
+		return true
+	}
+	return l.cfg.Random() < limit.Rate/demand*(1+2*b.level/b.burst)
+}
+
+// reportAge returns the expected age of the reports of the other daemons.
+func (l *Limiter) reportAge() time.Duration {
+	if l.activePeers == 0 {
+		return 0
+	}
 	return baseReportAge + time.Duration(l.daemonCount)*reportAgePerDaemon
 }
 
@@ -193,11 +224,19 @@
 // bucket returns the bucket of a customer, last refilled at most minRefillInterval
 // ago. It creates a full bucket if there is none.
 func (l *Limiter) bucket(now time.Time, customer string, limit Limit) *bucket {
-	l.refill(now)
+	if now.Sub(l.lastRefill) >= minRefillInterval {
+		l.refill(now)
+	}
 	b := l.buckets[customer]
 	if b == nil {
 		b = &bucket{level: limit.Burst}
 		l.buckets[customer] = b
+		for _, p := range l.peers {
+			if p.active {
+				b.spendRate += p.spendRates[customer]
+				b.demandRate += p.demandRates[customer]
+			}
+		}
 	}
 	b.burst = limit.Burst
 	b.level = min(b.level, b.burst)
@@ -205,42 +244,69 @@
 }
 
 // refill adds to the buckets the quota for the time since the last refill, less the
-// estimated usage by the other daemons in that time.
+// estimated usage by the other daemons in that time. The estimate continues the rates of
+// a daemon until it reports or is disconnected. Without it, daemons separated by a
+// network partition would spend the same quota until the peer timeout.
 func (l *Limiter) refill(now time.Time) {
 	elapsed := now.Sub(l.lastRefill)
-	if elapsed < minRefillInterval {
+	first := l.lastRefill.IsZero()
+	if elapsed <= 0 && !first {
 		return
 	}
-	first := l.lastRefill.IsZero()
 	l.lastRefill = now
 	if first {
+		l.startedAt = now
 		return
 	}
-	active := l.activePeers(now)
-	share := l.refillShare(len(active))
+	share := l.refillShare(l.activePeers)
 	for customer, b := range l.buckets {
-		b.level += elapsed.Seconds() * l.limits[customer].Rate * share
-		b.demand = 0
-		for _, p := range active {
-			b.level -= p.estimateSpent(customer, elapsed)
-			b.demand += p.demandRates[customer]
+		b.level = min(b.level+elapsed.Seconds()*(l.limits[customer].Rate*share-b.spendRate), b.burst)
+		b.ownDemand += averageWeight(elapsed) * (b.ownRequests/elapsed.Seconds() - b.ownDemand)
+		b.ownRequests = 0
+	}
+	l.disconnectSilent(now)
+}
+
+// disconnectSilent ends the estimates of the peers whose last report is older than the
+// peer timeout.
+func (l *Limiter) disconnectSilent(now time.Time) {
+	timeout := l.peerTimeout()
+	for _, p := range l.peers {
+		if p.active && now.Sub(p.reportedAt) >= timeout {
+			l.deactivate(p)
 		}
-		b.level = min(b.level, b.burst)
 	}
 }
 
-// estimateSpent returns the estimated usage by the other daemon in the elapsed
-// time, at its average rate. The estimate applies until the daemon reports or
-// reaches peerTimeout. Without it, daemons separated by a network partition would
-// spend the same quota until peerTimeout.
-func (p *peer) estimateSpent(customer string, elapsed time.Duration) float64 {
-	rate := p.spendRates[customer]
-	if rate == 0 {
-		return 0
+// deactivate removes the rates of an active peer from the buckets, as of the last
+// refill.
+func (l *Limiter) deactivate(p *peer) {
+	p.active, p.estimatedTo = false, l.lastRefill
+	l.activePeers--
+	for customer, rate := range p.demandRates {
+		if b := l.buckets[customer]; b != nil {
+			b.demandRate = max(0, b.demandRate-rate)
+			b.spendRate = max(0, b.spendRate-p.spendRates[customer])
+		}
+	}
+}
+
+// activate adds the rates of a peer to the buckets.
+func (l *Limiter) activate(p *peer) {
+	p.active = true
+	l.activePeers++
+	for customer, rate := range p.demandRates {
+		if b := l.buckets[customer]; b != nil {
+			b.demandRate += rate
+			b.spendRate += p.spendRates[customer]
+		}
 	}
-	spent := rate * elapsed.Seconds()
-	p.estimated[customer] += spent
-	return spent
+}
+
+// averageWeight returns the weight of a value measured over the elapsed time in a moving
+// average over rateWindow.
+func averageWeight(elapsed time.Duration) float64 {
+	return min(1, elapsed.Seconds()/rateWindow.Seconds())
 }
 
 // CountRequest counts the first dispatch of a request to a service and adds to the
@@ -276,30 +342,37 @@
 	return Report{
 		Spent: maps.Clone(l.own.Spent), Demand: maps.Clone(l.own.Demand),
 		Requests: maps.Clone(l.own.Requests), Retries: maps.Clone(l.own.Retries),
+		Uptime: l.lastRefill.Sub(l.startedAt),
 	}
 }
 
 // PeerReported applies the latest totals of another daemon. Usage before the first
-// report received from it is unknown and not counted.
+// report received from it counts if the daemon has just started, and not earlier than
+// this one.
 func (l *Limiter) PeerReported(now time.Time, daemon string, r Report) {
+	l.refill(now)
 	p := l.peers[daemon]
 	if p == nil {
-		l.peers[daemon] = &peer{report: r, reportedAt: now, spendRates: map[string]float64{}, demandRates: map[string]float64{}, estimated: map[string]float64{}}
-		return
+		p = l.newPeer(now, r)
+		l.peers[daemon] = p
 	}
-	prev := p.report
-	for customer, spent := range r.Spent {
-		if limit := l.limits[customer]; limit.Rate > 0 {
-			b := l.bucket(now, customer, limit)
-			b.level -= spent - prev.Spent[customer] - p.estimated[customer]
-			updateRate(p.spendRates, customer, spent-prev.Spent[customer], now.Sub(p.reportedAt))
-		}
+	if p.active {
+		l.deactivate(p)
 	}
+	prev, elapsed := p.report, now.Sub(p.reportedAt)
 	for customer, asked := range r.Demand {
-		updateRate(p.demandRates, customer, asked-prev.Demand[customer], now.Sub(p.reportedAt))
+		limit := l.limits[customer]
+		if limit.Rate <= 0 {
+			continue
+		}
+		spent := r.Spent[customer] - prev.Spent[customer]
+		estimated := p.spendRates[customer] * p.estimatedTo.Sub(p.reportedAt).Seconds()
+		l.bucket(now, customer, limit).level -= spent - estimated
+		updateRate(p.spendRates, customer, spent, elapsed)
+		updateRate(p.demandRates, customer, asked-prev.Demand[customer], elapsed)
 	}
 	p.report, p.reportedAt = r, now
-	clear(p.estimated)
+	l.activate(p)
 	for service, n := range r.Requests {
 		l.addRetries(service, retryRatio*(n-prev.Requests[service]))
 	}
@@ -309,15 +382,32 @@
 	}
 }
 
+// newPeer returns the state of a daemon before its first report r.
+func (l *Limiter) newPeer(now time.Time, r Report) *peer {
+	p := &peer{report: r, reportedAt: now, estimatedTo: now, spendRates: map[string]float64{}, demandRates: map[string]float64{}}
+	if r.Uptime < maxFirstUptime && r.Uptime <= now.Sub(l.startedAt) {
+		p.report, p.reportedAt, p.estimatedTo = Report{}, now.Add(-r.Uptime), now.Add(-r.Uptime)
+	}
+	return p
+}
+
 // updateRate updates the moving average rate of a customer with the increase of a
 // total in the elapsed time between two reports.
 func updateRate(rates map[string]float64, customer string, added float64, elapsed time.Duration) {
 	if elapsed <= 0 {
 		return
 	}
-	weight := min(1, elapsed.Seconds()/rateWindow.Seconds())
-	rates[customer] += weight * (max(0, added)/elapsed.Seconds() - rates[customer])
+	rates[customer] += averageWeight(elapsed) * (max(0, added)/elapsed.Seconds() - rates[customer])
 }
 
 // PeerLost removes another daemon.
-func (l *Limiter) PeerLost(daemon string) { delete(l.peers, daemon) }
+func (l *Limiter) PeerLost(daemon string) {
+	p := l.peers[daemon]
+	if p == nil {
+		return
+	}
+	if p.active {
+		l.deactivate(p)
+	}
+	delete(l.peers, daemon)
+}
