brplace: draw among few preferred endpoints in a large fleet

Cause: each daemon takes the endpoint that is cheapest in a picture some 200 ms old, which is the same for all, so that endpoints queue and shed while others are free.

Above 24 daemons a daemon now draws 3 of the first 8 endpoints with room, in an order of its own. Small fleets choose as before.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -45,6 +45,14 @@
 	// that they reuse connections.
 	affinityWeight = 0.5
 
+	// fullChoiceDaemons is the number of daemons up to which each of them chooses
+	// among all endpoints. In a larger fleet it draws sampledEndpoints of the first
+	// preferredEndpoints that have room, in its own order of preference. Few preferred
+	// endpoints let a daemon reuse its connections.
+	fullChoiceDaemons  = 24
+	preferredEndpoints = 8
+	sampledEndpoints   = 3
+
 	// defaultDuration is the assumed duration of a request at an endpoint that has
 	// completed none.
 	defaultDuration = 500 * time.Millisecond
@@ -58,16 +66,52 @@
 	}
 	var best *endpoint
 	var lowest time.Duration
+	for _, e := range s.candidates(v, r) {
+		if c := s.cost(v, e, r); best == nil || c < lowest {
+			best, lowest = e, c
+		}
+	}
+	return best
+}
+
+// candidates returns the endpoints to choose from for r: all that have room for it, or
+// in a large fleet a random sample of those that this daemon prefers. The daemons of a
+// large fleet see each other's usage late. If all of them chose the cheapest endpoint,
+// they would choose the same one until the next reports arrive.
+func (s *State) candidates(v *service, r *Request) []*endpoint {
 	skipSlow := s.waitsForFaster(v, r)
+	limit := len(v.endpoints)
+	large := s.daemons > fullChoiceDaemons
+	if large {
+		limit = preferredEndpoints
+	}
+	var found []*endpoint
 	for _, e := range v.endpoints {
+		if len(found) == limit {
+			break
+		}
 		if !e.usable(s.now) || !eligible(e, r) || e.active() >= e.Slots+overflow(r) || skipSlow && s.tooSlow(e, r) {
 			continue
 		}
-		if c := s.cost(v, e, r); best == nil || c < lowest {
-			best, lowest = e, c
-		}
+		found = append(found, e)
 	}
-	return best
+	if large {
+		return s.sample(found, sampledEndpoints)
+	}
+	return found
+}
+
+// sample returns n random elements of endpoints, or all if there are fewer. It reorders
+// endpoints.
+func (s *State) sample(endpoints []*endpoint, n int) []*endpoint {
+	if len(endpoints) <= n {
+		return endpoints
+	}
+	for i := range n {
+		j := i + int(s.cfg.Random()*float64(len(endpoints)-i))
+		endpoints[i], endpoints[j] = endpoints[j], endpoints[i]
+	}
+	return endpoints[:n]
 }
 
 // slots returns the number of slots of the usable endpoints of a service, and how
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -44,7 +44,7 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, PeerReported,
-// PeerLost, Submit, Cancel, FirstByte, Ended and Tick.
+// PeerLost, FleetChanged, Submit, Cancel, FirstByte, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
@@ -69,6 +69,9 @@
 // PeerLost reports that another daemon has stopped sending reports.
 type PeerLost struct{ Daemon string }
 
+// FleetChanged reports the number of daemons, including this one.
+type FleetChanged struct{ Daemons int }
+
 // Submit requests a dispatch. The resulting Dispatch or Reject effect is returned
 // by the same or a later Step.
 type Submit struct{ Request Request }
@@ -153,6 +156,7 @@
 func (EndpointPaused) event()  {}
 func (PeerReported) event()    {}
 func (PeerLost) event()        {}
+func (FleetChanged) event()    {}
 func (Submit) event()          {}
 func (Cancel) event()          {}
 func (FirstByte) event()       {}
--- /dev/null
+++ b/brplace/fleet_test.go
@@ -0,0 +1,240 @@
+package brplace
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// fleetReplay replays the streams of a large fleet: many daemons, each with its own
+// State, share endpoints of unlike speed and see each other's usage late.
+type fleetReplay struct {
+	daemons, endpoints int
+	load               float64       // multiple of the streams' usual rates
+	reportInterval     time.Duration // between two reports of a daemon
+	reportDelay        time.Duration // until the others have a report
+	duration           time.Duration
+	fullChoice         bool // the daemons don't know that the fleet is large
+}
+
+// streamKind describes the streams of one route.
+type streamKind struct {
+	rank              int
+	perEndpoint       float64 // streams per second for each endpoint at a load of 1
+	prompt            int     // tokens
+	events            float64 // mean, exponentially distributed
+	target, deadline  time.Duration
+	worth, lateWorth  float64
+	prefill, interval time.Duration // of the mean stream at an endpoint of speed 1
+}
+
+var replayKinds = []streamKind{
+	{rank: 0, perEndpoint: 2.1, prompt: 2890, events: 17, target: 600 * time.Millisecond, deadline: 6 * time.Second, worth: 5.3, lateWorth: 1.6, prefill: 68 * time.Millisecond, interval: 19 * time.Millisecond},
+	{rank: 1, perEndpoint: 1.56, prompt: 1800, events: 8, target: 500 * time.Millisecond, deadline: 4 * time.Second, worth: 1.6, lateWorth: 0.48, prefill: 42 * time.Millisecond, interval: 19 * time.Millisecond},
+	{rank: 2, perEndpoint: 0.78, prompt: 543, events: 93, target: 300 * time.Millisecond, deadline: 15 * time.Second, worth: 0.78, lateWorth: 0.23, prefill: 13 * time.Millisecond, interval: 19 * time.Millisecond},
+}
+
+const replaySlots = 4 // of each endpoint
+
+// replaySpeeds are the times that the endpoints take, relative to speed 1, in turn.
+var replaySpeeds = []float64{0.6, 1.7, 1.7}
+
+// replayStream is a stream of the replay.
+type replayStream struct {
+	id      uint64
+	daemon  int
+	kind    streamKind
+	events  float64
+	arrived time.Duration
+}
+
+// timedStep is something that happens at a time of the replay.
+type timedStep struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type timeline []timedStep
+
+func (l timeline) Len() int { return len(l) }
+func (l timeline) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+func (l timeline) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+func (l *timeline) Push(x any)   { *l = append(*l, x.(timedStep)) }
+func (l *timeline) Pop() any {
+	old := *l
+	x := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return x
+}
+
+// replayRun is the state of one run of a fleetReplay.
+type replayRun struct {
+	fleetReplay
+	rng      *rand.Rand
+	now      time.Duration
+	seq      int
+	steps    timeline
+	states   []*State
+	waiting  []map[uint64]*replayStream // by daemon and request ID
+	running  []int                      // by endpoint
+	queues   [][]*replayStream          // by endpoint
+	index    map[string]int             // of an endpoint by its ID
+	earned   float64
+	owed     float64
+	rejected int
+	streams  int
+	pairs    map[[2]int]bool // of a daemon and an endpoint that it has used
+}
+
+// part returns the part of the worth that was earned.
+func (r *replayRun) part() float64 { return r.earned / r.owed }
+
+func (f fleetReplay) run() *replayRun {
+	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
+	for d := range f.daemons {
+		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", d%6), Random: r.rng.Float64})
+		if !f.fullChoice {
+			s.Step(start, FleetChanged{Daemons: f.daemons})
+		}
+		for e := range f.endpoints {
+			id := fmt.Sprintf("e%03d", e)
+			r.index[id] = e
+			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", e%6), Slots: replaySlots}})
+		}
+		r.states = append(r.states, s)
+		r.waiting = append(r.waiting, map[uint64]*replayStream{})
+		r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
+		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
+	}
+	for _, k := range replayKinds {
+		r.arrive(k)
+	}
+	for r.now < f.duration {
+		s := heap.Pop(&r.steps).(timedStep)
+		r.now = s.at
+		s.run()
+	}
+	return r
+}
+
+const replayTick = 50 * time.Millisecond
+
+func (r *replayRun) after(d time.Duration, f func()) {
+	r.seq++
+	heap.Push(&r.steps, timedStep{r.now + d, r.seq, f})
+}
+
+func (r *replayRun) arrive(k streamKind) {
+	rate := k.perEndpoint * r.load * float64(r.endpoints)
+	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		r.streams++
+		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
+		r.owed += k.worth
+		r.waiting[q.daemon][q.id] = q
+		at := start.Add(r.now)
+		r.step(q.daemon, Submit{Request{
+			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: k.prompt, ExpectedEvents: k.events,
+			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.deadline * 6 / 10,
+		}})
+		r.arrive(k)
+	})
+}
+
+// step applies an event at a daemon and starts the streams that it dispatches.
+func (r *replayRun) step(daemon int, ev Event) {
+	for _, effect := range r.states[daemon].Step(start.Add(r.now), ev) {
+		switch e := effect.(type) {
+		case Dispatch:
+			q := r.waiting[daemon][e.ID]
+			delete(r.waiting[daemon], e.ID)
+			i := r.index[e.Endpoint.ID]
+			r.pairs[[2]int{daemon, i}] = true
+			r.queues[i] = append(r.queues[i], q)
+			r.serve(i)
+		case Reject:
+			r.rejected++
+			delete(r.waiting[daemon], e.ID)
+		}
+	}
+}
+
+// serve starts the next stream at an endpoint if it has a free slot.
+func (r *replayRun) serve(i int) {
+	if r.running[i] == replaySlots || len(r.queues[i]) == 0 {
+		return
+	}
+	q := r.queues[i][0]
+	r.queues[i] = r.queues[i][1:]
+	r.running[i]++
+	speed := replaySpeeds[i%len(replaySpeeds)]
+	prefill := time.Duration(speed * float64(q.kind.prefill))
+	r.after(prefill, func() {
+		switch waited := r.now - q.arrived; {
+		case waited <= q.kind.target:
+			r.earned += q.kind.worth
+		case waited <= q.kind.deadline:
+			r.earned += q.kind.lateWorth
+		}
+		r.step(q.daemon, FirstByte{ID: q.id})
+	})
+	interval := time.Duration(speed * float64(q.kind.interval))
+	r.after(prefill+time.Duration(q.events*float64(interval)), func() {
+		r.running[i]--
+		r.step(q.daemon, Ended{ID: q.id, Result: Succeeded, EventInterval: interval})
+		r.serve(i)
+	})
+}
+
+// report lets a daemon report after d and then in each interval.
+func (r *replayRun) report(daemon int, d time.Duration) {
+	r.after(d, func() {
+		report := r.states[daemon].Report(start.Add(r.now))
+		r.after(r.reportDelay, func() {
+			for other := range r.daemons {
+				if other != daemon {
+					r.step(other, PeerReported{Daemon: fmt.Sprint("d", daemon), Report: report})
+				}
+			}
+		})
+		r.report(daemon, r.reportInterval)
+	})
+}
+
+func (r *replayRun) tick(daemon int, d time.Duration) {
+	r.after(d, func() {
+		r.step(daemon, Tick{})
+		r.tick(daemon, replayTick)
+	})
+}
+
+// TestLargeFleetSpreadsRequests guards against daemons that all choose the endpoint
+// which is the cheapest in their common, late picture, and against a daemon that uses
+// all endpoints, so that it has to open a connection for nearly every stream. The
+// choice among all endpoints, as in a small fleet, is the one to compare with.
+func TestLargeFleetSpreadsRequests(t *testing.T) {
+	for _, test := range []struct {
+		load, least, gain float64 // least part of the worth earned, and of what the full choice earns
+	}{{0.7, 0.95, 1.1}, {1, 0.95, 1.2}, {1.5, 0.8, 1.3}} {
+		replay := fleetReplay{
+			daemons: 100, endpoints: 78, load: test.load, duration: 8 * time.Second,
+			reportInterval: 150 * time.Millisecond, reportDelay: 100 * time.Millisecond,
+		}
+		sampled := replay.run()
+		replay.fullChoice = true
+		full := replay.run()
+		t.Logf("load %.1f: earned %.3f with %d connections for %d streams; full choice: %.3f, %d, %d",
+			test.load, sampled.part(), len(sampled.pairs), sampled.streams, full.part(), len(full.pairs), full.streams)
+		if sampled.part() < test.least || sampled.part() < test.gain*full.part() {
+			t.Errorf("load %.1f: earned %.3f of the worth, want at least %.2f and %.1f times the %.3f of the full choice",
+				test.load, sampled.part(), test.least, test.gain, full.part())
+		}
+		if len(sampled.pairs) > sampled.streams/2 {
+			t.Errorf("load %.1f: %d pairs of daemon and endpoint for %d streams, want at most half as many", test.load, len(sampled.pairs), sampled.streams)
+		}
+	}
+}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -1,6 +1,7 @@
 package brplace
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -21,13 +22,14 @@
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
 	peers     map[string]Report
+	daemons   int // number of daemons, including this one; 0 if unknown
 	now       time.Time
 	effects   []Effect
 }
 
 // service holds the endpoints and the waiting requests of one service.
 type service struct {
-	endpoints     []*endpoint   // sorted by ID
+	endpoints     []*endpoint   // in this daemon's order of preference
 	queue         []*Request    // in the order defined by before
 	startInterval time.Duration // moving average between two placements of waiting requests
 	lastStart     time.Time     // time of the last placement of a waiting request
@@ -72,6 +74,8 @@
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
 		s.applyReport(e.Daemon, nil)
+	case FleetChanged:
+		s.daemons = e.Daemons
 	case Submit:
 		s.submit(e.Request)
 	case Cancel:
@@ -146,12 +150,12 @@
 func (s *State) attach(e *endpoint) {
 	v := s.service(e.Service)
 	v.endpoints = append(v.endpoints, e)
-	slices.SortFunc(v.endpoints, func(a, b *endpoint) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(v.endpoints, comparePreference)
+}
+
+// comparePreference orders endpoints by this daemon's preference.
+func comparePreference(a, b *endpoint) int {
+	return cmp.Or(cmp.Compare(a.affinityHash, b.affinityHash), cmp.Compare(a.ID, b.ID))
 }
 
 func (s *State) detach(e *endpoint) {
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -166,6 +166,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limiter.SetDaemonCount(n)
+	p.step(brplace.FleetChanged{Daemons: n})
 }
 
 // Reports returns the reports that this daemon publishes to the others.
