brgossip: encode shared records once, and hold back for slow peers

A relay now returns the record as well, and encodes the common message once. Records for a peer with 4 unsent messages wait and are replaced by newer ones.

--- a/brgossip/flush.go
+++ b/brgossip/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -16,6 +17,10 @@
 
 	// maxBatch is the maximum number of records in one message.
 	maxBatch = 64
+	// maxQueuedMessages is the number of unsent messages to a peer from which on its
+	// pending records wait. A slow peer then receives only their newest versions, and
+	// the queue takes little memory.
+	maxQueuedMessages = 4
 	// fullRateDaemons is the number of daemons up to which changes are sent at the
 	// flush interval. In a larger fleet the interval grows in proportion, so that
 	// the rate of messages that a daemon receives doesn't grow with the fleet.
@@ -42,33 +47,58 @@
 	}
 }
 
+// delivery is a set of records and the peers that receive it.
+type delivery struct {
+	keys   map[string]struct{}
+	bodies [][]byte // encoded batches
+	conns  []*brpeer.Conn
+}
+
+// flush sends the pending records to the peers that aren't slow.
 func (n *Node) flush() {
-	type message struct {
-		conn *brpeer.Conn
-		body []byte
+	for _, d := range n.collect() {
+		for _, c := range d.conns {
+			for _, body := range d.bodies {
+				// An error means that the connection has ended. The peer receives all
+				// records again when it reconnects.
+				_ = brpeer.PushEncoded(c, pushRecord, body)
+			}
+		}
 	}
-	var out []message
+}
+
+// collect returns the pending records and marks them as sent. The records that several
+// peers receive are encoded once; a relay sends most of them to all its subscribers.
+func (n *Node) collect() []delivery {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
-	encoded := map[string][]byte{} // by batch; most peers receive the same one
+	var deliveries []delivery
 	for c, p := range n.peers {
-		for _, keys := range chunks(p.pending) {
-			id := fmt.Sprint(keys)
-			body, ok := encoded[id]
-			if !ok {
-				body = n.encode(now, keys)
-				encoded[id] = body
-			}
-			out = append(out, message{c, body})
+		if len(p.pending) == 0 {
+			continue
+		}
+		if p.queued() >= maxQueuedMessages {
+			n.wakeFlush()
+			continue
+		}
+		i := slices.IndexFunc(deliveries, func(d delivery) bool { return maps.Equal(d.keys, p.pending) })
+		if i < 0 {
+			i = len(deliveries)
+			deliveries = append(deliveries, delivery{keys: p.pending, bodies: n.encodeAll(now, p.pending)})
 		}
-		clear(p.pending)
+		deliveries[i].conns = append(deliveries[i].conns, c)
+		p.pending = map[string]struct{}{}
 	}
-	n.mu.Unlock()
-	for _, m := range out {
-		// An error means that the connection has ended. The peer receives all
-		// records again when it reconnects.
-		_ = brpeer.PushEncoded(m.conn, pushRecord, m.body)
+	return deliveries
+}
+
+func (n *Node) encodeAll(now time.Time, pending map[string]struct{}) [][]byte {
+	var bodies [][]byte
+	for _, keys := range chunks(pending) {
+		bodies = append(bodies, n.encode(now, keys))
 	}
+	return bodies
 }
 
 // chunks returns the pending keys, sorted and split into batches.
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -88,6 +88,7 @@
 
 type peer struct {
 	address     string
+	queued      func() int // number of messages to the peer that are not sent yet
 	pending     map[string]struct{}
 	wantsDirect bool // peer has subscribed to direct records of other daemons
 	subscribed  bool // this daemon has subscribed at the peer
@@ -309,7 +310,7 @@
 		n.mu.Unlock()
 		return
 	}
-	p := &peer{address: address, pending: map[string]struct{}{}}
+	p := &peer{address: address, queued: c.Queued, pending: map[string]struct{}{}}
 	for key, e := range n.store.entries {
 		if !n.cfg.DirectKinds[e.record.Kind()] {
 			p.pending[key] = struct{}{}
--- a/brgossip/relay.go
+++ b/brgossip/relay.go
@@ -18,19 +18,21 @@
 // directTargets returns the peers that a direct record is sent to. In a small fleet
 // only the writer of the record sends it, to all peers. In a large fleet a daemon
 // without a replica sends it to its relay. The relay forwards it to its subscribers
-// and to the other replicas, which forward it to their subscribers. A daemon
-// without a relay sends to all its peers.
+// and to the other replicas, which forward it to their subscribers. A relay also
+// returns it to the subscriber that it came from, so that all subscribers receive the
+// same message. A daemon without a relay sends to all its peers.
 func (n *Node) directTargets(from *brpeer.Conn) []*peer {
 	t := n.topology()
 	local := from == nil
 	toAll := local && !t.sparse() || t.sparse() && !t.self.Replica && n.relay == nil
 	fromReplica := !local && n.peers[from] != nil && t.isReplica(n.peers[from].address)
 	toReplicas := t.sparse() && t.self.Replica && !fromReplica
+	echo := t.sparse() && t.self.Replica
 	toRelay := t.sparse() && !t.self.Replica && n.relay != from
 	var targets []*peer
 	for c, p := range n.peers {
 		switch {
-		case c == from:
+		case c == from && !(echo && p.wantsDirect):
 		case toAll, p.wantsDirect, toReplicas && t.isReplica(p.address), toRelay && c == n.relay:
 			targets = append(targets, p)
 		}
--- a/brpeer/conn.go
+++ b/brpeer/conn.go
@@ -114,6 +114,9 @@
 // Bytes returns the number of payload bytes that the connection has received and sent.
 func (c *Conn) Bytes() (in, out uint64) { return c.bytesIn.Load(), c.bytesOut.Load() }
 
+// Queued returns the number of frames that wait to be written.
+func (c *Conn) Queued() int { return len(c.outgoing) }
+
 // SinceLastFrame returns the time since the last frame from the other end, or since the
 // creation of the connection.
 func (c *Conn) SinceLastFrame() time.Duration {
--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -16,7 +16,7 @@
 	peerTimeoutPerDaemon = 4 * time.Millisecond
 
 	// minRefillInterval is the minimum time between two refills by Spend, whose cost is
-	// proportional to the number of customers and of daemons.
+	// proportional to the number of customers.
 	minRefillInterval = 10 * time.Millisecond
 
 	// baseReportAge is the expected age of the reports of other daemons in a small
@@ -27,6 +27,10 @@
 	// maxRetryAfter limits the wait that Spend returns to a refused customer.
 	maxRetryAfter = 5 * time.Second
 
+	// silenceCheckInterval is the minimum time between two checks for silent daemons,
+	// whose cost is proportional to the number of daemons.
+	silenceCheckInterval = 50 * time.Millisecond
+
 	// maxFirstUptime is the uptime of a daemon up to which the totals in its first report
 	// count. Those of a daemon that was disconnected are older than the buckets.
 	maxFirstUptime = 2 * time.Second
@@ -86,6 +90,7 @@
 	daemonCount int       // number of daemons, including this one
 	startedAt   time.Time // time of the first refill
 	lastRefill  time.Time // time of the last refill of the buckets
+	lastCheck   time.Time // time of the last check for silent peers
 }
 
 // peer holds the latest report of another daemon, and its rates, which are assumed to
@@ -268,8 +273,12 @@
 }
 
 // disconnectSilent ends the estimates of the peers whose last report is older than the
-// peer timeout.
+// peer timeout. It checks at most every silenceCheckInterval.
 func (l *Limiter) disconnectSilent(now time.Time) {
+	if now.Sub(l.lastCheck) < silenceCheckInterval {
+		return
+	}
+	l.lastCheck = now
 	timeout := l.peerTimeout()
 	for _, p := range l.peers {
 		if p.active && now.Sub(p.reportedAt) >= timeout {
