brplace: let short requests run under lasting overload

Load pattern: a van dispatch with twice its traffic.

A request that is expected to take at most a quarter of the mean duration at its service is now queued and placed like the most urgent ones, as long as such requests are at most a tenth of the daemon's running ones.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -61,7 +61,7 @@
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
 	slots, free := s.slots(v)
-	if r.Rank > 0 && float64(free) <= float64(r.Rank)*reservePerRank*float64(slots) {
+	if rank := v.placementRank(r); rank > 0 && float64(free) <= float64(rank)*reservePerRank*float64(slots) {
 		return nil
 	}
 	var best *endpoint
@@ -205,6 +205,7 @@
 // place dispatches r to e.
 func (s *State) place(r *Request, e *endpoint) {
 	e.own.Active++
+	s.service(r.Service).countRunning(r, 1)
 	e.own.PendingPromptTokens += r.PromptTokens
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -41,6 +41,8 @@
 	Deadline          time.Time     // time until which the caller waits
 	MaxQueueTime      time.Duration // maximum time between arrival and dispatch
 	ExcludedEndpoints []string      // IDs of endpoints to exclude
+
+	short bool // see service.isShort; set by State
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, PeerReported,
--- a/brplace/fleet_test.go
+++ b/brplace/fleet_test.go
@@ -12,13 +12,19 @@
 // State, share endpoints of unlike speed and see each other's usage late.
 type fleetReplay struct {
 	daemons, endpoints int
+	slots              int // of each endpoint
+	kinds              []streamKind
 	load               float64       // multiple of the streams' usual rates
 	reportInterval     time.Duration // between two reports of a daemon
 	reportDelay        time.Duration // until the others have a report
 	duration           time.Duration
+	hideShort          bool // the daemons don't know which streams are short
 	fullChoice         bool // the daemons don't know that the fleet is large
 }
 
+// longEvents is a number of events that makes no stream a short one.
+const longEvents = 30
+
 // streamKind describes the streams of one route.
 type streamKind struct {
 	rank              int
@@ -30,13 +36,21 @@
 	prefill, interval time.Duration // of the mean stream at an endpoint of speed 1
 }
 
-var replayKinds = []streamKind{
+// draftingKinds are the streams of a fleet that drafts itineraries and letters and
+// answers travellers, with 4 slots for each endpoint.
+var draftingKinds = []streamKind{
 	{rank: 0, perEndpoint: 2.1, prompt: 2890, events: 17, target: 600 * time.Millisecond, deadline: 6 * time.Second, worth: 5.3, lateWorth: 1.6, prefill: 68 * time.Millisecond, interval: 19 * time.Millisecond},
 	{rank: 1, perEndpoint: 1.56, prompt: 1800, events: 8, target: 500 * time.Millisecond, deadline: 4 * time.Second, worth: 1.6, lateWorth: 0.48, prefill: 42 * time.Millisecond, interval: 19 * time.Millisecond},
 	{rank: 2, perEndpoint: 0.78, prompt: 543, events: 93, target: 300 * time.Millisecond, deadline: 15 * time.Second, worth: 0.78, lateWorth: 0.23, prefill: 13 * time.Millisecond, interval: 19 * time.Millisecond},
 }
 
-const replaySlots = 4 // of each endpoint
+// dispatchKinds are the streams of a van dispatch, with 19 slots for each endpoint:
+// plans of a day, detours, and summaries that take a tenth of the slot time of either.
+var dispatchKinds = []streamKind{
+	{rank: 0, perEndpoint: 3.57, prompt: 6610, events: 76, target: 500 * time.Millisecond, deadline: 15 * time.Second, worth: 9, lateWorth: 2.7, prefill: 42 * time.Millisecond, interval: 18 * time.Millisecond},
+	{rank: 1, perEndpoint: 5.03, prompt: 628, events: 58, target: 600 * time.Millisecond, deadline: 12 * time.Second, worth: 1.1, lateWorth: 0.34, prefill: 4 * time.Millisecond, interval: 18 * time.Millisecond},
+	{rank: 2, perEndpoint: 6.12, prompt: 1800, events: 5, target: time.Second, deadline: 3 * time.Second, worth: 0.27, lateWorth: 0.08, prefill: 11 * time.Millisecond, interval: 18 * time.Millisecond},
+}
 
 // replaySpeeds are the times that the endpoints take, relative to speed 1, in turn.
 var replaySpeeds = []float64{0.6, 1.7, 1.7}
@@ -88,9 +102,15 @@
 	owed     float64
 	rejected int
 	streams  int
+	byRank   [3]struct{ streams, onTime, late int }
 	pairs    map[[2]int]bool // of a daemon and an endpoint that it has used
 }
 
+// onTime returns the fraction of the streams of a rank that began in time.
+func (r *replayRun) onTime(rank int) float64 {
+	return float64(r.byRank[rank].onTime) / float64(r.byRank[rank].streams)
+}
+
 // part returns the part of the worth that was earned.
 func (r *replayRun) part() float64 { return r.earned / r.owed }
 
@@ -104,14 +124,14 @@
 		for e := range f.endpoints {
 			id := fmt.Sprintf("e%03d", e)
 			r.index[id] = e
-			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", e%6), Slots: replaySlots}})
+			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", e%6), Slots: f.slots}})
 		}
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
 		r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
 		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
 	}
-	for _, k := range replayKinds {
+	for _, k := range f.kinds {
 		r.arrive(k)
 	}
 	for r.now < f.duration {
@@ -135,10 +155,14 @@
 		r.streams++
 		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
 		r.owed += k.worth
+		r.byRank[k.rank].streams++
 		r.waiting[q.daemon][q.id] = q
-		at := start.Add(r.now)
+		at, expected := start.Add(r.now), k.events
+		if r.hideShort {
+			expected = max(expected, longEvents)
+		}
 		r.step(q.daemon, Submit{Request{
-			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: k.prompt, ExpectedEvents: k.events,
+			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: k.prompt, ExpectedEvents: expected,
 			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.deadline * 6 / 10,
 		}})
 		r.arrive(k)
@@ -165,7 +189,7 @@
 
 // serve starts the next stream at an endpoint if it has a free slot.
 func (r *replayRun) serve(i int) {
-	if r.running[i] == replaySlots || len(r.queues[i]) == 0 {
+	if r.running[i] == r.slots || len(r.queues[i]) == 0 {
 		return
 	}
 	q := r.queues[i][0]
@@ -177,8 +201,10 @@
 		switch waited := r.now - q.arrived; {
 		case waited <= q.kind.target:
 			r.earned += q.kind.worth
+			r.byRank[q.kind.rank].onTime++
 		case waited <= q.kind.deadline:
 			r.earned += q.kind.lateWorth
+			r.byRank[q.kind.rank].late++
 		}
 		r.step(q.daemon, FirstByte{ID: q.id})
 	})
@@ -221,7 +247,7 @@
 		load, least, gain float64 // least part of the worth earned, and of what the full choice earns
 	}{{0.7, 0.95, 1.1}, {1, 0.95, 1.2}, {1.5, 0.8, 1.3}} {
 		replay := fleetReplay{
-			daemons: 100, endpoints: 78, load: test.load, duration: 8 * time.Second,
+			daemons: 100, endpoints: 78, slots: 4, kinds: draftingKinds, load: test.load, duration: 8 * time.Second,
 			reportInterval: 150 * time.Millisecond, reportDelay: 100 * time.Millisecond,
 		}
 		sampled := replay.run()
@@ -238,3 +264,28 @@
 		}
 	}
 }
+
+// TestShortRequestsUnderOverload guards against a kind of request that never runs under
+// lasting overload because it is of the last rank, although it takes a tenth of the slot
+// time of the others, and against short requests that cost the most urgent ones their
+// time. A replay in which the short ones aren't known as such is the one to compare with.
+func TestShortRequestsUnderOverload(t *testing.T) {
+	for _, load := range []float64{2, 2.5} {
+		replay := fleetReplay{
+			daemons: 11, endpoints: 9, slots: 19, kinds: dispatchKinds, load: load, duration: 12 * time.Second,
+			reportInterval: 20 * time.Millisecond, reportDelay: 10 * time.Millisecond,
+		}
+		known := replay.run()
+		replay.hideShort = true
+		hidden := replay.run()
+		t.Logf("load %.1f: earned %.3f, on time by rank %.3f %.3f %.3f; hidden: %.3f, %.3f %.3f %.3f", load,
+			known.part(), known.onTime(0), known.onTime(1), known.onTime(2), hidden.part(), hidden.onTime(0), hidden.onTime(1), hidden.onTime(2))
+		if known.onTime(2) < 0.5 || known.onTime(2) < 2*hidden.onTime(2) {
+			t.Errorf("load %.1f: %.3f of the short requests are on time, want at least half, and twice the %.3f without the rule", load, known.onTime(2), hidden.onTime(2))
+		}
+		if known.onTime(0) < hidden.onTime(0)-0.02 || known.part() < hidden.part() {
+			t.Errorf("load %.1f: %.3f of the urgent requests on time and %.3f of the worth earned, want at least %.3f less 0.02, and %.3f",
+				load, known.onTime(0), known.part(), hidden.onTime(0), hidden.part())
+		}
+	}
+}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -26,6 +26,7 @@
 // submit places, queues or rejects a request.
 func (s *State) submit(r Request) {
 	v := s.service(r.Service)
+	r.short = v.isShort(&r)
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
 			s.reject(&r, NoEndpoint, s.retryDelay())
@@ -66,11 +67,11 @@
 		!slices.Contains(r.ExcludedEndpoints, e.ID)
 }
 
-// before reports whether r precedes q in the queue. Requests are ordered by rank,
+// before reports whether r precedes q in the queue. Requests are ordered by queueRank,
 // then those not yet past FirstByteDue before those past it, then by FirstByteDue.
 func before(now time.Time, r, q *Request) bool {
-	if r.Rank != q.Rank {
-		return r.Rank < q.Rank
+	if r.queueRank() != q.queueRank() {
+		return r.queueRank() < q.queueRank()
 	}
 	if rLate, qLate := now.After(r.FirstByteDue), now.After(q.FirstByteDue); rLate != qLate {
 		return qLate
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -35,6 +35,9 @@
 	lastStart     time.Time     // time of the last placement of a waiting request
 	health        decayingCount // over all endpoints
 	eventInterval time.Duration // mean over the endpoints; 0 if unknown
+	meanDuration  time.Duration // moving average of the durations of this daemon's requests; 0 if unknown
+	running       int           // number of running requests of this daemon
+	shortRunning  int           // number of those that are short
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -234,6 +237,7 @@
 	delete(s.inflight, ev.ID)
 	e, v := f.endpoint, s.service(f.request.Service)
 	e.own.Active--
+	v.countRunning(&f.request, -1)
 	e.lastEnded = s.now
 	if !f.gotFirstByte {
 		e.own.PendingPromptTokens -= f.request.PromptTokens
@@ -244,6 +248,7 @@
 		e.lastProgress = s.now
 		s.recordOutcomes(e, 1, 0)
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
+		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
 		e.own.Ended++
 		e.own.Failed++
