brpeer: a handler that panics ends its call or connection, not the process

Cause, by reading: handlers of calls and pushes ran without a recover, so that one message that meets a fault of ours, sent to all daemons by gossip, could end all of them. Panics are logged with the message's name and stack (brlogging.PanicHandler, both daemons). TestHandlerPanics fails before by the end of the test process. net/http recovers from handlers of callers, endpoints and operators by itself.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -15,6 +15,7 @@
 	"bramleyroute/brclock"
 	"bramleyroute/brconfig"
 	"bramleyroute/brerror"
+	"bramleyroute/brlogging"
 	"bramleyroute/brmember"
 	"bramleyroute/brpeer"
 	"bramleyroute/brsetting"
@@ -123,7 +124,7 @@
 }
 
 func (d *Daemon) startRoles(lis listeners) error {
-	mux := &brpeer.Mux{}
+	mux := &brpeer.Mux{OnPanic: brlogging.PanicHandler(d.log)}
 	d.stampMessages(mux)
 	d.links = newLinks(d.keys, mux, d.connected)
 	d.session = newSession(d.clock, d.log, d.self, d.links, d.replicaAddresses())
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -16,6 +16,7 @@
 	"bramleyroute/brcontrol"
 	"bramleyroute/brcore"
 	"bramleyroute/brgossip"
+	"bramleyroute/brlogging"
 	"bramleyroute/brpeer"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
@@ -95,6 +96,7 @@
 	}
 	f.incarnation = fmt.Sprintf("%s.%x", cfg.ID, f.epoch)
 	f.policies.changed = make(chan struct{}, 1)
+	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
--- a/brpeer/mux.go
+++ b/brpeer/mux.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime/debug"
 
 	"bramleyroute/brerror"
 	"bramleyroute/brtimeline"
@@ -20,6 +21,11 @@
 	Stamp        func() brtimeline.Stamp
 	ReceiveStamp func(brtimeline.Stamp)
 
+	// OnPanic is called when the handler of the message name has panicked with value. A
+	// call then fails, and after a push the connection is closed, so that one message
+	// doesn't end the process. It may be nil.
+	OnPanic func(name string, value any, stack []byte)
+
 	calls  map[string]func(context.Context, *Conn, brwire.RawMessage) ([]byte, error)
 	pushes map[string]func(*Conn, brwire.RawMessage) error
 }
@@ -34,7 +40,8 @@
 	if m.calls == nil {
 		m.calls = map[string]func(context.Context, *Conn, brwire.RawMessage) ([]byte, error){}
 	}
-	m.calls[name] = func(ctx context.Context, c *Conn, body brwire.RawMessage) ([]byte, error) {
+	m.calls[name] = func(ctx context.Context, c *Conn, body brwire.RawMessage) (_ []byte, err error) {
+		defer m.recoverHandler(name, &err)
 		req, err := brwire.Decode[Req](body)
 		if err != nil {
 			return nil, brerror.New(brerror.InvalidRequest, "decode %s: %w", name, err)
@@ -47,6 +54,19 @@
 	}
 }
 
+// recoverHandler sets err if the handler of the message name has panicked. It must be
+// deferred.
+func (m *Mux) recoverHandler(name string, err *error) {
+	value := recover()
+	if value == nil {
+		return
+	}
+	if m.OnPanic != nil {
+		m.OnPanic(name, value, debug.Stack())
+	}
+	*err = fmt.Errorf("brpeer: handler of %s panicked: %v", name, value)
+}
+
 // HandlePush registers f as the handler of pushes of name. Pushes of one connection
 // are handled one at a time in the order of their arrival. f must not block, because
 // nothing else is read from the connection meanwhile. HandlePush panics if name already
@@ -58,7 +78,8 @@
 	if m.pushes == nil {
 		m.pushes = map[string]func(*Conn, brwire.RawMessage) error{}
 	}
-	m.pushes[name] = func(c *Conn, body brwire.RawMessage) error {
+	m.pushes[name] = func(c *Conn, body brwire.RawMessage) (err error) {
+		defer m.recoverHandler(name, &err)
 		msg, err := brwire.Decode[T](body)
 		if err != nil {
 			return fmt.Errorf("brpeer: decode push %s: %w", name, err)
--- a/brpeer/peer_test.go
+++ b/brpeer/peer_test.go
@@ -101,3 +101,56 @@
 		}
 	}
 }
+
+// TestHandlerPanics guards against a message that ends the process because its handler
+// panics. A call fails, and a push closes its connection; other connections go on.
+func TestHandlerPanics(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	names := make(chan string, 2)
+	mux := Mux{OnPanic: func(name string, _ any, stack []byte) {
+		if len(stack) == 0 {
+			t.Error("OnPanic without a stack")
+		}
+		names <- name
+	}}
+	var nothing map[string]int
+	HandleCall(&mux, "call", func(_ context.Context, _ *Conn, e echo) (echo, error) {
+		if e.Text != "" {
+			nothing["x"] = 1
+		}
+		return e, nil
+	})
+	HandlePush(&mux, "push", func(*Conn, echo) { nothing["x"] = 1 })
+	address := newTestServer(t, nil, &mux)
+	dial := func() *Conn {
+		t.Helper()
+		c, err := Dial(ctx, address, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(c.Close)
+		return c
+	}
+	c, other := dial(), dial()
+	if _, err := Call[echo, echo](ctx, c, "call", echo{"x"}); err == nil {
+		t.Error("call of a handler that panics succeeded")
+	}
+	if _, err := Call[echo, echo](ctx, c, "call", echo{}); err != nil {
+		t.Errorf("call after one that panicked: %v", err)
+	}
+	if err := Push(c, "push", echo{}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-c.Done():
+	case <-ctx.Done():
+		t.Error("connection still open after a push whose handler panicked")
+	}
+	if _, err := Call[echo, echo](ctx, other, "call", echo{}); err != nil {
+		t.Errorf("call on another connection: %v", err)
+	}
+	if a, b := <-names, <-names; a != "call" || b != "push" {
+		t.Errorf("OnPanic called for %q and %q, want call and push", a, b)
+	}
+}
