brplace: reserve more slots for urgent requests in a large fleet

Some hundred streams start before their dispatches are reported, so that a reserve of 3% of the slots for each rank is gone before anyone sees it.

The replay's callers now leave after the time that they wait for the first event.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -61,7 +61,7 @@
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
 	slots, free := s.slots(v)
-	if rank := v.placementRank(r); rank > 0 && float64(free) <= float64(rank)*reservePerRank*float64(slots) {
+	if rank := v.placementRank(r); rank > 0 && float64(free) <= float64(rank)*s.reserve()*float64(slots) {
 		return nil
 	}
 	var best *endpoint
@@ -81,8 +81,7 @@
 func (s *State) candidates(v *service, r *Request) []*endpoint {
 	skipSlow := s.waitsForFaster(v, r)
 	limit := len(v.endpoints)
-	large := s.daemons > fullChoiceDaemons
-	if large {
+	if s.large() {
 		limit = preferredEndpoints
 	}
 	var found []*endpoint
@@ -95,7 +94,7 @@
 		}
 		found = append(found, e)
 	}
-	if large {
+	if s.large() {
 		return s.sample(found, sampledEndpoints)
 	}
 	return found
@@ -114,6 +113,19 @@
 	return endpoints[:n]
 }
 
+// large reports whether the fleet is so large that each daemon chooses among a part of
+// the endpoints.
+func (s *State) large() bool { return s.daemons > fullChoiceDaemons }
+
+// reserve returns the fraction of the slots that is reserved for each rank below the
+// most urgent one.
+func (s *State) reserve() float64 {
+	if s.large() {
+		return largeReservePerRank
+	}
+	return reservePerRank
+}
+
 // slots returns the number of slots of the usable endpoints of a service, and how
 // many of them are free.
 func (s *State) slots(v *service) (total, free int) {
--- a/brplace/fleet_test.go
+++ b/brplace/fleet_test.go
@@ -52,6 +52,11 @@
 	{rank: 2, perEndpoint: 6.12, prompt: 1800, events: 5, target: time.Second, deadline: 3 * time.Second, worth: 0.27, lateWorth: 0.08, prefill: 11 * time.Millisecond, interval: 18 * time.Millisecond},
 }
 
+// callerTimeout returns how long the caller waits for the first event.
+func (k streamKind) callerTimeout() time.Duration {
+	return min(k.deadline, max(2*time.Second, 4*k.target))
+}
+
 // replaySpeeds are the times that the endpoints take, relative to speed 1, in turn.
 var replaySpeeds = []float64{0.6, 1.7, 1.7}
 
@@ -163,7 +168,7 @@
 		}
 		r.step(q.daemon, Submit{Request{
 			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: k.prompt, ExpectedEvents: expected,
-			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.deadline * 6 / 10,
+			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
 	})
@@ -194,6 +199,11 @@
 	}
 	q := r.queues[i][0]
 	r.queues[i] = r.queues[i][1:]
+	if r.now-q.arrived > q.kind.callerTimeout() {
+		r.step(q.daemon, Ended{ID: q.id, Result: Inconclusive})
+		r.serve(i)
+		return
+	}
 	r.running[i]++
 	speed := replaySpeeds[i%len(replaySpeeds)]
 	prefill := time.Duration(speed * float64(q.kind.prefill))
@@ -202,7 +212,7 @@
 		case waited <= q.kind.target:
 			r.earned += q.kind.worth
 			r.byRank[q.kind.rank].onTime++
-		case waited <= q.kind.deadline:
+		case waited <= q.kind.callerTimeout():
 			r.earned += q.kind.lateWorth
 			r.byRank[q.kind.rank].late++
 		}
@@ -265,6 +275,20 @@
 	}
 }
 
+// TestUrgentStreamsInLargeFleet guards against a large fleet in which streams of the last
+// rank take the slots that more urgent ones need before their dispatches are reported:
+// at twice the usual load three quarters of the urgent ones were in time.
+func TestUrgentStreamsInLargeFleet(t *testing.T) {
+	r := fleetReplay{
+		daemons: 100, endpoints: 78, slots: 4, kinds: draftingKinds, load: 2, duration: 10 * time.Second,
+		reportInterval: 150 * time.Millisecond, reportDelay: 100 * time.Millisecond,
+	}.run()
+	t.Logf("earned %.3f, on time by rank %.3f %.3f %.3f", r.part(), r.onTime(0), r.onTime(1), r.onTime(2))
+	if r.onTime(0) < 0.85 || r.onTime(0) < r.onTime(1) || r.onTime(1) < r.onTime(2) {
+		t.Errorf("on time by rank: %.3f, %.3f, %.3f; want at least 0.85 of the most urgent ones, and each rank before the next", r.onTime(0), r.onTime(1), r.onTime(2))
+	}
+}
+
 // TestShortRequestsUnderOverload guards against a kind of request that never runs under
 // lasting overload because it is of the last rank, although it takes a tenth of the slot
 // time of the others, and against short requests that cost the most urgent ones their
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -12,6 +12,9 @@
 	// reservePerRank is the fraction of the slots of a service that is reserved for
 	// more urgent requests, for each rank below the most urgent one.
 	reservePerRank = 0.03
+	// largeReservePerRank is the same in a large fleet, where more requests start
+	// before their dispatches are reported.
+	largeReservePerRank = 0.06
 
 	// minRetryAfter and maxRetryAfter limit the retry delay returned with a
 	// rejection, which is uniformly distributed between them.
