brproxy: don't cut a request off that waits its turn at a busy endpoint

Cause: a request that may be sent again was cut off when half of the time that its caller waits had passed without a byte, and counted as the endpoint's failure.

An endpoint that makes progress with other requests now gets until 0.8 of that time. TestBusyEndpointIsNotCut failed before with a second dispatch. A grey endpoint that stays mute for a part of its requests is noticed later, but the request is late in both cases.

--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -189,6 +189,13 @@
 	}
 }
 
+// ProgressSince reports whether an endpoint has sent anything after t, as far as this
+// daemon knows.
+func (s *State) ProgressSince(id string, t time.Time) bool {
+	e := s.endpoints[id]
+	return e != nil && e.lastProgress.After(t)
+}
+
 // checkStalled suspends the endpoint of f if f has no first byte and the endpoint
 // has made no progress for longer than stallTimeout.
 func (s *State) checkStalled(f *inflightRequest) {
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -45,7 +45,7 @@
 	p.stats.Dispatches.Add(1)
 	p.countSend(q)
 	q.tried = append(q.tried, e.ID)
-	sendCtx, stall, stop := p.watchStall(ctx, q)
+	sendCtx, stall, stop := p.watchStall(ctx, q, e.ID)
 	defer stop()
 	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, e))
 	if err != nil {
@@ -273,8 +273,8 @@
 			return p.streamFailed(ctx, q, a, err)
 		}
 		if len(b) > 0 {
-			s.reset()
 			p.recordEvents(a, b)
+			s.reset()
 			if !q.headSent {
 				p.relayHead(q, x, -1)
 			}
--- a/brproxy/proxy_test.go
+++ b/brproxy/proxy_test.go
@@ -327,6 +327,42 @@
 	}
 }
 
+// TestBusyEndpointIsNotCut guards against sending a request again, under overload, that
+// only waits its turn at an endpoint while others make progress there.
+func TestBusyEndpointIsNotCut(t *testing.T) {
+	began, ended := make(chan struct{}), make(chan struct{})
+	s := newSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/stream") {
+			close(began)
+			for i := range 100 {
+				fmt.Fprintf(w, "id: %d\n\n", i)
+				http.NewResponseController(w).Flush()
+				select {
+				case <-time.After(20 * time.Millisecond):
+				case <-r.Context().Done():
+					return
+				}
+			}
+			return
+		}
+		select {
+		case <-time.After(600 * time.Millisecond): // between the two fractions of 1 s
+			io.WriteString(w, "ok")
+		case <-r.Context().Done():
+		}
+	})
+	go func() {
+		defer close(ended)
+		s.do(t, "POST", "/stream/", nil)
+	}()
+	<-began
+	status, body, _ := s.do(t, "POST", "/safe/", map[string]string{"Deadline": "1000"})
+	if status != 200 || body != "ok" || s.arrivals() != 2 {
+		t.Errorf("status %d, body %q, %d arrivals with the stream, want 200, ok and 2", status, body, s.arrivals())
+	}
+	<-ended
+}
+
 // TestStalledEndpoint guards against a request that times out at a stalled endpoint
 // although another endpoint could respond. A request that must not be repeated has
 // to stay at the stalled endpoint.
