--- a/brgossip/link.go
+++ b/brgossip/link.go
@@ -1,6 +1,7 @@
 package brgossip
 
 import (
+	"slices"
 	"time"
 
 	"bramleyroute/brpeer"
@@ -48,7 +49,8 @@
 }
 
 // adjustLinks dials the daemons that this one should have a link to, closes the
-// other links that it dialed, and chooses the relay.
+// other links that it dialed, and chooses the relay. A daemon without an open link that
+// isn't a seed dials at once: the others may not know it yet. The seeds know each other.
 func (n *Node) adjustLinks(now time.Time) {
 	seeds := n.cfg.Seeds()
 	n.mu.Lock()
@@ -62,8 +64,9 @@
 	}
 	t := n.topology()
 	desired := t.desiredLinks(seeds, func(address string) bool { return open[address] })
+	isolated := len(open) == 0 && !slices.Contains(seeds, n.cfg.Self.Address)
 	for address := range desired {
-		if n.links[address] == nil && !open[address] && n.shouldDial(now, t, address) {
+		if n.links[address] == nil && !open[address] && (isolated || n.shouldDial(now, t, address)) {
 			n.links[address] = n.dial(address)
 		}
 	}
--- a/brgossip/node_test.go
+++ b/brgossip/node_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bramleyroute/brpeer"
+	"bramleyroute/brtest"
 )
 
 // testNode is a node on loopback that stores the records passed to OnRecord.
@@ -30,7 +31,7 @@
 // startNodeWith starts a node on a free port. It treats load records as direct.
 func startNodeWith(t *testing.T, self Daemon, seeds func() []string) *testNode {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", brtest.FreeAddress(t)) // addresses ascend
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -110,3 +111,18 @@
 	a.node.Publish(Record{Key: "policy/current", Version: Version{0, 7}, Value: []byte("new")})
 	await(t, "record received without the seed", func() bool { return b.value("policy/current") == "new" })
 }
+
+// TestIsolatedNodeDialsAtOnce guards against a daemon with a great address that waits
+// for others to dial it after its start, though they don't know it yet.
+func TestIsolatedNodeDialsAtOnce(t *testing.T) {
+	first := startNode(t, "a", func() []string { return nil })
+	seeds := func() []string { return []string{first.address} }
+	for i := range 3 {
+		started := time.Now()
+		n := startNode(t, fmt.Sprint("n", i), seeds)
+		await(t, "link to the seed", func() bool { return n.node.Conn(first.address) != nil })
+		if d := time.Since(started); d >= acceptTimeout {
+			t.Errorf("%s has a link to %s after %v, want less than %v", n.address, first.address, d, acceptTimeout)
+		}
+	}
+}
