Shorten the reports between daemons and send them to all linked replicas

- Usage of an endpoint and quota totals are encoded as arrays, records with numbers for field names; quota reports omit customers without a change in 2 s.
- A daemon sends its own reports to all replicas that it is linked to, so that they reach both parts of a core that is cut in two.
A fleet of mixed builds ignores and logs records of the other build; a rolling upgrade from the build before loses shared reports until its end.

--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -19,13 +19,13 @@
 	maxReportInterval = 400 * time.Millisecond
 	// minReportInterval is the shortest interval between two reports. In a large
 	// fleet it grows to reportIntervalPerDaemon times the number of daemons, so
-	// that each daemon receives at most 1,000 reports per second.
+	// that each daemon receives at most 670 reports per second.
 	minReportInterval       = 20 * time.Millisecond
-	reportIntervalPerDaemon = time.Millisecond
+	reportIntervalPerDaemon = 1500 * time.Microsecond
 	// quotaUsageIntervalPerDaemon times the number of daemons is the shortest interval
 	// between two reports of quota usage. Between reports the other daemons
 	// extrapolate the usage.
-	quotaUsageIntervalPerDaemon = 1500 * time.Microsecond
+	quotaUsageIntervalPerDaemon = 3 * time.Millisecond
 )
 
 // scheduleReport requests a report from runLoad. It doesn't block.
--- a/brgossip/relay.go
+++ b/brgossip/relay.go
@@ -17,8 +17,10 @@
 
 // directTargets returns the peers that a direct record is sent to. In a small fleet
 // only the writer of the record sends it, to all peers. In a large fleet a daemon
-// without a replica sends it to its relay. The relay forwards it to its subscribers
-// and to the other replicas, which forward it to their subscribers. A relay also
+// without a replica sends its own ones to all replicas that it has a link to, so that
+// they reach both parts of the replicas if these are cut off from each other. Each
+// forwards them to its subscribers and to the other replicas, which forward them to
+// their subscribers. A relay also
 // returns it to the subscriber that it came from, so that all subscribers receive the
 // same message. A daemon without a relay sends to all its peers.
 func (n *Node) directTargets(from *brpeer.Conn) []*peer {
@@ -33,7 +35,7 @@
 	for c, p := range n.peers {
 		switch {
 		case c == from && !(echo && p.wantsDirect):
-		case toAll, p.wantsDirect, toReplicas && t.isReplica(p.address), toRelay && c == n.relay:
+		case toAll, p.wantsDirect, (toReplicas || toRelay && local) && t.isReplica(p.address), toRelay && c == n.relay:
 			targets = append(targets, p)
 		}
 	}
--- a/brgossip/store.go
+++ b/brgossip/store.go
@@ -8,8 +8,9 @@
 // Version orders the values of one record. Versions are compared by Epoch, then by
 // Seq; the greater one is newer.
 type Version struct {
-	Epoch uint64 `cbor:"epoch"`
-	Seq   uint64 `cbor:"seq"`
+	_     struct{} `cbor:",toarray"`
+	Epoch uint64
+	Seq   uint64
 }
 
 // Less reports whether v is older than w.
@@ -20,15 +21,16 @@
 	return v.Seq < w.Seq
 }
 
-// Record is one shared value. Keys have the form kind/name.
+// Record is one shared value. Keys have the form kind/name. Records are encoded with
+// numbers as field names, since a large fleet exchanges many short ones.
 type Record struct {
-	Key     string        `cbor:"key"`
-	Version Version       `cbor:"version"`
-	Value   []byte        `cbor:"value,omitempty"`
-	Age     time.Duration `cbor:"age,omitempty"` // time since the writer published it, measured by the sender
+	Key     string        `cbor:"1,keyasint"`
+	Version Version       `cbor:"2,keyasint"`
+	Value   []byte        `cbor:"3,keyasint,omitempty"`
+	Age     time.Duration `cbor:"4,keyasint,omitempty"` // time since the writer published it, measured by the sender
 	// Lifetime is the time after which a record that isn't renewed expires; 0 means
 	// never.
-	Lifetime time.Duration `cbor:"lifetime,omitempty"`
+	Lifetime time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Kind returns the part of the key before the slash.
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -14,13 +14,15 @@
 }
 
 // Usage is the load that one daemon puts on an endpoint, and the outcomes that it
-// observed there.
+// observed there. It is encoded as an array, since reports make up most of the traffic
+// between the daemons of a large fleet.
 type Usage struct {
-	Active              int           `cbor:"a,omitempty"` // number of requests dispatched and not ended
-	PendingPromptTokens int           `cbor:"p,omitempty"` // prompt tokens of dispatched requests without a first response byte
-	Ended               uint64        `cbor:"e,omitempty"` // number of requests that ended since the daemon started
-	Failed              uint64        `cbor:"f,omitempty"` // number of ended requests that failed because of the endpoint
-	EventInterval       time.Duration `cbor:"s,omitempty"` // mean time between two events of a stream; 0 if unknown
+	_                   struct{}      `cbor:",toarray"`
+	Active              int           // number of requests dispatched and not ended
+	PendingPromptTokens int           // prompt tokens of dispatched requests without a first response byte
+	Ended               uint64        // number of requests that ended since the daemon started
+	Failed              uint64        // number of ended requests that failed because of the endpoint
+	EventInterval       time.Duration // mean time between two events of a stream; 0 if unknown
 }
 
 // Report is the usage that one daemon publishes to the others, by endpoint ID.
--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"time"
 )
@@ -27,6 +28,14 @@
 	// maxRetryAfter limits the wait that Spend returns to a refused customer.
 	maxRetryAfter = 5 * time.Second
 
+	// reportRetention is the time for which a report holds the totals of a customer after
+	// their last change, so that reports that are skipped by faster ones lose nothing.
+	reportRetention = 2 * time.Second
+
+	// minRate is the rate below which a customer counts as idle at a daemon, in units per
+	// second.
+	minRate = 1e-3
+
 	// silenceCheckInterval is the minimum time between two checks for silent daemons,
 	// whose cost is proportional to the number of daemons.
 	silenceCheckInterval = 50 * time.Millisecond
@@ -59,13 +68,21 @@
 	Slack float64
 }
 
-// Report holds the cumulative totals of one daemon since its start.
+// Report holds the cumulative totals of one daemon since its start. It omits customers
+// whose totals have not changed for reportRetention.
 type Report struct {
-	Spent    map[string]float64 `cbor:"spent,omitempty"`    // quota spent, by customer
-	Demand   map[string]float64 `cbor:"asked,omitempty"`    // quota requested including refused requests, by customer
-	Requests map[string]float64 `cbor:"requests,omitempty"` // number of requests, by service
-	Retries  map[string]float64 `cbor:"retries,omitempty"`  // number of retries, by service
-	Uptime   time.Duration      `cbor:"uptime,omitempty"`   // time over which the totals were counted
+	Customers map[string]Totals  `cbor:"customers,omitempty"`
+	Requests  map[string]float64 `cbor:"requests,omitempty"` // number of requests, by service
+	Retries   map[string]float64 `cbor:"retries,omitempty"`  // number of retries, by service
+	Uptime    time.Duration      `cbor:"uptime,omitempty"`   // time over which the totals were counted
+}
+
+// Totals holds the cumulative quota of one customer at one daemon, in whole units. It is
+// encoded as an array to keep reports short.
+type Totals struct {
+	_      struct{} `cbor:",toarray"`
+	Spent  int64    // quota spent
+	Demand int64    // quota requested including refused requests
 }
 
 // Config configures a Limiter.
@@ -82,9 +99,11 @@
 type Limiter struct {
 	cfg         Config
 	limits      map[string]Limit
-	buckets     map[string]*bucket // by customer
-	retries     map[string]float64 // available retries, by service
-	own         Report
+	buckets     map[string]*bucket    // by customer
+	retries     map[string]float64    // available retries, by service
+	own         map[string]*ownTotals // by customer
+	requests    map[string]float64    // number of own requests, by service
+	ownRetries  map[string]float64    // number of own retries, by service
 	peers       map[string]*peer
 	activePeers int       // number of peers that are active
 	daemonCount int       // number of daemons, including this one
@@ -93,10 +112,18 @@
 	lastCheck   time.Time // time of the last check for silent peers
 }
 
-// peer holds the latest report of another daemon, and its rates, which are assumed to
-// continue until its next report.
+// ownTotals holds this daemon's totals of one customer.
+type ownTotals struct {
+	spent, demand float64
+	changedAt     time.Time
+}
+
+// peer holds the totals of another daemon, and its rates, which are assumed to continue
+// until its next report.
 type peer struct {
-	report      Report
+	customers   map[string]Totals  // latest totals of each customer
+	requests    map[string]float64 // latest number of requests, by service
+	retries     map[string]float64 // latest number of retries, by service
 	reportedAt  time.Time
 	active      bool               // its report is younger than the peer timeout
 	estimatedTo time.Time          // end of the time for which the buckets hold its estimated usage, if not active
@@ -126,13 +153,11 @@
 		cfg:     cfg,
 		buckets: map[string]*bucket{},
 		retries: map[string]float64{},
-		own:     newReport(),
+		own:     map[string]*ownTotals{},
 		peers:   map[string]*peer{},
-	}
-}
 
-func newReport() Report {
-	return Report{Spent: map[string]float64{}, Demand: map[string]float64{}, Requests: map[string]float64{}, Retries: map[string]float64{}}
+		requests: map[string]float64{}, ownRetries: map[string]float64{},
+	}
 }
 
 // SetLimits replaces the limits. The keys are customer names. A customer without an
@@ -185,18 +210,30 @@
 		return 0, true
 	}
 	b := l.bucket(now, customer, limit)
-	l.own.Demand[customer] += cost
+	own := l.ownTotals(customer)
+	own.demand += cost
 	b.ownRequests += cost
 	missing := 1 - b.level
 	if missing <= 0 && l.admits(b, limit) {
 		b.level -= cost
-		l.own.Spent[customer] += cost
+		own.spent += cost
 		return 0, true
 	}
 	seconds := max(0, missing, cost*(b.demand()/limit.Rate-1)) / (limit.Rate * l.refillShare(l.activePeers))
 	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxRetryAfter), false
 }
 
+// ownTotals returns this daemon's totals of a customer, which are about to change.
+func (l *Limiter) ownTotals(customer string) *ownTotals {
+	own := l.own[customer]
+	if own == nil {
+		own = &ownTotals{}
+		l.own[customer] = own
+	}
+	own.changedAt = l.lastRefill
+	return own
+}
+
 // admits reports whether a request of a customer may be admitted with regard to what
 // the other daemons may admit before their reports arrive.
 func (l *Limiter) admits(b *bucket, limit Limit) bool {
@@ -223,7 +260,7 @@
 		return
 	}
 	l.bucket(now, customer, limit).level += cost
-	l.own.Spent[customer] -= cost
+	l.ownTotals(customer).spent -= cost
 }
 
 // bucket returns the bucket of a customer, last refilled at most minRefillInterval
@@ -321,7 +358,7 @@
 // CountRequest counts the first dispatch of a request to a service and adds to the
 // retry budget of the service.
 func (l *Limiter) CountRequest(service string) {
-	l.own.Requests[service]++
+	l.requests[service]++
 	l.addRetries(service, retryRatio)
 }
 
@@ -333,7 +370,7 @@
 		return false
 	}
 	l.retries[service]--
-	l.own.Retries[service]++
+	l.ownRetries[service]++
 	return true
 }
 
@@ -346,13 +383,18 @@
 	l.retries[service] = min(retryBurst, level+n)
 }
 
-// Report returns a copy of the totals of this daemon.
+// Report returns the totals of this daemon.
 func (l *Limiter) Report() Report {
-	return Report{
-		Spent: maps.Clone(l.own.Spent), Demand: maps.Clone(l.own.Demand),
-		Requests: maps.Clone(l.own.Requests), Retries: maps.Clone(l.own.Retries),
+	r := Report{
+		Customers: map[string]Totals{}, Requests: maps.Clone(l.requests), Retries: maps.Clone(l.ownRetries),
 		Uptime: l.lastRefill.Sub(l.startedAt),
 	}
+	for customer, own := range l.own {
+		if l.lastRefill.Sub(own.changedAt) <= reportRetention {
+			r.Customers[customer] = Totals{Spent: int64(math.Round(own.spent)), Demand: int64(math.Round(own.demand))}
+		}
+	}
+	return r
 }
 
 // PeerReported applies the latest totals of another daemon. Usage before the first
@@ -368,35 +410,64 @@
 	if p.active {
 		l.deactivate(p)
 	}
-	prev, elapsed := p.report, now.Sub(p.reportedAt)
-	for customer, asked := range r.Demand {
+	l.applyTotals(now, p, r)
+	p.reportedAt = now
+	l.activate(p)
+	for service, n := range r.Requests {
+		l.addRetries(service, retryRatio*(n-p.requests[service]))
+		p.requests[service] = n
+	}
+	for service, n := range r.Retries {
+		l.addRetries(service, 0)
+		l.retries[service] = max(-retryBurst, l.retries[service]-(n-p.retries[service]))
+		p.retries[service] = n
+	}
+}
+
+// applyTotals deducts the usage of a peer since its last report from the buckets, less
+// the estimate that they hold, and updates its rates. A customer without totals in r has
+// none.
+func (l *Limiter) applyTotals(now time.Time, p *peer, r Report) {
+	elapsed := now.Sub(p.reportedAt)
+	for customer := range r.Customers {
+		if _, ok := p.customers[customer]; !ok {
+			p.customers[customer] = Totals{}
+		}
+	}
+	for customer, prev := range p.customers {
 		limit := l.limits[customer]
 		if limit.Rate <= 0 {
 			continue
 		}
-		spent := r.Spent[customer] - prev.Spent[customer]
+		totals, ok := r.Customers[customer]
+		if !ok && p.demandRates[customer] == 0 && p.spendRates[customer] == 0 {
+			continue
+		}
+		if !ok {
+			totals = prev
+		}
+		spent := float64(totals.Spent - prev.Spent)
 		estimated := p.spendRates[customer] * p.estimatedTo.Sub(p.reportedAt).Seconds()
 		l.bucket(now, customer, limit).level -= spent - estimated
 		updateRate(p.spendRates, customer, spent, elapsed)
-		updateRate(p.demandRates, customer, asked-prev.Demand[customer], elapsed)
-	}
-	p.report, p.reportedAt = r, now
-	l.activate(p)
-	for service, n := range r.Requests {
-		l.addRetries(service, retryRatio*(n-prev.Requests[service]))
-	}
-	for service, n := range r.Retries {
-		l.addRetries(service, 0)
-		l.retries[service] = max(-retryBurst, l.retries[service]-(n-prev.Retries[service]))
+		updateRate(p.demandRates, customer, float64(totals.Demand-prev.Demand), elapsed)
+		p.customers[customer] = totals
 	}
 }
 
 // newPeer returns the state of a daemon before its first report r.
 func (l *Limiter) newPeer(now time.Time, r Report) *peer {
-	p := &peer{report: r, reportedAt: now, estimatedTo: now, spendRates: map[string]float64{}, demandRates: map[string]float64{}}
+	p := &peer{
+		customers: map[string]Totals{}, requests: map[string]float64{}, retries: map[string]float64{},
+		reportedAt: now, estimatedTo: now, spendRates: map[string]float64{}, demandRates: map[string]float64{},
+	}
 	if r.Uptime < maxFirstUptime && r.Uptime <= now.Sub(l.startedAt) {
-		p.report, p.reportedAt, p.estimatedTo = Report{}, now.Add(-r.Uptime), now.Add(-r.Uptime)
+		p.reportedAt, p.estimatedTo = now.Add(-r.Uptime), now.Add(-r.Uptime)
+		return p
 	}
+	maps.Copy(p.customers, r.Customers)
+	maps.Copy(p.requests, r.Requests)
+	maps.Copy(p.retries, r.Retries)
 	return p
 }
 
@@ -406,7 +477,12 @@
 	if elapsed <= 0 {
 		return
 	}
-	rates[customer] += averageWeight(elapsed) * (max(0, added)/elapsed.Seconds() - rates[customer])
+	rate := rates[customer]
+	rate += averageWeight(elapsed) * (max(0, added)/elapsed.Seconds() - rate)
+	if rate < minRate {
+		rate = 0
+	}
+	rates[customer] = rate
 }
 
 // PeerLost removes another daemon.
