brquota: tell customers beyond their rate when the rate has covered their demand

The wait is now a random part of the time in which the rate covers one second of the demand, after the bucket's refill. TestBacklogDelaysReturn failed before.

--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -126,7 +126,7 @@
 	retries     map[string]float64 // latest number of retries, by service
 	reportedAt  time.Time
 	active      bool               // its report is younger than the peer timeout
-	estimatedTo time.Time          // end of the time for which the buckets hold its estimated usage, if not active
+	estimatedTo time.Time          // time until which the buckets hold its estimated usage, if not active
 	spendRates  map[string]float64 // moving average of quota spent per second, by customer
 	demandRates map[string]float64 // moving average of quota requested per second, by customer
 }
@@ -201,9 +201,9 @@
 // refilled first.
 //
 // Of a customer beyond its rate each daemon admits the fraction of the demand that the
-// rate covers, and up to three times that fraction while the bucket isn't empty. The copies of
-// a bucket are as old as the reports, so that daemons which looked only at the level
-// would all admit the customer at the same time whenever it isn't empty.
+// rate covers, and up to three times that fraction while the bucket isn't empty. The
+// copies of a bucket are as old as the reports, so that daemons which looked only at the
+// level would all admit the customer at the same time whenever it isn't empty.
 func (l *Limiter) Spend(now time.Time, customer string, cost float64) (wait time.Duration, ok bool) {
 	limit := l.limits[customer]
 	if limit.Rate <= 0 {
@@ -213,14 +213,21 @@
 	own := l.ownTotals(customer)
 	own.demand += cost
 	b.ownRequests += cost
-	missing := 1 - b.level
-	if missing <= 0 && l.admits(b, limit) {
+	if b.level >= 1 && l.admits(b, limit) {
 		b.level -= cost
 		own.spent += cost
 		return 0, true
 	}
-	seconds := max(0, missing, cost*(b.demand()/limit.Rate-1)) / (limit.Rate * l.refillShare(l.activePeers))
-	return min(time.Duration(seconds*float64(time.Second))+time.Millisecond, maxRetryAfter), false
+	return l.retryDelay(b, limit), false
+}
+
+// retryDelay returns the time after which a refused customer may be admitted: when its
+// bucket holds a unit again, and when the rate has covered the demand of one second. It
+// is random, so that refused requests don't all return at the same time.
+func (l *Limiter) retryDelay(b *bucket, limit Limit) time.Duration {
+	refill := max(0, 1-b.level) / (limit.Rate * l.refillShare(l.activePeers)) // seconds
+	backlog := max(0, b.demand()/limit.Rate-1) * l.cfg.Random()               // seconds
+	return min(time.Duration((refill+backlog)*float64(time.Second))+time.Millisecond, maxRetryAfter)
 }
 
 // ownTotals returns this daemon's totals of a customer, which are about to change.
--- a/brquota/limiter_test.go
+++ b/brquota/limiter_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// TestBacklogDelaysReturn guards against callers of a customer far beyond its rate that
+// are told to come back at once, all at the same time, and are refused again.
+func TestBacklogDelaysReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := 0.0
+	l := NewLimiter(Config{Random: func() float64 { return random }})
+	l.SetLimits(map[string]Limit{"c": {Rate: 1000, Burst: 1000}})
+	l.PeerReported(now, "p", Report{Customers: map[string]Totals{"c": {}}, Uptime: time.Minute})
+	for i := range 4 { // five times the rate at another daemon
+		now = now.Add(500 * time.Millisecond)
+		l.PeerReported(now, "p", Report{Customers: map[string]Totals{"c": {Spent: int64(500 * (i + 1)), Demand: int64(2500 * (i + 1))}}, Uptime: time.Minute})
+	}
+	random = 0.999
+	wait, ok := l.Spend(now, "c", 10)
+	if ok || wait < 3*time.Second || wait > maxRetryAfter {
+		t.Errorf("wait %v, ok %v, want from 3s to %v and false", wait, ok, maxRetryAfter)
+	}
+	random = 0.5
+	if other, _ := l.Spend(now, "c", 10); other >= wait {
+		t.Errorf("second wait %v, want less than %v", other, wait)
+	}
+}
+
 // TestRetryBudget guards against more retries over all daemons than the budget
 // that the users require: a fifth of the requests plus a fixed slack.
 func TestRetryBudget(t *testing.T) {
