--- a/brquota/limiter_test.go
+++ b/brquota/limiter_test.go
@@ -220,7 +220,7 @@
 	l.PeerReported(now, "p", Report{Customers: map[string]Totals{"c": {}}, Uptime: time.Minute})
 	for i := range 4 { // five times the rate at another daemon
 		now = now.Add(500 * time.Millisecond)
-		l.PeerReported(now, "p", Report{Customers: map[string]Totals{"c": {Spent: int64(500 * (i + 1)), Demand: int64(2500 * (i + 1))}}, Uptime: time.Minute})
+		l.PeerReported(now, "p", Report{Customers: map[string]Totals{"c": {Spent: int64(700 * (i + 1)), Demand: int64(2500 * (i + 1))}}, Uptime: time.Minute})
 	}
 	random = 0.999
 	wait, ok := l.Spend(now, "c", 10)
