brplace: reject as paused only while an endpoint is paused

Cause: rejectPaused compared a pause of 0 with the rest of the time that a request may wait, which is negative for one that is sent again late. TestRetryAfterMaxQueueTime failed before.

--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -116,7 +116,7 @@
 // longer than r may wait, and reports whether it did.
 func (s *State) rejectPaused(v *service, r *Request) bool {
 	pause := s.pauseOf(v, r)
-	if pause <= r.MaxQueueTime-s.now.Sub(r.Arrived) {
+	if pause == 0 || pause <= r.MaxQueueTime-s.now.Sub(r.Arrived) {
 		return false
 	}
 	s.reject(r, Paused, pause+time.Duration(s.cfg.Random()*float64(pauseSpread)))
--- a/brplace/pause_test.go
+++ b/brplace/pause_test.go
@@ -44,3 +44,13 @@
 	checkEffects(t, "short rest of the pause", s.Step(at(2500), Submit{request(3, 0, 2500)}))
 	checkEffects(t, "end of the pause", s.Step(at(3100), Tick{}), "dispatch 3 b")
 }
+
+// TestRetryAfterMaxQueueTime guards against rejecting a request as paused that is sent
+// again after its MaxQueueTime, while an endpoint has room and none is paused.
+func TestRetryAfterMaxQueueTime(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b")
+	r := request(1, 0, 0)
+	r.ExcludedEndpoints = []string{"a"}
+	checkEffects(t, "retry", s.Step(at(1300), Submit{r}), "dispatch 1 b")
+}
