brdispatch: limit response headers as brconn does

The limit moves from brconn to brheader.Limiter, which both use. brconn now refuses a response that switches protocols, which it skipped before.

--- a/brconn/endless_test.go
+++ b/brconn/endless_test.go
@@ -12,6 +12,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bramleyroute/brheader"
 )
 
 // maxHeldBytes is the memory that an endless response may take.
@@ -68,10 +70,10 @@
 		name, head, part string
 		want             error
 	}{
-		{"fields", "HTTP/1.1 200 OK\r\n", "X-Fill: " + strings.Repeat("x", 1000) + "\r\n", ErrHeadTooLarge},
-		{"line", "HTTP/1.1 200 OK\r\nX-Fill: ", strings.Repeat("x", 1000), ErrHeadTooLarge},
-		{"status line", "", strings.Repeat("x", 1000), ErrHeadTooLarge},
-		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", ErrHeadTooLarge},
+		{"fields", "HTTP/1.1 200 OK\r\n", "X-Fill: " + strings.Repeat("x", 1000) + "\r\n", brheader.ErrTooLarge},
+		{"line", "HTTP/1.1 200 OK\r\nX-Fill: ", strings.Repeat("x", 1000), brheader.ErrTooLarge},
+		{"status line", "", strings.Repeat("x", 1000), brheader.ErrTooLarge},
+		{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", brheader.ErrTooLarge},
 		{"late responses", "", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n", ErrResponseMismatch},
 		{"late response without end", "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 1000000000000\r\n\r\n", strings.Repeat("x", 1000), ErrResponseMismatch},
 	} {
--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"bramleyroute/brheader"
 )
 
 // Request is a request to an endpoint.
@@ -50,58 +52,29 @@
 // request.
 var ErrResponseMismatch = errors.New("brconn: response belongs to another request")
 
-// ErrHeadTooLarge reports that an endpoint sent more than maxHeadBytes before the end
-// of a response header, or more than maxInformational informational responses.
-var ErrHeadTooLarge = errors.New("brconn: response header is too large")
-
 const (
 	// maxMismatches is the number of responses to other requests that are discarded
 	// on a connection before Send fails.
 	maxMismatches = 2
 	// maxMismatchBytes is the maximum size in bytes of the body of such a response.
 	maxMismatchBytes = 256 << 10
-	// maxInformational is the maximum number of informational responses to a request.
-	maxInformational = 8
-	// maxHeadBytes is the maximum size in bytes of the status line and header of a
-	// response.
-	maxHeadBytes = 64 << 10
 	// maxDiscardBytes and discardTimeout limit what Discard reads.
 	maxDiscardBytes = 64 << 10
 	discardTimeout  = 100 * time.Millisecond
 )
 
-// headLimiter reads from a connection and limits the size of response headers.
-type headLimiter struct {
-	net net.Conn
-	// remaining is the number of bytes that may still be read; negative means no limit.
-	remaining int
-}
-
-// Read implements io.Reader. It returns ErrHeadTooLarge when no bytes remain.
-func (l *headLimiter) Read(b []byte) (int, error) {
-	if l.remaining < 0 {
-		return l.net.Read(b)
-	}
-	if l.remaining == 0 {
-		return 0, ErrHeadTooLarge
-	}
-	n, err := l.net.Read(b[:min(len(b), l.remaining)])
-	l.remaining -= n
-	return n, err
-}
-
 // conn is a pooled connection with its buffers.
 type conn struct {
 	net     net.Conn
 	address string
-	limiter *headLimiter
+	limiter *brheader.Limiter
 	reader  *bufio.Reader // reads from limiter
 	writer  *bufio.Writer
 	expires time.Time // time after which an idle connection is not reused
 }
 
 func newConn(n net.Conn, address string) *conn {
-	l := &headLimiter{net: n, remaining: -1}
+	l := brheader.NewLimiter(n)
 	return &conn{
 		net: n, address: address, limiter: l,
 		reader: bufio.NewReaderSize(l, bufferBytes),
@@ -163,14 +136,18 @@
 }
 
 // readHead reads response headers until one matches the request. It returns
-// ErrResponseMismatch after more than maxMismatches mismatches, or after one whose
-// body is longer than maxMismatchBytes or of unknown length.
+// ErrResponseMismatch after more than maxMismatches mismatches, after one whose body is
+// longer than maxMismatchBytes or of unknown length, or if the endpoint switches
+// protocols. Errors include brheader.ErrTooLarge.
 func (x *Exchange) readHead(r Request) error {
 	for range maxMismatches + 1 {
-		response, err := x.conn.readFinalHead(r.Method)
+		response, err := x.conn.limiter.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return err
 		}
+		if response.StatusCode == http.StatusSwitchingProtocols {
+			return ErrResponseMismatch
+		}
 		a := Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
 		if x.pool.Matches == nil || x.pool.Matches(r.ID, &a) {
 			x.Response, x.response = a, response
@@ -186,23 +163,6 @@
 	return ErrResponseMismatch
 }
 
-// readFinalHead reads the header of the next response that isn't informational. Errors
-// include ErrHeadTooLarge.
-func (c *conn) readFinalHead(method string) (*http.Response, error) {
-	for range maxInformational + 1 {
-		c.limiter.remaining = maxHeadBytes
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		c.limiter.remaining = -1
-		if err != nil {
-			return nil, err
-		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
-		}
-	}
-	return nil, ErrHeadTooLarge
-}
-
 // Read reads the response body. It returns io.EOF only at the end of a complete
 // body.
 func (x *Exchange) Read(b []byte) (int, error) {
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -17,6 +17,7 @@
 	"bramleyroute/brclock"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
+	"bramleyroute/brheader"
 )
 
 // Defaults of the Client settings.
@@ -94,7 +95,8 @@
 	return &conn{Conn: nc, idleTimeout: idleTimeout}, nil
 }
 
-// exchange writes req once and reads the header of the response. It reads the response
+// exchange writes req once and reads the header of the response with br, whose source
+// it sets. It reads the response
 // even if the write failed, because an endpoint may respond before it has read the
 // complete body.
 func exchange(cn *conn, br *bufio.Reader, req *http.Request) (*http.Response, error) {
@@ -103,18 +105,16 @@
 		return nil, err
 	}
 	writeErr := req.Write(cn)
-	for {
-		resp, err := http.ReadResponse(br, req)
-		if err != nil {
-			return nil, errors.Join(writeErr, err)
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, errors.New("endpoint switched protocols")
-		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
-		}
+	limiter := brheader.NewLimiter(cn)
+	br.Reset(limiter)
+	resp, err := limiter.ReadResponse(br, req)
+	if err != nil {
+		return nil, errors.Join(writeErr, err)
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		return nil, errors.New("endpoint switched protocols")
 	}
+	return resp, nil
 }
 
 // Cancel cancels a request at the engine at address. It returns nil if the engine
@@ -175,7 +175,6 @@
 	c.Counters.Dispatches.Add(1)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
 	defer stop()
-	br.Reset(cn)
 	resp, err := exchange(cn, br, req)
 	if err != nil {
 		_ = cn.Close()
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -211,7 +211,6 @@
 	stop := context.AfterFunc(s.ctx, func() { _ = cn.Close() })
 	defer stop()
 	path := brengine.PathRequests + url.PathEscape(s.request.RequestID) + "?offset=" + strconv.Itoa(s.result.NextOffset)
-	s.connReader.Reset(cn)
 	resp, err := exchange(cn, s.connReader, newRequest(http.MethodGet, s.request.Address, path, nil, 0))
 	if err != nil {
 		_ = cn.Close()
