--- a/brfleet/fleet_test.go
+++ b/brfleet/fleet_test.go
@@ -319,6 +319,22 @@
 	}
 }
 
+// get sends a request of testPolicy's route through a daemon and returns the status.
+func get(t *testing.T, front *httptest.Server) int {
+	t.Helper()
+	r, err := http.NewRequest("GET", front.URL+"/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	res, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return res.StatusCode
+}
+
 // TestLeavingResponseReachesAll guards against daemons that go on sending requests to
 // an endpoint that told only one of them, in a response, that it is leaving.
 func TestLeavingResponseReachesAll(t *testing.T) {
@@ -354,16 +370,7 @@
 	awaitLeaving("endpoint is known", false)
 	front := httptest.NewServer(c.fleets[2].Proxy())
 	defer front.Close()
-	r, err := http.NewRequest("GET", front.URL+"/x", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r.Host = "h"
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		t.Fatal(err)
-	}
-	resp.Body.Close()
+	get(t, front)
 	awaitLeaving("endpoint is leaving", true)
 	a.Sequence = 9
 	announce(0)
@@ -454,18 +461,8 @@
 	defer front.Close()
 	for i := range 3 {
 		c.stop(i)
-		r, err := http.NewRequest("GET", front.URL+"/x", nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Host = "h"
-		resp, err := http.DefaultClient.Do(r)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp.Body.Close()
-		if resp.StatusCode != http.StatusOK {
-			t.Errorf("status %d after the loss of %d replicas, want 200", resp.StatusCode, i+1)
+		if status := get(t, front); status != http.StatusOK {
+			t.Errorf("status %d after the loss of %d replicas, want 200", status, i+1)
 		}
 	}
 	if served.Load() != 3 {
