--- a/brproxy/proxy_test.go
+++ b/brproxy/proxy_test.go
@@ -556,3 +556,38 @@
 		t.Errorf("status %d, want 200", status)
 	}
 }
+
+// TestTricklingStream guards against a stalled stream that never ends because a byte
+// arrives now and then, and against cutting off a slow one whose events are complete.
+func TestTricklingStream(t *testing.T) {
+	var first sync.Once
+	trickle := func(w http.ResponseWriter, r *http.Request) {
+		stall := false
+		first.Do(func() { stall = true })
+		if !stall {
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for i := last + 1; i <= 4; i++ {
+				fmt.Fprintf(w, "id: %d\n\n", i)
+				http.NewResponseController(w).Flush()
+				time.Sleep(100 * time.Millisecond) // a slow, sound stream
+			}
+			return
+		}
+		io.WriteString(w, "id: 1\n\n")
+		for r.Context().Err() == nil {
+			io.WriteString(w, "d")
+			http.NewResponseController(w).Flush()
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	s := newSystem(t, trickle, trickle)
+	status, body, complete := s.do(t, "POST", "/resume/", map[string]string{"Deadline": "2000"})
+	if want := "id: 1\n\nid: 2\n\nid: 3\n\nid: 4\n\n"; status != 200 || body != want || !complete || s.arrivals() != 2 {
+		t.Errorf("status %d, body %q, complete %v, %d arrivals, want 200, the four events, true and 2", status, body, complete, s.arrivals())
+	}
+	first = sync.Once{}
+	sent := time.Now()
+	if _, _, complete := s.do(t, "POST", "/stream/", map[string]string{"Deadline": "500"}); complete || time.Since(sent) > 2*time.Second {
+		t.Errorf("stream that must not be repeated: complete %v after %v, want false within its deadline of 500 ms and a margin", complete, time.Since(sent))
+	}
+}
