brconn: bytes after a response are tested at each time that they may arrive

Cause: the test writes the response and the bytes after it apart. If the second write comes after the pool has checked the idle connection, the connection is in use again and the bytes are read as the next response.

A pool can't know of bytes that have not arrived; what it can do differs by the time of their arrival.

--- a/brconn/endless_test.go
+++ b/brconn/endless_test.go
@@ -153,7 +153,7 @@
 			writeForever(c, strings.Repeat("x", 1000))
 		}, false},
 		{"endless after its end", func(c net.Conn, id string) {
-			fmt.Fprintf(c, head("Content-Length: 4\r\n")+"full", id)
+			fmt.Fprintf(c, head("Content-Length: 4\r\n")+"full"+strings.Repeat("x", 1000), id)
 			writeForever(c, strings.Repeat("x", 1000))
 		}, false},
 	} {
@@ -180,3 +180,66 @@
 		})
 	}
 }
+
+// TestBytesAfterResponse guards against reusing a connection on which an endpoint sends
+// bytes after a complete response, and against taking such bytes for the next response
+// if they arrive only when the connection is in use again.
+func TestBytesAfterResponse(t *testing.T) {
+	extra := strings.Repeat("x", 1000)
+	for _, test := range []struct {
+		name   string
+		reused bool // the bytes arrive after the next request
+	}{
+		{"while idle", false},
+		{"in use", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			idle, done := make(chan struct{}), make(chan struct{})
+			e := startEndpoint(t, func(e *endpoint, c net.Conn, r *bufio.Reader) {
+				id, _ := e.read(r)
+				respond(c, id, id)
+				if test.reused {
+					e.read(r)
+				} else {
+					<-idle
+				}
+				writeForever(c, extra)
+				close(done)
+			}, serve)
+			p := newPool()
+			defer p.Close()
+			if body, err := send(p, e.address, "1", "POST"); err != nil || body != "1" {
+				t.Fatalf("body %q, error %v, want body 1", body, err)
+			}
+			close(idle)
+			if !test.reused {
+				awaitUnusable(t, p, e.address)
+			}
+			body, err := send(p, e.address, "2", "POST")
+			var sent *SendError
+			if test.reused && (!errors.As(err, &sent) || !sent.MaybeSent) {
+				t.Errorf("body %q, error %v, want a SendError with MaybeSent set", body, err)
+			}
+			if !test.reused && (err != nil || body != "2") {
+				t.Errorf("body %q, error %v, want body 2", body, err)
+			}
+			if got := p.Stats().Reused == 1; got != test.reused {
+				t.Errorf("connection reused: %v, want %v", got, test.reused)
+			}
+			awaitClosed(t, done)
+		})
+	}
+}
+
+// awaitUnusable waits until bytes have arrived on the idle connection to address.
+func awaitUnusable(t *testing.T, p *Pool, address string) {
+	t.Helper()
+	p.mu.Lock()
+	c := p.idle[address][0]
+	p.mu.Unlock()
+	for deadline := time.Now().Add(5 * time.Second); reusable(c.net); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("no bytes on the idle connection after 5 s")
+		}
+	}
+}
