brplace: the own failure domain first, a larger reserve, and a fair share under overload

Ruled out in the replay (trials): slots without a queue first, choice among more or fewer endpoints, slots assigned to daemons, and a rate of dispatches by the free slots; each earned less than this, or no more.

- In a large fleet the endpoints of the own failure domain come first.
- The reserve for each rank is 0.12 of the slots instead of 0.06.
- With less than a tenth of the slots free a daemon runs at most 1.3 times its share of them.

Both tests fail on the decision before.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -47,12 +47,18 @@
 
 	// fullChoiceDaemons is the number of daemons up to which each of them chooses
 	// among all endpoints. In a larger fleet it draws sampledEndpoints of the first
-	// preferredEndpoints that have room, in its own order of preference. Few preferred
+	// preferredEndpoints that have room, in its own order of preference. Those of its
+	// own failure domain come first, whose usage it knows sooner. Few preferred
 	// endpoints let a daemon reuse its connections.
 	fullChoiceDaemons  = 24
 	preferredEndpoints = 8
 	sampledEndpoints   = 3
 
+	// overloadFraction is the fraction of free slots below which a daemon of a large
+	// fleet runs at most fairShareFactor times its share of the slots of a service.
+	overloadFraction = 0.1
+	fairShareFactor  = 1.3
+
 	// defaultDuration is the assumed duration of a request at an endpoint that has
 	// completed none.
 	defaultDuration = 500 * time.Millisecond
@@ -64,6 +70,9 @@
 	if rank := v.placementRank(r); rank > 0 && float64(free) <= float64(rank)*s.reserve()*float64(slots) {
 		return nil
 	}
+	if s.large() && float64(free) <= overloadFraction*float64(slots) && v.running >= s.fairShare(slots) {
+		return nil
+	}
 	var best *endpoint
 	var lowest time.Duration
 	for _, e := range s.candidates(v, r) {
@@ -126,6 +135,13 @@
 	return reservePerRank
 }
 
+// fairShare returns the number of requests that this daemon may run at the given number
+// of slots under overload. All daemons see the same few free slots; without a limit they
+// all send their waiting requests there, and long queues form at some endpoints.
+func (s *State) fairShare(slots int) int {
+	return max(1, int(fairShareFactor*float64(slots)/float64(s.daemons)))
+}
+
 // slots returns the number of slots of the usable endpoints of a service, and how
 // many of them are free.
 func (s *State) slots(v *service) (total, free int) {
--- a/brplace/fleet_test.go
+++ b/brplace/fleet_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -17,9 +19,13 @@
 	load               float64       // multiple of the streams' usual rates
 	reportInterval     time.Duration // between two reports of a daemon
 	reportDelay        time.Duration // until the others have a report
+	domainInterval     time.Duration // between two reports to the daemons of the same failure domain; 0 for none
+	domainDelay        time.Duration // until these have a report
 	duration           time.Duration
-	hideShort          bool // the daemons don't know which streams are short
-	fullChoice         bool // the daemons don't know that the fleet is large
+	hideShort          bool    // the daemons don't know which streams are short
+	fullChoice         bool    // the daemons don't know that the fleet is large
+	stepped            bool    // the endpoints work in steps; see replayEngine
+	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
 }
 
 // longEvents is a number of events that makes no stream a short one.
@@ -60,12 +66,17 @@
 // replaySpeeds are the times that the endpoints take, relative to speed 1, in turn.
 var replaySpeeds = []float64{0.6, 1.7, 1.7}
 
+// replaySpeed returns the relative time that endpoint i takes. It doesn't depend on the
+// failure domain.
+func replaySpeed(i int) float64 { return replaySpeeds[(i+i/6)%len(replaySpeeds)] }
+
 // replayStream is a stream of the replay.
 type replayStream struct {
 	id      uint64
 	daemon  int
 	kind    streamKind
 	events  float64
+	prompt  int // tokens
 	arrived time.Duration
 }
 
@@ -101,6 +112,7 @@
 	states   []*State
 	waiting  []map[uint64]*replayStream // by daemon and request ID
 	running  []int                      // by endpoint
+	engines  []*replayEngine            // by endpoint, if stepped
 	queues   [][]*replayStream          // by endpoint
 	index    map[string]int             // of an endpoint by its ID
 	earned   float64
@@ -109,6 +121,7 @@
 	streams  int
 	byRank   [3]struct{ streams, onTime, late int }
 	pairs    map[[2]int]bool // of a daemon and an endpoint that it has used
+	longest  int             // greatest number of streams waiting at an endpoint
 }
 
 // onTime returns the fraction of the streams of a rank that began in time.
@@ -122,20 +135,26 @@
 func (f fleetReplay) run() *replayRun {
 	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
 	for d := range f.daemons {
-		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", d%6), Random: r.rng.Float64})
+		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
 		if !f.fullChoice {
 			s.Step(start, FleetChanged{Daemons: f.daemons})
 		}
 		for e := range f.endpoints {
 			id := fmt.Sprintf("e%03d", e)
 			r.index[id] = e
-			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", e%6), Slots: f.slots}})
+			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", replayZone(e)), Slots: f.slots}})
 		}
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
 		r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
+		if f.domainInterval > 0 {
+			r.reportToDomain(d, time.Duration(r.rng.Float64()*float64(f.domainInterval)))
+		}
 		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
 	}
+	for i := range f.endpoints {
+		r.engines = append(r.engines, &replayEngine{run: r, index: i, speed: replaySpeed(i)})
+	}
 	for _, k := range f.kinds {
 		r.arrive(k)
 	}
@@ -159,6 +178,12 @@
 	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
 		r.streams++
 		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
+		prompt := k.prompt
+		if r.spread > 0 {
+			prompt = int(float64(k.prompt) * r.logNormal())
+			q.events = 1 + k.events*r.logNormal()
+		}
+		q.prompt = prompt
 		r.owed += k.worth
 		r.byRank[k.rank].streams++
 		r.waiting[q.daemon][q.id] = q
@@ -167,7 +192,7 @@
 			expected = max(expected, longEvents)
 		}
 		r.step(q.daemon, Submit{Request{
-			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: k.prompt, ExpectedEvents: expected,
+			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: prompt, ExpectedEvents: expected,
 			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
@@ -185,6 +210,7 @@
 			r.pairs[[2]int{daemon, i}] = true
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
+			r.longest = max(r.longest, len(r.queues[i]))
 		case Reject:
 			r.rejected++
 			delete(r.waiting[daemon], e.ID)
@@ -205,42 +231,138 @@
 		return
 	}
 	r.running[i]++
-	speed := replaySpeeds[i%len(replaySpeeds)]
+	if r.stepped {
+		r.engines[i].start(q)
+		return
+	}
+	speed := replaySpeed(i)
 	prefill := time.Duration(speed * float64(q.kind.prefill))
-	r.after(prefill, func() {
-		switch waited := r.now - q.arrived; {
-		case waited <= q.kind.target:
-			r.earned += q.kind.worth
-			r.byRank[q.kind.rank].onTime++
-		case waited <= q.kind.callerTimeout():
-			r.earned += q.kind.lateWorth
-			r.byRank[q.kind.rank].late++
-		}
-		r.step(q.daemon, FirstByte{ID: q.id})
-	})
+	r.after(prefill, func() { r.begin(q) })
 	interval := time.Duration(speed * float64(q.kind.interval))
-	r.after(prefill+time.Duration(q.events*float64(interval)), func() {
-		r.running[i]--
-		r.step(q.daemon, Ended{ID: q.id, Result: Succeeded, EventInterval: interval})
-		r.serve(i)
+	r.after(prefill+time.Duration(q.events*float64(interval)), func() { r.end(i, q, interval) })
+}
+
+// begin records the first event of a stream.
+func (r *replayRun) begin(q *replayStream) {
+	switch waited := r.now - q.arrived; {
+	case waited <= q.kind.target:
+		r.earned += q.kind.worth
+		r.byRank[q.kind.rank].onTime++
+	case waited <= q.kind.callerTimeout():
+		r.earned += q.kind.lateWorth
+		r.byRank[q.kind.rank].late++
+	}
+	r.step(q.daemon, FirstByte{ID: q.id})
+}
+
+// end frees the slot of a stream at an endpoint.
+func (r *replayRun) end(i int, q *replayStream, interval time.Duration) {
+	r.running[i]--
+	r.step(q.daemon, Ended{ID: q.id, Result: Succeeded, EventInterval: interval})
+	r.serve(i)
+}
+
+// logNormal returns a random factor of mean 1.
+func (r *replayRun) logNormal() float64 {
+	return math.Exp(r.spread*r.rng.NormFloat64() - r.spread*r.spread/2)
+}
+
+// replayEngine is an endpoint that works in steps: each reads a chunk of one prompt and
+// adds a token to every stream whose prompt has been read. So a prompt delays the other
+// streams of the endpoint.
+type replayEngine struct {
+	run     *replayRun
+	index   int
+	speed   float64 // time that a step takes, relative to speed 1
+	streams []*engineStream
+	busy    bool
+}
+
+// engineStream is a stream that runs at a replayEngine.
+type engineStream struct {
+	*replayStream
+	promptLeft int // tokens
+	tokensLeft int
+	began      time.Duration
+}
+
+const (
+	engineStep       = 6350 * time.Microsecond // a step without a prompt
+	enginePromptRate = 42.8                    // tokens read in one millisecond
+	engineChunk      = 1024                    // tokens read in one step at most
+	tokensPerEvent   = 3
+)
+
+func (n *replayEngine) start(q *replayStream) {
+	n.streams = append(n.streams, &engineStream{replayStream: q, promptLeft: max(1, q.prompt), tokensLeft: max(1, int(q.events*tokensPerEvent))})
+	if !n.busy {
+		n.step()
+	}
+}
+
+// step runs one step and the following ones until no stream is left.
+func (n *replayEngine) step() {
+	n.busy = len(n.streams) > 0
+	if !n.busy {
+		return
+	}
+	var reading *engineStream
+	chunk := 0
+	for _, e := range n.streams {
+		if e.promptLeft > 0 {
+			reading, chunk = e, min(engineChunk, e.promptLeft)
+			break
+		}
+	}
+	took := engineStep + time.Duration(float64(chunk)/enginePromptRate*float64(time.Millisecond))
+	decoding := slices.DeleteFunc(slices.Clone(n.streams), func(e *engineStream) bool { return e.promptLeft > 0 })
+	n.run.after(time.Duration(n.speed*float64(took)), func() {
+		if reading != nil {
+			if reading.promptLeft -= chunk; reading.promptLeft == 0 {
+				reading.began = n.run.now
+				n.run.begin(reading.replayStream)
+			}
+		}
+		for _, e := range decoding {
+			if e.tokensLeft--; e.tokensLeft == 0 {
+				n.streams = slices.DeleteFunc(n.streams, func(x *engineStream) bool { return x == e })
+				n.run.end(n.index, e.replayStream, time.Duration(float64(n.run.now-e.began)/max(1, e.events)))
+			}
+		}
+		n.step()
 	})
 }
 
-// report lets a daemon report after d and then in each interval.
+// report lets a daemon report to the whole fleet after d and then in each interval.
 func (r *replayRun) report(daemon int, d time.Duration) {
 	r.after(d, func() {
-		report := r.states[daemon].Report(start.Add(r.now))
-		r.after(r.reportDelay, func() {
-			for other := range r.daemons {
-				if other != daemon {
-					r.step(other, PeerReported{Daemon: fmt.Sprint("d", daemon), Report: report})
-				}
-			}
-		})
+		r.deliver(daemon, r.reportDelay, func(other int) bool { return r.domainInterval == 0 || replayZone(other) != replayZone(daemon) })
 		r.report(daemon, r.reportInterval)
 	})
 }
 
+// reportToDomain does the same for the daemons of the same failure domain.
+func (r *replayRun) reportToDomain(daemon int, d time.Duration) {
+	r.after(d, func() {
+		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
+		r.reportToDomain(daemon, r.domainInterval)
+	})
+}
+
+func (r *replayRun) deliver(daemon int, delay time.Duration, to func(other int) bool) {
+	report := r.states[daemon].Report(start.Add(r.now))
+	r.after(delay, func() {
+		for other := range r.daemons {
+			if other != daemon && to(other) {
+				r.step(other, PeerReported{Daemon: fmt.Sprint("d", daemon), Report: report})
+			}
+		}
+	})
+}
+
+// replayZone returns the number of the failure domain of a daemon or endpoint.
+func replayZone(i int) int { return i % 6 }
+
 func (r *replayRun) tick(daemon int, d time.Duration) {
 	r.after(d, func() {
 		r.step(daemon, Tick{})
@@ -313,3 +435,58 @@
 		}
 	}
 }
+
+// largeDrafting is a large fleet whose endpoints work in steps, as model engines do. The
+// reports are as late as in a fleet of 200 daemons.
+var largeDrafting = fleetReplay{
+	daemons: 100, endpoints: 78, slots: 4, kinds: draftingKinds, duration: 10 * time.Second, stepped: true, spread: 1,
+	reportInterval: 400 * time.Millisecond, reportDelay: 100 * time.Millisecond,
+	domainInterval: 60 * time.Millisecond, domainDelay: 30 * time.Millisecond,
+}
+
+// late returns the fraction of the streams of a rank that began late.
+func (r *replayRun) late(rank int) float64 {
+	return float64(r.byRank[rank].late) / float64(r.byRank[rank].streams)
+}
+
+func (r *replayRun) String() string {
+	return fmt.Sprintf("earned %.3f, on time by rank %.3f %.3f %.3f, rejected %.3f, longest queue %d",
+		r.part(), r.onTime(0), r.onTime(1), r.onTime(2), float64(r.rejected)/float64(r.streams), r.longest)
+}
+
+// TestDomainReports guards against urgent streams that wait at an endpoint while others
+// have room, because the daemons know of each other's dispatches only when they have
+// ended. A replay without the reports to the own failure domain, with the others as
+// frequent as the same traffic permits, is the one to compare with.
+func TestDomainReports(t *testing.T) {
+	for _, load := range []float64{1, 1.5, 2} {
+		replay := largeDrafting
+		replay.load = load
+		domain := replay.run()
+		replay.domainInterval, replay.reportInterval = 0, 300*time.Millisecond
+		none := replay.run()
+		t.Logf("load %.1f: %v; without: %v", load, domain, none)
+		if domain.part() < none.part()+0.02 {
+			t.Errorf("load %.1f: earned %.3f of the worth, want at least 0.02 more than the %.3f without", load, domain.part(), none.part())
+		}
+		if load == 1 && domain.late(0) >= 0.05 {
+			t.Errorf("%.3f of the urgent streams began late, want less than 0.05", domain.late(0))
+		}
+	}
+}
+
+// TestLargeFleetOverload guards against daemons that all send their waiting requests to
+// the few slots that appear free: over 30 streams waited at one endpoint, which queues
+// queuedStreams, and most of the urgent ones began late.
+func TestLargeFleetOverload(t *testing.T) {
+	const queuedStreams = 24
+	for _, load := range []float64{2, 3} {
+		replay := largeDrafting
+		replay.load = load
+		r := replay.run()
+		t.Logf("load %.1f: %v", load, r)
+		if r.longest > queuedStreams || r.onTime(0) < 0.5 {
+			t.Errorf("load %.1f: %d streams waited at one endpoint, %.3f of the urgent streams on time; want at most %d and at least 0.5", load, r.longest, r.onTime(0), queuedStreams)
+		}
+	}
+}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -14,7 +14,7 @@
 	reservePerRank = 0.03
 	// largeReservePerRank is the same in a large fleet, where more requests start
 	// before their dispatches are reported.
-	largeReservePerRank = 0.06
+	largeReservePerRank = 0.12
 
 	// minRetryAfter and maxRetryAfter limit the retry delay returned with a
 	// rejection, which is uniformly distributed between them.
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -155,12 +155,24 @@
 func (s *State) attach(e *endpoint) {
 	v := s.service(e.Service)
 	v.endpoints = append(v.endpoints, e)
-	slices.SortFunc(v.endpoints, comparePreference)
+	slices.SortFunc(v.endpoints, s.comparePreference)
 }
 
-// comparePreference orders endpoints by this daemon's preference.
-func comparePreference(a, b *endpoint) int {
-	return cmp.Or(cmp.Compare(a.affinityHash, b.affinityHash), cmp.Compare(a.ID, b.ID))
+// comparePreference orders endpoints by this daemon's preference: first those of its own
+// failure domain, then by affinityHash.
+func (s *State) comparePreference(a, b *endpoint) int {
+	return cmp.Or(
+		cmp.Compare(s.domainDistance(a), s.domainDistance(b)),
+		cmp.Compare(a.affinityHash, b.affinityHash),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func (s *State) domainDistance(e *endpoint) int {
+	if e.Zone == s.cfg.FailureDomain {
+		return 0
+	}
+	return 1
 }
 
 func (s *State) detach(e *endpoint) {
