brgossip, brfleet: usage reports to the own failure domain at short intervals

A small fleet is as before. Reports are applied in the order of their writer, by whichever way they come.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -69,6 +69,9 @@
 	rollouts  rollouts
 	leaving   atomic.Bool
 	daemons   atomic.Int64 // known daemons that are not leaving
+	// domainDaemons is the number of those in the same failure domain.
+	domainDaemons atomic.Int64
+	loadSeqs      map[string]uint64 // of the applied load records, by daemon incarnation; used by calls from node
 
 	reportDue chan struct{}
 	stop      chan struct{}
@@ -91,6 +94,7 @@
 	f := &Fleet{
 		cfg: cfg, started: cfg.Clock.Now(), epoch: uint64(cfg.Clock.Now().UnixMilli()),
 		mux:       &brpeer.Mux{},
+		loadSeqs:  map[string]uint64{},
 		reportDue: make(chan struct{}, 1),
 		stop:      make(chan struct{}),
 	}
@@ -107,7 +111,8 @@
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
 		OnRecord: f.onRecord, OnExpired: f.onExpired, OnLink: f.onLink,
-		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true}, Clock: cfg.Clock,
+		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
+		DomainKinds: map[string]bool{kindDomainLoad: true}, Clock: cfg.Clock,
 	})
 	f.core = brcore.Start(brcore.Config{
 		Dir: cfg.Dir, Self: brcontrol.Peer{ID: cfg.ID, Address: cfg.Address}, Tolerance: cfg.Tolerance,
@@ -212,14 +217,19 @@
 			return
 		case <-f.cfg.Clock.After(daemonCountInterval):
 		}
-		active := 0
+		active, domain := 0, 0
 		for _, d := range f.node.Daemons() {
-			if !d.Leaving {
-				active++
+			if d.Leaving {
+				continue
+			}
+			active++
+			if d.FailureDomain == f.cfg.FailureDomain {
+				domain++
 			}
 		}
 		f.proxy.SetDaemonCount(active)
 		f.daemons.Store(int64(active))
+		f.domainDaemons.Store(int64(domain))
 	}
 }
 
@@ -230,7 +240,7 @@
 	switch r.Kind() {
 	case kindEndpoint:
 		f.applyEndpointRecord(r)
-	case kindLoad:
+	case kindLoad, kindDomainLoad:
 		f.applyLoadRecord(r)
 	case kindQuotaUsage:
 		f.applyQuotaUsageRecord(r)
@@ -250,6 +260,9 @@
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: r.Name()})
 		f.cfg.Log.Info().Str("endpoint", r.Name()).Msg("endpoint removed because its record expired")
 	case kindLoad:
+		f.expireLoad(r.Name())
 		f.proxy.PeerLost(r.Name())
+	case kindDomainLoad:
+		f.expireLoad(r.Name())
 	}
 }
--- a/brfleet/load_test.go
+++ b/brfleet/load_test.go
@@ -43,7 +43,9 @@
 	}
 	perSecond := func(interval time.Duration) float64 { return daemons / (daemons * interval).Seconds() }
 	loadBytes, usageBytes := size(kindLoad, encode(load)), size(kindQuotaUsage, encode(usage))
-	rate := loadBytes*perSecond(reportIntervalPerDaemon) + usageBytes*perSecond(quotaUsageIntervalPerDaemon)
+	// A daemon receives as many reports of its failure domain in a second whatever the
+	// number of its daemons is.
+	rate := loadBytes*(perSecond(reportIntervalPerDaemon)+perSecond(fleetIntervalPerDaemon)) + usageBytes*perSecond(quotaUsageIntervalPerDaemon)
 	t.Logf("load report %.0f bytes, usage report %.0f bytes, %.0f bytes/s", loadBytes, usageBytes, math.Round(rate))
 	if rate > linkRate/4 {
 		t.Errorf("reports of %d daemons take %.0f bytes/s, want at most %.0f", daemons, rate, linkRate/4)
--- a/brgossip/flush.go
+++ b/brgossip/flush.go
@@ -23,30 +23,42 @@
 	maxQueuedMessages = 4
 	// fullRateDaemons is the number of daemons up to which changes are sent at the
 	// flush interval. In a larger fleet the interval grows in proportion, so that
-	// the rate of messages that a daemon receives doesn't grow with the fleet.
+	// the rate of messages that a daemon receives doesn't grow with the fleet. Records
+	// of DomainKinds are always sent at the flush interval.
 	fullRateDaemons = 32
 )
 
 // runFlush sends the pending records, at most once per flush interval.
 func (n *Node) runFlush() {
+	var flushedAt time.Time
 	for {
 		select {
 		case <-n.stop:
 			return
 		case <-n.wake:
 		}
-		n.flush()
-		n.mu.Lock()
-		wait := n.cfg.FlushInterval * time.Duration(max(1, len(n.daemons)/fullRateDaemons))
-		n.mu.Unlock()
+		all := n.cfg.Clock.Now().Sub(flushedAt) >= n.fullFlushInterval()
+		if all {
+			flushedAt = n.cfg.Clock.Now()
+		}
+		n.flush(all)
 		select {
 		case <-n.stop:
 			return
-		case <-n.cfg.Clock.After(wait):
+		case <-n.cfg.Clock.After(n.cfg.FlushInterval):
 		}
 	}
 }
 
+// fullFlushInterval returns the shortest interval between two flushes of all records.
+func (n *Node) fullFlushInterval() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	scale := max(1, len(n.daemons)/fullRateDaemons)
+	// Timers end late; half an interval less lets the flush that is due take place.
+	return n.cfg.FlushInterval*time.Duration(scale) - n.cfg.FlushInterval/2
+}
+
 // delivery is a set of records and the peers that receive it.
 type delivery struct {
 	keys   map[string]struct{}
@@ -54,9 +66,10 @@
 	conns  []*brpeer.Conn
 }
 
-// flush sends the pending records to the peers that aren't slow.
-func (n *Node) flush() {
-	for _, d := range n.collect() {
+// flush sends the pending records to the peers that aren't slow: all of them, or only
+// those of DomainKinds.
+func (n *Node) flush(all bool) {
+	for _, d := range n.collect(all) {
 		for _, c := range d.conns {
 			for _, body := range d.bodies {
 				// An error means that the connection has ended. The peer receives all
@@ -67,32 +80,47 @@
 	}
 }
 
-// collect returns the pending records and marks them as sent. The records that several
-// peers receive are encoded once; a relay sends most of them to all its subscribers.
-func (n *Node) collect() []delivery {
+// collect returns the pending records and marks them as sent. Records that aren't
+// collected stay pending until the next flush.
+func (n *Node) collect(all bool) []delivery {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.cfg.Clock.Now()
 	var deliveries []delivery
 	for c, p := range n.peers {
-		if len(p.pending) == 0 {
+		if len(p.pending) == 0 && len(p.domain) == 0 {
 			continue
 		}
 		if p.queued() >= maxQueuedMessages {
 			n.wakeFlush()
 			continue
 		}
-		i := slices.IndexFunc(deliveries, func(d delivery) bool { return maps.Equal(d.keys, p.pending) })
-		if i < 0 {
-			i = len(deliveries)
-			deliveries = append(deliveries, delivery{keys: p.pending, bodies: n.encodeAll(now, p.pending)})
+		deliveries, p.domain = n.addDelivery(deliveries, now, c, p.domain)
+		if all {
+			deliveries, p.pending = n.addDelivery(deliveries, now, c, p.pending)
+		} else if len(p.pending) > 0 {
+			n.wakeFlush()
 		}
-		deliveries[i].conns = append(deliveries[i].conns, c)
-		p.pending = map[string]struct{}{}
 	}
 	return deliveries
 }
 
+// addDelivery adds the records with the given keys for a peer, and returns the
+// deliveries and the empty set of keys. The records that several peers receive are
+// encoded once; a relay sends most of them to all its subscribers.
+func (n *Node) addDelivery(deliveries []delivery, now time.Time, c *brpeer.Conn, keys map[string]struct{}) ([]delivery, map[string]struct{}) {
+	if len(keys) == 0 {
+		return deliveries, keys
+	}
+	i := slices.IndexFunc(deliveries, func(d delivery) bool { return maps.Equal(d.keys, keys) })
+	if i < 0 {
+		i = len(deliveries)
+		deliveries = append(deliveries, delivery{keys: keys, bodies: n.encodeAll(now, keys)})
+	}
+	deliveries[i].conns = append(deliveries[i].conns, c)
+	return deliveries, map[string]struct{}{}
+}
+
 func (n *Node) encodeAll(now time.Time, pending map[string]struct{}) [][]byte {
 	var bodies [][]byte
 	for _, keys := range chunks(pending) {
--- a/brgossip/flush_test.go
+++ b/brgossip/flush_test.go
@@ -20,7 +20,7 @@
 		n.store.Merge(n.cfg.Clock.Now(), r)
 	}
 	for i := range peers {
-		p := &peer{address: fmt.Sprint(i), queued: func() int { return 0 }, pending: map[string]struct{}{}}
+		p := &peer{address: fmt.Sprint(i), queued: func() int { return 0 }, pending: map[string]struct{}{}, domain: map[string]struct{}{}}
 		if i == 0 {
 			p.queued = func() int { return *queued }
 		}
@@ -43,11 +43,11 @@
 // same records once for each of its subscribers.
 func TestSharedRecordsAreEncodedOnce(t *testing.T) {
 	n := newSender(100, 33, new(int))
-	got := n.collect()
+	got := n.collect(true)
 	if len(got) != 1 || len(got[0].conns) != 33 || len(got[0].bodies) != 2 {
 		t.Errorf("%d deliveries, want one of 2 messages to 33 peers", len(got))
 	}
-	if again := n.collect(); len(again) != 0 {
+	if again := n.collect(true); len(again) != 0 {
 		t.Errorf("%d deliveries afterwards, want none", len(again))
 	}
 }
@@ -58,7 +58,7 @@
 	queued := maxQueuedMessages
 	n := newSender(10, 2, &queued)
 	counts := func() (peers []int) {
-		for _, d := range n.collect() {
+		for _, d := range n.collect(true) {
 			peers = append(peers, len(d.conns))
 		}
 		return peers
@@ -76,6 +76,33 @@
 	}
 }
 
+// TestDomainRecordsAreSentFirst guards against records of the own failure domain that
+// wait for those of the whole fleet, and against losing the latter.
+func TestDomainRecordsAreSentFirst(t *testing.T) {
+	n := newSender(3, 2, new(int))
+	n.cfg.DomainKinds = map[string]bool{"near": true}
+	r := Record{Key: "near/1", Version: Version{Seq: 1}, Lifetime: time.Minute}
+	n.store.Merge(n.cfg.Clock.Now(), r)
+	for _, p := range n.peers {
+		n.addPending(p, r)
+	}
+	keys := func(all bool) (got []int) {
+		for _, d := range n.collect(all) {
+			got = append(got, len(d.keys))
+		}
+		return got
+	}
+	if diff := cmp.Diff([]int{1}, keys(false)); diff != "" {
+		t.Errorf("records at the flush interval (-want +got): %s", diff)
+	}
+	if len(n.wake) != 1 {
+		t.Error("the node doesn't wake up again for the other records")
+	}
+	if diff := cmp.Diff([]int{3}, keys(true)); diff != "" {
+		t.Errorf("records afterwards (-want +got): %s", diff)
+	}
+}
+
 // BenchmarkCollect measures the preparation of one flush at a relay, for each number of
 // subscribers.
 func BenchmarkCollect(b *testing.B) {
@@ -85,7 +112,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				n.markPending()
-				n.collect()
+				n.collect(true)
 			}
 		})
 	}
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -60,7 +60,11 @@
 
 	// DirectKinds holds the kinds of records that are not flooded. Their writer sends
 	// them directly to its peers; in a large fleet, relays forward them.
-	DirectKinds   map[string]bool
+	DirectKinds map[string]bool
+	// DomainKinds holds the kinds of direct records that, in a large fleet, only the
+	// daemons of the writer's failure domain receive. They are sent at every
+	// FlushInterval. In a small fleet they are not sent at all.
+	DomainKinds   map[string]bool
 	FlushInterval time.Duration // 0 means DefaultFlushInterval
 	Clock         brclock.Clock // nil means the system clock
 }
@@ -88,10 +92,11 @@
 
 type peer struct {
 	address     string
-	queued      func() int // number of messages to the peer that are not sent yet
-	pending     map[string]struct{}
-	wantsDirect bool // peer has subscribed to direct records of other daemons
-	subscribed  bool // this daemon has subscribed at the peer
+	queued      func() int          // number of messages to the peer that are not sent yet
+	pending     map[string]struct{} // keys of the records to send
+	domain      map[string]struct{} // the same of DomainKinds
+	wantsDirect bool                // peer has subscribed to direct records of other daemons
+	subscribed  bool                // this daemon has subscribed at the peer
 }
 
 // New returns a node that is not running yet. It adds its handlers to cfg.Mux,
@@ -169,6 +174,14 @@
 	return slices.Clone(n.topology().daemons)
 }
 
+// SendsDomainRecords reports whether the fleet is so large that records of DomainKinds
+// are sent.
+func (n *Node) SendsDomainRecords() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.topology().sparse()
+}
+
 func (n *Node) topology() topology {
 	if n.sorted == nil {
 		n.sorted = slices.SortedFunc(maps.Values(n.daemons), func(a, b Daemon) int { return strings.Compare(a.Address, b.Address) })
@@ -245,11 +258,12 @@
 	}
 	if p != nil {
 		delete(p.pending, r.Key)
+		delete(p.domain, r.Key)
 	}
 	n.updateDaemon(r)
 	if targets := n.targets(r, from); len(targets) > 0 {
 		for _, q := range targets {
-			q.pending[r.Key] = struct{}{}
+			n.addPending(q, r)
 		}
 		n.wakeFlush()
 	}
@@ -259,7 +273,10 @@
 
 // targets returns the peers that a newer record is sent to.
 func (n *Node) targets(r Record, from *brpeer.Conn) []*peer {
-	if n.cfg.DirectKinds[r.Kind()] {
+	switch kind := r.Kind(); {
+	case n.cfg.DomainKinds[kind]:
+		return n.domainTargets(from)
+	case n.cfg.DirectKinds[kind]:
 		return n.directTargets(from)
 	}
 	var targets []*peer
@@ -286,7 +303,23 @@
 func (n *Node) dropPending(p *peer, r Record) {
 	if e, ok := n.store.entries[r.Key]; ok && e.record.Version == r.Version {
 		delete(p.pending, r.Key)
+		delete(p.domain, r.Key)
+	}
+}
+
+// addPending schedules a record for a peer.
+func (n *Node) addPending(p *peer, r Record) {
+	if n.cfg.DomainKinds[r.Kind()] {
+		p.domain[r.Key] = struct{}{}
+		return
 	}
+	p.pending[r.Key] = struct{}{}
+}
+
+// flooded reports whether all daemons receive the records of a kind from each of their
+// peers.
+func (n *Node) flooded(kind string) bool {
+	return !n.cfg.DirectKinds[kind] && !n.cfg.DomainKinds[kind]
 }
 
 func (n *Node) wakeFlush() {
@@ -310,9 +343,9 @@
 		n.mu.Unlock()
 		return
 	}
-	p := &peer{address: address, queued: c.Queued, pending: map[string]struct{}{}}
+	p := &peer{address: address, queued: c.Queued, pending: map[string]struct{}{}, domain: map[string]struct{}{}}
 	for key, e := range n.store.entries {
-		if !n.cfg.DirectKinds[e.record.Kind()] {
+		if n.flooded(e.record.Kind()) {
 			p.pending[key] = struct{}{}
 		}
 	}
--- a/brgossip/node_test.go
+++ b/brgossip/node_test.go
@@ -39,7 +39,7 @@
 	mux := &brpeer.Mux{}
 	self.Address = n.address
 	n.node = New(Config{
-		Self: self, Epoch: 1, Mux: mux, Seeds: seeds, DirectKinds: map[string]bool{"load": true},
+		Self: self, Epoch: 1, Mux: mux, Seeds: seeds, DirectKinds: map[string]bool{"load": true}, DomainKinds: map[string]bool{"near": true},
 		OnRecord: func(r Record) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/brgossip/relay.go
+++ b/brgossip/relay.go
@@ -20,9 +20,9 @@
 // without a replica sends its own ones to all replicas that it has a link to, so that
 // they reach both parts of the replicas if these are cut off from each other. Each
 // forwards them to its subscribers and to the other replicas, which forward them to
-// their subscribers. A relay also
-// returns it to the subscriber that it came from, so that all subscribers receive the
-// same message. A daemon without a relay sends to all its peers.
+// their subscribers. A relay also returns a record to the subscriber that it came from,
+// so that all subscribers receive the same message. A daemon without a relay sends to
+// all its peers.
 func (n *Node) directTargets(from *brpeer.Conn) []*peer {
 	t := n.topology()
 	local := from == nil
@@ -42,6 +42,39 @@
 	return targets
 }
 
+// domainTargets returns the peers that a record of DomainKinds is sent to. Its writer
+// sends it to its relay, which forwards it to the subscribers and the replicas of the
+// writer's failure domain. A replica that receives it from another one forwards it to
+// its subscribers.
+func (n *Node) domainTargets(from *brpeer.Conn) []*peer {
+	t := n.topology()
+	if !t.sparse() {
+		return nil
+	}
+	if !t.self.Replica {
+		if p := n.peers[n.relay]; from == nil && p != nil {
+			return []*peer{p}
+		}
+		return nil
+	}
+	domain, fromReplica := t.self.FailureDomain, false
+	if p := n.peers[from]; p != nil {
+		d, _ := t.daemon(p.address)
+		domain, fromReplica = d.FailureDomain, d.Replica
+	}
+	var targets []*peer
+	for c, p := range n.peers {
+		d, ok := t.daemon(p.address)
+		if !ok || d.FailureDomain != domain {
+			continue
+		}
+		if p.wantsDirect || d.Replica && !fromReplica && c != from {
+			targets = append(targets, p)
+		}
+	}
+	return targets
+}
+
 // chooseRelay subscribes at the first responsive relay, or at all peers if no relay
 // responds.
 func (n *Node) chooseRelay(t topology) {
--- a/brgossip/relay_test.go
+++ b/brgossip/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +106,93 @@
 		}
 	}
 }
+
+// TestDomainTargets guards against domain records that leave the failure domain of their
+// writer or miss a part of it, and against forwarding loops.
+func TestDomainTargets(t *testing.T) {
+	all := testFleet(67, 8) // 4 failure domains; daemons 0 and 4 are the replicas of the first
+	names := map[string]string{
+		all[4].Address: "same-domain replica", all[1].Address: "other replica", all[40].Address: "subscriber",
+		all[44].Address: "second subscriber", all[41].Address: "other subscriber", all[48].Address: "plain",
+	}
+	for _, test := range []struct {
+		name  string
+		self  Daemon
+		relay string // name of a peer
+		from  string
+		small bool
+		want  []string
+	}{
+		{"own, at a replica", all[0], "", "", false, []string{"same-domain replica", "second subscriber", "subscriber"}},
+		{"from a subscriber, at a replica", all[0], "", "subscriber", false, []string{"same-domain replica", "second subscriber", "subscriber"}},
+		{"from a subscriber of another domain", all[0], "", "other subscriber", false, []string{"other replica", "other subscriber"}},
+		{"from the replica of the same domain", all[0], "", "same-domain replica", false, []string{"second subscriber", "subscriber"}},
+		{"own, with a relay", all[52], "same-domain replica", "", false, []string{"same-domain replica"}},
+		{"own, without a relay", all[52], "", "", false, nil},
+		{"from the relay", all[52], "same-domain replica", "same-domain replica", false, nil},
+		{"small fleet", all[0], "", "", true, nil},
+	} {
+		n := &Node{cfg: Config{Self: test.self}, daemons: map[string]Daemon{}, peers: map[*brpeer.Conn]*peer{}}
+		for i, d := range all {
+			if !test.small || i < meshLimit {
+				n.daemons[d.ID] = d
+			}
+		}
+		conns := map[string]*brpeer.Conn{}
+		for address, name := range names {
+			c := &brpeer.Conn{}
+			conns[name] = c
+			n.peers[c] = &peer{address: address, wantsDirect: strings.HasSuffix(name, "subscriber")}
+		}
+		n.relay = conns[test.relay]
+		var got []string
+		for _, p := range n.domainTargets(conns[test.from]) {
+			got = append(got, names[p.address])
+		}
+		slices.Sort(got)
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("%s: targets (-want +got): %s", test.name, diff)
+		}
+	}
+}
+
+// TestDomainRecords guards against domain records that don't reach the failure domain
+// of their writer or that reach others.
+func TestDomainRecords(t *testing.T) {
+	const size, replicas = meshLimit + 4, 4
+	var nodes []*testNode
+	for i := range size {
+		d := Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
+		nodes = append(nodes, startNodeWith(t, d, func() []string {
+			if i == 0 {
+				return nil
+			}
+			return []string{nodes[0].address}
+		}))
+	}
+	seq := uint64(0)
+	await(t, "records reach their failure domain", func() bool {
+		seq++
+		for i, n := range nodes {
+			n.node.Publish(Record{Key: fmt.Sprint("near/", i), Version: Version{Seq: seq}, Value: []byte("x"), Lifetime: time.Minute})
+		}
+		for i, n := range nodes {
+			for j := range nodes {
+				if i%2 == j%2 && n.value(fmt.Sprint("near/", j)) == "" {
+					return false
+				}
+			}
+		}
+		return true
+	})
+	for i, n := range nodes {
+		if i < replicas {
+			continue // relays also receive what they forward for other failure domains
+		}
+		for j := range nodes {
+			if i%2 != j%2 && n.value(fmt.Sprint("near/", j)) != "" {
+				t.Errorf("daemon %d has the record of daemon %d of another failure domain", i, j)
+			}
+		}
+	}
+}
--- a/brgossip/topology.go
+++ b/brgossip/topology.go
@@ -139,6 +139,15 @@
 }
 
 func (t topology) isReplica(address string) bool {
+	d, _ := t.daemon(address)
+	return d.Replica
+}
+
+// daemon returns the daemon at address and whether it is known.
+func (t topology) daemon(address string) (Daemon, bool) {
 	i, ok := slices.BinarySearchFunc(t.daemons, address, func(d Daemon, a string) int { return cmp.Compare(d.Address, a) })
-	return ok && t.daemons[i].Replica
+	if !ok {
+		return Daemon{}, false
+	}
+	return t.daemons[i], true
 }
