--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -82,6 +82,7 @@
 // maintain publishes the state, and removes lost voters while this replica leads.
 // It returns when the replica fails or the core is closed.
 func (c *Core) maintain(r *brcontrol.Replica, failed <-chan error) error {
+	var leadership leadership
 	for {
 		select {
 		case err := <-failed:
@@ -92,6 +93,7 @@
 		}
 		c.publish()
 		st := r.Status()
+		leadership = c.logLeadership(leadership, st)
 		if !st.LeaseValid {
 			continue
 		}
@@ -105,6 +107,24 @@
 	}
 }
 
+// leadership is what a replica knows of the leader.
+type leadership struct {
+	term       uint64
+	role       string
+	leader     string
+	leaseValid bool // this replica is the leader and holds its lease
+}
+
+// logLeadership logs a change of the leadership and returns the current one.
+func (c *Core) logLeadership(old leadership, st brcontrol.Status) leadership {
+	current := leadership{term: st.Term, role: st.Role, leader: st.LeaderAddress, leaseValid: st.LeaseValid}
+	if current != old {
+		c.cfg.Log.Info().Uint64("term", st.Term).Str("role", st.Role).Str("leader", st.LeaderAddress).Bool("lease_valid", st.LeaseValid).
+			Int("voters", st.Membership.Voters()).Uint64("last", st.Last).Uint64("commit", st.Commit).Msg("leadership changed")
+	}
+	return current
+}
+
 // maintainDelay returns the delay until the next check. It is short until the
 // state has been published once, because starting daemons wait for it.
 func (c *Core) maintainDelay() time.Duration {
