--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -8,14 +8,6 @@
 )
 
 const (
-	// basePeerTimeout is the age of the last report of a daemon at which the daemon
-	// counts as disconnected, in a small fleet. Daemons report at least twice per second.
-	// It limits the time for which daemons separated by a network partition spend the
-	// same quota. In a large fleet reports are less frequent and take longer, so that it
-	// grows by peerTimeoutPerDaemon for each daemon.
-	basePeerTimeout      = 800 * time.Millisecond
-	peerTimeoutPerDaemon = 4 * time.Millisecond
-
 	// minRefillInterval is the minimum time between two refills by Spend, whose cost is
 	// proportional to the number of customers.
 	minRefillInterval = 10 * time.Millisecond
@@ -35,27 +27,6 @@
 	// minRate is the rate below which a customer counts as idle at a daemon, in units per
 	// second.
 	minRate = 1e-3
-
-	// silenceCheckInterval is the minimum time between two checks for silent daemons,
-	// whose cost is proportional to the number of daemons.
-	silenceCheckInterval = 50 * time.Millisecond
-
-	// maxFirstUptime is the uptime of a daemon up to which the totals in its first report
-	// count. Those of a daemon that was disconnected are older than the buckets.
-	maxFirstUptime = 2 * time.Second
-
-	// rateWindow is the averaging time of the rates of another daemon.
-	rateWindow = 500 * time.Millisecond
-
-	// retryRatio is the number of retries that each request adds to the budget. It
-	// is lower than the ratio required by the users, which also covers retries that
-	// several daemons admit concurrently.
-	retryRatio = 0.1
-	// retryBurst is the maximum number of unused retries in a budget.
-	retryBurst = 20
-	// initialRetries is the budget of a daemon that has just started. It is less
-	// than retryBurst, since the other daemons may just have spent the rest.
-	initialRetries = 5
 )
 
 // Limit is the quota of one customer, in a unit of its own such as requests or
@@ -118,19 +89,6 @@
 	changedAt     time.Time
 }
 
-// peer holds the totals of another daemon, and its rates, which are assumed to continue
-// until its next report.
-type peer struct {
-	customers   map[string]Totals  // latest totals of each customer
-	requests    map[string]float64 // latest number of requests, by service
-	retries     map[string]float64 // latest number of retries, by service
-	reportedAt  time.Time
-	active      bool               // its report is younger than the peer timeout
-	estimatedTo time.Time          // time until which the buckets hold its estimated usage, if not active
-	spendRates  map[string]float64 // moving average of quota spent per second, by customer
-	demandRates map[string]float64 // moving average of quota requested per second, by customer
-}
-
 // bucket is the token bucket of one customer.
 type bucket struct {
 	level       float64 // available quota; negative after a request larger than the level
@@ -176,12 +134,6 @@
 // disconnected daemons may spend the rest.
 func (l *Limiter) SetDaemonCount(n int) { l.daemonCount = n }
 
-// peerTimeout returns the age of the last report of a daemon at which the daemon counts
-// as disconnected.
-func (l *Limiter) peerTimeout() time.Duration {
-	return basePeerTimeout + time.Duration(l.daemonCount)*peerTimeoutPerDaemon
-}
-
 // refillShare returns the fraction of each rate at which this daemon refills its
 // buckets when it receives reports from the given number of other daemons.
 func (l *Limiter) refillShare(peers int) float64 {
@@ -316,80 +268,12 @@
 	l.disconnectSilent(now)
 }
 
-// disconnectSilent ends the estimates of the peers whose last report is older than the
-// peer timeout. It checks at most every silenceCheckInterval.
-func (l *Limiter) disconnectSilent(now time.Time) {
-	if now.Sub(l.lastCheck) < silenceCheckInterval {
-		return
-	}
-	l.lastCheck = now
-	timeout := l.peerTimeout()
-	for _, p := range l.peers {
-		if p.active && now.Sub(p.reportedAt) >= timeout {
-			l.deactivate(p)
-		}
-	}
-}
-
-// deactivate removes the rates of an active peer from the buckets, as of the last
-// refill.
-func (l *Limiter) deactivate(p *peer) {
-	p.active, p.estimatedTo = false, l.lastRefill
-	l.activePeers--
-	for customer, rate := range p.demandRates {
-		if b := l.buckets[customer]; b != nil {
-			b.demandRate = max(0, b.demandRate-rate)
-			b.spendRate = max(0, b.spendRate-p.spendRates[customer])
-		}
-	}
-}
-
-// activate adds the rates of a peer to the buckets.
-func (l *Limiter) activate(p *peer) {
-	p.active = true
-	l.activePeers++
-	for customer, rate := range p.demandRates {
-		if b := l.buckets[customer]; b != nil {
-			b.demandRate += rate
-			b.spendRate += p.spendRates[customer]
-		}
-	}
-}
-
 // averageWeight returns the weight of a value measured over the elapsed time in a moving
 // average over rateWindow.
 func averageWeight(elapsed time.Duration) float64 {
 	return min(1, elapsed.Seconds()/rateWindow.Seconds())
 }
 
-// CountRequest counts the first dispatch of a request to a service and adds to the
-// retry budget of the service.
-func (l *Limiter) CountRequest(service string) {
-	l.requests[service]++
-	l.addRetries(service, retryRatio)
-}
-
-// TakeRetry reports whether the retry budget of the service allows another dispatch
-// of a request, and if so deducts one retry.
-func (l *Limiter) TakeRetry(service string) bool {
-	l.addRetries(service, 0)
-	if l.retries[service] < 1 {
-		return false
-	}
-	l.retries[service]--
-	l.ownRetries[service]++
-	return true
-}
-
-// addRetries adds n retries to the budget of a service, up to retryBurst.
-func (l *Limiter) addRetries(service string, n float64) {
-	level, ok := l.retries[service]
-	if !ok {
-		level = initialRetries
-	}
-	l.retries[service] = min(retryBurst, level+n)
-}
-
 // Report returns the totals of this daemon.
 func (l *Limiter) Report() Report {
 	r := Report{
@@ -403,103 +287,3 @@
 	}
 	return r
 }
-
-// PeerReported applies the latest totals of another daemon. Usage before the first
-// report received from it counts if the daemon has just started, and not earlier than
-// this one.
-func (l *Limiter) PeerReported(now time.Time, daemon string, r Report) {
-	l.refill(now)
-	p := l.peers[daemon]
-	if p == nil {
-		p = l.newPeer(now, r)
-		l.peers[daemon] = p
-	}
-	if p.active {
-		l.deactivate(p)
-	}
-	l.applyTotals(now, p, r)
-	p.reportedAt = now
-	l.activate(p)
-	for service, n := range r.Requests {
-		l.addRetries(service, retryRatio*(n-p.requests[service]))
-		p.requests[service] = n
-	}
-	for service, n := range r.Retries {
-		l.addRetries(service, 0)
-		l.retries[service] = max(-retryBurst, l.retries[service]-(n-p.retries[service]))
-		p.retries[service] = n
-	}
-}
-
-// applyTotals deducts the usage of a peer since its last report from the buckets, less
-// the estimate that they hold, and updates its rates. A customer without totals in r has
-// none.
-func (l *Limiter) applyTotals(now time.Time, p *peer, r Report) {
-	elapsed := now.Sub(p.reportedAt)
-	for customer := range r.Customers {
-		if _, ok := p.customers[customer]; !ok {
-			p.customers[customer] = Totals{}
-		}
-	}
-	for customer, prev := range p.customers {
-		limit := l.limits[customer]
-		if limit.Rate <= 0 {
-			continue
-		}
-		totals, ok := r.Customers[customer]
-		if !ok && p.demandRates[customer] == 0 && p.spendRates[customer] == 0 {
-			continue
-		}
-		if !ok {
-			totals = prev
-		}
-		spent := float64(totals.Spent - prev.Spent)
-		estimated := p.spendRates[customer] * p.estimatedTo.Sub(p.reportedAt).Seconds()
-		l.bucket(now, customer, limit).level -= spent - estimated
-		updateRate(p.spendRates, customer, spent, elapsed)
-		updateRate(p.demandRates, customer, float64(totals.Demand-prev.Demand), elapsed)
-		p.customers[customer] = totals
-	}
-}
-
-// newPeer returns the state of a daemon before its first report r.
-func (l *Limiter) newPeer(now time.Time, r Report) *peer {
-	p := &peer{
-		customers: map[string]Totals{}, requests: map[string]float64{}, retries: map[string]float64{},
-		reportedAt: now, estimatedTo: now, spendRates: map[string]float64{}, demandRates: map[string]float64{},
-	}
-	if r.Uptime < maxFirstUptime && r.Uptime <= now.Sub(l.startedAt) {
-		p.reportedAt, p.estimatedTo = now.Add(-r.Uptime), now.Add(-r.Uptime)
-		return p
-	}
-	maps.Copy(p.customers, r.Customers)
-	maps.Copy(p.requests, r.Requests)
-	maps.Copy(p.retries, r.Retries)
-	return p
-}
-
-// updateRate updates the moving average rate of a customer with the increase of a
-// total in the elapsed time between two reports.
-func updateRate(rates map[string]float64, customer string, added float64, elapsed time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
-	rate := rates[customer]
-	rate += averageWeight(elapsed) * (max(0, added)/elapsed.Seconds() - rate)
-	if rate < minRate {
-		rate = 0
-	}
-	rates[customer] = rate
-}
-
-// PeerLost removes another daemon.
-func (l *Limiter) PeerLost(daemon string) {
-	p := l.peers[daemon]
-	if p == nil {
-		return
-	}
-	if p.active {
-		l.deactivate(p)
-	}
-	delete(l.peers, daemon)
-}
