brplace: failures of a suspended endpoint don't count against the others

Cause: for each further failure of an endpoint that is already suspended, its outcomes were taken off the service's statistics once more, without being cleared at the endpoint. The failure rate of the others became negative, and every endpoint with a single failure was suspended: what was left of the fleet's slots was hardly used.

Outcomes are now removed from both statistics together, once, at a suspension and when an endpoint is removed. The test fails before at its second report (sound endpoint c suspended).

--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -73,6 +73,11 @@
 	c.failed += float64(failed)
 }
 
+func (c *decayingCount) remove(d decayingCount) {
+	c.ended = max(0, c.ended-d.ended)
+	c.failed = max(0, c.failed-d.failed)
+}
+
 func (c *decayingCount) failureRate() float64 {
 	if c.ended == 0 {
 		return 0
@@ -167,6 +172,13 @@
 	s.effects = append(s.effects, Suspended{
 		Endpoint: e.ID, Duration: e.lastSuspension, Cause: cause, Ended: e.health.ended, Failed: e.health.failed,
 	})
+	s.forgetOutcomes(e)
+}
+
+// forgetOutcomes removes the past requests of an endpoint from its health statistics and
+// those of its service.
+func (s *State) forgetOutcomes(e *endpoint) {
+	s.service(e.Service).health.remove(e.health)
 	e.health = decayingCount{}
 }
 
@@ -181,10 +193,8 @@
 // endpoints of its service by more than failureRateMargin.
 func (s *State) checkHealth(e *endpoint) {
 	others := s.service(e.Service).health
-	others.ended -= e.health.ended
-	others.failed -= e.health.failed
+	others.remove(e.health)
 	if e.health.ended >= minSampleWeight && others.ended >= minSampleWeight && e.health.failureRate() > others.failureRate()+failureRateMargin {
-		s.service(e.Service).health = others
 		s.suspend(e, Failing)
 	}
 }
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -143,6 +143,7 @@
 			e.others.add(r[announced.ID])
 		}
 	case e.Service != announced.Service:
+		s.forgetOutcomes(e)
 		s.detach(e)
 		e.Endpoint = announced
 		s.attach(e)
@@ -182,6 +183,7 @@
 
 func (s *State) removeEndpoint(id string) {
 	if e := s.endpoints[id]; e != nil {
+		s.forgetOutcomes(e)
 		s.detach(e)
 		delete(s.endpoints, id)
 	}
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -1,6 +1,7 @@
 package brplace
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -167,6 +168,24 @@
 	}
 }
 
+// TestFailuresOfSuspendedEndpoint guards against sound endpoints that are suspended
+// because another one goes on failing requests during its suspension, or is removed.
+func TestFailuresOfSuspendedEndpoint(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b", "c")
+	usage := func(failed, failedOfC uint64) Report {
+		return Report{"a": {Ended: failed, Failed: failed}, "b": {Ended: 20 + failed}, "c": {Ended: 20 + failed, Failed: failedOfC}}
+	}
+	s.Step(at(0), PeerReported{Daemon: "p", Report: usage(0, 0)})
+	checkEffects(t, "noticed", s.Step(at(50), PeerReported{Daemon: "p", Report: usage(10, 1)}), "suspend a failing")
+	for i := range 10 {
+		n := uint64(i)
+		checkEffects(t, fmt.Sprint("report ", i), s.Step(at(100+10*i), PeerReported{Daemon: "p", Report: usage(20+10*n, 2+n)}))
+	}
+	s.Step(at(300), EndpointLost{ID: "a"})
+	checkEffects(t, "after its removal", s.Step(at(310), PeerReported{Daemon: "p", Report: Report{"b": {Ended: 200}, "c": {Ended: 200, Failed: 30}}}))
+}
+
 // TestAllFail guards against suspending all endpoints of a service when all of them
 // fail equally often.
 func TestAllFail(t *testing.T) {
