--- /dev/null
+++ b/brproxy/harness_test.go
@@ -0,0 +1,170 @@
+package brproxy
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"bramleyroute/brconn"
+	"bramleyroute/brheader"
+	"bramleyroute/brplace"
+	"bramleyroute/brpolicy"
+
+	"github.com/rs/zerolog"
+)
+
+var testDialect = Dialect{
+	Decode: func(r *http.Request) (CallParams, error) {
+		c := CallParams{ID: r.Header.Get("Id"), Key: r.Header.Get("Key")}
+		if ms, err := strconv.Atoi(r.Header.Get("Deadline")); err == nil {
+			c.Deadline = time.Duration(ms) * time.Millisecond
+		}
+		return c, nil
+	},
+	EncodeHeader: func(in http.Header, d DispatchParams) http.Header {
+		h := brheader.EndToEnd(in)
+		h.Del("Key")
+		h.Set("Endpoint", d.Endpoint)
+		h.Set("Customer", d.Customer)
+		h.Set("Left", strconv.FormatInt(d.Timeout.Milliseconds(), 10))
+		if d.LastEventID != "" {
+			h.Set("Last-Event-Id", d.LastEventID)
+		}
+		return h
+	},
+	NotRun:      func(a *brconn.Response) bool { return a.Header.Get("Not-Run") != "" },
+	Misdirected: func(a *brconn.Response) bool { return a.Status == http.StatusMisdirectedRequest },
+	Leaving:     func(a *brconn.Response) bool { return a.Header.Get("Leaving") != "" },
+}
+
+// fakeEndpoint records the headers of its requests and responds with a function.
+type fakeEndpoint struct {
+	mu      sync.Mutex
+	headers []http.Header
+	handler http.HandlerFunc
+}
+
+func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.headers = append(e.headers, r.Header.Clone())
+	e.mu.Unlock()
+	e.handler(w, r)
+}
+
+func (e *fakeEndpoint) arrivals() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.headers)
+}
+
+// testSystem is a proxy in front of fake endpoints with the IDs e0, e1 and so on.
+type testSystem struct {
+	proxy     *Proxy
+	front     *httptest.Server
+	endpoints []*fakeEndpoint
+}
+
+func testPolicy() brpolicy.Policy {
+	route := func(name string, retryMode brpolicy.RetryMode, attempts int, stream bool) brpolicy.Route {
+		return brpolicy.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", RetryMode: retryMode, MaxAttempts: attempts, Stream: stream,
+			Timeout: 3 * time.Second, FirstByteTarget: 100 * time.Millisecond, Targets: []brpolicy.Target{{Service: "s", Weight: 1}},
+		}
+	}
+	return brpolicy.Policy{
+		Version: 1, Services: []brpolicy.Service{{Name: "s"}},
+		Routes: []brpolicy.Route{
+			route("safe", brpolicy.SafeToRetry, 2, false), route("never", brpolicy.NeverRetry, 2, false),
+			route("once", brpolicy.NeverRetry, 1, false), route("stream", brpolicy.NeverRetry, 2, true),
+			route("resume", brpolicy.Resumable, 2, true),
+		},
+		Customers: []brpolicy.Customer{
+			{Name: "c", Keys: []string{"k"}},
+			{Name: "limited", Keys: []string{"l"}, Rate: 0.001, Burst: 1},
+		},
+	}
+}
+
+func newSystem(t *testing.T, handlers ...http.HandlerFunc) *testSystem {
+	t.Helper()
+	s := &testSystem{}
+	s.proxy = New(Config{Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.Nop()})
+	s.proxy.SetPolicy(brpolicy.Compile(testPolicy()))
+	for i, handler := range handlers {
+		e := &fakeEndpoint{handler: handler}
+		server := httptest.NewServer(e)
+		t.Cleanup(server.Close)
+		s.endpoints = append(s.endpoints, e)
+		s.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: brplace.Endpoint{
+			ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Address: server.Listener.Addr().String(), Slots: 4,
+		}})
+	}
+	s.front = httptest.NewUnstartedServer(s.proxy)
+	s.front.Config.ConnContext, s.front.Config.ConnState = s.proxy.ConnContext, s.proxy.ConnState
+	s.front.Start()
+	t.Cleanup(func() {
+		s.front.Close()
+		s.proxy.Close()
+	})
+	return s
+}
+
+func (s *testSystem) arrivals() int {
+	n := 0
+	for _, e := range s.endpoints {
+		n += e.arrivals()
+	}
+	return n
+}
+
+// do sends a request and returns the status, the body and whether the response was
+// complete.
+func (s *testSystem) do(t *testing.T, method, path string, header map[string]string) (status int, body string, complete bool) {
+	t.Helper()
+	r, err := http.NewRequest(method, s.front.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set("Id", "1")
+	r.Header.Set("Key", "k")
+	for name, value := range header {
+		r.Header.Set(name, value)
+	}
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	a, err := c.Do(r)
+	if err != nil {
+		return 0, "", false
+	}
+	defer a.Body.Close()
+	b, err := io.ReadAll(a.Body)
+	return a.StatusCode, string(b), err == nil
+}
+
+// respond returns a handler that sends a fixed response, with the given header field
+// set to 1 unless it is empty.
+func respond(status int, header, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if header != "" {
+			w.Header().Set(header, "1")
+		}
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	}
+}
+
+// truncate returns a handler that closes the connection after part of the response.
+func truncate(part string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if part != "" {
+			io.WriteString(w, part)
+			http.NewResponseController(w).Flush()
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
