brfleet: reports take the same part of a relay's link under any load

Under overload the reports of endpoints' usage grow, and each relay, which is also a replica, sends 11 to 12 MB/s, all of its link of 100 Mbit/s. Heartbeats to the other replicas take over 400 ms: from second 10.4, when a leader is elected, to second 20 it never holds a lease, and proposals and reads time out. Ruled out: processor time (0.2 of 0.512 cores), the disk, stalls of the processes, and closed links.

The intervals now grow with the size of a report, the whole fleet is told every 4 ms times its daemons (2.5 before), the failure domain every 3 ms times its daemons (1.5), and an endpoint without running requests leaves the frequent reports after 150 ms.

--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -18,14 +18,24 @@
 	loadLifetime = 2 * time.Second
 	// maxReportInterval is the longest interval between two reports.
 	maxReportInterval = 400 * time.Millisecond
-	// minReportInterval is the shortest interval between two reports. It grows to
-	// reportIntervalPerDaemon times the number of daemons that receive them, so that
-	// each daemon receives at most 670 reports per second. In a large fleet these are
-	// the daemons of the failure domain; the others receive the load at intervals of
-	// fleetIntervalPerDaemon times the number of all daemons.
+	// minReportInterval is the shortest interval between two reports. In a small fleet
+	// it grows to reportIntervalPerDaemon times the number of daemons, so that each
+	// daemon receives at most 670 reports per second.
 	minReportInterval       = 20 * time.Millisecond
 	reportIntervalPerDaemon = 1500 * time.Microsecond
-	fleetIntervalPerDaemon  = 2500 * time.Microsecond
+	// domainIntervalPerDaemon times the number of daemons in the failure domain is the
+	// interval between two reports to these in a large fleet, and fleetIntervalPerDaemon
+	// times the number of all daemons that between two reports to all. Both intervals
+	// grow with a report of more than usualEndpoints, so that the reports take the same
+	// part of the relays' links under any load.
+	domainIntervalPerDaemon = 3 * time.Millisecond
+	fleetIntervalPerDaemon  = 4 * time.Millisecond
+	usualEndpoints          = 5
+	// reportRetention is the time that an endpoint without running requests stays in the
+	// reports, and domainReportRetention that in the more frequent reports to the
+	// failure domain.
+	reportRetention       = 500 * time.Millisecond
+	domainReportRetention = 150 * time.Millisecond
 	// quotaUsageIntervalPerDaemon times the number of daemons is the shortest interval
 	// between two reports of quota usage. Between reports the other daemons
 	// extrapolate the usage.
@@ -52,32 +62,49 @@
 		case <-f.reportDue:
 		case <-f.cfg.Clock.After(maxReportInterval):
 		}
-		daemons, now := time.Duration(f.daemons.Load()), f.cfg.Clock.Now()
-		receivers, fleetInterval := daemons, time.Duration(0)
-		placement, usage := f.proxy.Reports()
+		now := f.cfg.Clock.Now()
+		interval, fleetInterval := f.reportIntervals()
 		if f.node.SendsDomainRecords() {
-			receivers, fleetInterval = time.Duration(f.domainDaemons.Load()), daemons*fleetIntervalPerDaemon
-			publishReport(f, kindDomainLoad, seq, placement)
+			report := f.proxy.PlacementReport(domainReportRetention)
+			publishReport(f, kindDomainLoad, seq, loadLifetime, report)
+			interval, fleetInterval = scaleInterval(interval, report), scaleInterval(fleetInterval, report)
 		}
 		if now.Sub(loadReportedAt) >= fleetInterval {
 			loadReportedAt = now
-			publishReport(f, kindLoad, seq, placement)
+			lifetime := max(loadLifetime, 2*fleetInterval)
+			publishReport(f, kindLoad, seq, lifetime, f.proxy.PlacementReport(reportRetention))
 		}
-		if now.Sub(usageReportedAt) >= daemons*quotaUsageIntervalPerDaemon {
+		if now.Sub(usageReportedAt) >= time.Duration(f.daemons.Load())*quotaUsageIntervalPerDaemon {
 			usageReportedAt = now
-			publishReport(f, kindQuotaUsage, seq, usage)
+			publishReport(f, kindQuotaUsage, seq, loadLifetime, f.proxy.QuotaReport())
 		}
 		select {
 		case <-f.stop:
 			return
-		case <-f.cfg.Clock.After(max(minReportInterval, receivers*reportIntervalPerDaemon)):
+		case <-f.cfg.Clock.After(interval):
 		}
 	}
 }
 
-func publishReport[T any](f *Fleet, kind string, seq uint64, report T) {
+// reportIntervals returns the shortest interval between two reports, and that between
+// two reports to the whole fleet if these are less frequent.
+func (f *Fleet) reportIntervals() (interval, fleetInterval time.Duration) {
+	daemons := time.Duration(f.daemons.Load())
+	if !f.node.SendsDomainRecords() {
+		return max(minReportInterval, daemons*reportIntervalPerDaemon), 0
+	}
+	domain := time.Duration(f.domainDaemons.Load())
+	return max(minReportInterval, domain*domainIntervalPerDaemon), daemons * fleetIntervalPerDaemon
+}
+
+// scaleInterval returns the interval until the report after r. See usualEndpoints.
+func scaleInterval(interval time.Duration, r brplace.Report) time.Duration {
+	return interval * time.Duration(max(usualEndpoints, len(r))) / usualEndpoints
+}
+
+func publishReport[T any](f *Fleet, kind string, seq uint64, lifetime time.Duration, report T) {
 	f.node.Publish(brgossip.Record{
-		Key: kind + "/" + f.incarnation, Version: brgossip.Version{Seq: seq}, Value: encode(report), Lifetime: loadLifetime,
+		Key: kind + "/" + f.incarnation, Version: brgossip.Version{Seq: seq}, Value: encode(report), Lifetime: lifetime,
 	})
 }
 
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -97,16 +97,13 @@
 	return s.effects
 }
 
-// reportRetention is the time that an endpoint without running requests stays in
-// the reports, so that the other daemons receive the outcome of its last request.
-const reportRetention = 500 * time.Millisecond
-
-// Report returns the usage by this daemon of the endpoints that have running
-// requests or had one within reportRetention.
-func (s *State) Report(now time.Time) Report {
+// Report returns the usage by this daemon of the endpoints that have running requests
+// or had one within the given retention. During the retention the other daemons receive
+// the outcome of the last request.
+func (s *State) Report(now time.Time, retention time.Duration) Report {
 	r := Report{}
 	for id, e := range s.endpoints {
-		if e.own.Active > 0 || now.Sub(e.lastEnded) < reportRetention {
+		if e.own.Active > 0 || now.Sub(e.lastEnded) < retention {
 			r[id] = e.own
 		}
 	}
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -169,11 +169,19 @@
 	p.step(brplace.FleetChanged{Daemons: n})
 }
 
-// Reports returns the reports that this daemon publishes to the others.
-func (p *Proxy) Reports() (brplace.Report, brquota.Report) {
+// PlacementReport returns the usage of endpoints by this daemon, as
+// brplace.State.Report does.
+func (p *Proxy) PlacementReport(retention time.Duration) brplace.Report {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.placement.Report(p.cfg.Clock.Now()), p.limiter.Report()
+	return p.placement.Report(p.cfg.Clock.Now(), retention)
+}
+
+// QuotaReport returns the quota usage by this daemon.
+func (p *Proxy) QuotaReport() brquota.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limiter.Report()
 }
 
 // step applies an event and sends each resulting effect to the waiting request that
