brplace: learn the speed of prompts; fair share also for the less urgent ranks

The time for a token is now learned for each service from first bytes of prompts that had a free slot and no other prompt before them, as far as known; shorter times count fifty times as much as longer ones, because other daemons' prompts delay a first byte unseen.

TestPromptTimeIsLearned doesn't hold before, when the assumed 150 ms stay.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -7,10 +7,6 @@
 	// may have when the next request is of the most urgent rank.
 	urgentOverflow = 2
 
-	// prefillRate is the number of prompt tokens that an endpoint of average speed
-	// processes in one millisecond. It only weighs the prompt against other costs.
-	prefillRate = 40
-
 	// remoteCost is the extra latency of an endpoint in another failure domain.
 	remoteCost = 4 * time.Millisecond
 
@@ -54,8 +50,10 @@
 	preferredEndpoints = 8
 	sampledEndpoints   = 3
 
-	// overloadFraction is the fraction of free slots below which a daemon of a large
-	// fleet runs at most fairShareFactor times its share of the slots of a service.
+	// overloadFraction is the fraction of free slots, without the reserve, below which a
+	// daemon of a large fleet runs at most fairShareFactor times its share of the slots
+	// of a service. It is divided by one more than the rank, since the reserve limits
+	// the less urgent ranks earlier.
 	overloadFraction = 0.1
 	fairShareFactor  = 1.3
 
@@ -67,10 +65,12 @@
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
 	slots, free := s.slots(v)
-	if rank := v.placementRank(r); rank > 0 && float64(free) <= float64(rank)*s.reserve()*float64(slots) {
+	rank := float64(v.placementRank(r))
+	available := float64(free) - rank*s.reserve()*float64(slots)
+	if rank > 0 && available <= 0 {
 		return nil
 	}
-	if s.large() && float64(free) <= overloadFraction*float64(slots) && v.running >= s.fairShare(slots) {
+	if s.large() && available <= overloadFraction/(1+rank)*float64(slots) && v.running >= s.fairShare(slots) {
 		return nil
 	}
 	var best *endpoint
@@ -188,12 +188,9 @@
 // cost returns the weighted expected latency of r at e. The time to the first byte
 // counts in full, the rest of a stream with streamTimeWeight.
 func (s *State) cost(v *service, e *endpoint, r *Request) time.Duration {
-	slowdown := 1.0
-	if interval := e.eventInterval; interval > 0 && v.eventInterval > 0 {
-		slowdown = float64(interval) / float64(v.eventInterval)
-	}
-	prefill := slowdown * float64(r.PromptTokens) / prefillRate * float64(time.Millisecond)
-	pendingPrefill := slowdown * float64(e.pendingPrompt()) / prefillRate * float64(time.Millisecond)
+	slowdown := v.slowdown(e)
+	prefill := slowdown * float64(v.promptTime(r.PromptTokens))
+	pendingPrefill := slowdown * float64(v.promptTime(e.pendingPrompt()))
 	cost := time.Duration(prefill + pendingPrefill + prefillDelayWeight*prefill*float64(e.active()))
 	if slowdown < 1 {
 		utilization := float64(e.active()) / float64(max(1, e.Slots))
@@ -232,12 +229,13 @@
 
 // place dispatches r to e.
 func (s *State) place(r *Request, e *endpoint) {
+	unqueued := e.active() < e.Slots && e.pendingPrompt() == 0
 	e.own.Active++
 	s.service(r.Service).countRunning(r, 1)
 	e.own.PendingPromptTokens += r.PromptTokens
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
 	}
-	s.inflight[r.ID] = &inflightRequest{request: *r, endpoint: e, dispatchedAt: s.now}
+	s.inflight[r.ID] = &inflightRequest{request: *r, endpoint: e, dispatchedAt: s.now, unqueued: unqueued}
 	s.effects = append(s.effects, Dispatch{ID: r.ID, Endpoint: e.Endpoint})
 }
--- a/brplace/short.go
+++ b/brplace/short.go
@@ -25,8 +25,7 @@
 	if !r.Stream || v.meanDuration == 0 || v.eventInterval == 0 {
 		return false
 	}
-	prefill := time.Duration(float64(r.PromptTokens) / prefillRate * float64(time.Millisecond))
-	expected := prefill + time.Duration(r.ExpectedEvents*float64(v.eventInterval))
+	expected := v.promptTime(r.PromptTokens) + time.Duration(r.ExpectedEvents*float64(v.eventInterval))
 	return float64(expected) <= shortFraction*float64(v.meanDuration)
 }
 
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -36,6 +36,7 @@
 	health        decayingCount // over all endpoints
 	eventInterval time.Duration // mean over the endpoints; 0 if unknown
 	meanDuration  time.Duration // moving average of the durations of this daemon's requests; 0 if unknown
+	tokenTime     time.Duration // time to process a prompt token at an endpoint of average speed; 0 if unknown
 	running       int           // number of running requests of this daemon
 	shortRunning  int           // number of those that are short
 }
@@ -46,6 +47,7 @@
 	endpoint     *endpoint
 	dispatchedAt time.Time
 	gotFirstByte bool
+	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
 }
 
 // New returns a State without endpoints. New panics if cfg.Random is nil.
@@ -241,6 +243,7 @@
 		return
 	}
 	f.gotFirstByte = true
+	s.service(f.request.Service).recordPrompt(f, s.now)
 	f.endpoint.own.PendingPromptTokens -= f.request.PromptTokens
 	f.endpoint.lastProgress = s.now
 }
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -186,6 +186,41 @@
 	checkEffects(t, "after its removal", s.Step(at(310), PeerReported{Daemon: "p", Report: Report{"b": {Ended: 200}, "c": {Ended: 200, Failed: 30}}}))
 }
 
+// TestPromptTimeIsLearned guards against an assumed prompt speed that doesn't fit the
+// endpoints: a short response to a long prompt counted as a long request where prompts
+// are read four times as fast. Times behind another prompt don't count.
+func TestPromptTimeIsLearned(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b")
+	s.Step(at(0), PeerReported{Daemon: "p", Report: Report{"a": {EventInterval: 20 * time.Millisecond}, "b": {EventInterval: 20 * time.Millisecond}}})
+	s.Step(at(0), Tick{})
+	summary := func(id uint64, now int) Request {
+		r := request(id, 0, now)
+		r.Stream, r.PromptTokens, r.ExpectedEvents = true, 6000, 5
+		return r
+	}
+	v := s.service("s")
+	for i := range 20 {
+		now, id := 2000*i, uint64(i+1)
+		s.Step(at(now), Submit{summary(id, now)})
+		s.Step(at(now+36), FirstByte{ID: id})
+		s.Step(at(now+1000), Ended{ID: id, Result: Succeeded})
+	}
+	if got := v.promptTime(6000); got < 30*time.Millisecond || got > 45*time.Millisecond {
+		t.Errorf("expected time of a prompt of 6000 tokens: %v, want about 36ms", got)
+	}
+	if r := summary(100, 40000); !v.isShort(&r) {
+		t.Error("a response of 5 events to a prompt of 6000 tokens isn't short at a mean duration of a second")
+	}
+	before := v.tokenTime
+	s.Step(at(40000), PeerReported{Daemon: "p", Report: Report{"a": {PendingPromptTokens: 9000}, "b": {PendingPromptTokens: 9000}}})
+	s.Step(at(40000), Submit{summary(101, 40000)})
+	s.Step(at(40500), FirstByte{ID: 101})
+	if v.tokenTime != before {
+		t.Errorf("time for a token is %v after a prompt that waited, want %v", v.tokenTime, before)
+	}
+}
+
 // TestAllFail guards against suspending all endpoints of a service when all of them
 // fail equally often.
 func TestAllFail(t *testing.T) {
