--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -38,11 +38,13 @@
 	m := f.metrics
 	s := f.proxy.Stats()
 	pool := f.pool.Stats()
+	bytesIn, bytesOut := f.node.Bytes()
 	for name, total := range map[string]uint64{
 		"requests": s.Requests.Load(), "answered": s.Answered.Load(), "refused": s.Rejected.Load(),
 		"failed": s.Failed.Load(), "callers_gone": s.Disconnected.Load(), "dispatches": s.Dispatches.Load(),
 		"retries": s.Retries.Load(), "resumed": s.Resumed.Load(), "over_quota": s.OverQuota.Load(),
 		"denied": s.Denied.Load(), "connections_dialed": pool.Dialed, "connections_reused": pool.Reused,
+		"link_bytes_received": bytesIn, "link_bytes_sent": bytesOut,
 	} {
 		m.ExportTotal(m.Scope, "", name, int64(total))
 	}
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -84,12 +84,16 @@
 	relay         *brpeer.Conn         // forwards direct records for this daemon in a large fleet
 	seq           uint64
 	closed        bool
+	closedLinks   traffic // of the links that are closed
 
 	wake chan struct{}
 	stop chan struct{}
 	wg   sync.WaitGroup
 }
 
+// traffic counts payload bytes.
+type traffic struct{ in, out uint64 }
+
 type peer struct {
 	address     string
 	queued      func() int          // number of messages to the peer that are not sent yet
@@ -201,6 +205,19 @@
 	return slices.Compact(addresses)
 }
 
+// Bytes returns the number of payload bytes that this daemon has received and sent over
+// its links.
+func (n *Node) Bytes() (in, out uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	in, out = n.closedLinks.in, n.closedLinks.out
+	for c := range n.peers {
+		i, o := c.Bytes()
+		in, out = in+i, out+o
+	}
+	return in, out
+}
+
 // Conn returns an open connection to the daemon at address, or nil. Of several
 // connections it returns the one that received a message last.
 func (n *Node) Conn(address string) *brpeer.Conn {
@@ -364,6 +381,9 @@
 	}
 	n.mu.Lock()
 	delete(n.peers, c)
+	in, out := c.Bytes()
+	n.closedLinks.in += in
+	n.closedLinks.out += out
 	n.mu.Unlock()
 	n.notifyLink(address, false)
 }
--- a/brgossip/node_test.go
+++ b/brgossip/node_test.go
@@ -126,3 +126,15 @@
 		}
 	}
 }
+
+// TestBytes guards against a count of bytes that starts anew when a link is closed.
+func TestBytes(t *testing.T) {
+	a := startNode(t, "a", func() []string { return nil })
+	b := startNode(t, "b", func() []string { return []string{a.address} })
+	await(t, "records are exchanged", func() bool { return len(a.node.Daemons()) == 2 && len(b.node.Daemons()) == 2 })
+	b.close()
+	await(t, "the link is closed", func() bool { return len(a.node.LinkedAddresses()) == 0 })
+	if in, out := a.node.Bytes(); in == 0 || out == 0 {
+		t.Errorf("%d bytes received and %d sent over a closed link, want both counted", in, out)
+	}
+}
