--- /dev/null
+++ b/brfleet/cluster_test.go
@@ -0,0 +1,153 @@
+package brfleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bramleyroute/brconn"
+	"bramleyroute/brcore"
+	"bramleyroute/brpolicy"
+	"bramleyroute/brproxy"
+	"bramleyroute/brtest"
+
+	"github.com/rs/zerolog"
+)
+
+// cluster is a fleet of daemons on loopback. The first ones have a disk.
+type cluster struct {
+	t         *testing.T
+	addresses []string
+	dirs      []string // empty for a daemon without a disk
+	fleets    []*Fleet // nil while stopped
+}
+
+func newCluster(t *testing.T, daemons, disks int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, fleets: make([]*Fleet, daemons)}
+	for i := range daemons {
+		c.addresses = append(c.addresses, brtest.FreeAddress(t))
+		dir := ""
+		if i < disks {
+			dir = filepath.Join(t.TempDir(), "data")
+		}
+		c.dirs = append(c.dirs, dir)
+	}
+	for i := range daemons {
+		c.start(i, true)
+	}
+	t.Cleanup(func() {
+		for i := range c.fleets {
+			c.stop(i)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(i int, bootstrap bool) {
+	c.t.Helper()
+	f, err := Start(Config{
+		ID: fmt.Sprint("d", i), Address: c.addresses[i], FailureDomain: "z", Dir: c.dirs[i], Tolerance: 1, Bootstrap: bootstrap,
+		Seeds: func() []string { return c.addresses[:min(3, len(c.addresses))] },
+		Dialect: brproxy.Dialect{
+			Decode: func(r *http.Request) (brproxy.CallParams, error) {
+				return brproxy.CallParams{ID: r.Header.Get("Id")}, nil
+			},
+			EncodeHeader: func(in http.Header, _ brproxy.DispatchParams) http.Header { return in },
+			NotRun:       func(*brconn.Response) bool { return false },
+			Misdirected:  func(*brconn.Response) bool { return false },
+			Leaving:      func(res *brconn.Response) bool { return res.Header.Get("Leaving") != "" },
+		},
+		DecodePolicy: func(body []byte) (brpolicy.Policy, error) {
+			var p brpolicy.Policy
+			err := json.Unmarshal(body, &p)
+			return p, err
+		},
+		Log: zerolog.Nop(),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.fleets[i] = f
+}
+
+func (c *cluster) stop(i int) {
+	if c.fleets[i] != nil {
+		c.fleets[i].Close()
+		c.fleets[i] = nil
+	}
+}
+
+func testPolicy(t *testing.T, version uint64) []byte {
+	t.Helper()
+	body, err := json.Marshal(brpolicy.Policy{
+		Version: version, Services: []brpolicy.Service{{Name: "s"}},
+		Routes: []brpolicy.Route{{
+			Name: "r", Host: "h", Prefix: "/", MaxAttempts: 1, Timeout: time.Second, FirstByteTarget: time.Second,
+			Targets: []brpolicy.Target{{Service: "s", Weight: 1}},
+		}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// put sends a policy to daemon i and retries until it is acknowledged, as an
+// operator does.
+func (c *cluster) put(i int, version uint64) {
+	c.t.Helper()
+	c.await(fmt.Sprintf("policy %d acknowledged", version), func() bool {
+		err := c.fleets[i].PutPolicy(context.Background(), testPolicy(c.t, version))
+		if err != nil && !errors.Is(err, brcore.ErrUnavailable) {
+			c.t.Fatal(err)
+		}
+		return err == nil
+	})
+}
+
+// await polls a condition that spans several daemons, since no single event
+// signals it.
+func (c *cluster) await(what string, f func() bool) {
+	c.t.Helper()
+	deadline := time.After(20 * time.Second)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !f() {
+		select {
+		case <-tick.C:
+		case <-deadline:
+			c.t.Fatalf("timed out: %s", what)
+		}
+	}
+}
+
+func (c *cluster) awaitInForce(version uint64) {
+	c.t.Helper()
+	for i, f := range c.fleets {
+		if f == nil {
+			continue
+		}
+		c.await(fmt.Sprintf("policy %d in force at daemon %d", version, i), func() bool {
+			t := f.Proxy().Table()
+			return t != nil && t.Policy().Version == version
+		})
+	}
+}
+
+// read returns the policy version that daemon i reads, or 0 if it can't confirm
+// the newest one.
+func (c *cluster) read(i int) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	d, err := c.fleets[i].Policy(ctx)
+	if err != nil {
+		return 0
+	}
+	return d.Version
+}
--- a/brfleet/load_test.go
+++ b/brfleet/load_test.go
@@ -68,3 +68,34 @@
 	}
 	return load
 }
+
+// TestLoadRecordsInOrder guards against an older report of a daemon that replaces a newer
+// one, since reports come by two ways, and against load that stays after the daemon has
+// stopped reporting.
+func TestLoadRecordsInOrder(t *testing.T) {
+	f := newCluster(t, 1, 1).fleets[0] // alone, since the fields are used by calls from other daemons
+	f.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Slots: 1}})
+	record := func(kind string, seq uint64, active int) brgossip.Record {
+		return brgossip.Record{Key: kind + "/other", Version: brgossip.Version{Seq: seq}, Value: encode(brplace.Report{"e": {Active: active}})}
+	}
+	steps := []struct {
+		name  string
+		apply func()
+		seq   uint64
+	}{
+		{"of the failure domain", func() { f.applyLoadRecord(record(kindDomainLoad, 5, 1)) }, 5},
+		{"older, of the fleet", func() { f.applyLoadRecord(record(kindLoad, 4, 0)) }, 5},
+		{"newer, of the fleet", func() { f.applyLoadRecord(record(kindLoad, 6, 2)) }, 6},
+		{"expired", func() { f.onExpired(record(kindDomainLoad, 5, 1)) }, 0},
+		{"after the expiry", func() { f.applyLoadRecord(record(kindLoad, 7, 1)) }, 7},
+		{"undecodable", func() {
+			f.applyLoadRecord(brgossip.Record{Key: kindLoad + "/other", Version: brgossip.Version{Seq: 8}, Value: []byte{0xff}})
+		}, 7},
+	}
+	for _, step := range steps {
+		step.apply()
+		if got := f.loadSeqs["other"]; got != step.seq {
+			t.Errorf("%s: the applied report has sequence number %d, want %d", step.name, got, step.seq)
+		}
+	}
+}
