brfleet: a report to the failure domain has all that ended since the one before

With a long report the interval is longer than the 150 ms for which an endpoint without running requests stays in the reports. Its last outcome was then missing, and a report to the whole fleet with the same number is not applied where the other was.

--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -32,8 +32,8 @@
 	fleetIntervalPerDaemon  = 4 * time.Millisecond
 	usualEndpoints          = 5
 	// reportRetention is the time that an endpoint without running requests stays in the
-	// reports, and domainReportRetention that in the more frequent reports to the
-	// failure domain.
+	// reports, and domainReportRetention the shortest such time in the more frequent
+	// reports to the failure domain, where it lasts at least until the next report.
 	reportRetention       = 500 * time.Millisecond
 	domainReportRetention = 150 * time.Millisecond
 	// quotaUsageIntervalPerDaemon times the number of daemons is the shortest interval
@@ -54,7 +54,7 @@
 // change, and at least every maxReportInterval. The daemons of the same failure domain
 // receive the load more often than the whole fleet.
 func (f *Fleet) runLoad() {
-	var loadReportedAt, usageReportedAt time.Time
+	var reportedAt, loadReportedAt, usageReportedAt time.Time
 	for seq := uint64(1); ; seq++ {
 		select {
 		case <-f.stop:
@@ -65,7 +65,8 @@
 		now := f.cfg.Clock.Now()
 		interval, fleetInterval := f.reportIntervals()
 		if f.node.SendsDomainRecords() {
-			report := f.proxy.PlacementReport(domainReportRetention)
+			report := f.proxy.PlacementReport(max(domainReportRetention, now.Sub(reportedAt)))
+			reportedAt = now
 			publishReport(f, kindDomainLoad, seq, loadLifetime, report)
 			interval, fleetInterval = scaleInterval(interval, report), scaleInterval(fleetInterval, report)
 		}
