brfleet, brplace: short calls in a large fleet find the slots that are free

Cause: a report was sent as soon as a dispatch was due to be told, and then not again for 0.1 s (to the failure domain) or 0.8 s (to the fleet). It nearly always showed a call in progress that takes 15 ms. In a large fleet reports are now sent at fixed intervals, whatever happens meanwhile, so that a call shows in as many reports as its time is of the interval.

The reserve for more urgent ranks also applied where no request is more urgent. It now counts from the most urgent rank that the service has had.

--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -50,41 +50,70 @@
 	}
 }
 
-// runLoad publishes this daemon's load and its customers' quota usage after a
-// change, and at least every maxReportInterval. The daemons of the same failure domain
-// receive the load more often than the whole fleet.
+// runLoad publishes this daemon's load and its customers' quota usage until the fleet is
+// closed.
 func (f *Fleet) runLoad() {
-	var reportedAt, loadReportedAt, usageReportedAt time.Time
-	for seq := uint64(1); ; seq++ {
-		select {
-		case <-f.stop:
-			return
-		case <-f.reportDue:
-		case <-f.cfg.Clock.After(maxReportInterval):
-		}
-		now := f.cfg.Clock.Now()
-		interval, fleetInterval := f.reportIntervals()
-		if f.node.SendsDomainRecords() {
-			report := f.proxy.PlacementReport(max(domainReportRetention, now.Sub(reportedAt)))
-			reportedAt = now
-			publishReport(f, kindDomainLoad, seq, loadLifetime, report)
-			interval, fleetInterval = scaleInterval(interval, report), scaleInterval(fleetInterval, report)
-		}
-		if now.Sub(loadReportedAt) >= fleetInterval {
-			loadReportedAt = now
-			lifetime := max(loadLifetime, 2*fleetInterval)
-			publishReport(f, kindLoad, seq, lifetime, f.proxy.PlacementReport(reportRetention))
-		}
-		if now.Sub(usageReportedAt) >= time.Duration(f.daemons.Load())*quotaUsageIntervalPerDaemon {
-			usageReportedAt = now
-			publishReport(f, kindQuotaUsage, seq, loadLifetime, f.proxy.QuotaReport())
-		}
-		select {
-		case <-f.stop:
-			return
-		case <-f.cfg.Clock.After(interval):
-		}
+	r := loadReporter{Fleet: f}
+	for r.wait() {
+		r.publish()
+	}
+}
+
+// loadReporter publishes the reports of one daemon.
+type loadReporter struct {
+	*Fleet
+	seq             uint64
+	interval        time.Duration // until the next report
+	reportedAt      time.Time     // time of the last report to the failure domain
+	loadReportedAt  time.Time
+	usageReportedAt time.Time
+}
+
+// wait waits for the time of the next report and reports whether the fleet is still
+// open. In a small fleet the next report is due after a change and the interval, and at
+// least every maxReportInterval. In a large fleet it is due after the interval, whatever
+// happens meanwhile: if a dispatch caused it, it would nearly always show a request in
+// progress, also where requests end long before the report after it.
+func (r *loadReporter) wait() bool {
+	select {
+	case <-r.stop:
+		return false
+	case <-r.cfg.Clock.After(r.interval):
+	}
+	if r.node.SendsDomainRecords() {
+		return true
+	}
+	select {
+	case <-r.stop:
+		return false
+	case <-r.reportDue:
+	case <-r.cfg.Clock.After(maxReportInterval):
+	}
+	return true
+}
+
+// publish publishes the reports that are due. The daemons of the same failure domain
+// receive the load more often than the whole fleet.
+func (r *loadReporter) publish() {
+	r.seq++
+	now := r.cfg.Clock.Now()
+	interval, fleetInterval := r.reportIntervals()
+	if r.node.SendsDomainRecords() {
+		report := r.proxy.PlacementReport(max(domainReportRetention, now.Sub(r.reportedAt)))
+		r.reportedAt = now
+		publishReport(r.Fleet, kindDomainLoad, r.seq, loadLifetime, report)
+		interval, fleetInterval = scaleInterval(interval, report), scaleInterval(fleetInterval, report)
+	}
+	if now.Sub(r.loadReportedAt) >= fleetInterval {
+		r.loadReportedAt = now
+		lifetime := max(loadLifetime, 2*fleetInterval)
+		publishReport(r.Fleet, kindLoad, r.seq, lifetime, r.proxy.PlacementReport(reportRetention))
+	}
+	if now.Sub(r.usageReportedAt) >= time.Duration(r.daemons.Load())*quotaUsageIntervalPerDaemon {
+		r.usageReportedAt = now
+		publishReport(r.Fleet, kindQuotaUsage, r.seq, loadLifetime, r.proxy.QuotaReport())
 	}
+	r.interval = interval
 }
 
 // reportIntervals returns the shortest interval between two reports, and that between
--- a/brgossip/flush.go
+++ b/brgossip/flush.go
@@ -24,8 +24,9 @@
 	// fullRateDaemons is the number of daemons up to which changes are sent at the
 	// flush interval. In a larger fleet the interval grows in proportion, so that
 	// the rate of messages that a daemon receives doesn't grow with the fleet. Records
-	// of DomainKinds are always sent at the flush interval.
-	fullRateDaemons = 32
+	// of DomainKinds are sent every domainFlushIntervals flush intervals.
+	fullRateDaemons      = 32
+	domainFlushIntervals = 2
 )
 
 // runFlush sends the pending records, at most once per flush interval.
@@ -37,7 +38,9 @@
 			return
 		case <-n.wake:
 		}
-		all := n.cfg.Clock.Now().Sub(flushedAt) >= n.fullFlushInterval()
+		interval, fullInterval := n.flushIntervals()
+		// Timers end late; half an interval less lets the flush that is due take place.
+		all := n.cfg.Clock.Now().Sub(flushedAt) >= fullInterval-interval/2
 		if all {
 			flushedAt = n.cfg.Clock.Now()
 		}
@@ -45,18 +48,22 @@
 		select {
 		case <-n.stop:
 			return
-		case <-n.cfg.Clock.After(n.cfg.FlushInterval):
+		case <-n.cfg.Clock.After(interval):
 		}
 	}
 }
 
-// fullFlushInterval returns the shortest interval between two flushes of all records.
-func (n *Node) fullFlushInterval() time.Duration {
+// flushIntervals returns the shortest interval between two flushes, and that between two
+// flushes of all records.
+func (n *Node) flushIntervals() (interval, fullInterval time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	scale := max(1, len(n.daemons)/fullRateDaemons)
-	// Timers end late; half an interval less lets the flush that is due take place.
-	return n.cfg.FlushInterval*time.Duration(scale) - n.cfg.FlushInterval/2
+	interval = n.cfg.FlushInterval
+	fullInterval = interval * time.Duration(max(1, len(n.daemons)/fullRateDaemons))
+	if n.topology().sparse() {
+		interval *= domainFlushIntervals
+	}
+	return interval, max(interval, fullInterval)
 }
 
 // delivery is a set of records and the peers that receive it.
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -62,8 +62,8 @@
 	// them directly to its peers; in a large fleet, relays forward them.
 	DirectKinds map[string]bool
 	// DomainKinds holds the kinds of direct records that, in a large fleet, only the
-	// daemons of the writer's failure domain receive. They are sent at every
-	// FlushInterval. In a small fleet they are not sent at all.
+	// daemons of the writer's failure domain receive. They are sent more often than
+	// the others. In a small fleet they are not sent at all.
 	DomainKinds   map[string]bool
 	FlushInterval time.Duration // 0 means DefaultFlushInterval
 	Clock         brclock.Clock // nil means the system clock
--- a/brplace/fleet_test.go
+++ b/brplace/fleet_test.go
@@ -21,6 +21,7 @@
 	reportDelay        time.Duration // until the others have a report
 	domainInterval     time.Duration // between two reports to the daemons of the same failure domain; 0 for none
 	domainDelay        time.Duration // until these have a report
+	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
 	hideShort          bool    // the daemons don't know which streams are short
 	fullChoice         bool    // the daemons don't know that the fleet is large
@@ -120,8 +121,9 @@
 	rejected int
 	streams  int
 	byRank   [3]struct{ streams, onTime, late int }
-	pairs    map[[2]int]bool // of a daemon and an endpoint that it has used
-	longest  int             // greatest number of streams waiting at an endpoint
+	pairs    map[[2]int]bool                         // of a daemon and an endpoint that it has used
+	reported []struct{ domain, fleet time.Duration } // times of the last reports on dispatch, by daemon
+	longest  int                                     // greatest number of streams waiting at an endpoint
 }
 
 // onTime returns the fraction of the streams of a rank that began in time.
@@ -134,6 +136,7 @@
 
 func (f fleetReplay) run() *replayRun {
 	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
+	r.reported = make([]struct{ domain, fleet time.Duration }, f.daemons)
 	for d := range f.daemons {
 		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
 		if !f.fullChoice {
@@ -146,8 +149,10 @@
 		}
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
-		r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
-		if f.domainInterval > 0 {
+		if !f.reportOnDispatch {
+			r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
+		}
+		if f.domainInterval > 0 && !f.reportOnDispatch {
 			r.reportToDomain(d, time.Duration(r.rng.Float64()*float64(f.domainInterval)))
 		}
 		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
@@ -211,6 +216,7 @@
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
+			r.reportDispatch(daemon)
 		case Reject:
 			r.rejected++
 			delete(r.waiting[daemon], e.ID)
@@ -349,6 +355,22 @@
 	})
 }
 
+// reportDispatch reports to the failure domain, and to the others, if the interval has
+// passed since the last such report.
+func (r *replayRun) reportDispatch(daemon int) {
+	if !r.reportOnDispatch {
+		return
+	}
+	if last := r.reported[daemon]; r.now-last.domain >= r.domainInterval {
+		r.reported[daemon].domain = r.now
+		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
+	}
+	if last := r.reported[daemon]; r.now-last.fleet >= r.reportInterval {
+		r.reported[daemon].fleet = r.now
+		r.deliver(daemon, r.reportDelay, func(other int) bool { return replayZone(other) != replayZone(daemon) })
+	}
+}
+
 func (r *replayRun) deliver(daemon int, delay time.Duration, to func(other int) bool) {
 	report := r.states[daemon].Report(start.Add(r.now), 500*time.Millisecond)
 	r.after(delay, func() {
@@ -490,3 +512,30 @@
 		}
 	}
 }
+
+// bookingKinds are the calls of a booking service: all of the last rank, and much shorter
+// than the interval between two reports.
+var bookingKinds = []streamKind{
+	{rank: 2, perEndpoint: 40, events: 0.001, target: 120 * time.Millisecond, deadline: 600 * time.Millisecond, worth: 0.3, lateWorth: 0.09, prefill: 15 * time.Millisecond, interval: time.Millisecond},
+}
+
+// TestShortCallsInLargeFleet guards against calls that wait for slots which are reserved
+// for more urgent requests, of which the service has none, or which are free long before
+// the next report says so. If reports are sent at dispatches, most of them show a call
+// that ends soon after.
+func TestShortCallsInLargeFleet(t *testing.T) {
+	replay := largeDrafting
+	replay.kinds, replay.endpoints, replay.slots, replay.stepped, replay.spread = bookingKinds, 6, 6, false, 0
+	replay.duration = 6 * time.Second
+	for _, load := range []float64{1, 2} {
+		replay.load = load
+		replay.reportOnDispatch = true
+		t.Logf("load %.1f: %v if reported on dispatch", load, replay.run())
+		replay.reportOnDispatch = false
+		r := replay.run()
+		t.Logf("load %.1f: %v", load, r)
+		if r.onTime(2) < 0.95 || r.rejected > 0 {
+			t.Errorf("load %.1f: %.3f of the calls on time and %d rejected, want at least 0.95 and none", load, r.onTime(2), r.rejected)
+		}
+	}
+}
--- a/brplace/short.go
+++ b/brplace/short.go
@@ -29,12 +29,20 @@
 	return float64(expected) <= shortFraction*float64(v.meanDuration)
 }
 
-// placementRank returns the rank that counts for the reserve of slots.
+// placementRank returns the rank that counts for the reserve of slots. It is 0 for the
+// most urgent rank that the service has requests of.
 func (v *service) placementRank(r *Request) int {
 	if r.short && float64(v.shortRunning) < max(1, shortShare*float64(v.running)) {
 		return 0
 	}
-	return r.Rank
+	return r.Rank - v.urgentRank
+}
+
+// noteRank records the rank of a request.
+func (v *service) noteRank(rank int) {
+	if !v.used || rank < v.urgentRank {
+		v.used, v.urgentRank = true, rank
+	}
 }
 
 // queueRank returns the rank that counts for the order of the queue.
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -37,6 +37,8 @@
 	eventInterval time.Duration // mean over the endpoints; 0 if unknown
 	meanDuration  time.Duration // moving average of the durations of this daemon's requests; 0 if unknown
 	tokenTime     time.Duration // time to process a prompt token at an endpoint of average speed; 0 if unknown
+	urgentRank    int           // most urgent rank of this daemon's requests so far
+	used          bool          // there was a request
 	running       int           // number of running requests of this daemon
 	shortRunning  int           // number of those that are short
 }
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -221,6 +221,22 @@
 	}
 }
 
+// TestReserveOfServiceWithOneRank guards against slots that are reserved for requests
+// more urgent than any of the service, and against a reserve that doesn't come back with
+// the first of these.
+func TestReserveOfServiceWithOneRank(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a", "b", "c") // 6 slots
+	s.Step(at(0), FleetChanged{Daemons: 100})
+	nearlyFull := Report{"a": {Active: 2}, "b": {Active: 2}, "c": {Active: 1}}
+	s.Step(at(0), PeerReported{Daemon: "p", Report: nearlyFull})
+	checkEffects(t, "last slot", s.Step(at(1), Submit{request(1, 2, 1)}), "dispatch 1 c")
+	s.Step(at(2), Ended{ID: 1, Result: Succeeded})
+	checkEffects(t, "more urgent", s.Step(at(3), Submit{request(2, 0, 3)}), "dispatch 2 c")
+	s.Step(at(4), Ended{ID: 2, Result: Succeeded})
+	checkEffects(t, "reserved slot", s.Step(at(5), Submit{request(3, 2, 5)}))
+}
+
 // TestAllFail guards against suspending all endpoints of a service when all of them
 // fail equally often.
 func TestAllFail(t *testing.T) {
