--- /dev/null
+++ b/brplace/replay_test.go
@@ -0,0 +1,320 @@
+package brplace
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// fleetReplay replays the streams of a large fleet: many daemons, each with its own
+// State, share endpoints of unlike speed and see each other's usage late.
+type fleetReplay struct {
+	daemons, endpoints int
+	slots              int // of each endpoint
+	kinds              []streamKind
+	load               float64       // multiple of the streams' usual rates
+	reportInterval     time.Duration // between two reports of a daemon
+	reportDelay        time.Duration // until the others have a report
+	domainInterval     time.Duration // between two reports to the daemons of the same failure domain; 0 for none
+	domainDelay        time.Duration // until these have a report
+	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
+	duration           time.Duration
+	hideShort          bool    // the daemons don't know which streams are short
+	fullChoice         bool    // the daemons don't know that the fleet is large
+	stepped            bool    // the endpoints work in steps; see replayEngine
+	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+}
+
+// streamKind describes the streams of one route.
+type streamKind struct {
+	rank              int
+	perEndpoint       float64 // streams per second for each endpoint at a load of 1
+	prompt            int     // tokens
+	events            float64 // mean, exponentially distributed
+	target, deadline  time.Duration
+	worth, lateWorth  float64
+	prefill, interval time.Duration // of the mean stream at an endpoint of speed 1
+}
+
+// callerTimeout returns how long the caller waits for the first event.
+func (k streamKind) callerTimeout() time.Duration {
+	return min(k.deadline, max(2*time.Second, 4*k.target))
+}
+
+// replaySpeeds are the times that the endpoints take, relative to speed 1, in turn.
+var replaySpeeds = []float64{0.6, 1.7, 1.7}
+
+// replaySpeed returns the relative time that endpoint i takes. It doesn't depend on the
+// failure domain.
+func replaySpeed(i int) float64 { return replaySpeeds[(i+i/6)%len(replaySpeeds)] }
+
+// replayStream is a stream of the replay.
+type replayStream struct {
+	id      uint64
+	daemon  int
+	kind    streamKind
+	events  float64
+	prompt  int // tokens
+	arrived time.Duration
+}
+
+// timedStep is something that happens at a time of the replay.
+type timedStep struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type timeline []timedStep
+
+func (l timeline) Len() int { return len(l) }
+
+func (l timeline) Less(i, j int) bool {
+	return l[i].at < l[j].at || l[i].at == l[j].at && l[i].seq < l[j].seq
+}
+
+func (l timeline) Swap(i, j int) { l[i], l[j] = l[j], l[i] }
+
+func (l *timeline) Push(x any) { *l = append(*l, x.(timedStep)) }
+
+func (l *timeline) Pop() any {
+	old := *l
+	x := old[len(old)-1]
+	*l = old[:len(old)-1]
+	return x
+}
+
+// replayRun is the state of one run of a fleetReplay.
+type replayRun struct {
+	fleetReplay
+	rng      *rand.Rand
+	now      time.Duration
+	seq      int
+	steps    timeline
+	states   []*State
+	waiting  []map[uint64]*replayStream // by daemon and request ID
+	running  []int                      // by endpoint
+	engines  []*replayEngine            // by endpoint, if stepped
+	queues   [][]*replayStream          // by endpoint
+	index    map[string]int             // of an endpoint by its ID
+	earned   float64
+	owed     float64
+	rejected int
+	streams  int
+	byRank   [3]struct{ streams, onTime, late int }
+	pairs    map[[2]int]bool                         // of a daemon and an endpoint that it has used
+	reported []struct{ domain, fleet time.Duration } // times of the last reports on dispatch, by daemon
+	longest  int                                     // greatest number of streams waiting at an endpoint
+}
+
+// onTime returns the fraction of the streams of a rank that began in time.
+func (r *replayRun) onTime(rank int) float64 {
+	return float64(r.byRank[rank].onTime) / float64(r.byRank[rank].streams)
+}
+
+// part returns the part of the worth that was earned.
+func (r *replayRun) part() float64 { return r.earned / r.owed }
+
+func (f fleetReplay) run() *replayRun {
+	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
+	r.reported = make([]struct{ domain, fleet time.Duration }, f.daemons)
+	for d := range f.daemons {
+		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
+		if !f.fullChoice {
+			s.Step(start, FleetChanged{Daemons: f.daemons})
+		}
+		for e := range f.endpoints {
+			id := fmt.Sprintf("e%03d", e)
+			r.index[id] = e
+			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", replayZone(e)), Slots: f.slots}})
+		}
+		r.states = append(r.states, s)
+		r.waiting = append(r.waiting, map[uint64]*replayStream{})
+		if !f.reportOnDispatch {
+			r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
+		}
+		if f.domainInterval > 0 && !f.reportOnDispatch {
+			r.reportToDomain(d, time.Duration(r.rng.Float64()*float64(f.domainInterval)))
+		}
+		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
+	}
+	for i := range f.endpoints {
+		r.engines = append(r.engines, &replayEngine{run: r, index: i, speed: replaySpeed(i)})
+	}
+	for _, k := range f.kinds {
+		r.arrive(k)
+	}
+	for r.now < f.duration {
+		s := heap.Pop(&r.steps).(timedStep)
+		r.now = s.at
+		s.run()
+	}
+	return r
+}
+
+const replayTick = 50 * time.Millisecond
+
+func (r *replayRun) after(d time.Duration, f func()) {
+	r.seq++
+	heap.Push(&r.steps, timedStep{r.now + d, r.seq, f})
+}
+
+func (r *replayRun) arrive(k streamKind) {
+	rate := k.perEndpoint * r.load * float64(r.endpoints)
+	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		r.streams++
+		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
+		prompt := k.prompt
+		if r.spread > 0 {
+			prompt = int(float64(k.prompt) * r.logNormal())
+			q.events = 1 + k.events*r.logNormal()
+		}
+		q.prompt = prompt
+		r.owed += k.worth
+		r.byRank[k.rank].streams++
+		r.waiting[q.daemon][q.id] = q
+		at, expected := start.Add(r.now), k.events
+		if r.hideShort {
+			expected = max(expected, longEvents)
+		}
+		r.step(q.daemon, Submit{Request{
+			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: prompt, ExpectedEvents: expected,
+			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
+		}})
+		r.arrive(k)
+	})
+}
+
+// step applies an event at a daemon and starts the streams that it dispatches.
+func (r *replayRun) step(daemon int, ev Event) {
+	for _, effect := range r.states[daemon].Step(start.Add(r.now), ev) {
+		switch e := effect.(type) {
+		case Dispatch:
+			q := r.waiting[daemon][e.ID]
+			delete(r.waiting[daemon], e.ID)
+			i := r.index[e.Endpoint.ID]
+			r.pairs[[2]int{daemon, i}] = true
+			r.queues[i] = append(r.queues[i], q)
+			r.serve(i)
+			r.longest = max(r.longest, len(r.queues[i]))
+			r.reportDispatch(daemon)
+		case Reject:
+			r.rejected++
+			delete(r.waiting[daemon], e.ID)
+		}
+	}
+}
+
+// serve starts the next stream at an endpoint if it has a free slot.
+func (r *replayRun) serve(i int) {
+	if r.running[i] == r.slots || len(r.queues[i]) == 0 {
+		return
+	}
+	q := r.queues[i][0]
+	r.queues[i] = r.queues[i][1:]
+	if r.now-q.arrived > q.kind.callerTimeout() {
+		r.step(q.daemon, Ended{ID: q.id, Result: Inconclusive})
+		r.serve(i)
+		return
+	}
+	r.running[i]++
+	if r.stepped {
+		r.engines[i].start(q)
+		return
+	}
+	speed := replaySpeed(i)
+	prefill := time.Duration(speed * float64(q.kind.prefill))
+	r.after(prefill, func() { r.begin(q) })
+	interval := time.Duration(speed * float64(q.kind.interval))
+	r.after(prefill+time.Duration(q.events*float64(interval)), func() { r.end(i, q, interval) })
+}
+
+// begin records the first event of a stream.
+func (r *replayRun) begin(q *replayStream) {
+	switch waited := r.now - q.arrived; {
+	case waited <= q.kind.target:
+		r.earned += q.kind.worth
+		r.byRank[q.kind.rank].onTime++
+	case waited <= q.kind.callerTimeout():
+		r.earned += q.kind.lateWorth
+		r.byRank[q.kind.rank].late++
+	}
+	r.step(q.daemon, FirstByte{ID: q.id})
+}
+
+// end frees the slot of a stream at an endpoint.
+func (r *replayRun) end(i int, q *replayStream, interval time.Duration) {
+	r.running[i]--
+	r.step(q.daemon, Ended{ID: q.id, Result: Succeeded, EventInterval: interval})
+	r.serve(i)
+}
+
+// logNormal returns a random factor of mean 1.
+func (r *replayRun) logNormal() float64 {
+	return math.Exp(r.spread*r.rng.NormFloat64() - r.spread*r.spread/2)
+}
+
+// report lets a daemon report to the whole fleet after d and then in each interval.
+func (r *replayRun) report(daemon int, d time.Duration) {
+	r.after(d, func() {
+		r.deliver(daemon, r.reportDelay, func(other int) bool { return r.domainInterval == 0 || replayZone(other) != replayZone(daemon) })
+		r.report(daemon, r.reportInterval)
+	})
+}
+
+// reportToDomain does the same for the daemons of the same failure domain.
+func (r *replayRun) reportToDomain(daemon int, d time.Duration) {
+	r.after(d, func() {
+		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
+		r.reportToDomain(daemon, r.domainInterval)
+	})
+}
+
+// reportDispatch reports to the failure domain, and to the others, if the interval has
+// passed since the last such report.
+func (r *replayRun) reportDispatch(daemon int) {
+	if !r.reportOnDispatch {
+		return
+	}
+	if last := r.reported[daemon]; r.now-last.domain >= r.domainInterval {
+		r.reported[daemon].domain = r.now
+		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
+	}
+	if last := r.reported[daemon]; r.now-last.fleet >= r.reportInterval {
+		r.reported[daemon].fleet = r.now
+		r.deliver(daemon, r.reportDelay, func(other int) bool { return replayZone(other) != replayZone(daemon) })
+	}
+}
+
+func (r *replayRun) deliver(daemon int, delay time.Duration, to func(other int) bool) {
+	report := r.states[daemon].Report(start.Add(r.now), 500*time.Millisecond)
+	r.after(delay, func() {
+		for other := range r.daemons {
+			if other != daemon && to(other) {
+				r.step(other, PeerReported{Daemon: fmt.Sprint("d", daemon), Report: report})
+			}
+		}
+	})
+}
+
+// replayZone returns the number of the failure domain of a daemon or endpoint.
+func replayZone(i int) int { return i % 6 }
+
+func (r *replayRun) tick(daemon int, d time.Duration) {
+	r.after(d, func() {
+		r.step(daemon, Tick{})
+		r.tick(daemon, replayTick)
+	})
+}
+
+// late returns the fraction of the streams of a rank that began late.
+func (r *replayRun) late(rank int) float64 {
+	return float64(r.byRank[rank].late) / float64(r.byRank[rank].streams)
+}
+
+func (r *replayRun) String() string {
+	return fmt.Sprintf("earned %.3f, on time by rank %.3f %.3f %.3f, rejected %.3f, longest queue %d",
+		r.part(), r.onTime(0), r.onTime(1), r.onTime(2), float64(r.rejected)/float64(r.streams), r.longest)
+}
