brgossip: TestDomainRecords reads no variable that it still writes

The race detector saw it once in two runs: the seeds of a running node were read from a slice to which the test still added nodes. 15 runs with the detector pass.

--- a/brgossip/relay_test.go
+++ b/brgossip/relay_test.go
@@ -160,15 +160,13 @@
 // of their writer or that reach others.
 func TestDomainRecords(t *testing.T) {
 	const size, replicas = meshLimit + 4, 4
-	var nodes []*testNode
-	for i := range size {
-		d := Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
-		nodes = append(nodes, startNodeWith(t, d, func() []string {
-			if i == 0 {
-				return nil
-			}
-			return []string{nodes[0].address}
-		}))
+	daemon := func(i int) Daemon {
+		return Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
+	}
+	nodes := []*testNode{startNodeWith(t, daemon(0), func() []string { return nil })}
+	first := nodes[0].address
+	for i := 1; i < size; i++ {
+		nodes = append(nodes, startNodeWith(t, daemon(i), func() []string { return []string{first} }))
 	}
 	seq := uint64(0)
 	await(t, "records reach their failure domain", func() bool {
