--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -64,13 +64,7 @@
 
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
-	slots, free := s.slots(v)
-	rank := float64(v.placementRank(r))
-	available := float64(free) - rank*s.reserve()*float64(slots)
-	if rank > 0 && available <= 0 {
-		return nil
-	}
-	if s.large() && available <= overloadFraction/(1+rank)*float64(slots) && v.running >= s.fairShare(slots) {
+	if !s.mayStart(v, r) {
 		return nil
 	}
 	var best *endpoint
@@ -83,6 +77,20 @@
 	return best
 }
 
+// mayStart reports whether r may start although its slot is then missing for others:
+// more slots are free than are reserved for more urgent ranks, and this daemon doesn't
+// exceed its share of the slots while few are free.
+func (s *State) mayStart(v *service, r *Request) bool {
+	slots, free := s.slots(v)
+	rank := float64(v.placementRank(r))
+	available := float64(free) - rank*s.reserve()*float64(slots)
+	if rank > 0 && available <= 0 {
+		return false
+	}
+	overloaded := available <= overloadFraction/(1+rank)*float64(slots)
+	return !s.large() || !overloaded || v.running < s.fairShare(slots)
+}
+
 // candidates returns the endpoints to choose from for r: all that have room for it, or
 // in a large fleet a random sample of those that this daemon prefers. The daemons of a
 // large fleet see each other's usage late. If all of them chose the cheapest endpoint,
