brfleet: a response of a former start doesn't mark the new one as leaving

An endpoint that restarted while a response of its former start was on the way was marked as leaving from its new start on, and never used again. The endpoint that a request is dispatched to now carries its start time. The test fails without the comparison of the two.

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -91,14 +91,15 @@
 	return nil
 }
 
-// endpointLeaving marks an endpoint as leaving, since it said so in a response, and
-// publishes that to all daemons. It stays marked until it starts again.
-func (f *Fleet) endpointLeaving(id string) {
-	a, ok := f.endpoints.serving(id)
-	if !ok {
+// endpointLeaving marks an endpoint as leaving, since it said so in a response to a
+// request that was dispatched to e, and publishes that to all daemons. It stays marked
+// until it starts again. If it has done so already, the response is of its former start.
+func (f *Fleet) endpointLeaving(e brplace.Endpoint) {
+	a, ok := f.endpoints.serving(e.ID)
+	if !ok || a.Born != e.Born {
 		return
 	}
-	f.cfg.Log.Info().Str("endpoint", id).Msg("endpoint says in a response that it is leaving")
+	f.cfg.Log.Info().Str("endpoint", e.ID).Msg("endpoint says in a response that it is leaving")
 	a.Endpoint.Leaving, a.Sequence = true, withdrawnSequence
 	f.publishEndpoint(a)
 }
@@ -131,6 +132,7 @@
 		return
 	}
 	a.Endpoint = change.endpoint
+	a.Endpoint.Born = a.Born
 	f.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: a.Endpoint})
 	f.cfg.Log.Info().Str("endpoint", a.Endpoint.ID).Str("address", a.Endpoint.Address).Str("service", a.Endpoint.Service).
 		Str("version", a.Endpoint.Version).Bool("leaving", a.Endpoint.Leaving).Uint64("born", a.Born).
--- a/brfleet/endpoint_test.go
+++ b/brfleet/endpoint_test.go
@@ -188,3 +188,26 @@
 		}
 	}
 }
+
+// TestLeavingResponseOfFormerStart guards against an endpoint that is never used again
+// after a restart, because a response of its former start arrives late and says that it
+// is leaving.
+func TestLeavingResponseOfFormerStart(t *testing.T) {
+	f := newCluster(t, 1, 1).fleets[0]
+	announce := func(born uint64) {
+		t.Helper()
+		if err := f.Announce(Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 4}, Born: born, Sequence: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announce(1)
+	announce(2)
+	f.endpointLeaving(brplace.Endpoint{ID: "e", Born: 1})
+	if _, serving := f.endpoints.serving("e"); !serving {
+		t.Error("the new start is marked as leaving by a response of the former one")
+	}
+	f.endpointLeaving(brplace.Endpoint{ID: "e", Born: 2})
+	if _, serving := f.endpoints.serving("e"); serving {
+		t.Error("the endpoint isn't marked as leaving by its own response")
+	}
+}
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -11,6 +11,7 @@
 	Version string // software version
 	Slots   int    // number of requests that it runs concurrently
 	Leaving bool   // accepts no new requests
+	Born    uint64 `cbor:"-"` // start time, Unix milliseconds; 0 if unknown
 }
 
 // Usage is the load that one daemon puts on an endpoint, and the outcomes that it
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -21,7 +21,7 @@
 		return
 	}
 	if p.cfg.Dialect.Leaving(res) && p.cfg.OnLeaving != nil {
-		p.cfg.OnLeaving(e.ID)
+		p.cfg.OnLeaving(e)
 	}
 	if res.Status != http.StatusServiceUnavailable {
 		return
--- a/brproxy/observe_test.go
+++ b/brproxy/observe_test.go
@@ -59,10 +59,10 @@
 			var got []string
 			p := New(Config{
 				Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.Nop(),
-				OnLeaving: func(id string) {
+				OnLeaving: func(e brplace.Endpoint) {
 					mu.Lock()
 					defer mu.Unlock()
-					got = append(got, id)
+					got = append(got, e.ID)
 				},
 			})
 			defer p.Close()
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -39,9 +39,9 @@
 	// OnResult is called with the result of each conclusive dispatch, for the
 	// evaluation of rollouts. It may be nil.
 	OnResult func(VersionResult)
-	// OnLeaving is called when a response states that its endpoint is leaving. It may be
-	// nil.
-	OnLeaving func(endpointID string)
+	// OnLeaving is called when a response states that its endpoint is leaving, with the
+	// endpoint as it was at the dispatch. It may be nil.
+	OnLeaving func(e brplace.Endpoint)
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
