--- a/brplace/doc.go
+++ b/brplace/doc.go
@@ -9,4 +9,8 @@
 // exceed the slots of an endpoint, so that the tier order holds across the fleet
 // without a central queue. An endpoint whose failure rate over all daemons is
 // higher than that of the other endpoints of its service is suspended.
+//
+// In a large fleet the reports are older. A daemon then chooses among a few endpoints,
+// those of its own failure domain first, and under overload runs at most its share of
+// the slots, so that the daemons don't all use the same endpoints.
 package brplace
