brconn, brheader, brproxy: one end of an exchange, one invalid Retry-After

Close and Discard began with the same lines; both now call end. RetryAfter built the same error twice. The clock is read once for a stall timer. Two comments named a function that is gone and had a broken line. No behaviour changes.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -177,14 +177,22 @@
 // complete and the endpoint permits reuse, and closes the connection otherwise.
 // Close may be called more than once.
 func (x *Exchange) Close() {
+	if x.end() {
+		x.release()
+	}
+}
+
+// end ends the exchange and reports whether its connection is still to be released. It
+// isn't if the exchange had ended before or its context has closed the connection.
+func (x *Exchange) end() bool {
 	if x.closed.Swap(true) {
-		return
+		return false
 	}
 	if !x.stopCancel() {
 		x.conn.net.Close()
-		return
+		return false
 	}
-	x.release()
+	return true
 }
 
 // release returns the connection to the pool if it may be reused, and closes it
@@ -202,11 +210,7 @@
 // connection can be reused, up to maxDiscardBytes of the body are read in the
 // background for at most discardTimeout; a longer or slower body closes the connection.
 func (x *Exchange) Discard() {
-	if x.closed.Swap(true) {
-		return
-	}
-	if !x.stopCancel() {
-		x.conn.net.Close()
+	if !x.end() {
 		return
 	}
 	if n := x.response.ContentLength; n >= 0 && n <= int64(x.conn.reader.Buffered()) {
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -96,9 +96,8 @@
 }
 
 // exchange writes req once and reads the header of the response with br, whose source
-// it sets. It reads the response
-// even if the write failed, because an endpoint may respond before it has read the
-// complete body.
+// it sets. It reads the response even if the write failed, because an endpoint may
+// respond before it has read the complete body.
 func exchange(cn *conn, br *bufio.Reader, req *http.Request) (*http.Response, error) {
 	req.Close = true
 	if err := cn.SetWriteDeadline(time.Now().Add(cn.idleTimeout)); err != nil {
--- a/brheader/retry_after.go
+++ b/brheader/retry_after.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,15 +17,11 @@
 	if value == "" {
 		return 0, nil
 	}
-	if seconds, err := strconv.ParseFloat(value, 64); err == nil {
-		if seconds < 0 || math.IsNaN(seconds) {
-			return 0, fmt.Errorf("brheader: Retry-After has invalid value %q", value)
-		}
+	if seconds, err := strconv.ParseFloat(value, 64); err == nil && seconds >= 0 {
 		return time.Duration(min(seconds, maxDelay.Seconds()) * float64(time.Second)), nil
 	}
-	date, err := http.ParseTime(value)
-	if err != nil {
-		return 0, fmt.Errorf("brheader: Retry-After has invalid value %q", value)
+	if date, err := http.ParseTime(value); err == nil {
+		return min(max(0, date.Sub(now)), maxDelay), nil
 	}
-	return min(max(0, date.Sub(now)), maxDelay), nil
+	return 0, fmt.Errorf("brheader: Retry-After has invalid value %q", value)
 }
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -29,8 +29,8 @@
 	// QuotaSlackTokens is the number of tokens by which a customer with a quota in
 	// tokens may exceed its limit in any window of time.
 	QuotaSlackTokens float64
-	// ReportsChanged is called when the reports returned by Reports have changed. It
-	// must not block. It may be nil.
+	// ReportsChanged is called when PlacementReport and QuotaReport have changed. It must
+	// not block. It may be nil.
 	ReportsChanged func()
 	// SelectVersion returns the required and the excluded endpoint version for a
 	// request, empty for none, according to the rollouts in progress; nil means no
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -42,12 +42,13 @@
 // returned function at the end of the dispatch.
 func (p *Proxy) watchStall(ctx context.Context, q *request, endpointID string) (context.Context, *stallTimer, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
+	now := p.cfg.Clock.Now()
 	s := &stallTimer{
-		cancel: cancel, now: p.cfg.Clock.Now, since: p.cfg.Clock.Now(),
+		cancel: cancel, now: p.cfg.Clock.Now, since: now,
 		progress: func(since time.Time) bool { return p.progressSince(endpointID, since) },
 	}
 	if q.route.RetryMode != brpolicy.NeverRetry && q.sends < q.route.MaxAttempts {
-		wait := q.deadline.Sub(p.cfg.Clock.Now())
+		wait := q.deadline.Sub(now)
 		if q.route.CallerTimeout > 0 {
 			wait = min(wait, q.route.CallerTimeout)
 		}
