--- a/brsoak/caller.go
+++ b/brsoak/caller.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"bramleyroute/brheader"
 )
 
 const (
@@ -59,8 +61,11 @@
 	}
 }
 
+// maxRetryAfter is the longest time for which a caller waits before its next request.
+const maxRetryAfter = time.Second
+
 // attempt sends one request and returns the delay that the response asks for in
-// Retry-After, at most one second.
+// Retry-After, at most maxRetryAfter.
 func (r *run) attempt(ctx context.Context, client *http.Client, id string, k Kind, c Customer) time.Duration {
 	daemon, address := r.randomDaemon()
 	deadline := plainDeadline
@@ -85,18 +90,11 @@
 			a.Status, a.Complete, a.Body = response.StatusCode, true, b.String()
 		}
 		a.NotRun = r.adapter.GuaranteesNotRun(response.StatusCode)
-		wait = retryAfter(response.Header)
+		// A value that is no delay counts as none.
+		wait, _ = brheader.RetryAfter(response.Header, time.Now(), maxRetryAfter)
 	}
 	a.Ended = time.Now()
 	a.TimedOut = callCtx.Err() != nil
 	r.history.RecordAttempt(a)
-	return min(wait, time.Second)
-}
-
-func retryAfter(h http.Header) time.Duration {
-	var seconds float64
-	if _, err := fmt.Sscan(h.Get("Retry-After"), &seconds); err != nil {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
+	return wait
 }
