brfleet, brgossip, brplace, brquota: derive what was kept or done twice

- The expiry of a load record removed the daemon's usage twice, and whether the fleet is large was asked twice for a report, each under the node's lock.
- Pending records of a peer are cancelled in one place.
- The most urgent rank of a service starts above all ranks, so that whether there was a request needn't be kept.
- The rates of a peer are added to and taken off buckets by one function, and a peer that isn't active is left alone there instead of at each caller.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -260,9 +260,11 @@
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: r.Name()})
 		f.cfg.Log.Info().Str("endpoint", r.Name()).Msg("endpoint removed because its record expired")
 	case kindLoad:
-		f.expireLoad(r.Name())
+		delete(f.loadSeqs, r.Name())
 		f.proxy.PeerLost(r.Name())
 	case kindDomainLoad:
-		f.expireLoad(r.Name())
+		delete(f.loadSeqs, r.Name())
+		// If the daemon still reports to the whole fleet, that adds its load again.
+		f.proxy.ApplyEvent(brplace.PeerLost{Daemon: r.Name()})
 	}
 }
--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -97,8 +97,9 @@
 func (r *loadReporter) publish() {
 	r.seq++
 	now := r.cfg.Clock.Now()
-	interval, fleetInterval := r.reportIntervals()
-	if r.node.SendsDomainRecords() {
+	large := r.node.SendsDomainRecords()
+	interval, fleetInterval := r.reportIntervals(large)
+	if large {
 		report := r.proxy.PlacementReport(max(domainReportRetention, now.Sub(r.reportedAt)))
 		r.reportedAt = now
 		publishReport(r.Fleet, kindDomainLoad, r.seq, loadLifetime, report)
@@ -117,10 +118,10 @@
 }
 
 // reportIntervals returns the shortest interval between two reports, and that between
-// two reports to the whole fleet if these are less frequent.
-func (f *Fleet) reportIntervals() (interval, fleetInterval time.Duration) {
+// two reports to the whole fleet if it is large, so that these are less frequent.
+func (f *Fleet) reportIntervals(large bool) (interval, fleetInterval time.Duration) {
 	daemons := time.Duration(f.daemons.Load())
-	if !f.node.SendsDomainRecords() {
+	if !large {
 		return max(minReportInterval, daemons*reportIntervalPerDaemon), 0
 	}
 	domain := time.Duration(f.domainDaemons.Load())
@@ -150,13 +151,6 @@
 	}
 }
 
-// expireLoad removes the load of a daemon that no longer sends records of one kind. If
-// it still sends the other kind, its next record adds it again.
-func (f *Fleet) expireLoad(daemon string) {
-	delete(f.loadSeqs, daemon)
-	f.proxy.ApplyEvent(brplace.PeerLost{Daemon: daemon})
-}
-
 func (f *Fleet) applyQuotaUsageRecord(r brgossip.Record) {
 	if r.Name() == f.incarnation {
 		return
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -274,8 +274,7 @@
 		return false
 	}
 	if p != nil {
-		delete(p.pending, r.Key)
-		delete(p.domain, r.Key)
+		p.removePending(r.Key)
 	}
 	n.updateDaemon(r)
 	if targets := n.targets(r, from); len(targets) > 0 {
@@ -319,8 +318,7 @@
 // dropPending removes a pending record that the peer is known to have already.
 func (n *Node) dropPending(p *peer, r Record) {
 	if e, ok := n.store.entries[r.Key]; ok && e.record.Version == r.Version {
-		delete(p.pending, r.Key)
-		delete(p.domain, r.Key)
+		p.removePending(r.Key)
 	}
 }
 
@@ -333,6 +331,12 @@
 	p.pending[r.Key] = struct{}{}
 }
 
+// removePending cancels the sending of a record to a peer that has it.
+func (p *peer) removePending(key string) {
+	delete(p.pending, key)
+	delete(p.domain, key)
+}
+
 // flooded reports whether all daemons receive the records of a kind from each of their
 // peers.
 func (n *Node) flooded(kind string) bool {
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -29,7 +29,7 @@
 // submit places, queues or rejects a request.
 func (s *State) submit(r Request) {
 	v := s.service(r.Service)
-	v.noteRank(r.Rank)
+	v.urgentRank = min(v.urgentRank, r.Rank)
 	r.short = v.isShort(&r)
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
--- a/brplace/short.go
+++ b/brplace/short.go
@@ -38,13 +38,6 @@
 	return r.Rank - v.urgentRank
 }
 
-// noteRank records the rank of a request.
-func (v *service) noteRank(rank int) {
-	if !v.used || rank < v.urgentRank {
-		v.used, v.urgentRank = true, rank
-	}
-}
-
 // queueRank returns the rank that counts for the order of the queue.
 func (r *Request) queueRank() int {
 	if r.short {
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -38,7 +39,6 @@
 	meanDuration  time.Duration // moving average of the durations of this daemon's requests; 0 if unknown
 	tokenTime     time.Duration // time to process a prompt token at an endpoint of average speed; 0 if unknown
 	urgentRank    int           // most urgent rank of this daemon's requests so far
-	used          bool          // there was a request
 	running       int           // number of running requests of this daemon
 	shortRunning  int           // number of those that are short
 }
@@ -127,7 +127,7 @@
 func (s *State) service(name string) *service {
 	v := s.services[name]
 	if v == nil {
-		v = &service{}
+		v = &service{urgentRank: math.MaxInt}
 		s.services[name] = v
 	}
 	return v
--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -108,13 +108,13 @@
 		cfg.Random = rand.Float64
 	}
 	return &Limiter{
-		cfg:     cfg,
-		buckets: map[string]*bucket{},
-		retries: map[string]float64{},
-		own:     map[string]*ownTotals{},
-		peers:   map[string]*peer{},
-
-		requests: map[string]float64{}, ownRetries: map[string]float64{},
+		cfg:        cfg,
+		buckets:    map[string]*bucket{},
+		retries:    map[string]float64{},
+		own:        map[string]*ownTotals{},
+		requests:   map[string]float64{},
+		ownRetries: map[string]float64{},
+		peers:      map[string]*peer{},
 	}
 }
 
@@ -234,8 +234,7 @@
 		l.buckets[customer] = b
 		for _, p := range l.peers {
 			if p.active {
-				b.spendRate += p.spendRates[customer]
-				b.demandRate += p.demandRates[customer]
+				b.addRates(p, customer, 1)
 			}
 		}
 	}
--- a/brquota/peer.go
+++ b/brquota/peer.go
@@ -49,9 +49,7 @@
 		p = l.newPeer(now, r)
 		l.peers[daemon] = p
 	}
-	if p.active {
-		l.deactivate(p)
-	}
+	l.deactivate(p)
 	l.applyTotals(now, p, r)
 	p.reportedAt = now
 	l.activate(p)
@@ -72,9 +70,7 @@
 	if p == nil {
 		return
 	}
-	if p.active {
-		l.deactivate(p)
-	}
+	l.deactivate(p)
 	delete(l.peers, daemon)
 }
 
@@ -154,21 +150,23 @@
 	l.lastCheck = now
 	timeout := l.peerTimeout()
 	for _, p := range l.peers {
-		if p.active && now.Sub(p.reportedAt) >= timeout {
+		if now.Sub(p.reportedAt) >= timeout {
 			l.deactivate(p)
 		}
 	}
 }
 
-// deactivate removes the rates of an active peer from the buckets, as of the last
-// refill.
+// deactivate removes the rates of a peer from the buckets, as of the last refill, if it
+// is active.
 func (l *Limiter) deactivate(p *peer) {
+	if !p.active {
+		return
+	}
 	p.active, p.estimatedTo = false, l.lastRefill
 	l.activePeers--
-	for customer, rate := range p.demandRates {
+	for customer := range p.demandRates {
 		if b := l.buckets[customer]; b != nil {
-			b.demandRate = max(0, b.demandRate-rate)
-			b.spendRate = max(0, b.spendRate-p.spendRates[customer])
+			b.addRates(p, customer, -1)
 		}
 	}
 }
@@ -177,10 +175,15 @@
 func (l *Limiter) activate(p *peer) {
 	p.active = true
 	l.activePeers++
-	for customer, rate := range p.demandRates {
+	for customer := range p.demandRates {
 		if b := l.buckets[customer]; b != nil {
-			b.demandRate += rate
-			b.spendRate += p.spendRates[customer]
+			b.addRates(p, customer, 1)
 		}
 	}
 }
+
+// addRates adds the rates of a peer, times sign, to those of a customer's bucket.
+func (b *bucket) addRates(p *peer, customer string, sign float64) {
+	b.demandRate = max(0, b.demandRate+sign*p.demandRates[customer])
+	b.spendRate = max(0, b.spendRate+sign*p.spendRates[customer])
+}
