--- a/brconn/endless_test.go
+++ b/brconn/endless_test.go
@@ -8,26 +8,14 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"bramleyroute/brheader"
+	"bramleyroute/brtest"
 )
 
-// maxHeldBytes is the memory that an endless response may take.
-const maxHeldBytes = 12 << 20
-
-// writeForever writes part until the connection is closed.
-func writeForever(c net.Conn, part string) {
-	for b := []byte(part); ; {
-		if _, err := c.Write(b); err != nil {
-			return
-		}
-	}
-}
-
 // endless returns a script that reads a request, sends head and then part without end.
 // It closes done when the pool has closed the connection.
 func endless(head, part string, done chan<- struct{}) script {
@@ -36,24 +24,11 @@
 			return
 		}
 		io.WriteString(c, head)
-		writeForever(c, part)
+		brtest.WriteForever(c, part)
 		close(done)
 	}
 }
 
-// checkHeld runs f and checks the memory that it allocates, which includes what it
-// holds at any time.
-func checkHeld(t *testing.T, f func()) {
-	t.Helper()
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	if n := after.TotalAlloc - before.TotalAlloc; n > maxHeldBytes {
-		t.Errorf("allocated %d bytes, want at most %d", n, maxHeldBytes)
-	}
-}
-
 func awaitClosed(t *testing.T, done <-chan struct{}) {
 	t.Helper()
 	select {
@@ -82,7 +57,7 @@
 			e := startEndpoint(t, endless(test.head, test.part, done))
 			p := newPool()
 			defer p.Close()
-			checkHeld(t, func() {
+			brtest.CheckAllocated(t, func() {
 				_, err := send(p, e.address, "1", "POST")
 				var sent *SendError
 				if !errors.As(err, &sent) || !sent.MaybeSent || !errors.Is(err, test.want) {
@@ -116,7 +91,7 @@
 	e := startEndpoint(t, endless("HTTP/1.1 200 OK\r\nId: 1\r\n\r\ndata: ", strings.Repeat("x", 1000), done))
 	p := newPool()
 	defer p.Close()
-	checkHeld(t, func() {
+	brtest.CheckAllocated(t, func() {
 		x, err := p.Send(context.Background(), e.address, Request{ID: "1", Method: "POST", URI: "/", Host: "h", Header: http.Header{"Id": {"1"}}})
 		if err != nil {
 			t.Fatal(err)
@@ -150,11 +125,11 @@
 		}, false},
 		{"endless", func(c net.Conn, id string) {
 			fmt.Fprintf(c, head(""), id)
-			writeForever(c, strings.Repeat("x", 1000))
+			brtest.WriteForever(c, strings.Repeat("x", 1000))
 		}, false},
 		{"endless after its end", func(c net.Conn, id string) {
 			fmt.Fprintf(c, head("Content-Length: 4\r\n")+"full"+strings.Repeat("x", 1000), id)
-			writeForever(c, strings.Repeat("x", 1000))
+			brtest.WriteForever(c, strings.Repeat("x", 1000))
 		}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -203,7 +178,7 @@
 				} else {
 					<-idle
 				}
-				writeForever(c, extra)
+				brtest.WriteForever(c, extra)
 				close(done)
 			}, serve)
 			p := newPool()
--- a/brgossip/relay_test.go
+++ b/brgossip/relay_test.go
@@ -16,14 +16,7 @@
 // of a large fleet, both with relays and after the loss of all relays.
 func TestDirectRecordsInLargeFleet(t *testing.T) {
 	const size, replicas = meshLimit + 6, 4
-	daemon := func(i int) Daemon {
-		return Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
-	}
-	nodes := []*testNode{startNodeWith(t, daemon(0), func() []string { return nil })}
-	first := nodes[0].address
-	for i := 1; i < size; i++ {
-		nodes = append(nodes, startNodeWith(t, daemon(i), func() []string { return []string{first} }))
-	}
+	nodes := startNodes(t, size, replicas)
 	await(t, "every daemon has discovered all others", func() bool {
 		for _, n := range nodes {
 			if len(n.node.Daemons()) != size {
@@ -51,6 +44,21 @@
 	publishAndAwait("without relays", nodes[replicas:])
 }
 
+// startNodes starts a fleet of daemons in two failure domains in turn, the first of
+// which have a replica.
+func startNodes(t *testing.T, size, replicas int) []*testNode {
+	t.Helper()
+	daemon := func(i int) Daemon {
+		return Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
+	}
+	nodes := []*testNode{startNodeWith(t, daemon(0), func() []string { return nil })}
+	first := nodes[0].address
+	for i := 1; i < size; i++ {
+		nodes = append(nodes, startNodeWith(t, daemon(i), func() []string { return []string{first} }))
+	}
+	return nodes
+}
+
 func allReceived(nodes []*testNode, value string) bool {
 	for _, n := range nodes {
 		for i := range nodes {
@@ -160,14 +168,7 @@
 // of their writer or that reach others.
 func TestDomainRecords(t *testing.T) {
 	const size, replicas = meshLimit + 4, 4
-	daemon := func(i int) Daemon {
-		return Daemon{ID: fmt.Sprint("d", i), FailureDomain: fmt.Sprint("zone-", i%2), Replica: i < replicas}
-	}
-	nodes := []*testNode{startNodeWith(t, daemon(0), func() []string { return nil })}
-	first := nodes[0].address
-	for i := 1; i < size; i++ {
-		nodes = append(nodes, startNodeWith(t, daemon(i), func() []string { return []string{first} }))
-	}
+	nodes := startNodes(t, size, replicas)
 	seq := uint64(0)
 	await(t, "records reach their failure domain", func() bool {
 		seq++
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -104,9 +104,9 @@
 	rejected int
 	streams  int
 	byRank   [3]struct{ streams, onTime, late int }
-	pairs    map[[2]int]bool                         // of a daemon and an endpoint that it has used
-	reported []struct{ domain, fleet time.Duration } // times of the last reports on dispatch, by daemon
-	longest  int                                     // greatest number of streams waiting at an endpoint
+	pairs    map[[2]int]bool                // of a daemon and an endpoint that it has used
+	reported []map[reportKind]time.Duration // times of the last reports on dispatch, by daemon
+	longest  int                            // greatest number of streams waiting at an endpoint
 }
 
 // onTime returns the fraction of the streams of a rank that began in time.
@@ -119,7 +119,6 @@
 
 func (f fleetReplay) run() *replayRun {
 	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
-	r.reported = make([]struct{ domain, fleet time.Duration }, f.daemons)
 	for d := range f.daemons {
 		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
 		if !f.fullChoice {
@@ -132,11 +131,11 @@
 		}
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
-		if !f.reportOnDispatch {
-			r.report(d, time.Duration(r.rng.Float64()*float64(f.reportInterval)))
-		}
-		if f.domainInterval > 0 && !f.reportOnDispatch {
-			r.reportToDomain(d, time.Duration(r.rng.Float64()*float64(f.domainInterval)))
+		r.reported = append(r.reported, map[reportKind]time.Duration{})
+		for _, k := range r.reportKinds() {
+			if !f.reportOnDispatch {
+				r.report(d, k, time.Duration(r.rng.Float64()*float64(k.interval)))
+			}
 		}
 		r.tick(d, time.Duration(r.rng.Float64()*float64(replayTick)))
 	}
@@ -256,43 +255,50 @@
 	return math.Exp(r.spread*r.rng.NormFloat64() - r.spread*r.spread/2)
 }
 
-// report lets a daemon report to the whole fleet after d and then in each interval.
-func (r *replayRun) report(daemon int, d time.Duration) {
-	r.after(d, func() {
-		r.deliver(daemon, r.reportDelay, func(other int) bool { return r.domainInterval == 0 || replayZone(other) != replayZone(daemon) })
-		r.report(daemon, r.reportInterval)
-	})
+// reportKind describes the reports of a daemon to the daemons of its failure domain, or
+// to the others.
+type reportKind struct {
+	interval, delay time.Duration
+	domain, others  bool // whom it reaches
 }
 
-// reportToDomain does the same for the daemons of the same failure domain.
-func (r *replayRun) reportToDomain(daemon int, d time.Duration) {
+// reportKinds returns the reports that each daemon sends: to all, or more often to its
+// failure domain than to the others.
+func (r *replayRun) reportKinds() []reportKind {
+	if r.domainInterval == 0 {
+		return []reportKind{{r.reportInterval, r.reportDelay, true, true}}
+	}
+	return []reportKind{{r.reportInterval, r.reportDelay, false, true}, {r.domainInterval, r.domainDelay, true, false}}
+}
+
+// report lets a daemon report after d and then in each interval.
+func (r *replayRun) report(daemon int, k reportKind, d time.Duration) {
 	r.after(d, func() {
-		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
-		r.reportToDomain(daemon, r.domainInterval)
+		r.deliver(daemon, k)
+		r.report(daemon, k, k.interval)
 	})
 }
 
-// reportDispatch reports to the failure domain, and to the others, if the interval has
-// passed since the last such report.
+// reportDispatch lets a daemon report if the interval has passed since its last report
+// of the same kind.
 func (r *replayRun) reportDispatch(daemon int) {
 	if !r.reportOnDispatch {
 		return
 	}
-	if last := r.reported[daemon]; r.now-last.domain >= r.domainInterval {
-		r.reported[daemon].domain = r.now
-		r.deliver(daemon, r.domainDelay, func(other int) bool { return replayZone(other) == replayZone(daemon) })
-	}
-	if last := r.reported[daemon]; r.now-last.fleet >= r.reportInterval {
-		r.reported[daemon].fleet = r.now
-		r.deliver(daemon, r.reportDelay, func(other int) bool { return replayZone(other) != replayZone(daemon) })
+	for _, k := range r.reportKinds() {
+		if r.now-r.reported[daemon][k] >= k.interval {
+			r.reported[daemon][k] = r.now
+			r.deliver(daemon, k)
+		}
 	}
 }
 
-func (r *replayRun) deliver(daemon int, delay time.Duration, to func(other int) bool) {
+func (r *replayRun) deliver(daemon int, k reportKind) {
 	report := r.states[daemon].Report(start.Add(r.now), 500*time.Millisecond)
-	r.after(delay, func() {
+	r.after(k.delay, func() {
 		for other := range r.daemons {
-			if other != daemon && to(other) {
+			sameDomain := replayZone(other) == replayZone(daemon)
+			if other != daemon && (sameDomain && k.domain || !sameDomain && k.others) {
 				r.step(other, PeerReported{Daemon: fmt.Sprint("d", daemon), Report: report})
 			}
 		}
--- a/brproxy/endless_test.go
+++ b/brproxy/endless_test.go
@@ -5,11 +5,12 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bramleyroute/brtest"
 )
 
 // TestSlowRejectionIsRetried guards against waiting for the body of a response that
@@ -46,8 +47,7 @@
 // process, that is relayed beyond the deadline of the request, or that reaches the
 // caller as a complete one.
 func TestEndlessResponse(t *testing.T) {
-	const maxHeldBytes = 12 << 20
-	part := []byte(strings.Repeat("x", 1000))
+	part := strings.Repeat("x", 1000)
 	for _, test := range []struct{ name, path, head string }{
 		{"header", "/never/", "HTTP/1.1 200 OK\r\nX-Fill: "},
 		{"body", "/never/", "HTTP/1.1 200 OK\r\n\r\n"},
@@ -56,38 +56,23 @@
 		{"body of a rejection", "/never/", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			s := newSystem(t, func(w http.ResponseWriter, _ *http.Request) {
-				c, _, err := http.NewResponseController(w).Hijack()
-				if err != nil {
-					t.Error(err)
-					return
-				}
-				defer c.Close()
-				io.WriteString(c, test.head)
-				for err == nil {
-					_, err = c.Write(part)
-				}
-			})
+			s := newSystem(t, brtest.EndlessHandler(t, test.head, part))
 			c, err := net.Dial("tcp", s.front.Listener.Addr().String())
 			if err != nil {
 				t.Fatal(err)
 			}
 			defer c.Close()
-			var before, after runtime.MemStats
-			runtime.ReadMemStats(&before)
 			sent := time.Now()
-			fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nDeadline: 400\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", test.path)
 			last := &tail{}
-			if _, err := io.Copy(last, c); err != nil {
-				t.Logf("response ended with %v", err)
-			}
-			runtime.ReadMemStats(&after)
+			brtest.CheckAllocated(t, func() {
+				fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: k\r\nDeadline: 400\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", test.path)
+				if _, err := io.Copy(last, c); err != nil {
+					t.Logf("response ended with %v", err)
+				}
+			})
 			if d := time.Since(sent); d > 2*time.Second {
 				t.Errorf("response ended after %v, want within 400 ms and a margin", d)
 			}
-			if n := after.TotalAlloc - before.TotalAlloc; n > maxHeldBytes {
-				t.Errorf("allocated %d bytes, want at most %d", n, maxHeldBytes)
-			}
 			if strings.HasPrefix(last.head, "HTTP/1.1 200") && strings.HasSuffix(last.end, "0\r\n\r\n") {
 				t.Error("the caller received the response as a complete one")
 			}
