--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -115,16 +115,7 @@
 // signals it.
 func (c *cluster) await(what string, f func() bool) {
 	c.t.Helper()
-	deadline := time.After(20 * time.Second)
-	tick := time.NewTicker(10 * time.Millisecond)
-	defer tick.Stop()
-	for !f() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			c.t.Fatalf("timed out: %s", what)
-		}
-	}
+	brtest.Await(c.t, 20*time.Second, what, f)
 }
 
 func (c *cluster) awaitInForce(version uint64) {
--- a/brgossip/node_test.go
+++ b/brgossip/node_test.go
@@ -70,16 +70,7 @@
 // received a record.
 func await(t *testing.T, what string, f func() bool) {
 	t.Helper()
-	deadline := time.After(10 * time.Second)
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for !f() {
-		select {
-		case <-tick.C:
-		case <-deadline:
-			t.Fatalf("timed out: %s", what)
-		}
-	}
+	brtest.Await(t, 10*time.Second, what, f)
 }
 
 // TestNodesFindEachOther guards against daemons that link only to their seeds: a
--- a/brsystem/harness_test.go
+++ b/brsystem/harness_test.go
@@ -272,13 +272,7 @@
 // changes in other processes.
 func (c *cluster) eventually(what string, ok func() bool) {
 	c.t.Helper()
-	deadline := time.Now().Add(eventuallyTimeout)
-	for !ok() {
-		if time.Now().After(deadline) {
-			c.t.Fatalf("%s: not within %v", what, eventuallyTimeout)
-		}
-		<-time.After(20 * time.Millisecond)
-	}
+	brtest.Await(c.t, eventuallyTimeout, what, ok)
 }
 
 // callOperator calls the operator interface of a daemon.
--- a/brsystem/rollout_harness_test.go
+++ b/brsystem/rollout_harness_test.go
@@ -17,6 +17,7 @@
 	"bramleyroute/brengine"
 	"bramleyroute/brfake"
 	"bramleyroute/broperator"
+	"bramleyroute/brtest"
 	"bramleyroute/brtimeline"
 )
 
@@ -112,25 +113,12 @@
 	return n
 }
 
-// waitFor polls until ok returns true and fails t after limit. Unlike
-// cluster.eventually it fails the given test, which may be a subtest.
-func waitFor(t *testing.T, limit time.Duration, what string, ok func() bool) {
-	t.Helper()
-	deadline := time.Now().Add(limit)
-	for !ok() {
-		if time.Now().After(deadline) {
-			t.Fatalf("%s: not within %v", what, limit)
-		}
-		<-time.After(20 * time.Millisecond)
-	}
-}
-
 // startRollout starts a rollout that must finish within length and returns its
 // ID.
 func (c *cluster) startRollout(t *testing.T, name, from, to string, length time.Duration) string {
 	t.Helper()
 	id := newID()
-	waitFor(t, 10*time.Second, "rollout accepted", func() bool {
+	brtest.Await(t, 10*time.Second, "rollout accepted", func() bool {
 		_, err := callOperator[broperator.StartRollout, broperator.Accepted](c.daemons[0], "POST", broperator.PathRollouts,
 			broperator.StartRollout{CommandID: id, Model: name, From: from, To: to, FinishBy: time.Now().Add(length)})
 		return err == nil
@@ -158,7 +146,7 @@
 func (c *cluster) waitOutcome(t *testing.T, d *daemon, id string, limit time.Duration) broperator.Rollout {
 	t.Helper()
 	var row broperator.Rollout
-	waitFor(t, limit, "outcome of "+id, func() bool { row = d.rollout(id); return row.Outcome != "" })
+	brtest.Await(t, limit, "outcome of "+id, func() bool { row = d.rollout(id); return row.Outcome != "" })
 	return row
 }
 
@@ -200,7 +188,7 @@
 // waitServing waits until all endpoints serve a version.
 func waitServing(t *testing.T, list []*fake, version string) {
 	t.Helper()
-	waitFor(t, 20*time.Second, "all endpoints on "+version, func() bool {
+	brtest.Await(t, 20*time.Second, "all endpoints on "+version, func() bool {
 		return !slices.ContainsFunc(list, func(f *fake) bool { return f.state().Version != version })
 	})
 }
@@ -234,7 +222,7 @@
 func (c *cluster) controlLeaderOf(t *testing.T, at []*daemon) *daemon {
 	t.Helper()
 	var leader *daemon
-	waitFor(t, 20*time.Second, "control leader", func() bool {
+	brtest.Await(t, 20*time.Second, "control leader", func() bool {
 		for _, d := range at {
 			s, err := callOperator[broperator.Empty, broperator.Status](d, "GET", broperator.PathStatus, broperator.Empty{})
 			if err == nil && s.Replica != nil && s.Replica.Leader != "" && s.Replica.Leader == s.Replica.ID {
--- a/brsystem/rollout_outcome_test.go
+++ b/brsystem/rollout_outcome_test.go
@@ -10,6 +10,7 @@
 	"bramleyroute/brconfig"
 	"bramleyroute/brengine"
 	"bramleyroute/broperator"
+	"bramleyroute/brtest"
 )
 
 // Guards against a rollout that is lost, restarted or ended twice when the
@@ -29,7 +30,7 @@
 			l := c.steadyLoad("good", 20)
 			defer l.stop()
 			id := c.startRollout(t, "good", "v1", "v2", 40*time.Second)
-			waitFor(t, 20*time.Second, "new version's traffic", func() bool { return requestsByVersion(fakes)["v2"] > 0 })
+			brtest.Await(t, 20*time.Second, "new version's traffic", func() bool { return requestsByVersion(fakes)["v2"] > 0 })
 			leader := c.controlLeader(t)
 			alive := excluding(c.daemons, leader)
 			if freeze {
@@ -72,7 +73,7 @@
 		}
 		if !checks {
 			began := time.Now()
-			waitFor(t, 10*time.Second, f.id+" on v1", func() bool { return f.state().Version == "v1" })
+			brtest.Await(t, 10*time.Second, f.id+" on v1", func() bool { return f.state().Version == "v1" })
 			waitServing(t, fakes, "v2")
 			t.Logf("%s serves v2 again %v after the late order", f.id, time.Since(began).Round(10*time.Millisecond))
 		}
@@ -129,7 +130,7 @@
 	for round, failures := range []int{2, 3, 3} {
 		before := requestsByVersion(fakes)["v2"]
 		id := c.startRollout(t, "fails", "v1", "v2", 40*time.Second)
-		waitFor(t, 30*time.Second, "failures", func() bool { return requestsByVersion(fakes)["v2"]-before >= failures })
+		brtest.Await(t, 30*time.Second, "failures", func() bool { return requestsByVersion(fakes)["v2"]-before >= failures })
 		var wg sync.WaitGroup
 		results := make([]error, 2*len(c.daemons))
 		for i := range results {
@@ -174,7 +175,7 @@
 	move.Templates[0].Moves = []brconfig.Move{{Model: "moved", From: "v1", To: "v2", FinishBy: finishBy}}
 	c.putConfig(move)
 	var id string
-	waitFor(t, 10*time.Second, "rollout of the move", func() bool {
+	brtest.Await(t, 10*time.Second, "rollout of the move", func() bool {
 		list, err := callOperator[broperator.Empty, []broperator.Rollout](c.daemons[2], "GET", broperator.PathRollouts, broperator.Empty{})
 		if err == nil && len(list) == 1 {
 			id = list[0].ID
@@ -232,14 +233,14 @@
 	l := c.steadyLoad("mixed", 40)
 	defer l.stop()
 	id := c.startRollout(t, "mixed", "v1", "v2", 60*time.Second)
-	waitFor(t, 10*time.Second, "a share", func() bool { return c.daemons[0].rollout(id).SharePerMille > 0 })
+	brtest.Await(t, 10*time.Second, "a share", func() bool { return c.daemons[0].rollout(id).SharePerMille > 0 })
 	before := requestsByVersion(fakes)
 	started := time.Now()
 	flags := []string{"--model=mixed", "--step-base=4ms", "--load-time=300ms", "--capacity-tokens=4000"}
 	second := c.addFake("self-1", append(flags, "--serve-version=v2")...)
 	unknown := c.addFake("self-2", append(flags, "--serve-version=v9")...)
 	all := append(fakes, second, unknown)
-	waitFor(t, 30*time.Second, "400 requests", func() bool { return requestsBetween(before, requestsByVersion(all)) >= 400 })
+	brtest.Await(t, 30*time.Second, "400 requests", func() bool { return requestsBetween(before, requestsByVersion(all)) >= 400 })
 	after := requestsByVersion(all)
 	share := float64(after["v2"]-before["v2"]) / float64(requestsBetween(before, after))
 	t.Logf("%.2f%% of %d requests to v2 in %v, %d to v9, %d to the self-started endpoint of v2", 100*share, requestsBetween(before, after),
