--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -29,9 +28,36 @@
 
 // Response is the status line and header of a response from an endpoint.
 type Response struct {
-	Status int
-	Header http.Header
-	Length int64 // length of the body in bytes; -1 if unknown
+	Status  int
+	Header  http.Header
+	Length  int64 // length of the body in bytes; -1 if unknown
+	Framing Framing
+}
+
+// Framing says what marks the end of a response body.
+type Framing uint8
+
+// The values of Framing. The zero value stands for no response.
+const (
+	FramedByLength Framing = iota + 1 // a stated length, or no body
+	FramedByChunks
+	FramedByClose // the end of the connection
+)
+
+// String returns the name of f for log entries.
+func (f Framing) String() string {
+	return [...]string{"none", "length", "chunks", "close"}[f]
+}
+
+// framing returns the framing of the body of r.
+func framing(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
+		return FramedByLength
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
 }
 
 // SendError is an error that occurs before the header of a response is read.
@@ -148,7 +174,7 @@
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			return ErrResponseMismatch
 		}
-		a := Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength}
+		a := Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framing(response)}
 		if x.pool.Matches == nil || x.pool.Matches(r.ID, &a) {
 			x.Response, x.response = a, response
 			return nil
@@ -266,77 +292,3 @@
 	}
 	return 0, false
 }
-
-// EventReader reads the body of an event stream in whole events. The bytes are
-// returned unchanged.
-type EventReader struct {
-	exchange *Exchange
-	buffer   []byte
-	length   int // number of bytes in buffer
-	returned int // length of the prefix of buffer returned by the last call of Next
-}
-
-// NewEventReader returns a reader of the events in the body of x.
-func NewEventReader(x *Exchange) *EventReader {
-	return &EventReader{exchange: x, buffer: make([]byte, bufferBytes)}
-}
-
-// maxEventBytes is the maximum size of one event of a stream, in bytes.
-const maxEventBytes = 1 << 20
-
-// Next returns all complete events that have arrived, and waits until there is at
-// least one. The bytes are valid until the next call. At the end of a complete body
-// it returns the remaining bytes, if any, and io.EOF. An event larger than
-// maxEventBytes is an error.
-func (e *EventReader) Next() ([]byte, error) {
-	e.length = copy(e.buffer, e.buffer[e.returned:e.length])
-	e.returned = 0
-	for {
-		if e.length == len(e.buffer) {
-			if len(e.buffer) >= maxEventBytes {
-				return nil, fmt.Errorf("brconn: event of over %d bytes", maxEventBytes)
-			}
-			e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
-		}
-		n, err := e.exchange.Read(e.buffer[e.length:])
-		from := max(0, e.length-maxSeparatorBytes) // the part before has no end of an event
-		e.length += n
-		if end := lastEventEnd(e.buffer[from:e.length]); end > 0 && (err == nil || err != io.EOF) {
-			end += from
-			e.returned = end
-			return e.buffer[:end], nil // the next Read returns the error again
-		}
-		if err != nil {
-			e.returned = e.length
-			return e.buffer[:e.length], err
-		}
-	}
-}
-
-// maxSeparatorBytes is the size in bytes of the longest separator of two events.
-const maxSeparatorBytes = 4
-
-// lastEventEnd returns the index after the last complete event in b, or 0.
-func lastEventEnd(b []byte) int {
-	end := 0
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		end = i + 2
-	}
-	if i := bytes.LastIndex(b, []byte("\r\n\r\n")); i >= 0 {
-		end = max(end, i+4)
-	}
-	return end
-}
-
-// LastEventID returns the ID of the last event in b that has one, or the empty string.
-func LastEventID(b []byte) string {
-	for len(b) > 0 {
-		i := bytes.LastIndexByte(bytes.TrimRight(b, "\n"), '\n') + 1
-		line := bytes.TrimSpace(b[i:])
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-		b = b[:i]
-	}
-	return ""
-}
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -59,6 +59,7 @@
 		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
+	q.framing, q.partialEvent = x.Response.Framing, 0
 	p.observeResponse(q, e, &x.Response)
 	switch {
 	case p.cfg.Dialect.Misdirected(&x.Response):
@@ -269,6 +270,9 @@
 	control := http.NewResponseController(q.out)
 	for {
 		b, err := events.Next()
+		if err != nil {
+			q.partialEvent = events.Partial()
+		}
 		if err != nil && err != io.EOF {
 			return p.streamFailed(ctx, q, a, err)
 		}
@@ -373,7 +377,7 @@
 	if q.customer != nil {
 		customer = q.customer.Name
 	}
-	p.cfg.Log.Info().Str("id", q.call.ID).Str("route", q.route.Name).Str("customer", customer).Str("endpoint", a.endpoint.ID).
+	logResponse(p.cfg.Log.Info(), q).Str("id", q.call.ID).Str("route", q.route.Name).Str("customer", customer).Str("endpoint", a.endpoint.ID).
 		Int("status", status).Int("sends", q.sends).Int64("waited_ms", a.sentAt.Sub(q.arrived).Milliseconds()).
 		Int("prompt", q.call.PromptTokens).Int("output", q.call.MaxOutputTokens).Int("hint", q.call.OutputTokensHint).Int("events", a.events).
 		Int64("first_ms", first.Milliseconds()).Int64("ms", p.cfg.Clock.Now().Sub(q.arrived).Milliseconds()).Msg("answered")
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -11,8 +11,11 @@
 	"strings"
 	"time"
 
+	"bramleyroute/brconn"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
+
+	"github.com/rs/zerolog"
 )
 
 const (
@@ -47,6 +50,9 @@
 	headSent    bool     // the response header was relayed
 	lastEventID string   // ID of the last relayed event
 
+	framing      brconn.Framing // of the latest response
+	partialEvent int            // number of bytes after the last whole event of the latest stream
+
 	// Number of waiting requests and free slots at the rejection by the placement,
 	// for the log.
 	waiting, freeSlots int
@@ -368,6 +374,7 @@
 	if status != 0 {
 		e = e.Int("status", status)
 	}
+	e = logResponse(e, q)
 	if reason != "" {
 		e = e.Str("reason", reason)
 	}
@@ -376,3 +383,12 @@
 	}
 	e.Msg(message)
 }
+
+// logResponse adds how the end of the latest response was marked, and what followed
+// its last whole event. These tell a complete stream from one that was broken off.
+func logResponse(e *zerolog.Event, q *request) *zerolog.Event {
+	if q.framing == 0 {
+		return e
+	}
+	return e.Stringer("framing", q.framing).Int("partial_event_bytes", q.partialEvent)
+}
