--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -16,6 +16,8 @@
 	MaxOutputTokens  int           // maximum response length in tokens
 	OutputTokensHint int           // caller's estimate of the response length in tokens; 0 if not stated
 	HasTokens        bool          // whether PromptTokens and MaxOutputTokens were stated
+	// PromptParts holds the IDs of the parts of the prompt that other requests may share.
+	PromptParts []string
 }
 
 // DispatchParams holds the parameters that are sent to an endpoint in the header of a
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -368,6 +368,9 @@
 	if q.call.HasTokens {
 		e = e.Int("prompt", q.call.PromptTokens).Int("output", q.call.MaxOutputTokens).Int("hint", q.call.OutputTokensHint).Str("last_event", q.lastEventID)
 	}
+	if len(q.call.PromptParts) > 0 {
+		e = e.Strs("parts", q.call.PromptParts)
+	}
 	if !q.deadline.IsZero() {
 		e = e.Int64("deadline_ms", q.deadline.Sub(q.arrived).Milliseconds())
 	}
