brquarantine: keep requests with a part under which endpoints crash from endpoints

Cause: nobody linked the crashes. Each daemon saw one or two of them, treated each as an endpoint that failed, and sent the next request with the same part of its prompt to another one; the caller's requests differ in all but that part. The class of fault is a request that is fatal to its server, taken for a fault of the server.

A part is now suspected when an endpoint ends the connection of a request with it before the request has made progress (two events, or a complete response), and no request with it has succeeded within the last 30 to 60 s. Daemons flood the starts of endpoints lost under a part; their union is the same in any order. Three lost starts without a success quarantine the part: requests with it are refused at once, also those that wait, with 503 and the time to come back, or with 502 if they may have run. A success anywhere clears the part, since parts beside the one to blame succeed in other requests. After 5 to 7.5 s one request at a time may try again at each daemon, after another crash 8 times as long, 10 minutes at most: a part blamed by chance is free again soon.

Ruled out: repeats by the daemons (one dispatch for each request), a customer (most of its requests are answered).

Before: TestFatalPartEndsFewEndpoints failed, 20 of 20 requests reached endpoints after five crashes.

--- /dev/null
+++ b/brfleet/evidence.go
@@ -0,0 +1,68 @@
+package brfleet
+
+import (
+	"sync"
+
+	"bramleyroute/brgossip"
+	"bramleyroute/brquarantine"
+)
+
+// kindEvidence is the kind of the records of evidence on parts of prompts, by part. They
+// have no single writer: each daemon publishes the union of what it knows. The version
+// is the size of the evidence and then its hash, so that of two different records one
+// is newer everywhere, and the daemon that wrote the other one merges them.
+const kindEvidence = "evidence"
+
+// evidenceQueue holds the evidence to be published. Records are applied while the node
+// is locked, so that they can't be published there.
+type evidenceQueue struct {
+	mu      sync.Mutex
+	pending map[string]brquarantine.Evidence // by part
+	due     chan struct{}
+}
+
+// add schedules evidence for publication. It doesn't block.
+func (q *evidenceQueue) add(changes []brquarantine.Change) {
+	q.mu.Lock()
+	for _, c := range changes {
+		// Changes of one part may be added in any order.
+		q.pending[c.Part] = q.pending[c.Part].WithMerged(c.Evidence)
+	}
+	q.mu.Unlock()
+	select {
+	case q.due <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the scheduled evidence and empties the queue.
+func (q *evidenceQueue) take() map[string]brquarantine.Evidence {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	pending := q.pending
+	q.pending = map[string]brquarantine.Evidence{}
+	return pending
+}
+
+// runEvidence publishes evidence until the fleet is closed.
+func (f *Fleet) runEvidence() {
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-f.evidence.due:
+		}
+		for part, e := range f.evidence.take() {
+			f.node.Publish(brgossip.Record{
+				Key: kindEvidence + "/" + part, Version: brgossip.Version{Epoch: e.Size(), Seq: e.Hash()},
+				Value: encode(e), Lifetime: brquarantine.Lifetime,
+			})
+		}
+	}
+}
+
+func (f *Fleet) applyEvidenceRecord(r brgossip.Record) {
+	if e, ok := decode[brquarantine.Evidence](f, r); ok {
+		f.proxy.PeerEvidence(r.Name(), e, r.Age)
+	}
+}
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -21,6 +21,7 @@
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brquota"
 
 	"github.com/rs/zerolog"
@@ -73,6 +74,7 @@
 	domainDaemons atomic.Int64
 	loadSeqs      map[string]uint64 // of the applied load records, by daemon incarnation; used by calls from node
 
+	evidence  evidenceQueue
 	reportDue chan struct{}
 	stop      chan struct{}
 	wg        sync.WaitGroup
@@ -95,6 +97,7 @@
 		cfg: cfg, started: cfg.Clock.Now(), epoch: uint64(cfg.Clock.Now().UnixMilli()),
 		mux:       &brpeer.Mux{},
 		loadSeqs:  map[string]uint64{},
+		evidence:  evidenceQueue{pending: map[string]brquarantine.Evidence{}, due: make(chan struct{}, 1)},
 		reportDue: make(chan struct{}, 1),
 		stop:      make(chan struct{}),
 	}
@@ -105,7 +108,7 @@
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, ReportsChanged: f.scheduleReport, Log: cfg.Log, Clock: cfg.Clock,
-		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnFirstByte: f.metrics.firstByte.RecordDuration,
+		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnEvidence: f.evidence.add, OnFirstByte: f.metrics.firstByte.RecordDuration,
 	})
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
@@ -125,6 +128,7 @@
 	f.wg.Go(func() { f.servePeers(l) })
 	f.wg.Go(f.runPolicies)
 	f.wg.Go(f.runLoad)
+	f.wg.Go(f.runEvidence)
 	f.wg.Go(f.runDaemonCount)
 	f.wg.Go(f.runRollouts)
 	return f, nil
@@ -250,6 +254,8 @@
 		f.applyShareRecord(r)
 	case kindTally:
 		f.applyTallyRecord(r)
+	case kindEvidence:
+		f.applyEvidenceRecord(r)
 	}
 }
 
@@ -266,5 +272,7 @@
 		delete(f.loadSeqs, r.Name())
 		// If the daemon still reports to the whole fleet, that adds its load again.
 		f.proxy.ApplyEvent(brplace.PeerLost{Daemon: r.Name()})
+	case kindEvidence:
+		f.proxy.EvidenceLapsed(r.Name())
 	}
 }
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -37,12 +37,17 @@
 	progressAt  time.Time      // time of the last report of progress to the placement
 	events      int            // number of events received
 	result      brplace.Result // evidence on the health of the endpoint
+	progressed  bool           // the endpoint has survived the beginning of the request
+	trials      []string       // parts of the prompt for which this is a trial
 }
 
 // dispatch sends the request to an endpoint and relays the response.
 func (p *Proxy) dispatch(ctx context.Context, q *request, id uint64, e brplace.Endpoint) outcome {
 	a := &attempt{placementID: id, endpoint: e, sentAt: p.cfg.Clock.Now(), result: brplace.Inconclusive}
 	defer p.endAttempt(q, a)
+	if !p.beginTrial(q, a) {
+		return retryElsewhere
+	}
 	p.stats.Dispatches.Add(1)
 	p.countSend(q)
 	q.tried = append(q.tried, e.ID)
@@ -57,6 +62,9 @@
 			q.sends--
 		}
 		a.result = p.sendFailureResult(ctx, q, a, sendErr)
+		if a.result == brplace.Failed {
+			p.recordLost(q, a, err)
+		}
 		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
@@ -80,8 +88,11 @@
 // isStream reports whether a response is a stream of events. A failure on a route for
 // streams isn't.
 func isStream(r *brpolicy.Route, res *brconn.Response) bool {
-	success := res.Status >= http.StatusOK && res.Status < http.StatusMultipleChoices
-	return success && (r.Stream || brevent.IsStream(res.Header))
+	return isSuccess(res) && (r.Stream || brevent.IsStream(res.Header))
+}
+
+func isSuccess(res *brconn.Response) bool {
+	return res.Status >= http.StatusOK && res.Status < http.StatusMultipleChoices
 }
 
 // countSend counts a dispatch of q. If no earlier dispatch may have reached an
@@ -102,6 +113,7 @@
 		ev.EventInterval = a.lastEventAt.Sub(a.firstByteAt) / time.Duration(a.events-1)
 	}
 	p.ApplyEvent(ev)
+	p.endTrial(a)
 	p.cfg.ReportsChanged()
 	p.reportResult(q, a)
 }
@@ -215,10 +227,14 @@
 			return p.retry(ctx, q, "deadline", http.StatusGatewayTimeout)
 		}
 		a.result = brplace.Failed
+		p.recordLost(q, a, err)
 		return p.retry(ctx, q, "incomplete response: "+err.Error(), http.StatusBadGateway)
 	}
 	p.recordFirstByte(a)
 	a.result = brplace.Succeeded
+	if isSuccess(&x.Response) {
+		p.recordProgress(q, a)
+	}
 	if x.Response.Status >= http.StatusInternalServerError {
 		a.result = brplace.Failed
 		if q.route.RetryMode == brpolicy.SafeToRetry && q.sends < q.route.MaxAttempts && ctx.Err() == nil && p.takeRetry(q) {
@@ -285,7 +301,7 @@
 			return p.streamFailed(ctx, q, a, err)
 		}
 		if len(b) > 0 {
-			p.recordEvents(a, b)
+			p.recordEvents(q, a, b)
 			s.reset()
 			if !q.headSent {
 				p.relayHead(q, x, -1)
@@ -302,6 +318,7 @@
 				p.relayHead(q, x, -1)
 			}
 			a.result = brplace.Succeeded
+			p.recordProgress(q, a)
 			p.recordCompletion(q, a, x.Response.Status)
 			return finished
 		}
@@ -326,6 +343,7 @@
 	}
 	if ctx.Err() == nil {
 		a.result = brplace.Failed
+		p.recordLost(q, a, err)
 	}
 	reason := "stream failed: " + err.Error()
 	if q.headSent && (q.route.RetryMode != brpolicy.Resumable || q.lastEventID == "") {
@@ -338,13 +356,16 @@
 }
 
 // recordEvents updates the attempt with the events in b.
-func (p *Proxy) recordEvents(a *attempt, b []byte) {
+func (p *Proxy) recordEvents(q *request, a *attempt, b []byte) {
 	now := p.cfg.Clock.Now()
 	if a.events == 0 {
 		p.recordFirstByte(a)
 	}
 	a.events += brevent.Count(b)
 	a.lastEventAt = now
+	if a.events >= minProgressEvents {
+		p.recordProgress(q, a)
+	}
 	if now.Sub(a.progressAt) >= progressInterval {
 		a.progressAt = now
 		p.ApplyEvent(brplace.Progressed{ID: a.placementID})
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -10,6 +10,7 @@
 	"bramleyroute/brconn"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brquota"
 
 	"github.com/rs/zerolog"
@@ -42,6 +43,9 @@
 	// OnLeaving is called when a response states that its endpoint is leaving, with the
 	// endpoint as it was at the dispatch. It may be nil.
 	OnLeaving func(e brplace.Endpoint)
+	// OnEvidence is called with new evidence on parts of prompts, to be published to the
+	// other daemons. It must not block. It may be nil.
+	OnEvidence func([]brquarantine.Change)
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
@@ -74,6 +78,8 @@
 	limiter         *brquota.Limiter
 	waiting         map[uint64]chan brplace.Effect
 	lastPlacementID uint64
+	quarantine      *brquarantine.State
+	quarantined     chan struct{} // closed and replaced when a part is quarantined
 
 	stop chan struct{}
 	wg   sync.WaitGroup
@@ -98,7 +104,10 @@
 		limiter:   brquota.NewLimiter(cfg.Quota),
 		waiting:   map[uint64]chan brplace.Effect{},
 		policySet: make(chan struct{}),
-		stop:      make(chan struct{}),
+
+		quarantine:  brquarantine.New(cfg.Daemon),
+		quarantined: make(chan struct{}),
+		stop:        make(chan struct{}),
 	}
 	p.wg.Go(p.tick)
 	return p
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -209,6 +209,11 @@
 // run dispatches the request until it has a response or must not be sent again.
 func (p *Proxy) run(ctx context.Context, q *request) {
 	for {
+		if pause, held := p.checkQuarantine(q); held {
+			p.stats.Quarantined.Add(1)
+			p.endUndispatched(ctx, q, quarantineReason, pause)
+			return
+		}
 		id, decision := p.awaitPlacement(ctx, q)
 		switch e := decision.(type) {
 		case brplace.Dispatch:
@@ -221,6 +226,9 @@
 			p.endUndispatched(ctx, q, string(e.Reason), e.RetryAfter)
 			return
 		default:
+			if ctx.Err() == nil {
+				continue // a part was quarantined meanwhile
+			}
 			p.endUndispatched(ctx, q, "deadline", 0)
 			return
 		}
@@ -228,7 +236,8 @@
 }
 
 // awaitPlacement submits the request to the placement and waits for the decision.
-// It returns the placement ID, and a nil effect if ctx ends first.
+// It returns the placement ID, and a nil effect if ctx ends or the quarantine of a part
+// of the prompt begins first.
 func (p *Proxy) awaitPlacement(ctx context.Context, q *request) (uint64, brplace.Effect) {
 	decisions := make(chan brplace.Effect, 1)
 	p.mu.Lock()
@@ -242,16 +251,14 @@
 		return id, e
 	default:
 	}
-	select {
-	case e := <-decisions:
+	if e := p.awaitDecision(ctx, q, decisions); e != nil {
 		return id, e
-	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.waiting, id)
 	select {
-	case e := <-decisions: // decided concurrently with the end of ctx
+	case e := <-decisions: // decided concurrently with the end of the wait
 		if d, ok := e.(brplace.Dispatch); ok {
 			p.step(brplace.Ended{ID: id, Result: brplace.Inconclusive})
 			p.cfg.Log.Debug().Str("id", q.call.ID).Str("endpoint", d.Endpoint.ID).Msg("request ended before its dispatch")
@@ -262,6 +269,24 @@
 	return id, nil
 }
 
+// awaitDecision waits for the decision of the placement. It returns nil if ctx ends or
+// q is held back by the quarantine first.
+func (p *Proxy) awaitDecision(ctx context.Context, q *request, decisions <-chan brplace.Effect) brplace.Effect {
+	for {
+		begins := p.quarantineBegins()
+		if _, held := p.checkQuarantine(q); held {
+			return nil
+		}
+		select {
+		case e := <-decisions:
+			return e
+		case <-ctx.Done():
+			return nil
+		case <-begins:
+		}
+	}
+}
+
 // placementRequest returns the placement request for q.
 func (p *Proxy) placementRequest(q *request, id uint64) brplace.Request {
 	r := brplace.Request{
