brpool: hold back prompts under which engines crash

The owner sees all requests of its pool, so it applies brquarantine to the first 32 prefix blocks of a prompt: three lost starts of endpoints without a success quarantine a block; requests with it, waiting ones too, are refused as not run with the time to come back. Done tells the loss of an endpoint (the connection ended and the response could not be resumed) from a failure. The timeline has prompt_part_quarantined and prompt_part_released.

On the platform's side only the log changed: a line for each suspected part at the daemon that saw the loss, and for quarantine and release.

--- /dev/null
+++ b/brentry/lost_test.go
@@ -0,0 +1,45 @@
+package brentry_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"bramleyroute/brentry"
+	"bramleyroute/brfake"
+	"bramleyroute/brwire"
+)
+
+// TestLostEndpointIsReported guards against a scheduler that can't tell the crash of an
+// endpoint from a failure after which it is still there.
+func TestLostEndpointIsReported(t *testing.T) {
+	crash := func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			panic(http.ErrAbortHandler)
+		}
+		http.NotFound(w, r) // the next start of the endpoint doesn't know the request
+	}
+	fail := func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "failed", http.StatusInternalServerError) }
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    bool
+	}{{"crash", crash, true}, {"failure", fail, false}} {
+		engine := httptest.NewServer(test.handler)
+		t.Cleanup(engine.Close)
+		f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
+			f.Submit = func(_ context.Context, s brwire.Submit) error { return f.grant(s, 1, engine.Listener.Addr().String()) }
+		})
+		f.complete(t, newID(0), streamBody)
+		select {
+		case d := <-f.dones:
+			if d.OK || d.EndpointLost != test.want {
+				t.Errorf("%s: %+v, want not OK and endpoint lost %v", test.name, d, test.want)
+			}
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s: the end of the request wasn't reported", test.name)
+		}
+	}
+}
--- a/brpool/effect.go
+++ b/brpool/effect.go
@@ -85,6 +85,14 @@
 	EntryID   string
 }
 
+// NotePromptPart is a timeline note: a prefix block of prompts is quarantined, or no
+// longer is, because endpoints were lost under requests with it.
+type NotePromptPart struct {
+	Part        string
+	Quarantined bool
+	Lost        []string // endpoints and their incarnations
+}
+
 func (SendGrant) effect()        {}
 func (SendBound) effect()        {}
 func (SendRefuse) effect()       {}
@@ -97,3 +105,4 @@
 func (NoteShed) effect()         {}
 func (NoteEndpoint) effect()     {}
 func (NoteGrantOverdue) effect() {}
+func (NotePromptPart) effect()   {}
--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bramleyroute/brerror"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brqueue"
 	"bramleyroute/brroute"
 	"bramleyroute/brwire"
@@ -67,6 +68,7 @@
 	missingBefore    time.Time         // IDs created by callers before this time may have run at an entry that didn't report
 	restartedBefore  time.Time         // IDs created by callers before this time may have run at an entry's earlier process
 
+	quarantine *brquarantine.State
 	queueLimit int
 	rollouts   []*rollout
 	samples    map[sampleKey]*sample
@@ -86,6 +88,8 @@
 	entry          string
 	submit         brwire.Submit
 	route          brroute.Request
+	parts          []string // parts of the prompt that may be quarantined
+	trials         []string // those for which the request is a trial
 	rollout        *rollout
 	state          state
 	grantNumber    uint64
@@ -119,6 +123,7 @@
 		grantsBeforeJoin:     map[string]uint64{},
 		disconnectedBindings: map[string]disconnectedBinding{},
 		samples:              map[sampleKey]*sample{},
+		quarantine:           brquarantine.New(o.Name),
 	}
 	p.counters.Refused = map[brerror.Kind]int{}
 	p.setLimits(SetLimits{})
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -130,6 +130,7 @@
 	p.rates.endedTokens += r.Tokens
 	p.countDone(now, r, m)
 	p.observeDone(now, r, m)
+	p.observeLoss(now, r, m)
 	p.noteChanges(now, p.table.Done(now, f, brroute.Result{
 		OK: m.OK, Outcome: m.Outcome, Kind: m.Kind, PromptTokens: m.PromptTokens, CachedTokens: m.CachedTokens,
 		OutputTokens: m.OutputTokens, FirstToken: m.FirstToken, Duration: m.Duration,
@@ -154,5 +155,6 @@
 	p.clearUnacked(r)
 	p.sampleOf(r).add(-r.flight.Tokens())
 	p.grantedCount--
-	r.flight = nil
+	p.quarantine.End(r.trials)
+	r.flight, r.trials = nil, nil
 }
--- /dev/null
+++ b/brpool/quarantine.go
@@ -0,0 +1,76 @@
+package brpool
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brquarantine"
+	"bramleyroute/brwire"
+)
+
+const (
+	// maxParts limits the prefix blocks of a prompt that are examined for the crash of an
+	// endpoint: the first 2,048 tokens.
+	maxParts = 32
+	// minProgressTokens is the number of tokens after which an endpoint has survived the
+	// beginning of a request.
+	minProgressTokens = 2
+)
+
+// promptParts returns the parts of a prompt for the quarantine: its prefix blocks, which
+// other prompts may share.
+func promptParts(s brwire.Submit) []string {
+	var parts []string
+	for _, h := range s.PrefixHashes[:min(len(s.PrefixHashes), maxParts)] {
+		parts = append(parts, strconv.FormatUint(h, 16))
+	}
+	return parts
+}
+
+// refuseHeld refuses a queued or new request if a part of its prompt is quarantined, and
+// reports whether it did.
+func (p *Pool) refuseHeld(now time.Time, r *request) bool {
+	part, pause := p.quarantine.Check(now, r.parts)
+	if part == "" {
+		return false
+	}
+	p.queue.Remove(r.ID)
+	delete(p.requests, r.ID)
+	p.refuse(r.entry, r.ID, brerror.New(brerror.EndpointUnavailable,
+		"endpoints crashed under requests with the same beginning of the prompt").WithRetryAfter(pause))
+	return true
+}
+
+// observeLoss passes the end of a request to the quarantine.
+func (p *Pool) observeLoss(now time.Time, r *request, m brwire.Done) {
+	var changes []brquarantine.Change
+	switch {
+	case m.OK || m.OutputTokens >= minProgressTokens:
+		changes = p.quarantine.RunProgressed(now, r.parts)
+	case m.EndpointLost:
+		changes = p.quarantine.RunLost(now, r.parts, r.flight.EndpointID+"."+r.flight.Incarnation)
+	}
+	refuse := false
+	for _, c := range changes {
+		if c.Quarantined || c.Released {
+			p.emit(NotePromptPart{Part: c.Part, Quarantined: c.Quarantined, Lost: c.Evidence.Lost})
+		}
+		refuse = refuse || c.Quarantined
+	}
+	if refuse {
+		p.refuseAllHeld(now)
+	}
+}
+
+// refuseAllHeld refuses the queued requests with a quarantined part, so that they don't
+// wait for an endpoint that they won't get.
+func (p *Pool) refuseAllHeld(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
+		if r := p.requests[id]; r.state == queued {
+			p.refuseHeld(now, r)
+		}
+	}
+}
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -48,6 +48,9 @@
 		return
 	}
 	r := p.newRequest(now, entry, key, s)
+	if p.refuseHeld(now, r) {
+		return
+	}
 	minWait := p.minTimeToFirstToken(r)
 	if minWait > s.Deadline {
 		p.refuse(entry, s.RequestID, brerror.New(brerror.DeadlineUnmeetable,
@@ -134,6 +137,7 @@
 	}
 	tokens := 1
 	if p.opts.Kind != brwire.KindService {
+		r.parts = promptParts(s)
 		r.route.OutputTokens = p.estimator.Estimate(s.Customer, s.Route, s.MaxTokens)
 		tokens = max(minTokens, r.route.Tokens(p.opts.Kind))
 	}
@@ -168,6 +172,9 @@
 			continue
 		}
 		r := p.requests[it.ID]
+		if p.refuseHeld(now, r) {
+			continue
+		}
 		r.rollout, r.route.Group = p.rolloutOf(r.Customer)
 		c, ok := p.table.Choose(now, r.route)
 		if !ok {
@@ -186,6 +193,7 @@
 
 func (p *Pool) grant(now time.Time, r *request, c brroute.Choice) {
 	r.flight = p.table.Grant(now, r.route, c)
+	r.trials = p.quarantine.Begin(r.parts)
 	p.lastGrantNumber++
 	r.state, r.grantNumber, r.grantedAt = granted, p.lastGrantNumber, now
 	p.unackedCount++
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -43,23 +43,21 @@
 	return p.quarantine.Len()
 }
 
-// evidenceChanged logs and publishes new evidence, and wakes the waiting requests if a
-// part is quarantined. p.mu must not be held.
+// evidenceChanged publishes new evidence, logs which parts are quarantined or released,
+// and wakes the waiting requests if a part is quarantined. p.mu must not be held.
 func (p *Proxy) evidenceChanged(changes []brquarantine.Change) {
 	if len(changes) == 0 {
 		return
 	}
 	wake := false
 	for _, c := range changes {
-		e, message := p.cfg.Log.Info(), "evidence on a prompt part changed"
 		switch {
 		case c.Quarantined:
 			wake = true
-			e, message = p.cfg.Log.Warn(), "prompt part quarantined"
+			p.cfg.Log.Warn().Str("part", c.Part).Strs("lost", c.Evidence.Lost).Msg("prompt part quarantined")
 		case c.Released:
-			message = "prompt part released"
+			p.cfg.Log.Info().Str("part", c.Part).Msg("prompt part released")
 		}
-		e.Str("part", c.Part).Strs("lost", c.Evidence.Lost).Int("open", c.Evidence.Open()).Msg(message)
 	}
 	if wake {
 		p.mu.Lock()
@@ -139,8 +137,12 @@
 		return
 	}
 	p.mu.Lock()
-	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), q.call.PromptParts, endpointStart(a.endpoint))
+	start := endpointStart(a.endpoint)
+	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), q.call.PromptParts, start)
 	p.mu.Unlock()
+	for _, c := range changes {
+		p.cfg.Log.Info().Str("id", q.call.ID).Str("part", c.Part).Str("lost", start).Int("open", c.Evidence.Open()).Msg("prompt part suspected")
+	}
 	p.evidenceChanged(changes)
 }
 
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -48,9 +48,10 @@
 
 	granted, started, firstToken time.Time
 
-	EndpointID string
-	Address    string
-	Version    string
+	EndpointID  string
+	Incarnation string // of the endpoint
+	Address     string
+	Version     string
 }
 
 // Tokens returns the expected tokens (service: 1) that f adds to the outstanding
@@ -191,7 +192,7 @@
 
 func (t *Table) newFlight(now time.Time, r Request, e *endpoint) *Flight {
 	f := &Flight{request: r, tier: r.Tier, tokens: r.Tokens(t.opts.Kind), granted: now, pendingAtGrant: e.pending,
-		EndpointID: e.EndpointID, Address: e.Address, Version: e.Version}
+		EndpointID: e.EndpointID, Incarnation: e.Incarnation, Address: e.Address, Version: e.Version}
 	if t.opts.Kind == brwire.KindService {
 		f.uncached = 1
 	}
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -113,8 +113,9 @@
 	PromptTokens int             `cbor:"prompt_tokens"`
 	CachedTokens int             `cbor:"cached_tokens"` // part of PromptTokens served from the prefix cache
 	OutputTokens int             `cbor:"output_tokens"`
-	FirstToken   time.Duration   `cbor:"first_token"` // since the dispatch; 0 if none arrived
-	Duration     time.Duration   `cbor:"duration"`    // since the dispatch
+	EndpointLost bool            `cbor:"endpoint_lost,omitempty"` // the endpoint ended the connection and couldn't resume the response
+	FirstToken   time.Duration   `cbor:"first_token"`             // since the dispatch; 0 if none arrived
+	Duration     time.Duration   `cbor:"duration"`                // since the dispatch
 }
 
 // Join is the call of a scheduler to an entry after it became the owner of a pool. The
