brfleet: quarantined prompt parts outlive a restart of all daemons

What the daemons know of parts under which endpoints crash was in memory only. When all processes are killed, the fleet would lose at least three more endpoints to learn a part again, and more with each trial.

Daemons with a disk keep the quarantined parts in a file that they replace durably, and publish it when they start; a file that can't be read is ignored with a log line. The file is written apart from the publication of evidence, so that a stalled disk delays nothing. The replicated log was weighed: an entry for each change would need a leader, which is what is missing at that time.

--- a/brfleet/evidence.go
+++ b/brfleet/evidence.go
@@ -18,7 +18,14 @@
 type evidenceQueue struct {
 	mu      sync.Mutex
 	pending map[string]brquarantine.Evidence // by part
-	due     chan struct{}
+	due     chan struct{}                    // receives a value when evidence is pending
+	changed chan struct{}                    // the same for the evidence file
+}
+
+func newEvidenceQueue() evidenceQueue {
+	return evidenceQueue{
+		pending: map[string]brquarantine.Evidence{}, due: make(chan struct{}, 1), changed: make(chan struct{}, 1),
+	}
 }
 
 // add schedules evidence for publication. It doesn't block.
@@ -29,9 +36,11 @@
 		q.pending[c.Part] = q.pending[c.Part].WithMerged(c.Evidence)
 	}
 	q.mu.Unlock()
-	select {
-	case q.due <- struct{}{}:
-	default:
+	for _, ch := range []chan struct{}{q.due, q.changed} {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -21,7 +21,6 @@
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
-	"bramleyroute/brquarantine"
 	"bramleyroute/brquota"
 
 	"github.com/rs/zerolog"
@@ -97,7 +96,7 @@
 		cfg: cfg, started: cfg.Clock.Now(), epoch: uint64(cfg.Clock.Now().UnixMilli()),
 		mux:       &brpeer.Mux{},
 		loadSeqs:  map[string]uint64{},
-		evidence:  evidenceQueue{pending: map[string]brquarantine.Evidence{}, due: make(chan struct{}, 1)},
+		evidence:  newEvidenceQueue(),
 		reportDue: make(chan struct{}, 1),
 		stop:      make(chan struct{}),
 	}
@@ -117,6 +116,7 @@
 		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
 		DomainKinds: map[string]bool{kindDomainLoad: true}, Clock: cfg.Clock,
 	})
+	savedEvidence := f.loadEvidence()
 	f.core = brcore.Start(brcore.Config{
 		Dir: cfg.Dir, Self: brcontrol.Peer{ID: cfg.ID, Address: cfg.Address}, Tolerance: cfg.Tolerance,
 		Keys: cfg.Keys, Mux: f.mux, Replicas: f.replicas, Conn: f.node.Conn, MayBootstrap: f.mayBootstrap,
@@ -129,6 +129,7 @@
 	f.wg.Go(f.runPolicies)
 	f.wg.Go(f.runLoad)
 	f.wg.Go(f.runEvidence)
+	f.wg.Go(func() { f.runEvidenceFile(savedEvidence) })
 	f.wg.Go(f.runDaemonCount)
 	f.wg.Go(f.runRollouts)
 	return f, nil
--- a/brpool/quarantine_test.go
+++ b/brpool/quarantine_test.go
@@ -105,7 +105,7 @@
 			d.RequestID, d.Epoch, d.Number = ev.Submit.RequestID, 1, uint64(n+1)
 			step(t, p, n, Done{EntryID: "entry", Done: d})
 		}
-		if n := p.quarantine.Len(); n != 0 {
+		if n := len(p.quarantine.Quarantined()); n != 0 {
 			t.Errorf("%s: %d quarantined parts, want none", name, n)
 		}
 	}
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -37,10 +37,13 @@
 }
 
 // QuarantinedParts returns the number of quarantined parts.
-func (p *Proxy) QuarantinedParts() int {
+func (p *Proxy) QuarantinedParts() int { return len(p.Quarantine()) }
+
+// Quarantine returns the quarantined parts with their evidence, sorted.
+func (p *Proxy) Quarantine() []brquarantine.Change {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.quarantine.Len()
+	return p.quarantine.Quarantined()
 }
 
 // evidenceChanged publishes new evidence, logs which parts are quarantined or released,
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -1,6 +1,8 @@
 package brquarantine
 
 import (
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -144,15 +146,15 @@
 	}
 }
 
-// Len returns the number of quarantined parts.
-func (s *State) Len() int {
-	n := 0
-	for _, e := range s.suspects {
-		if e.quarantined() {
-			n++
+// Quarantined returns the quarantined parts with their evidence, sorted by part.
+func (s *State) Quarantined() []Change {
+	var all []Change
+	for _, part := range slices.Sorted(maps.Keys(s.suspects)) {
+		if e := s.suspects[part]; e.quarantined() {
+			all = append(all, Change{Part: part, Evidence: e.evidence, Quarantined: true})
 		}
 	}
-	return n
+	return all
 }
 
 func (s *State) evidence(part string) Evidence {
