--- a/brconn/event_reader.go
+++ b/brconn/event_reader.go
@@ -74,9 +74,6 @@
 	return io.EOF
 }
 
-// Events returns the number of whole events returned by Next.
-func (e *EventReader) Events() int { return e.events }
-
 // Partial returns the number of bytes read after the last whole event.
 func (e *EventReader) Partial() int {
 	return e.length - brevent.LastEnd(e.buffer[:e.length])
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -106,8 +106,10 @@
 	f.metrics = newMetrics()
 	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
-		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, ReportsChanged: f.scheduleReport, Log: cfg.Log, Clock: cfg.Clock,
-		SelectVersion: f.chooseVersion, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnEvidence: f.evidence.add, OnFirstByte: f.metrics.firstByte.RecordDuration,
+		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
+		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnEvidence: f.evidence.add,
+		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
