brquarantine: forget the oldest suspected part when there is no room

With evidence on 1,000 parts a daemon recorded none on further ones, and the owner of a pool never forgot any, so that a fatal part would no longer have been found. Not seen; found by reading. TestEvidenceIsBounded failed on the part that came last (trial: evidence of the newest part missing).

--- a/brfleet/evidence_file.go
+++ b/brfleet/evidence_file.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"bramleyroute/brquarantine"
@@ -82,9 +84,10 @@
 func (f *Fleet) evidencePath() string { return filepath.Join(f.cfg.Dir, evidenceFile) }
 
 func (f *Fleet) encodeQuarantine() []byte {
+	quarantine := f.proxy.Quarantine()
 	all := []partEvidence{}
-	for _, c := range f.proxy.Quarantine() {
-		all = append(all, partEvidence{Part: c.Part, Evidence: c.Evidence})
+	for _, part := range slices.Sorted(maps.Keys(quarantine)) {
+		all = append(all, partEvidence{Part: part, Evidence: quarantine[part]})
 	}
 	return encode(all)
 }
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -20,8 +20,7 @@
 // survived the beginning of the request.
 const minProgressEvents = 2
 
-// PeerEvidence applies what another daemon knows of a part, published before the time
-// age.
+// PeerEvidence applies evidence of another daemon on a part that is age old.
 func (p *Proxy) PeerEvidence(part string, e brquarantine.Evidence, age time.Duration) {
 	p.mu.Lock()
 	changes := p.quarantine.Merge(p.cfg.Clock.Now(), part, e, age)
@@ -39,8 +38,8 @@
 // QuarantinedParts returns the number of quarantined parts.
 func (p *Proxy) QuarantinedParts() int { return len(p.Quarantine()) }
 
-// Quarantine returns the quarantined parts with their evidence, sorted.
-func (p *Proxy) Quarantine() []brquarantine.Change {
+// Quarantine returns the evidence of the quarantined parts, by part.
+func (p *Proxy) Quarantine() map[string]brquarantine.Evidence {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.quarantine.Quarantined()
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -1,8 +1,6 @@
 package brquarantine
 
 import (
-	"maps"
-	"slices"
 	"strings"
 	"time"
 
@@ -29,8 +27,8 @@
 	pauseSpread = 0.5
 	// trialPause is the pause while a trial is in progress.
 	trialPause = time.Second
-	// maxParts limits the number of parts with evidence. A crash adds those of a few
-	// requests.
+	// maxParts limits the number of parts with evidence. Beyond it the part with the oldest
+	// evidence that isn't quarantined is forgotten.
 	maxParts = 1000
 )
 
@@ -53,6 +51,7 @@
 // suspect is a part with evidence.
 type suspect struct {
 	evidence Evidence
+	changed  time.Time // time of the latest evidence
 	retryAt  time.Time // end of the pause; set while the part is quarantined
 	trying   bool      // a request with the part is at an endpoint after the pause
 }
@@ -88,8 +87,8 @@
 	return changes
 }
 
-// Merge adds evidence of another daemon, published before the time age. It returns what
-// has changed; publishing that again has no effect if the other daemon knows as much.
+// Merge adds evidence of another daemon that is age old. It returns what has changed;
+// publishing that again has no effect if the other daemon knows as much.
 func (s *State) Merge(now time.Time, part string, e Evidence, age time.Duration) []Change {
 	merged := s.evidence(part).WithMerged(e)
 	// A single lost endpoint has no consequence. Clearing it at once would make each
@@ -146,12 +145,12 @@
 	}
 }
 
-// Quarantined returns the quarantined parts with their evidence, sorted by part.
-func (s *State) Quarantined() []Change {
-	var all []Change
-	for _, part := range slices.Sorted(maps.Keys(s.suspects)) {
-		if e := s.suspects[part]; e.quarantined() {
-			all = append(all, Change{Part: part, Evidence: e.evidence, Quarantined: true})
+// Quarantined returns the evidence of the quarantined parts, by part.
+func (s *State) Quarantined() map[string]Evidence {
+	all := map[string]Evidence{}
+	for part, e := range s.suspects {
+		if e.quarantined() {
+			all[part] = e.evidence
 		}
 	}
 	return all
@@ -168,17 +167,14 @@
 // there is one.
 func (s *State) update(changes []Change, at time.Time, part string, e Evidence) []Change {
 	old := s.suspects[part]
+	if s.evidence(part).Equal(e) {
+		return changes
+	}
 	if old == nil {
-		old = &suspect{}
-		if len(s.suspects) >= maxParts {
-			return changes
-		}
+		s.makeRoom()
 		part = strings.Clone(part) // the parts of a request share the memory of its header
 	}
-	if old.evidence.Equal(e) {
-		return changes
-	}
-	updated := &suspect{evidence: e}
+	updated := &suspect{evidence: e, changed: at}
 	if updated.quarantined() {
 		updated.retryAt = at.Add(s.pause(part, e.Open()))
 	}
@@ -189,6 +185,21 @@
 	})
 }
 
+// makeRoom forgets the part with the oldest evidence that isn't quarantined if there are
+// maxParts.
+func (s *State) makeRoom() {
+	if len(s.suspects) < maxParts {
+		return
+	}
+	oldest := ""
+	for part, e := range s.suspects {
+		if !e.quarantined() && (oldest == "" || e.changed.Before(s.suspects[oldest].changed)) {
+			oldest = part
+		}
+	}
+	delete(s.suspects, oldest)
+}
+
 // pause returns the pause of a part after a number of lost starts.
 func (s *State) pause(part string, lost int) time.Duration {
 	d := firstPause
--- a/brquarantine/state_test.go
+++ b/brquarantine/state_test.go
@@ -194,20 +194,27 @@
 // parts or of starts.
 func TestEvidenceIsBounded(t *testing.T) {
 	s := New("d")
+	lose(s, 0, []string{"fatal"}, "a", "b", "c")
 	for i := range 2 * maxParts {
-		s.RunLost(at(0), []string{fmt.Sprint("p", i)}, "a")
+		s.RunLost(at(time.Duration(i)), []string{fmt.Sprint("p", i)}, "a")
 	}
 	if n := len(s.suspects); n != maxParts {
 		t.Errorf("%d parts, want %d", n, maxParts)
 	}
+	if got := held(s, 0, "fatal"); got != "fatal" {
+		t.Errorf("held back by %q, want the quarantined part not to be forgotten", got)
+	}
+	if e := s.evidence(fmt.Sprint("p", 2*maxParts-1)); e.Open() != 1 {
+		t.Errorf("evidence %v of the newest part, want it kept", e)
+	}
 	for i := range 2 * maxStarts {
-		s.RunLost(at(0), []string{"p0"}, fmt.Sprint(i))
+		s.RunLost(at(0), []string{"fatal"}, fmt.Sprint(i))
 	}
-	if n := len(s.evidence("p0").Lost); n != maxStarts {
+	if n := len(s.evidence("fatal").Lost); n != maxStarts {
 		t.Errorf("%d starts, want %d", n, maxStarts)
 	}
-	s.Forget("p0")
-	if got := held(s, 0, "p0"); got != "" {
+	s.Forget("fatal")
+	if got := held(s, 0, "fatal"); got != "" {
 		t.Errorf("held back by %q whose evidence has lapsed, want none", got)
 	}
 	for i := range 2 * maxRecent {
