--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"bramleyroute/brconn"
 	"bramleyroute/brcore"
+	"bramleyroute/brheader"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
 	"bramleyroute/brtest"
@@ -62,6 +63,9 @@
 			NotRun:       func(*brconn.Response) bool { return false },
 			Misdirected:  func(*brconn.Response) bool { return false },
 			Leaving:      func(res *brconn.Response) bool { return res.Header.Get("Leaving") != "" },
+			RateLimit: func(res *brconn.Response) (float64, bool, error) {
+				return brheader.RateLimit(res.Header.Values("Limit"))
+			},
 		},
 		DecodePolicy: func(body []byte) (brpolicy.Policy, error) {
 			var p brpolicy.Policy
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -46,6 +46,10 @@
 	// Leaving reports whether a response states that its endpoint is shutting down and
 	// wants no new requests.
 	Leaving func(a *brconn.Response) bool
+	// RateLimit returns the number of requests per second that the endpoint of a response
+	// takes from all daemons together, and whether the response states one. It returns an
+	// error for a statement that can't be interpreted.
+	RateLimit func(a *brconn.Response) (rate float64, stated bool, err error)
 	// Matches reports whether a response belongs to the request with the given ID.
 	Matches func(id string, a *brconn.Response) bool
 }
--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -40,6 +40,7 @@
 	NotRun:      func(a *brconn.Response) bool { return a.Header.Get("Not-Run") != "" },
 	Misdirected: func(a *brconn.Response) bool { return a.Status == http.StatusMisdirectedRequest },
 	Leaving:     func(a *brconn.Response) bool { return a.Header.Get("Leaving") != "" },
+	RateLimit:   func(a *brconn.Response) (float64, bool, error) { return brheader.RateLimit(a.Header.Values("Limit")) },
 }
 
 // fakeEndpoint records the headers of its requests and responds with a function.
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -14,7 +14,7 @@
 const maxPause = 10 * time.Minute
 
 // observeResponse applies what a response to q states about the endpoint e itself:
-// that it is leaving, or that it wants no requests for some time. A response of
+// that it is leaving, that it limits its requests, or that it wants none for some time. A response of
 // another endpoint at the address states nothing about e.
 func (p *Proxy) observeResponse(q *request, e brplace.Endpoint, res *brconn.Response) {
 	if p.cfg.Dialect.Misdirected(res) {
@@ -23,6 +23,7 @@
 	if p.cfg.Dialect.Leaving(res) && p.cfg.OnLeaving != nil {
 		p.cfg.OnLeaving(e)
 	}
+	p.observeLimit(q, e, res)
 	if res.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -35,3 +36,14 @@
 		p.ApplyEvent(brplace.EndpointPaused{ID: e.ID, Duration: pause})
 	}
 }
+
+// observeLimit logs the limit that a response to q states.
+func (p *Proxy) observeLimit(q *request, e brplace.Endpoint, res *brconn.Response) {
+	rate, stated, err := p.cfg.Dialect.RateLimit(res)
+	switch {
+	case err != nil:
+		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", e.ID).Err(err).Msg("limit of an endpoint ignored")
+	case stated:
+		p.cfg.Log.Info().Str("id", q.call.ID).Str("endpoint", e.ID).Float64("limit_per_s", rate).Msg("endpoint named a limit")
+	}
+}
