brlimit: keep the limits that endpoints state, over all daemons

Cause: nobody read the limit. A daemon that is told belongs to a fleet whose other daemons aren't, so that reading it alone doesn't do either.

Holders follow from a hash of endpoint and daemon, so that no message is needed but the limit itself. A daemon that is lost keeps its shares for the 15 s of its record: cut off, it may still use them. New shares start empty. What the limits leave no room for is rejected at once, the queue in the order of rank.

A limit is only changed by the response to a request that was sent after it was known.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -108,7 +109,7 @@
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
-		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnEvidence: f.evidence.add,
+		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnEvidence: f.evidence.add,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	f.node = brgossip.New(brgossip.Config{
@@ -132,7 +133,7 @@
 	f.wg.Go(f.runLoad)
 	f.wg.Go(f.runEvidence)
 	f.wg.Go(func() { f.runEvidenceFile(savedEvidence) })
-	f.wg.Go(f.runDaemonCount)
+	f.wg.Go(f.runDaemons)
 	f.wg.Go(f.runRollouts)
 	return f, nil
 }
@@ -216,37 +217,43 @@
 	f.cfg.Log.Info().Str("daemon", address).Bool("open", open).Msg("link to a daemon changed")
 }
 
-// runDaemonCount periodically updates the number of daemons.
-func (f *Fleet) runDaemonCount() {
+// runDaemons periodically passes the daemons that aren't leaving to the proxy. One that
+// is lost stays among them for the lifetime of its record, so that the shares of limits
+// that it may still use while it is cut off aren't given to others.
+func (f *Fleet) runDaemons() {
 	for {
 		select {
 		case <-f.stop:
 			return
-		case <-f.cfg.Clock.After(daemonCountInterval):
+		case <-f.cfg.Clock.After(daemonsInterval):
 		}
-		active, domain := 0, 0
+		domain := 0
+		var active []string
 		for _, d := range f.node.Daemons() {
 			if d.Leaving {
 				continue
 			}
-			active++
+			active = append(active, d.ID)
 			if d.FailureDomain == f.cfg.FailureDomain {
 				domain++
 			}
 		}
-		f.proxy.SetDaemonCount(active)
-		f.daemons.Store(int64(active))
+		slices.Sort(active)
+		f.proxy.SetDaemons(active)
+		f.daemons.Store(int64(len(active)))
 		f.domainDaemons.Store(int64(domain))
 	}
 }
 
-const daemonCountInterval = 250 * time.Millisecond
+const daemonsInterval = 250 * time.Millisecond
 
 // onRecord applies a new version of a record.
 func (f *Fleet) onRecord(r brgossip.Record) {
 	switch r.Kind() {
 	case kindEndpoint:
 		f.applyEndpointRecord(r)
+	case kindLimit:
+		f.applyLimitRecord(r)
 	case kindLoad, kindDomainLoad:
 		f.applyLoadRecord(r)
 	case kindQuotaUsage:
@@ -268,6 +275,8 @@
 		f.endpoints.remove(r.Name())
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: r.Name()})
 		f.cfg.Log.Info().Str("endpoint", r.Name()).Msg("endpoint removed because its record expired")
+	case kindLimit:
+		f.limitExpired(r)
 	case kindLoad:
 		delete(f.loadSeqs, r.Name())
 		f.proxy.PeerLost(r.Name())
--- /dev/null
+++ b/brlimit/doc.go
@@ -0,0 +1,19 @@
+// Package brlimit keeps the rate limits that endpoints state in their responses, over
+// all processes that send requests to them.
+//
+// A process that learns a limit publishes it. The right to send then lies with a few
+// holders, which every process works out alike from the endpoints with a limit and the
+// members of the fleet: one holder for each request per second, so that the bursts of
+// the holders add up to little more than a second's worth. A holder spends its part from
+// a Bucket that starts empty. All others send nothing.
+//
+// An equal share for each member wouldn't do: with one token in hand each, two hundred
+// members send two hundred requests at once, whatever the limit is. A single holder
+// would hold the limit, but leaves part of it unused where one member has too few
+// requests. A grant for each request would keep the order of ranks over the whole fleet,
+// at the price of a round trip and of seconds without any request when the grantor is
+// lost.
+//
+// The types do no I/O and take the time as an argument. They aren't safe for concurrent
+// use.
+package brlimit
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -132,7 +132,7 @@
 
 // large reports whether the fleet is so large that each daemon chooses among a part of
 // the endpoints.
-func (s *State) large() bool { return s.daemons > fullChoiceDaemons }
+func (s *State) large() bool { return len(s.daemons) > fullChoiceDaemons }
 
 // reserve returns the fraction of the slots that is reserved for each rank below the
 // most urgent one.
@@ -147,17 +147,23 @@
 // of slots under overload. All daemons see the same few free slots; without a limit they
 // all send their waiting requests there, and long queues form at some endpoints.
 func (s *State) fairShare(slots int) int {
-	return max(1, int(fairShareFactor*float64(slots)/float64(s.daemons)))
+	return max(1, int(fairShareFactor*float64(slots)/float64(len(s.daemons))))
 }
 
 // slots returns the number of slots of the usable endpoints of a service, and how
-// many of them are free.
+// many of them are free. An endpoint with a limit counts with the one request that this
+// daemon may send to it at a time.
 func (s *State) slots(v *service) (total, free int) {
 	for _, e := range v.endpoints {
-		if e.usable(s.now) {
-			total += e.Slots
-			free += max(0, e.Slots-e.active())
+		if !e.usable(s.now) {
+			continue
+		}
+		slots, unused := e.Slots, max(0, e.Slots-e.active())
+		if e.limit.Limited {
+			slots, unused = min(1, slots), min(1, unused)
 		}
+		total += slots
+		free += unused
 	}
 	return total, free
 }
@@ -241,6 +247,9 @@
 	e.own.Active++
 	s.service(r.Service).countRunning(r, 1)
 	e.own.PendingPromptTokens += r.PromptTokens
+	if e.limit.Limited {
+		e.bucket.Take(s.now)
+	}
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
 	}
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -1,8 +1,9 @@
 package brplace
 
 import (
-	"slices"
 	"time"
+
+	"bramleyroute/brlimit"
 )
 
 const (
@@ -48,8 +49,10 @@
 	eventInterval  time.Duration // moving average between two events of a stream, over all daemons; 0 if unknown
 	duration       time.Duration // moving average of request durations
 	suspendedUntil time.Time
-	lastSuspension time.Duration // duration of the last suspension
-	pausedUntil    time.Time     // until then the endpoint wants no requests of this daemon
+	lastSuspension time.Duration  // duration of the last suspension
+	pausedUntil    time.Time      // until then the endpoint wants no requests of this daemon
+	limit          brlimit.Limit  // requests per second that it takes from all daemons
+	bucket         brlimit.Bucket // this daemon's share of the limit
 }
 
 // usageSum is the sum of the usage by other daemons.
@@ -97,10 +100,10 @@
 // process, over all daemons.
 func (e *endpoint) pendingPrompt() int { return e.own.PendingPromptTokens + e.others.prompt }
 
-// usable reports whether the endpoint accepts new requests and is neither suspended
-// nor paused.
+// usable reports whether this daemon may send a request to the endpoint now: it accepts
+// new requests, is neither suspended nor paused, and its limit leaves room.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Leaving && !now.Before(e.suspendedUntil) && !now.Before(e.pausedUntil)
+	return !e.Leaving && !now.Before(e.suspendedUntil) && !now.Before(e.pausedUntil) && e.withinLimit(now)
 }
 
 // pause keeps this daemon's requests from an endpoint for the duration that the
@@ -113,38 +116,7 @@
 	if until := s.now.Add(duration); until.After(e.pausedUntil) {
 		e.pausedUntil = until
 	}
-	v := s.service(e.Service)
-	v.queue = slices.DeleteFunc(v.queue, func(r *Request) bool { return s.rejectPaused(v, r) })
-}
-
-// rejectPaused rejects r if every endpoint that is eligible for it stays paused for
-// longer than r may wait, and reports whether it did.
-func (s *State) rejectPaused(v *service, r *Request) bool {
-	pause := s.pauseOf(v, r)
-	if pause == 0 || pause <= r.MaxQueueTime-s.now.Sub(r.Arrived) {
-		return false
-	}
-	s.reject(r, Paused, pause+time.Duration(s.cfg.Random()*float64(pauseSpread)))
-	return true
-}
-
-// pauseOf returns the time until the first of the endpoints that are eligible for r is
-// no longer paused. It is 0 if one of them isn't paused, or if there is none.
-func (s *State) pauseOf(v *service, r *Request) time.Duration {
-	var first time.Duration
-	for _, e := range v.endpoints {
-		if e.Leaving || !eligible(e, r) {
-			continue
-		}
-		pause := e.pausedUntil.Sub(s.now)
-		if pause <= 0 {
-			return 0
-		}
-		if first == 0 || pause < first {
-			first = pause
-		}
-	}
-	return first
+	s.rejectUnservable(s.service(e.Service))
 }
 
 // recordSuccess adds the duration of a request and the event interval of its
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -1,6 +1,10 @@
 package brplace
 
-import "time"
+import (
+	"time"
+
+	"bramleyroute/brlimit"
+)
 
 // Endpoint describes an endpoint as it announced itself.
 type Endpoint struct {
@@ -48,8 +52,9 @@
 	short bool // see service.isShort; set by State
 }
 
-// Event is one of EndpointChanged, EndpointLost, EndpointPaused, PeerReported,
-// PeerLost, FleetChanged, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
+// Event is one of EndpointChanged, EndpointLost, EndpointPaused, LimitObserved,
+// LimitPublished, PeerReported, PeerLost, FleetChanged, Submit, Cancel, FirstByte,
+// Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
@@ -65,6 +70,21 @@
 	Duration time.Duration
 }
 
+// LimitObserved reports what a response states about the limit of its endpoint.
+type LimitObserved struct {
+	ID     string
+	Born   uint64    // start of the endpoint to which the request was sent
+	SentAt time.Time // time at which it was sent
+	Limit  brlimit.Limit
+}
+
+// LimitPublished carries the limit of an endpoint that a daemon has published.
+type LimitPublished struct {
+	ID    string
+	Born  uint64 // start of the endpoint
+	Limit brlimit.Limit
+}
+
 // PeerReported carries the latest report of another daemon.
 type PeerReported struct {
 	Daemon string
@@ -74,8 +94,8 @@
 // PeerLost reports that another daemon has stopped sending reports.
 type PeerLost struct{ Daemon string }
 
-// FleetChanged reports the number of daemons, including this one.
-type FleetChanged struct{ Daemons int }
+// FleetChanged carries the sorted IDs of all daemons, including this one.
+type FleetChanged struct{ Daemons []string }
 
 // Submit requests a dispatch. The resulting Dispatch or Reject effect is returned
 // by the same or a later Step.
@@ -111,7 +131,7 @@
 	WrongAddress                   // the address refuses connections or belongs to another endpoint
 )
 
-// Effect is Dispatch, Reject or Suspended.
+// Effect is Dispatch, Reject, Suspended or LimitLearned.
 type Effect interface{ effect() }
 
 // Dispatch directs a request to an endpoint.
@@ -138,6 +158,9 @@
 	Failed   float64 // decayed number of failed requests over all daemons
 }
 
+// LimitLearned reports a limit to be published to the other daemons.
+type LimitLearned LimitObserved
+
 // Cause is the reason for the suspension of an endpoint.
 type Cause string
 
@@ -157,11 +180,14 @@
 	Overload     Reason = "overload"    // the expected queueing time exceeds MaxQueueTime
 	QueueTimeout Reason = "waited"      // the request has waited for longer than MaxQueueTime
 	Paused       Reason = "paused"      // every eligible endpoint asked for a pause that outlasts MaxQueueTime
+	Limited      Reason = "limited"     // the limits of the eligible endpoints leave no room within MaxQueueTime
 )
 
 func (EndpointChanged) event() {}
 func (EndpointLost) event()    {}
 func (EndpointPaused) event()  {}
+func (LimitObserved) event()   {}
+func (LimitPublished) event()  {}
 func (PeerReported) event()    {}
 func (PeerLost) event()        {}
 func (FleetChanged) event()    {}
@@ -175,3 +201,5 @@
 func (Dispatch) effect()  {}
 func (Reject) effect()    {}
 func (Suspended) effect() {}
+
+func (LimitLearned) effect() {}
--- /dev/null
+++ b/brplace/limit.go
@@ -0,0 +1,186 @@
+package brplace
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bramleyroute/brlimit"
+)
+
+// endpointLimit is the limit that one start of an endpoint stated. It may be known
+// before the endpoint is.
+type endpointLimit struct {
+	born  uint64
+	known brlimit.Known
+}
+
+// limitOf returns the limit of a start of an endpoint, and creates it if necessary.
+// The limit of an earlier start doesn't hold for a later one.
+func (s *State) limitOf(id string, born uint64) *endpointLimit {
+	l := s.limits[id]
+	if l == nil || l.born < born {
+		l = &endpointLimit{born: born}
+		s.limits[id] = l
+	}
+	return l
+}
+
+// observeLimit applies what a response states about the limit of its endpoint.
+func (s *State) observeLimit(ev LimitObserved) {
+	l := s.limitOf(ev.ID, ev.Born)
+	if l.born != ev.Born || !l.known.Observe(s.now, ev.SentAt, ev.Limit) {
+		return
+	}
+	s.effects = append(s.effects, LimitLearned(ev))
+	s.applyLimit(s.endpoints[ev.ID])
+}
+
+// setLimit applies a limit that another daemon has published.
+func (s *State) setLimit(ev LimitPublished) {
+	l := s.limitOf(ev.ID, ev.Born)
+	if l.born != ev.Born {
+		return
+	}
+	l.known.Set(s.now, ev.Limit)
+	if s.endpoints[ev.ID] == nil && !ev.Limit.Limited {
+		delete(s.limits, ev.ID)
+	}
+	s.applyLimit(s.endpoints[ev.ID])
+}
+
+// applyLimit makes the limit that is known of e effective. Until the next tick assigns
+// this daemon its share, it sends nothing to an endpoint whose limit has changed.
+func (s *State) applyLimit(e *endpoint) {
+	if e == nil {
+		return
+	}
+	var limit brlimit.Limit
+	if l := s.limits[e.ID]; l != nil && l.born == e.Born {
+		limit = l.known.Limit()
+	}
+	if limit == e.limit {
+		return
+	}
+	if !e.limit.Limited {
+		e.bucket = brlimit.Bucket{}
+	}
+	e.limit = limit
+	e.bucket.SetShare(s.now, brlimit.Share{})
+	s.service(e.Service).sharesStale = true
+}
+
+// setDaemons replaces the IDs of the daemons. They hold the limits of all services.
+func (s *State) setDaemons(ids []string) {
+	if slices.Equal(s.daemons, ids) {
+		return
+	}
+	s.daemons = slices.Clone(ids)
+	for _, v := range s.services {
+		v.sharesStale = true
+	}
+}
+
+// assignShares assigns this daemon its shares of the limits of the endpoints of v, after
+// these or the daemons have changed.
+func (s *State) assignShares(v *service) {
+	if !v.sharesStale {
+		return
+	}
+	v.sharesStale = false
+	rates := map[string]float64{}
+	for _, e := range v.endpoints {
+		if e.limit.Limited {
+			rates[e.ID] = e.limit.Rate
+		}
+	}
+	daemons := s.daemons
+	if len(daemons) == 0 {
+		daemons = []string{s.cfg.Daemon}
+	}
+	shares := brlimit.Shares(rates, daemons, s.cfg.Daemon)
+	for id := range maps.Keys(rates) {
+		s.endpoints[id].bucket.SetShare(s.now, shares[id])
+	}
+}
+
+// withinLimit reports whether this daemon may send another request to e now.
+func (e *endpoint) withinLimit(now time.Time) bool {
+	return !e.limit.Limited || e.bucket.Tokens(now) >= 1
+}
+
+// unservable returns why r can't be placed in time and the time after which it may be
+// sent again, or an empty reason if it may be placed. That is so if each eligible
+// endpoint either stays paused for longer than r may wait, or has a limit, and this
+// daemon's shares of the limits don't reach for r and the requests ahead of it.
+func (s *State) unservable(v *service, r *Request, ahead int) (Reason, time.Duration) {
+	remaining := r.MaxQueueTime - s.now.Sub(r.Arrived)
+	var pause time.Duration // until the first endpoint is no longer paused
+	var rate, tokens float64
+	limited := false
+	for _, e := range v.endpoints {
+		if e.Leaving || !eligible(e, r) {
+			continue
+		}
+		switch p := e.pausedUntil.Sub(s.now); {
+		case p > 0 && p > remaining:
+			if pause == 0 || p < pause {
+				pause = p
+			}
+		case !e.limit.Limited:
+			return "", 0
+		default:
+			limited = true
+			rate += e.bucket.Rate()
+			tokens += e.bucket.Tokens(s.now)
+		}
+	}
+	if !limited {
+		if pause == 0 {
+			return "", 0
+		}
+		return Paused, pause + s.spread()
+	}
+	missing := float64(ahead+1) - tokens
+	switch {
+	case missing <= 0 || v.sharesStale:
+		return "", 0
+	case rate == 0:
+		return Limited, s.retryDelay()
+	}
+	wait := time.Duration(missing / rate * float64(time.Second))
+	if wait <= remaining {
+		return "", 0
+	}
+	return Limited, min(max(wait, minRetryAfter), maxRetryAfter) + s.spread()
+}
+
+// spread returns a random time that is added to the Retry-After of requests which are
+// rejected for the same reason, so that they don't all return at once.
+func (s *State) spread() time.Duration { return time.Duration(s.cfg.Random() * float64(pauseSpread)) }
+
+// rejectUnservable rejects the waiting requests that can't be placed in time. Those that
+// were in time when they arrived may have been overtaken by more urgent ones.
+func (s *State) rejectUnservable(v *service) {
+	ahead := 0
+	v.queue = slices.DeleteFunc(v.queue, func(r *Request) bool {
+		reason, retryAfter := s.unservable(v, r, ahead)
+		if reason == "" {
+			ahead++
+			return false
+		}
+		s.reject(r, reason, retryAfter)
+		return true
+	})
+}
+
+// aheadOf returns the number of waiting requests that precede r.
+func (s *State) aheadOf(v *service, r *Request) int {
+	n := 0
+	for _, q := range v.queue {
+		if !before(s.now, r, q) {
+			n++
+		}
+	}
+	return n
+}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -40,7 +40,8 @@
 		// one heartbeat, so half the maximum wait is enough.
 		r.MaxQueueTime /= 2
 	}
-	if s.rejectPaused(v, &r) {
+	if reason, retryAfter := s.unservable(v, &r, s.aheadOf(v, &r)); reason != "" {
+		s.reject(&r, reason, retryAfter)
 		return
 	}
 	if len(v.queue) == 0 {
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -122,7 +122,7 @@
 	for d := range f.daemons {
 		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
 		if !f.fullChoice {
-			s.Step(start, FleetChanged{Daemons: f.daemons})
+			s.Step(start, FleetChanged{daemonIDs(f.daemons)})
 		}
 		for e := range f.endpoints {
 			id := fmt.Sprintf("e%03d", e)
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -22,8 +22,9 @@
 	endpoints map[string]*endpoint
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
+	limits    map[string]*endpointLimit // by endpoint ID
 	peers     map[string]Report
-	daemons   int // number of daemons, including this one; 0 if unknown
+	daemons   []string // IDs of the daemons, including this one; empty if unknown
 	now       time.Time
 	effects   []Effect
 }
@@ -41,6 +42,7 @@
 	urgentRank    int           // most urgent rank of this daemon's requests so far
 	running       int           // number of running requests of this daemon
 	shortRunning  int           // number of those that are short
+	sharesStale   bool          // the limits of its endpoints or the daemons have changed since assignShares
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -62,6 +64,7 @@
 		endpoints: map[string]*endpoint{},
 		services:  map[string]*service{},
 		inflight:  map[uint64]*inflightRequest{},
+		limits:    map[string]*endpointLimit{},
 		peers:     map[string]Report{},
 	}
 }
@@ -77,12 +80,16 @@
 		s.removeEndpoint(e.ID)
 	case EndpointPaused:
 		s.pause(e.ID, e.Duration)
+	case LimitObserved:
+		s.observeLimit(e)
+	case LimitPublished:
+		s.setLimit(e)
 	case PeerReported:
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
 		s.applyReport(e.Daemon, nil)
 	case FleetChanged:
-		s.daemons = e.Daemons
+		s.setDaemons(e.Daemons)
 	case Submit:
 		s.submit(e.Request)
 	case Cancel:
@@ -151,6 +158,7 @@
 	default:
 		e.Endpoint = announced
 	}
+	s.applyLimit(s.endpoints[announced.ID])
 	s.placeWaiting(s.service(announced.Service), maxPlacements)
 }
 
@@ -158,6 +166,7 @@
 	v := s.service(e.Service)
 	v.endpoints = append(v.endpoints, e)
 	slices.SortFunc(v.endpoints, s.comparePreference)
+	v.sharesStale = v.sharesStale || e.limit.Limited
 }
 
 // comparePreference orders endpoints by this daemon's preference: first those of its own
@@ -180,6 +189,7 @@
 func (s *State) detach(e *endpoint) {
 	v := s.service(e.Service)
 	v.endpoints = slices.DeleteFunc(v.endpoints, func(x *endpoint) bool { return x == e })
+	v.sharesStale = v.sharesStale || e.limit.Limited
 }
 
 func (s *State) removeEndpoint(id string) {
@@ -187,6 +197,7 @@
 		s.forgetOutcomes(e)
 		s.detach(e)
 		delete(s.endpoints, id)
+		delete(s.limits, id)
 	}
 }
 
@@ -297,6 +308,8 @@
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
+		s.assignShares(v)
 		s.placeWaiting(v, maxPlacements)
+		s.rejectUnservable(v)
 	}
 }
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -15,6 +16,16 @@
 
 func newState() *State { return New(Config{FailureDomain: "z1", Random: func() float64 { return 0 }}) }
 
+// daemonIDs returns the IDs of n daemons, sorted.
+func daemonIDs(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprint("d", i))
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 func addEndpoints(s *State, ids ...string) {
 	for _, id := range ids {
 		s.Step(at(0), EndpointChanged{Endpoint{ID: id, Service: "s", Address: id + ":1", Zone: "z1", Version: "v1", Slots: 2}})
@@ -227,7 +238,7 @@
 func TestReserveOfServiceWithOneRank(t *testing.T) {
 	s := newState()
 	addEndpoints(s, "a", "b", "c") // 6 slots
-	s.Step(at(0), FleetChanged{Daemons: 100})
+	s.Step(at(0), FleetChanged{daemonIDs(100)})
 	nearlyFull := Report{"a": {Active: 2}, "b": {Active: 2}, "c": {Active: 1}}
 	s.Step(at(0), PeerReported{Daemon: "p", Report: nearlyFull})
 	checkEffects(t, "last slot", s.Step(at(1), Submit{request(1, 2, 1)}), "dispatch 1 c")
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -61,7 +61,7 @@
 	}
 	defer x.Close()
 	q.framing, q.partialEvent = x.Response.Framing, 0
-	p.observeResponse(q, e, &x.Response)
+	p.observeResponse(q, a, &x.Response)
 	switch {
 	case p.cfg.Dialect.Misdirected(&x.Response):
 		a.result = brplace.WrongAddress
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -6,6 +6,7 @@
 
 	"bramleyroute/brconn"
 	"bramleyroute/brheader"
+	"bramleyroute/brlimit"
 	"bramleyroute/brplace"
 )
 
@@ -13,17 +14,18 @@
 // doesn't remove it for good.
 const maxPause = 10 * time.Minute
 
-// observeResponse applies what a response to q states about the endpoint e itself:
+// observeResponse applies what a response to q states about the endpoint itself:
 // that it is leaving, that it limits its requests, or that it wants none for some time. A response of
-// another endpoint at the address states nothing about e.
-func (p *Proxy) observeResponse(q *request, e brplace.Endpoint, res *brconn.Response) {
+// another endpoint at the address states nothing about it.
+func (p *Proxy) observeResponse(q *request, a *attempt, res *brconn.Response) {
+	e := a.endpoint
 	if p.cfg.Dialect.Misdirected(res) {
 		return
 	}
 	if p.cfg.Dialect.Leaving(res) && p.cfg.OnLeaving != nil {
 		p.cfg.OnLeaving(e)
 	}
-	p.observeLimit(q, e, res)
+	p.observeLimit(q, a, res)
 	if res.Status != http.StatusServiceUnavailable {
 		return
 	}
@@ -37,13 +39,27 @@
 	}
 }
 
-// observeLimit logs the limit that a response to q states.
-func (p *Proxy) observeLimit(q *request, e brplace.Endpoint, res *brconn.Response) {
+// observeLimit applies what a response to q states about the limit of its endpoint. A
+// response that states none lifts an earlier one.
+func (p *Proxy) observeLimit(q *request, a *attempt, res *brconn.Response) {
+	e := a.endpoint
 	rate, stated, err := p.cfg.Dialect.RateLimit(res)
-	switch {
-	case err != nil:
+	if err != nil {
 		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", e.ID).Err(err).Msg("limit of an endpoint ignored")
-	case stated:
-		p.cfg.Log.Info().Str("id", q.call.ID).Str("endpoint", e.ID).Float64("limit_per_s", rate).Msg("endpoint named a limit")
+		return
+	}
+	observed := brplace.LimitObserved{
+		ID: e.ID, Born: e.Born, SentAt: a.sentAt, Limit: brlimit.Limit{Limited: stated, Rate: rate},
+	}
+	p.mu.Lock()
+	learned := p.placement.Step(p.cfg.Clock.Now(), observed)
+	p.mu.Unlock()
+	if len(learned) == 0 {
+		return
+	}
+	p.cfg.Log.Info().Str("id", q.call.ID).Str("endpoint", e.ID).Bool("limited", stated).Float64("limit_per_s", rate).
+		Msg("endpoint stated a limit")
+	if p.cfg.OnLimit != nil {
+		p.cfg.OnLimit(brplace.LimitLearned(observed))
 	}
 }
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -43,6 +43,9 @@
 	// OnLeaving is called when a response states that its endpoint is leaving, with the
 	// endpoint as it was at the dispatch. It may be nil.
 	OnLeaving func(e brplace.Endpoint)
+	// OnLimit is called with the limit that a response states, if it is to be published
+	// to the other daemons. It may be nil.
+	OnLimit func(brplace.LimitLearned)
 	// OnEvidence is called with new evidence on parts of prompts, to be published to the
 	// other daemons. It must not block. It may be nil.
 	OnEvidence func([]brquarantine.Change)
@@ -170,12 +173,12 @@
 	p.step(brplace.PeerLost{Daemon: daemon})
 }
 
-// SetDaemonCount sets the number of daemons, including this one.
-func (p *Proxy) SetDaemonCount(n int) {
+// SetDaemons sets the sorted IDs of all daemons, including this one.
+func (p *Proxy) SetDaemons(ids []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limiter.SetDaemonCount(n)
-	p.step(brplace.FleetChanged{Daemons: n})
+	p.limiter.SetDaemonCount(len(ids))
+	p.step(brplace.FleetChanged{Daemons: ids})
 }
 
 // PlacementReport returns the usage of endpoints by this daemon, as
