--- a/brlimit/holders.go
+++ b/brlimit/holders.go
@@ -42,6 +42,9 @@
 	return shares
 }
 
+// Whole returns the share of a single sender of a rate in requests per second.
+func Whole(rate float64) Share { return shareOf(rate, 1) }
+
 // shareOf returns the share of each of the holders of a rate. A single holder saves up
 // two requests: at less than one a second, requests often come too far apart to use
 // each one when it is due.
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -216,6 +216,12 @@
 	if rate <= 0 {
 		rate = p.estimateServiceRate()
 	}
+	if perSecond, limited := p.table.RateLimit(); limited {
+		// The requests ahead are taken to be as long as r.
+		if limit := perSecond * float64(r.Tokens); rate <= 0 || limit < rate {
+			rate = limit
+		}
+	}
 	if rate <= 0 {
 		return
 	}
--- a/brroute/choose.go
+++ b/brroute/choose.go
@@ -107,7 +107,7 @@
 	var trial *endpoint
 	tokens := r.Tokens(t.opts.Kind)
 	for _, e := range t.list {
-		if !e.usable() || !accept(e.Version) {
+		if !e.usable() || !e.withinLimit(now) || !accept(e.Version) {
 			continue
 		}
 		if e.halfOpen {
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -85,6 +85,9 @@
 	}
 	f.expectedFirstToken = c.timeToFirstToken
 	t.addFlight(e, f)
+	if e.limit.Limited {
+		e.bucket.Take(now)
+	}
 	t.recordShareGrant(r, c.share)
 	if c.trial {
 		f.trial, t.trial = true, f
--- a/brroute/table.go
+++ b/brroute/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bramleyroute/brlimit"
 	"bramleyroute/brwire"
 )
 
@@ -81,6 +82,9 @@
 	backoff             time.Duration
 	lastProgress        time.Time // last first token or completion
 	overdue             time.Duration
+
+	limit  brlimit.Limit
+	bucket brlimit.Bucket // of the limit
 }
 
 // completion is the end of a request, stored to correct late reports.
@@ -100,6 +104,10 @@
 	Leaving  State = "leaving"
 	Silent   State = "silent"
 	Removed  State = "removed"
+
+	Limited      State = "limited"       // states a rate limit, or another one
+	Unlimited    State = "unlimited"     // no longer states one
+	InvalidLimit State = "invalid_limit" // states a rate limit that isn't a number of requests per second
 )
 
 // Change reports that an endpoint entered a state.
@@ -143,7 +151,8 @@
 		}
 		e = t.add(a)
 		t.applyReport(now, e, a)
-		return []Change{{EndpointID: e.EndpointID, Version: e.Version, State: Joined}}
+		joined := Change{EndpointID: e.EndpointID, Version: e.Version, State: Joined}
+		return append([]Change{joined}, t.applyLimit(now, e)...)
 	}
 	if a.Incarnation != e.Incarnation {
 		if slices.Contains(e.previousIncarnations, a.Incarnation) {
@@ -167,7 +176,7 @@
 		t.index.reset(e.slot)
 	}
 	t.applyReport(now, e, a)
-	return changes
+	return append(changes, t.applyLimit(now, e)...)
 }
 
 // SuspendForLoad suspends new grants to an endpoint that is about to be ordered to
--- a/brwire/endpoint.go
+++ b/brwire/endpoint.go
@@ -22,7 +22,10 @@
 	WaitingTokens  int          `json:"waiting_tokens" cbor:"waiting_tokens"`
 	CapacityTokens int          `json:"capacity_tokens" cbor:"capacity_tokens"` // for a service: number of concurrent requests
 	CacheEvents    []CacheEvent `json:"cache_events,omitempty" cbor:"cache_events,omitempty"`
-	FailedLoads    []string     `json:"failed_loads,omitempty" cbor:"failed_loads,omitempty"` // versions that the endpoint failed to load
+	// RateLimit is the number of requests per second that the endpoint takes; nil means
+	// no limit.
+	RateLimit   *float64 `json:"rate_limit,omitempty" cbor:"rate_limit,omitempty"`
+	FailedLoads []string `json:"failed_loads,omitempty" cbor:"failed_loads,omitempty"` // versions that the endpoint failed to load
 }
 
 // Age returns the age of the load figures when the report was sent.
