--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -137,7 +137,7 @@
 
 // sendFailureResult returns the result of an attempt whose send failed.
 func (p *Proxy) sendFailureResult(ctx context.Context, q *request, a *attempt, err *brconn.SendError) brplace.Result {
-	p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
+	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.fingerprint()).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
 		Bool("sent", err.MaybeSent).Err(err).Msg("endpoint gave no answer")
 	switch {
 	case q.in.Context().Err() != nil:
