brfleet: failing test of a request that ends one endpoint after the other

The test of fatal parts shares the fixture; its requests have unlike bodies now, as unlike prompts do.

--- a/brfleet/fatal_part_test.go
+++ b/brfleet/fatal_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"slices"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,8 +17,11 @@
 
 const fatalPart = "fatal"
 
+// fatalBody is the body of a request that is fatal as a whole.
+const fatalBody = "fatal"
+
 // fragileEndpoint is an endpoint that crashes when it begins to respond to a request
-// with fatalPart in its prompt, and starts again at once.
+// with fatalPart in its prompt or with fatalBody, and starts again at once.
 type fragileEndpoint struct {
 	id      string
 	server  *httptest.Server
@@ -27,7 +31,8 @@
 }
 
 func (e *fragileEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if !slices.Contains(r.Header.Values("Part"), fatalPart) {
+	body, _ := io.ReadAll(r.Body) // the daemon that sends it has read it in full
+	if string(body) != fatalBody && !slices.Contains(r.Header.Values("Part"), fatalPart) {
 		io.WriteString(w, "ok")
 		return
 	}
@@ -47,10 +52,17 @@
 }
 
 // sendParts sends a request with the given parts in its prompt through a daemon and
-// returns the status and the header of the response.
+// returns the status and the header of the response. Requests with unlike parts have
+// unlike bodies.
 func sendParts(t *testing.T, f *Fleet, parts ...string) (int, http.Header) {
 	t.Helper()
-	r := httptest.NewRequest("POST", "http://h/x", nil)
+	return send(t, f, strings.Join(parts, " "), parts...)
+}
+
+// send sends a request with the given body and parts in its prompt.
+func send(t *testing.T, f *Fleet, body string, parts ...string) (int, http.Header) {
+	t.Helper()
+	r := httptest.NewRequest("POST", "http://h/x", strings.NewReader(body))
 	r.Header["Part"] = parts
 	front := httptest.NewServer(f.Proxy())
 	defer front.Close()
@@ -66,28 +78,21 @@
 	return response.StatusCode, response.Header
 }
 
-// TestFatalPartEndsFewEndpoints guards against requests with one part in their prompts
-// that end one endpoint after the other because each daemon sees only some of the
-// crashes, and against refusing the requests that only share their other parts.
-func TestFatalPartEndsFewEndpoints(t *testing.T) {
-	const (
-		endpoints = 12
-		// freeCrashes is the number of crashes after which the fleet has to know the part,
-		// and maxLater the number of requests with it that may reach endpoints later.
-		freeCrashes = 5
-		maxLater    = 3
-	)
+// newFragileCluster returns a cluster of four daemons with the given number of fragile
+// endpoints, and the number of their crashes.
+func newFragileCluster(t *testing.T, endpoints int) (*cluster, *atomic.Int64) {
+	t.Helper()
 	c := newCluster(t, 4, 3)
 	c.put(3, 1)
 	c.awaitInForce(1)
-	var crashes atomic.Int64
+	crashes := &atomic.Int64{}
 	announce := func(a Announcement) {
 		if err := c.fleets[0].Announce(a); err != nil {
 			t.Error(err)
 		}
 	}
 	for i := range endpoints {
-		e := &fragileEndpoint{id: fmt.Sprint("e", i), crashes: &crashes, started: announce}
+		e := &fragileEndpoint{id: fmt.Sprint("e", i), crashes: crashes, started: announce}
 		e.server = httptest.NewServer(e)
 		t.Cleanup(e.server.Close)
 		e.born.Store(1)
@@ -96,15 +101,22 @@
 	for _, f := range c.fleets {
 		c.await("endpoints are known", func() bool { return f.endpoints.count() == endpoints })
 	}
-	sendBoth := func(i int) (sound, fatal int, retryAfter string) {
-		f := c.fleets[i%len(c.fleets)]
-		document := fmt.Sprint("document", i%3)
-		sound, _ = sendParts(t, f, "system", document)
-		fatal, h := sendParts(t, f, "system", document, fatalPart, fmt.Sprint("own", i))
-		return sound, fatal, h.Get("Retry-After")
-	}
+	return c, crashes
+}
+
+// checkFatal sends pairs of a sound and a fatal request through all daemons, one of which
+// starts again meanwhile. Once the fleet has to know, the fatal ones are to be refused
+// with the time to come back, the sound ones are to run, and few endpoints may crash.
+func checkFatal(t *testing.T, c *cluster, endpoints int, crashes *atomic.Int64, sendPair func(f *Fleet, i int) (sound, fatal int, retryAfter string)) {
+	t.Helper()
+	const (
+		// freeCrashes is the number of crashes after which the fleet has to know, and
+		// maxLater the number of fatal requests that may reach endpoints later.
+		freeCrashes = 5
+		maxLater    = 3
+	)
 	for i := 0; crashes.Load() < freeCrashes && i < 4*freeCrashes; i++ {
-		sendBoth(i)
+		sendPair(c.fleets[i%len(c.fleets)], i)
 		time.Sleep(20 * time.Millisecond) // endpoints crash one after the other
 	}
 	known := crashes.Load()
@@ -113,16 +125,51 @@
 	c.awaitInForce(1)
 	c.await("endpoints are known to the new daemon", func() bool { return c.fleets[3].endpoints.count() == endpoints })
 	for i := range 20 {
-		sound, fatal, retryAfter := sendBoth(i)
+		sound, fatal, retryAfter := sendPair(c.fleets[i%len(c.fleets)], i)
 		if sound != http.StatusOK {
-			t.Errorf("request %d without the part has status %d, want 200", i, sound)
+			t.Errorf("sound request %d has status %d, want 200", i, sound)
 		}
 		seconds, err := strconv.ParseFloat(retryAfter, 64)
 		if fatal != http.StatusServiceUnavailable || err != nil || seconds <= 0 {
-			t.Errorf("request %d with the part has status %d and Retry-After %q, want 503 and some seconds", i, fatal, retryAfter)
+			t.Errorf("fatal request %d has status %d and Retry-After %q, want 503 and some seconds", i, fatal, retryAfter)
 		}
 	}
 	if later := crashes.Load() - known; later > maxLater {
-		t.Errorf("%d requests with the part reached endpoints after %d crashes, want at most %d", later, known, maxLater)
+		t.Errorf("%d fatal requests reached endpoints after %d crashes, want at most %d", later, known, maxLater)
+	}
+}
+
+// TestFatalPartEndsFewEndpoints guards against requests with one part in their prompts
+// that end one endpoint after the other because each daemon sees only some of the
+// crashes, and against refusing the requests that only share their other parts.
+func TestFatalPartEndsFewEndpoints(t *testing.T) {
+	const endpoints = 12
+	c, crashes := newFragileCluster(t, endpoints)
+	checkFatal(t, c, endpoints, crashes, func(f *Fleet, i int) (sound, fatal int, retryAfter string) {
+		document := fmt.Sprint("document", i%3)
+		sound, _ = sendParts(t, f, "system", document)
+		fatal, h := sendParts(t, f, "system", document, fatalPart, fmt.Sprint("own", i))
+		return sound, fatal, h.Get("Retry-After")
+	})
+}
+
+// TestFatalRequestEndsFewEndpoints guards against a request that ends one endpoint after
+// the other because each time it comes it has another ID and may come to another daemon,
+// with or without a prompt, and against refusing the requests that share all parts of
+// its prompt.
+func TestFatalRequestEndsFewEndpoints(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		parts []string
+	}{{"without a prompt", nil}, {"with a prompt", []string{"system", "document"}}} {
+		t.Run(test.name, func(t *testing.T) {
+			const endpoints = 12
+			c, crashes := newFragileCluster(t, endpoints)
+			checkFatal(t, c, endpoints, crashes, func(f *Fleet, i int) (sound, fatal int, retryAfter string) {
+				sound, _ = send(t, f, fmt.Sprint("sound", i), test.parts...)
+				fatal, h := send(t, f, fatalBody, test.parts...)
+				return sound, fatal, h.Get("Retry-After")
+			})
+		})
 	}
 }
