brquarantine: hold back requests under which endpoints crash

A request without a prompt had no identity beyond its attempt, and where a request was fatal as a whole, the parts that it shares with sound ones were cleared by these, or, where nobody else had used them lately, blamed in its place.

A request is a subject beside its parts now: a hash of method, host, path, customer and body, with the same evidence, quarantine and trials. A part isn't blamed as long as each of its lost starts was lost under a quarantined request as well. Trials of two daemons are up to 15 s apart, since a fatal request comes several times a second. What was lost once is kept for two minutes, 2,000 subjects at most.

The same cause on the product's own interface: entries pass the hash on, and say when a plain service ended under a call (brpool TestFatalCallEndsFewServices, brentry TestLostServiceIsReported).

--- a/brdaemon/notes.go
+++ b/brdaemon/notes.go
@@ -93,13 +93,13 @@
 		d.log.Info().Str("pool", pool).Str("endpoint_id", e.EndpointID).Str("state", e.State).Str("reason", e.Reason).Msg("endpoint changed its state")
 	case brpool.NoteGrantOverdue:
 		ev.Kind, ev.RequestID, ev.Peer, ev.Reason = brtimeline.RequestGranted, e.RequestID, e.EntryID, "grant is overdue"
-	case brpool.NotePromptPart:
-		ev.Kind, ev.Detail, ev.Reason = brtimeline.PromptPartReleased, e.Part, strings.Join(e.Lost, " ")
+	case brpool.NoteQuarantine:
+		ev.Kind, ev.Detail, ev.Reason = brtimeline.QuarantineEnded, e.Subject.String(), strings.Join(e.Lost, " ")
 		if e.Quarantined {
-			ev.Kind = brtimeline.PromptPartQuarantined
-			d.log.Warn().Str("pool", pool).Str("part", e.Part).Strs("lost", e.Lost).Msg("prompt part quarantined")
+			ev.Kind = brtimeline.QuarantineBegun
+			d.log.Warn().Str("pool", pool).Stringer("subject", e.Subject).Strs("lost", e.Lost).Msg("quarantined")
 		} else {
-			d.log.Info().Str("pool", pool).Str("part", e.Part).Msg("prompt part released")
+			d.log.Info().Str("pool", pool).Stringer("subject", e.Subject).Msg("quarantine ended")
 		}
 	default:
 		panic(fmt.Sprintf("brdaemon: unexpected pool effect %T", e))
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -76,6 +76,7 @@
 	res.FirstToken = max(1, res.Duration)
 	if err != nil {
 		res.FirstToken = 0
+		res.Lost = brevent.EndedByPeer(err)
 		err = c.callError(ctx, timeoutCtx, res.Duration >= timeout, err)
 	}
 	return response, res, err
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -52,6 +52,7 @@
 	Complete     bool // the complete response was forwarded
 	NextOffset   int  // offset after the last forwarded token
 	Resumes      int
+	Lost         bool           // a service ended the connection before its response was complete
 	Usage        brengine.Usage // set if Complete
 	Status       int            // HTTP status of a service's response
 	FinishReason string
--- a/brentry/completion.go
+++ b/brentry/completion.go
@@ -14,6 +14,7 @@
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brprefix"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brwire"
 	"github.com/google/uuid"
 )
@@ -149,6 +150,7 @@
 		return nil, c, fmt.Errorf("encode completion for the engine: %w", err)
 	}
 	c.Prompt = "" // frees the prompt; only the encoded body is needed
+	h.submit.Fingerprint = brquarantine.Fingerprint(h.body, a.Customer, a.Route.Name)
 	h.bytes = requestOverhead + int64(len(h.body)) + 8*int64(len(h.submit.PrefixHashes))
 	return h, c, nil
 }
--- a/brentry/lost_test.go
+++ b/brentry/lost_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"bramleyroute/brengine"
 	"bramleyroute/brentry"
 	"bramleyroute/brfake"
 	"bramleyroute/brwire"
@@ -43,3 +44,37 @@
 		}
 	}
 }
+
+// TestLostServiceIsReported guards against a scheduler that isn't told that a plain service
+// ended under a call, and can't tell which call ends one service after the other.
+func TestLostServiceIsReported(t *testing.T) {
+	fail := func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "failed", http.StatusInternalServerError) }
+	crash := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+		want    bool
+	}{{"crash", crash, true}, {"failure", fail, false}} {
+		service := httptest.NewServer(test.handler)
+		t.Cleanup(service.Close)
+		fingerprints := make(chan string, 3)
+		f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
+			f.Submit = func(_ context.Context, s brwire.Submit) error {
+				fingerprints <- s.Fingerprint
+				return f.grant(s, 1, service.Listener.Addr().String())
+			}
+		})
+		seen := map[string]int{}
+		for i, path := range []string{"/a", "/a", "/b"} {
+			f.open(t, context.Background(), http.MethodPost, brengine.PathServices+"m"+path, newID(0), "")
+			d := <-f.dones
+			if d.OK || d.EndpointLost != test.want {
+				t.Errorf("%s: %+v, want not OK and endpoint lost %v", test.name, d, test.want)
+			}
+			seen[<-fingerprints]++
+		}
+		if len(seen) != 2 {
+			t.Errorf("%s: %d fingerprints of two paths, want 2", test.name, len(seen))
+		}
+	}
+}
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -235,7 +235,7 @@
 	if err != nil {
 		be := brerror.From(err)
 		d.Kind, d.Outcome = be.Kind, be.Kind.Response().Outcome
-		d.EndpointLost = be.Kind == brerror.EndpointFailed && res.Resumes > 0
+		d.EndpointLost = be.Kind == brerror.EndpointFailed && (res.Resumes > 0 || res.Lost)
 		e.Counters.Failed.Add(1)
 		if be.Kind == brerror.Stuck {
 			e.Counters.Stuck.Add(1)
--- a/brentry/service.go
+++ b/brentry/service.go
@@ -8,6 +8,7 @@
 	"bramleyroute/brdispatch"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brwire"
 )
 
@@ -72,6 +73,7 @@
 		return nil, err
 	}
 	h.submit.PromptTokens = 1
+	h.submit.Fingerprint = brquarantine.Fingerprint(body, a.Customer, a.Route.Name, r.Method, servicePath(r))
 	h.body, h.bytes = body, requestOverhead+int64(len(body))
 	return h, nil
 }
--- a/brfleet/evidence_file.go
+++ b/brfleet/evidence_file.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"bramleyroute/brquarantine"
@@ -16,16 +17,16 @@
 )
 
 const (
-	// evidenceFile is the name of the file with the evidence of the quarantined parts, in
+	// evidenceFile is the name of the file with the evidence of what is quarantined, in
 	// the data directory. Daemons with a disk keep it, since all daemons may stop at the
 	// same time, and learning it again would cost endpoints.
 	evidenceFile          = "quarantine.cbor"
 	evidenceRetryInterval = time.Second // after a failed write
 )
 
-// partEvidence is an entry of the evidence file.
-type partEvidence struct {
-	Part     string                `cbor:"part"`
+// subjectEvidence is an entry of the evidence file.
+type subjectEvidence struct {
+	Subject  string                `cbor:"subject"` // text form of a brquarantine.Subject
 	Evidence brquarantine.Evidence `cbor:"evidence"`
 }
 
@@ -39,21 +40,23 @@
 	if errors.Is(err, fs.ErrNotExist) {
 		return nil
 	}
-	var all []partEvidence
+	var all []subjectEvidence
 	if err == nil {
-		all, err = brwire.Decode[[]partEvidence](b)
+		all, err = brwire.Decode[[]subjectEvidence](b)
 	}
 	if err != nil {
-		f.cfg.Log.Warn().Err(err).Msg("quarantined prompt parts of the process before can't be read")
+		f.cfg.Log.Warn().Err(err).Msg("quarantine of the process before can't be read")
 		return nil
 	}
-	for _, p := range all {
-		f.proxy.PeerEvidence(p.Part, p.Evidence, 0)
+	for _, entry := range all {
+		if subject, known := brquarantine.ParseSubject(entry.Subject); known {
+			f.proxy.PeerEvidence(subject, entry.Evidence, 0)
+		}
 	}
 	return b
 }
 
-// runEvidenceFile writes the evidence file after each change of the quarantined parts
+// runEvidenceFile writes the evidence file after each change of the quarantine
 // until the fleet is closed. saved is the content of the file.
 func (f *Fleet) runEvidenceFile(saved []byte) {
 	if f.cfg.Dir == "" {
@@ -73,7 +76,7 @@
 			continue
 		}
 		if err := writeDurably(f.evidencePath(), b); err != nil {
-			f.cfg.Log.Warn().Err(err).Msg("quarantined prompt parts can't be written")
+			f.cfg.Log.Warn().Err(err).Msg("quarantine can't be written")
 			retry = f.cfg.Clock.After(evidenceRetryInterval)
 			continue
 		}
@@ -85,9 +88,12 @@
 
 func (f *Fleet) encodeQuarantine() []byte {
 	quarantine := f.proxy.Quarantine()
-	all := []partEvidence{}
-	for _, part := range slices.Sorted(maps.Keys(quarantine)) {
-		all = append(all, partEvidence{Part: part, Evidence: quarantine[part]})
+	all := []subjectEvidence{}
+	subjects := slices.SortedFunc(maps.Keys(quarantine), func(a, b brquarantine.Subject) int {
+		return strings.Compare(a.String(), b.String())
+	})
+	for _, s := range subjects {
+		all = append(all, subjectEvidence{Subject: s.String(), Evidence: quarantine[s]})
 	}
 	return encode(all)
 }
--- a/brfleet/evidence_file_test.go
+++ b/brfleet/evidence_file_test.go
@@ -9,15 +9,19 @@
 )
 
 // TestQuarantineOutlivesRestartOfAll guards against a fleet that forgets, when all its
-// processes stop at the same time, under which part of a prompt endpoints crash, and has
+// processes stop at the same time, under which request or part of a prompt endpoints crash, and has
 // to lose more of them to learn it again.
 func TestQuarantineOutlivesRestartOfAll(t *testing.T) {
 	c := newCluster(t, 4, 3)
 	c.put(3, 1)
 	c.awaitInForce(1)
-	c.fleets[3].Proxy().PeerEvidence(fatalPart, brquarantine.Evidence{Lost: []string{"a", "b", "c"}}, 0)
+	for _, kind := range []brquarantine.Kind{brquarantine.KindRequest, brquarantine.KindPart} {
+		// Not the same starts: those lost under a quarantined request don't count for a part.
+		lost := []string{string(kind) + "1", string(kind) + "2", string(kind) + "3"}
+		c.fleets[3].Proxy().PeerEvidence(brquarantine.Subject{Kind: kind, ID: "x"}, brquarantine.Evidence{Lost: lost}, 0)
+	}
 	for i, f := range c.fleets {
-		c.await("part is quarantined everywhere", func() bool { return f.Proxy().QuarantinedParts() == 1 })
+		c.await("both are quarantined everywhere", func() bool { return len(f.Proxy().Quarantine()) == 2 })
 		if c.dirs[i] != "" {
 			c.await("quarantine is on disk", func() bool {
 				b, err := os.ReadFile(filepath.Join(c.dirs[i], evidenceFile))
@@ -35,7 +39,7 @@
 		c.start(i, false)
 	}
 	for _, f := range c.fleets {
-		c.await("part is quarantined after the restart", func() bool { return f.Proxy().QuarantinedParts() == 1 })
+		c.await("both are quarantined after the restart", func() bool { return len(f.Proxy().Quarantine()) == 2 })
 	}
 	c.awaitInForce(1)
 }
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -285,6 +285,6 @@
 		// If the daemon still reports to the whole fleet, that adds its load again.
 		f.proxy.ApplyEvent(brplace.PeerLost{Daemon: r.Name()})
 	case kindEvidence:
-		f.proxy.EvidenceLapsed(r.Name())
+		f.evidenceExpired(r)
 	}
 }
--- a/brpool/effect.go
+++ b/brpool/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyroute/brquarantine"
 	"bramleyroute/brwire"
 )
 
@@ -85,10 +86,10 @@
 	EntryID   string
 }
 
-// NotePromptPart is a timeline note: a prefix block of prompts is quarantined, or no
-// longer is, because endpoints were lost under requests with it.
-type NotePromptPart struct {
-	Part        string
+// NoteQuarantine is a timeline note: a request or a prefix block of prompts is
+// quarantined, or no longer is, because endpoints were lost under it.
+type NoteQuarantine struct {
+	Subject     brquarantine.Subject
 	Quarantined bool
 	Lost        []string // endpoints and their incarnations
 }
@@ -105,4 +106,4 @@
 func (NoteShed) effect()         {}
 func (NoteEndpoint) effect()     {}
 func (NoteGrantOverdue) effect() {}
-func (NotePromptPart) effect()   {}
+func (NoteQuarantine) effect()   {}
--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -88,8 +88,8 @@
 	entry          string
 	submit         brwire.Submit
 	route          brroute.Request
-	parts          []string // parts of the prompt that may be quarantined
-	trials         []string // those for which the request is a trial
+	identity       brquarantine.Request
+	trials         []brquarantine.Subject // quarantined subjects for which the request is a trial
 	rollout        *rollout
 	state          state
 	grantNumber    uint64
--- a/brpool/quarantine.go
+++ b/brpool/quarantine.go
@@ -15,6 +15,8 @@
 	// maxParts limits the prefix blocks of a prompt that are examined for the crash of an
 	// endpoint: the first 2,048 tokens.
 	maxParts = 32
+	// maxFingerprint limits the characters kept of the fingerprint that an entry states.
+	maxFingerprint = 32
 	// minProgressTokens is the number of tokens after which an endpoint has survived the
 	// beginning of a request.
 	minProgressTokens = 2
@@ -30,17 +32,23 @@
 	return parts
 }
 
-// refuseHeld refuses a queued or new request if a part of its prompt is quarantined, and
-// reports whether it did.
+// blamed describes what a request is refused for.
+var blamed = map[brquarantine.Kind]string{
+	brquarantine.KindRequest: "this request",
+	brquarantine.KindPart:    "requests with the same beginning of the prompt",
+}
+
+// refuseHeld refuses a queued or new request if it or a part of its prompt is
+// quarantined, and reports whether it did.
 func (p *Pool) refuseHeld(now time.Time, r *request) bool {
-	part, pause := p.quarantine.Check(now, r.parts)
-	if part == "" {
+	held, pause, found := p.quarantine.Check(now, r.identity)
+	if !found {
 		return false
 	}
 	p.queue.Remove(r.ID)
 	delete(p.requests, r.ID)
 	p.refuse(r.entry, r.ID, brerror.New(brerror.EndpointUnavailable,
-		"endpoints crashed under requests with the same beginning of the prompt").WithRetryAfter(pause))
+		"endpoints crashed under %s", blamed[held.Kind]).WithRetryAfter(pause))
 	return true
 }
 
@@ -49,14 +57,14 @@
 	var changes []brquarantine.Change
 	switch {
 	case m.OK || m.OutputTokens >= minProgressTokens:
-		changes = p.quarantine.RunProgressed(now, r.parts)
+		changes = p.quarantine.RunProgressed(now, r.identity)
 	case m.EndpointLost:
-		changes = p.quarantine.RunLost(now, r.parts, r.flight.EndpointID+"."+r.flight.Incarnation)
+		changes = p.quarantine.RunLost(now, r.identity, r.flight.EndpointID+"."+r.flight.Incarnation)
 	}
 	refuse := false
 	for _, c := range changes {
 		if c.Quarantined || c.Released {
-			p.emit(NotePromptPart{Part: c.Part, Quarantined: c.Quarantined, Lost: c.Evidence.Lost})
+			p.emit(NoteQuarantine{Subject: c.Subject, Quarantined: c.Quarantined, Lost: c.Evidence.Lost})
 		}
 		refuse = refuse || c.Quarantined
 	}
@@ -65,7 +73,7 @@
 	}
 }
 
-// refuseAllHeld refuses the queued requests with a quarantined part, so that they don't
+// refuseAllHeld refuses the queued requests that are held back, so that they don't
 // wait for an endpoint that they won't get.
 func (p *Pool) refuseAllHeld(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(p.requests)) {
--- a/brpool/quarantine_test.go
+++ b/brpool/quarantine_test.go
@@ -1,6 +1,7 @@
 package brpool
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -110,3 +111,57 @@
 		}
 	}
 }
+
+// TestFatalCallEndsFewServices guards against a call of a plain service that ends one
+// endpoint after the other, since it comes with another ID each time, and against refusing
+// other calls of the route.
+func TestFatalCallEndsFewServices(t *testing.T) {
+	const endpoints = 6
+	p := newPool(brwire.KindService)
+	step(t, p, 0, Takeover{Epoch: 1})
+	// starts announces a start of an endpoint.
+	starts := func(ms int, endpointID string, incarnation int) {
+		report := announce(endpointID, "v1", 1, 2)
+		report.Announce.Kind, report.Announce.Incarnation = brwire.KindService, fmt.Sprint(incarnation)
+		step(t, p, ms, report)
+	}
+	for i := range endpoints {
+		starts(0, string(rune('a'+i)), 0)
+	}
+	lost := brwire.Done{Outcome: brerror.Unknown, Kind: brerror.EndpointFailed, EndpointLost: true}
+	sound := brwire.Done{OK: true, Outcome: brerror.Ran}
+	// call submits a call, ends it if it is granted, and returns the refusal if it isn't.
+	call := func(n int, fingerprint string, d brwire.Done) (granted bool, refusal *brerror.Error) {
+		ev := submit("entry", testID(start, n), 2, 1)
+		ev.Submit.Fingerprint = fingerprint
+		for _, e := range step(t, p, 10*n, ev) {
+			switch e := e.(type) {
+			case SendGrant:
+				d.RequestID, d.Epoch, d.Number = e.Grant.RequestID, e.Grant.Epoch, e.Grant.Number
+				step(t, p, 10*n, Done{EntryID: "entry", Done: d})
+				granted = true
+				if d.EndpointLost {
+					starts(10*n, e.Grant.EndpointID, n)
+				}
+			case SendRefuse:
+				refusal = &e.Refuse.Error
+			}
+		}
+		return granted, refusal
+	}
+	grants := 0
+	for n := 1; n < 40; n += 2 {
+		granted, refusal := call(n, "fatal", lost)
+		if granted {
+			grants++
+		} else if refusal == nil || refusal.Kind != brerror.EndpointUnavailable || refusal.RetryAfter < time.Second {
+			t.Errorf("fatal call %d: refusal %+v, want kind EndpointUnavailable and some seconds", n, refusal)
+		}
+		if granted, refusal := call(n+1, fmt.Sprint("sound", n), sound); !granted {
+			t.Errorf("sound call %d is refused: %v", n+1, refusal)
+		}
+	}
+	if grants != 3 {
+		t.Errorf("%d grants of the fatal call, want 3", grants)
+	}
+}
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -5,6 +5,7 @@
 
 	"bramleyroute/brclock"
 	"bramleyroute/brerror"
+	"bramleyroute/brquarantine"
 	"bramleyroute/brqueue"
 	"bramleyroute/brroute"
 	"bramleyroute/brwire"
@@ -132,12 +133,13 @@
 		s.PrefixHashes = s.PrefixHashes[:maxHashes]
 	}
 	r := &request{key: key, entry: entry, submit: s, deadline: now.Add(s.Deadline)}
+	r.identity = brquarantine.Request{ID: s.Fingerprint[:min(len(s.Fingerprint), maxFingerprint)]}
 	r.route = brroute.Request{
 		ID: s.RequestID, Route: s.Route, Tier: s.Tier, PromptTokens: s.PromptTokens, MaxTokens: s.MaxTokens, PrefixHashes: s.PrefixHashes,
 	}
 	tokens := 1
 	if p.opts.Kind != brwire.KindService {
-		r.parts = promptParts(s)
+		r.identity.Parts = promptParts(s)
 		r.route.OutputTokens = p.estimator.Estimate(s.Customer, s.Route, s.MaxTokens)
 		tokens = max(minTokens, r.route.Tokens(p.opts.Kind))
 	}
@@ -193,7 +195,7 @@
 
 func (p *Pool) grant(now time.Time, r *request, c brroute.Choice) {
 	r.flight = p.table.Grant(now, r.route, c)
-	r.trials = p.quarantine.Begin(r.parts)
+	r.trials = p.quarantine.Begin(r.identity)
 	p.lastGrantNumber++
 	r.state, r.grantNumber, r.grantedAt = granted, p.lastGrantNumber, now
 	p.unackedCount++
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -9,6 +9,7 @@
 	"bramleyroute/brconn"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
+	"bramleyroute/brquarantine"
 )
 
 // outcome says whether a request is finished after a dispatch.
@@ -24,13 +25,13 @@
 	placementID uint64 // ID of the brplace.Request
 	endpoint    brplace.Endpoint
 	sentAt      time.Time
-	firstByteAt time.Time      // arrival of the first byte of the response body
-	lastEventAt time.Time      // arrival of the latest event
-	progressAt  time.Time      // time of the last report of progress to the placement
-	events      int            // number of events received
-	result      brplace.Result // evidence on the health of the endpoint
-	progressed  bool           // the endpoint has survived the beginning of the request
-	trials      []string       // parts of the prompt for which this is a trial
+	firstByteAt time.Time              // arrival of the first byte of the response body
+	lastEventAt time.Time              // arrival of the latest event
+	progressAt  time.Time              // time of the last report of progress to the placement
+	events      int                    // number of events received
+	result      brplace.Result         // evidence on the health of the endpoint
+	progressed  bool                   // the endpoint has survived the beginning of the request
+	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
 }
 
 // dispatch sends the request to an endpoint and relays the response.
@@ -137,7 +138,7 @@
 
 // sendFailureResult returns the result of an attempt whose send failed.
 func (p *Proxy) sendFailureResult(ctx context.Context, q *request, a *attempt, err *brconn.SendError) brplace.Result {
-	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.fingerprint()).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
+	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.identity.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
 		Bool("sent", err.MaybeSent).Err(err).Msg("endpoint gave no answer")
 	switch {
 	case q.in.Context().Err() != nil:
--- a/brproxy/end.go
+++ b/brproxy/end.go
@@ -79,6 +79,9 @@
 	if q.call.HasTokens {
 		e = e.Int("prompt", q.call.PromptTokens).Int("output", q.call.MaxOutputTokens).Int("hint", q.call.OutputTokensHint).Str("last_event", q.lastEventID)
 	}
+	if q.identity.ID != "" {
+		e = e.Str("request", q.identity.ID)
+	}
 	if len(q.call.PromptParts) > 0 {
 		e = e.Strs("parts", q.call.PromptParts)
 	}
--- a/brproxy/quarantine_test.go
+++ b/brproxy/quarantine_test.go
@@ -12,6 +12,10 @@
 
 var threeLost = brquarantine.Evidence{Lost: []string{"x", "y", "z"}}
 
+func part(id string) brquarantine.Subject {
+	return brquarantine.Subject{Kind: brquarantine.KindPart, ID: id}
+}
+
 // TestLostRuns guards against blaming a part of a prompt for a run that its caller or its
 // deadline ended, that had made progress or that the endpoint rejected, and against
 // overlooking the crash of an endpoint.
@@ -42,7 +46,7 @@
 			s.proxy.mu.Lock()
 			defer s.proxy.mu.Unlock()
 			open := 0
-			for _, c := range s.proxy.quarantine.Merge(time.Now(), "p", brquarantine.Evidence{Lost: []string{"x"}}, 0) {
+			for _, c := range s.proxy.quarantine.Merge(time.Now(), part("p"), brquarantine.Evidence{Lost: []string{"x"}}, 0) {
 				open = c.Evidence.Open() - 1
 			}
 			if open != test.want {
@@ -76,8 +80,8 @@
 		ended <- status
 	}()
 	brtest.Await(t, 5*time.Second, "request waits", func() bool { return s.proxy.Waiting() == 1 })
-	s.proxy.PeerEvidence("other", threeLost, 0)
-	s.proxy.PeerEvidence("p", threeLost, 0)
+	s.proxy.PeerEvidence(part("other"), threeLost, 0)
+	s.proxy.PeerEvidence(part("p"), threeLost, 0)
 	if status := <-ended; status != http.StatusServiceUnavailable || time.Since(sent) > time.Second {
 		t.Errorf("waiting request: status %d after %v, want 503 at once", status, time.Since(sent))
 	}
@@ -97,7 +101,7 @@
 // the crash under this very request quarantined a part of it.
 func TestQuarantineAfterRun(t *testing.T) {
 	s := newSystem(t, truncate(""), truncate(""))
-	s.proxy.PeerEvidence("p", brquarantine.Evidence{Lost: []string{"x", "y"}}, 0)
+	s.proxy.PeerEvidence(part("p"), brquarantine.Evidence{Lost: []string{"x", "y"}}, 0)
 	status, _, _ := s.do(t, "POST", "/safe/", map[string]string{"Part": "p"})
 	if status != http.StatusBadGateway || s.arrivals() != 1 {
 		t.Errorf("status %d, %d arrivals, want 502 and 1: it may have run, and isn't sent again", status, s.arrivals())
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -13,6 +13,7 @@
 	"bramleyroute/brheader"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
+	"bramleyroute/brquarantine"
 )
 
 const (
@@ -35,6 +36,7 @@
 	customer *brpolicy.Customer // nil if the request has no known key
 	service  string
 	body     []byte
+	identity brquarantine.Request
 	cost     float64 // amount charged to the quota of the customer
 	arrived  time.Time
 	deadline time.Time
@@ -74,6 +76,7 @@
 	if !p.resolve(q, table) || !p.readBody(q, table) {
 		return
 	}
+	q.identify()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	if !p.chargeQuota(q) {
@@ -165,6 +168,19 @@
 	return true
 }
 
+// identify sets the identity of the request: it is the same if the caller sends it again
+// under another ID.
+func (q *request) identify() {
+	caller := q.call.Key
+	if q.customer != nil {
+		caller = q.customer.Name
+	}
+	q.identity = brquarantine.Request{
+		ID:    brquarantine.Fingerprint(q.body, q.in.Method, hostOnly(q.in.Host), q.in.RequestURI, caller),
+		Parts: q.call.PromptParts,
+	}
+}
+
 // defaultBodyBytes is the maximum size of a request body if the policy sets none.
 const defaultBodyBytes = 4 << 20
 
@@ -224,7 +240,7 @@
 			return
 		default:
 			if ctx.Err() == nil {
-				continue // a part was quarantined meanwhile
+				continue // the request or a part was quarantined meanwhile
 			}
 			p.endUndispatched(ctx, q, "deadline", 0)
 			return
@@ -233,8 +249,8 @@
 }
 
 // awaitPlacement submits the request to the placement and waits for the decision.
-// It returns the placement ID, and a nil effect if ctx ends or the quarantine of a part
-// of the prompt begins first.
+// It returns the placement ID, and a nil effect if ctx ends or the quarantine holds the
+// request back first.
 func (p *Proxy) awaitPlacement(ctx context.Context, q *request) (uint64, brplace.Effect) {
 	decisions := make(chan brplace.Effect, 1)
 	p.mu.Lock()
--- a/brquarantine/evidence.go
+++ b/brquarantine/evidence.go
@@ -6,13 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Evidence is what the daemons know of one part of a prompt. It is immutable. Both sets
+// Evidence is what the daemons know of one subject. It is immutable. Both sets
 // only grow, so that daemons that merge the same evidence agree.
 type Evidence struct {
-	// Lost holds the starts of endpoints that were lost under a request with the part
-	// before it made progress, sorted.
+	// Lost holds the starts of endpoints that were lost under a request with the
+	// subject before it made progress, sorted.
 	Lost []string `cbor:"lost"`
-	// Cleared holds those of them that a success with the part has cleared, sorted.
+	// Cleared holds those of them that a success with the subject has cleared, sorted.
 	Cleared []string `cbor:"cleared,omitempty"`
 }
 
@@ -41,15 +41,27 @@
 
 // Open returns the number of lost starts that aren't cleared.
 func (e Evidence) Open() int {
+	return e.openExcept(func(string) bool { return false })
+}
+
+// openExcept returns the number of lost starts that aren't cleared and for which explained
+// returns false.
+func (e Evidence) openExcept(explained func(start string) bool) int {
 	n := 0
 	for _, start := range e.Lost {
-		if _, cleared := slices.BinarySearch(e.Cleared, start); !cleared {
+		if _, cleared := slices.BinarySearch(e.Cleared, start); !cleared && !explained(start) {
 			n++
 		}
 	}
 	return n
 }
 
+// lost reports whether a start is among the lost ones.
+func (e Evidence) lost(start string) bool {
+	_, found := slices.BinarySearch(e.Lost, start)
+	return found
+}
+
 // Size returns the number of facts in e. The union of two different evidences has more
 // than either.
 func (e Evidence) Size() uint64 { return uint64(len(e.Lost) + len(e.Cleared)) }
@@ -69,7 +81,7 @@
 }
 
 // union returns the sorted union of two sets. If it has more than maxStarts elements,
-// the last ones are left out: a part in so many crashes is long quarantined or cleared.
+// the last ones are left out: a subject in so many crashes is long quarantined or cleared.
 func union(a, b []string) []string {
 	all := slices.Concat(a, b)
 	slices.Sort(all)
--- a/brquarantine/example_test.go
+++ b/brquarantine/example_test.go
@@ -10,22 +10,24 @@
 // Two daemons each see some of the crashes under one part of their prompts.
 func ExampleState() {
 	now := time.Now()
-	parts := []string{"system", "report-7"}
+	request := func(id string, parts ...string) brquarantine.Request {
+		return brquarantine.Request{ID: id, Parts: parts}
+	}
 	a, b := brquarantine.New("a"), brquarantine.New("b")
-	a.RunProgressed(now, []string{"system"})
+	a.RunProgressed(now, request("1", "system"))
 
-	changes := a.RunLost(now, parts, "engine-1")
-	changes = append(changes, a.RunLost(now, parts, "engine-2")...)
+	changes := a.RunLost(now, request("2", "system", "report-7"), "engine-1")
+	changes = append(changes, a.RunLost(now, request("3", "system", "report-7"), "engine-2")...)
 	for _, c := range changes { // sent to the other daemon
-		b.Merge(now, c.Part, c.Evidence, 0)
+		b.Merge(now, c.Subject, c.Evidence, 0)
 	}
-	b.RunLost(now, []string{"report-7"}, "engine-3")
+	b.RunLost(now, request("4", "report-7"), "engine-3")
 
-	part, _ := b.Check(now, []string{"system", "report-8"})
-	fmt.Printf("%q\n", part)
-	part, pause := b.Check(now, parts)
-	fmt.Printf("%q %t\n", part, pause >= 5*time.Second)
+	_, _, held := b.Check(now, request("5", "system", "report-8"))
+	fmt.Println(held)
+	subject, pause, held := b.Check(now, request("6", "system", "report-7"))
+	fmt.Println(held, subject, pause >= 5*time.Second)
 	// Output:
-	// ""
-	// "report-7" true
+	// false
+	// true part/report-7 true
 }
--- /dev/null
+++ b/brquarantine/fingerprint.go
@@ -0,0 +1,19 @@
+package brquarantine
+
+import (
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint returns a Request.ID: a hash of a request's body and of the other fields that
+// make it the same request, such as path and customer, in a fixed order.
+func Fingerprint(body []byte, fields ...string) string {
+	d := xxhash.New()
+	for _, field := range fields {
+		_, _ = d.WriteString(field) // a Digest returns no error
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(body)
+	return strconv.FormatUint(d.Sum64(), 16)
+}
--- a/brquarantine/recent.go
+++ b/brquarantine/recent.go
@@ -8,32 +8,33 @@
 const (
 	// recentTime is the time for which a success is remembered; at most twice as long.
 	recentTime = 30 * time.Second
-	// maxRecent limits the number of parts in each of the two halves of a recentSet.
+	// maxRecent limits the number of subjects in each of the two halves of a recentSet.
 	maxRecent = 16 << 10
 )
 
-// recentSet is a set of parts that forgets those that weren't added for some time. It
+// recentSet is a set of subjects that forgets those that weren't added for some time. It
 // consists of two halves, of which the older one is dropped every recentTime. The zero
 // value is empty.
 type recentSet struct {
-	current, previous map[string]struct{}
+	current, previous map[Subject]struct{}
 	rotatedAt         time.Time
 }
 
-func (r *recentSet) add(now time.Time, part string) {
+func (r *recentSet) add(now time.Time, subject Subject) {
 	r.rotate(now)
-	if _, ok := r.current[part]; ok || len(r.current) >= maxRecent {
+	if _, ok := r.current[subject]; ok || len(r.current) >= maxRecent {
 		return
 	}
-	r.current[strings.Clone(part)] = struct{}{}
+	subject.ID = strings.Clone(subject.ID)
+	r.current[subject] = struct{}{}
 }
 
-func (r *recentSet) contains(now time.Time, part string) bool {
+func (r *recentSet) contains(now time.Time, subject Subject) bool {
 	r.rotate(now)
-	if _, ok := r.current[part]; ok {
+	if _, ok := r.current[subject]; ok {
 		return true
 	}
-	_, ok := r.previous[part]
+	_, ok := r.previous[subject]
 	return ok
 }
 
@@ -47,5 +48,5 @@
 	default:
 		return
 	}
-	r.current, r.rotatedAt = map[string]struct{}{}, now
+	r.current, r.rotatedAt = map[Subject]struct{}{}, now
 }
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -8,13 +8,17 @@
 )
 
 const (
-	// Lifetime is the time after which evidence lapses that nothing was added to. It is
-	// longer than maxPause, so that the result of a trial renews it.
-	Lifetime = 30 * time.Minute
-	// minLost is the number of starts of endpoints that must be lost under a part before
+	// quarantineLifetime is the time after which the evidence on a quarantined subject, or
+	// on a part, lapses that nothing was added to. It is longer than maxPause, so that the
+	// result of a trial renews it.
+	quarantineLifetime = 30 * time.Minute
+	// suspicionLifetime is the same for a request that isn't quarantined. Each crash makes
+	// suspects of all requests at the endpoint, most of which never come again.
+	suspicionLifetime = 2 * time.Minute
+	// minLost is the number of starts of endpoints that must be lost under a subject before
 	// it is quarantined. One crash, or two at the same time, hit bystanders as well.
 	minLost = 3
-	// firstPause is the time from the evidence that quarantines a part until a request
+	// firstPause is the time from the evidence that quarantines a subject until a request
 	// with it may try an endpoint again. A bystander is free again soon.
 	firstPause = 5 * time.Second
 	// pauseFactor is the ratio of the pauses after two successive lost starts, and
@@ -22,66 +26,78 @@
 	// model again.
 	pauseFactor = 8
 	maxPause    = 10 * time.Minute
-	// pauseSpread is the fraction by which the pauses of two daemons may differ, so that
-	// one of them tries first.
-	pauseSpread = 0.5
+	// pauseSpread is the greatest difference between the pauses of two daemons. In a trial
+	// the others have to learn of a crash before they try as well, also if the request
+	// comes several times a second.
+	pauseSpread = 15 * time.Second
 	// trialPause is the pause while a trial is in progress.
 	trialPause = time.Second
-	// maxParts limits the number of parts with evidence. Beyond it the part with the oldest
-	// evidence that isn't quarantined is forgotten.
-	maxParts = 1000
+	// maxSubjects limits the number of subjects with evidence. Beyond it the one with the
+	// oldest evidence that isn't quarantined is forgotten.
+	maxSubjects = 2000
 )
 
-// Change is new evidence of one part, to be published with a lifetime of Lifetime.
+// Lifetime returns the time after which the evidence e on a subject lapses.
+func Lifetime(s Subject, e Evidence) time.Duration {
+	if s.Kind == KindRequest && e.Open() < minLost {
+		return suspicionLifetime
+	}
+	return quarantineLifetime
+}
+
+// Change is new evidence on one subject, to be published for its Lifetime.
 type Change struct {
-	Part        string
+	Subject     Subject
 	Evidence    Evidence
-	Quarantined bool // the part is quarantined from now on
-	Released    bool // the part was quarantined until now
+	Quarantined bool // the subject is quarantined from now on
+	Released    bool // the subject was quarantined until now
 }
 
-// State is what one daemon knows of the parts of prompts. The zero value is not usable;
-// see New. State is not safe for concurrent use.
+// State is what one daemon knows of the requests and the parts of prompts under which
+// endpoints crash. The zero value is not usable; see New. State is not safe for concurrent
+// use.
 type State struct {
 	daemon    string
-	suspects  map[string]*suspect // by part
+	suspects  map[Subject]*suspect
+	fatal     map[Subject]*suspect // the quarantined requests
 	succeeded recentSet
 }
 
-// suspect is a part with evidence.
+// suspect is a subject with evidence.
 type suspect struct {
+	subject  Subject
 	evidence Evidence
 	changed  time.Time // time of the latest evidence
-	retryAt  time.Time // end of the pause; set while the part is quarantined
-	trying   bool      // a request with the part is at an endpoint after the pause
+	retryAt  time.Time // end of the pause; set with minLost open starts
+	trying   bool      // a request with the subject is at an endpoint after the pause
 }
 
-func (s *suspect) quarantined() bool { return s != nil && s.evidence.Open() >= minLost }
-
 // New returns the State of a daemon, without evidence. The pauses of daemons with
 // different names end at different times.
-func New(daemon string) *State { return &State{daemon: daemon, suspects: map[string]*suspect{}} }
+func New(daemon string) *State {
+	return &State{daemon: daemon, suspects: map[Subject]*suspect{}, fatal: map[Subject]*suspect{}}
+}
 
-// RunLost records that a start of an endpoint was lost under a request with the given
-// parts before the request made progress. It returns the evidence to publish.
-func (s *State) RunLost(now time.Time, parts []string, start string) []Change {
+// RunLost records that a start of an endpoint was lost under r before it made progress.
+// It returns the evidence to publish.
+func (s *State) RunLost(now time.Time, r Request, start string) []Change {
 	var changes []Change
-	for _, part := range parts {
-		if !s.succeeded.contains(now, part) {
-			changes = s.update(changes, now, part, s.evidence(part).WithLost(start))
+	for _, subject := range r.subjects() {
+		if !s.succeeded.contains(now, subject) {
+			changes = s.update(changes, now, subject, s.evidence(subject).WithLost(start))
 		}
 	}
 	return changes
 }
 
-// RunProgressed records that a request with the given parts has made progress: the
-// endpoint survived its beginning. It returns the evidence to publish.
-func (s *State) RunProgressed(now time.Time, parts []string) []Change {
+// RunProgressed records that r has made progress: the endpoint survived its beginning. It
+// returns the evidence to publish.
+func (s *State) RunProgressed(now time.Time, r Request) []Change {
 	var changes []Change
-	for _, part := range parts {
-		s.succeeded.add(now, part)
-		if e := s.evidence(part); e.Open() > 0 {
-			changes = s.update(changes, now, part, e.WithCleared())
+	for _, subject := range r.subjects() {
+		s.succeeded.add(now, subject)
+		if e := s.evidence(subject); e.Open() > 0 {
+			changes = s.update(changes, now, subject, e.WithCleared())
 		}
 	}
 	return changes
@@ -89,124 +105,150 @@
 
 // Merge adds evidence of another daemon that is age old. It returns what has changed;
 // publishing that again has no effect if the other daemon knows as much.
-func (s *State) Merge(now time.Time, part string, e Evidence, age time.Duration) []Change {
-	merged := s.evidence(part).WithMerged(e)
+func (s *State) Merge(now time.Time, subject Subject, e Evidence, age time.Duration) []Change {
+	merged := s.evidence(subject).WithMerged(e)
 	// A single lost endpoint has no consequence. Clearing it at once would make each
 	// daemon publish for each crash.
-	if merged.Open() > 1 && s.succeeded.contains(now, part) {
+	if merged.Open() > 1 && s.succeeded.contains(now, subject) {
 		merged = merged.WithCleared()
 	}
 	at := now
 	if merged.Equal(e) {
 		at = now.Add(-age)
 	}
-	return s.update(nil, at, part, merged)
+	return s.update(nil, at, subject, merged)
 }
 
-// Forget removes the evidence of a part that has lapsed.
-func (s *State) Forget(part string) { delete(s.suspects, part) }
+// Forget removes the evidence on a subject that has lapsed.
+func (s *State) Forget(subject Subject) {
+	delete(s.suspects, subject)
+	delete(s.fatal, subject)
+}
 
-// Check returns the first of the parts that is quarantined and the time until a request
-// with it may try an endpoint. The part is empty if a request with all parts may do so
-// now.
-func (s *State) Check(now time.Time, parts []string) (part string, pause time.Duration) {
-	for _, p := range parts {
-		e := s.suspects[p]
+// Check returns the first subject of r that is quarantined, and the time until r may try
+// an endpoint. It reports false if r may do so now.
+func (s *State) Check(now time.Time, r Request) (held Subject, pause time.Duration, found bool) {
+	for _, subject := range r.subjects() {
+		e := s.suspects[subject]
 		switch {
-		case !e.quarantined():
+		case !s.quarantined(e):
 		case now.Before(e.retryAt):
-			return p, e.retryAt.Sub(now)
+			return subject, e.retryAt.Sub(now), true
 		case e.trying:
-			return p, trialPause
+			return subject, trialPause, true
 		}
 	}
-	return "", 0
+	return Subject{}, 0, false
 }
 
-// Begin records that a request with the given parts is sent to an endpoint, after Check
-// has returned no part. It returns the parts for which this is a trial: until they are
-// passed to End, Check holds back other requests with them.
-func (s *State) Begin(parts []string) (trials []string) {
-	for _, p := range parts {
-		if e := s.suspects[p]; e.quarantined() && !e.trying {
+// Begin records that r is sent to an endpoint, after Check has found nothing. It returns
+// the subjects for which this is a trial: until they are passed to End, Check holds back
+// other requests with them.
+func (s *State) Begin(r Request) (trials []Subject) {
+	for _, subject := range r.subjects() {
+		if e := s.suspects[subject]; s.quarantined(e) && !e.trying {
 			e.trying = true
-			trials = append(trials, p)
+			trials = append(trials, subject)
 		}
 	}
 	return trials
 }
 
 // End records the end of a request for which Begin returned trials.
-func (s *State) End(trials []string) {
-	for _, p := range trials {
-		if e := s.suspects[p]; e != nil {
+func (s *State) End(trials []Subject) {
+	for _, subject := range trials {
+		if e := s.suspects[subject]; e != nil {
 			e.trying = false
 		}
 	}
 }
 
-// Quarantined returns the evidence of the quarantined parts, by part.
-func (s *State) Quarantined() map[string]Evidence {
-	all := map[string]Evidence{}
-	for part, e := range s.suspects {
-		if e.quarantined() {
-			all[part] = e.evidence
+// Quarantined returns the evidence on the quarantined subjects.
+func (s *State) Quarantined() map[Subject]Evidence {
+	all := map[Subject]Evidence{}
+	for subject, e := range s.suspects {
+		if s.quarantined(e) {
+			all[subject] = e.evidence
 		}
 	}
 	return all
 }
 
-func (s *State) evidence(part string) Evidence {
-	if e := s.suspects[part]; e != nil {
+// quarantined reports whether e is blamed for crashes. A part isn't as long as each of
+// its lost starts was lost under a quarantined request as well: these are held back, and
+// the part may merely have stood beside them. The next loss without one blames it.
+func (s *State) quarantined(e *suspect) bool {
+	if e == nil || e.evidence.Open() < minLost {
+		return false
+	}
+	return e.subject.Kind == KindRequest || e.evidence.openExcept(s.explained) > 0
+}
+
+// explained reports whether a start was lost under a quarantined request.
+func (s *State) explained(start string) bool {
+	for _, e := range s.fatal {
+		if e.evidence.lost(start) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) evidence(subject Subject) Evidence {
+	if e := s.suspects[subject]; e != nil {
 		return e.evidence
 	}
 	return Evidence{}
 }
 
-// update stores the evidence of a part as of the time at, and appends the change if
+// update stores the evidence on a subject as of the time at, and appends the change if
 // there is one.
-func (s *State) update(changes []Change, at time.Time, part string, e Evidence) []Change {
-	old := s.suspects[part]
-	if s.evidence(part).Equal(e) {
+func (s *State) update(changes []Change, at time.Time, subject Subject, e Evidence) []Change {
+	old := s.suspects[subject]
+	if s.evidence(subject).Equal(e) {
 		return changes
 	}
+	was := s.quarantined(old)
 	if old == nil {
 		s.makeRoom()
-		part = strings.Clone(part) // the parts of a request share the memory of its header
+		subject.ID = strings.Clone(subject.ID) // it may share the memory of a header
+	}
+	updated := &suspect{subject: subject, evidence: e, changed: at}
+	if e.Open() >= minLost {
+		updated.retryAt = at.Add(s.pause(subject, e.Open()))
 	}
-	updated := &suspect{evidence: e, changed: at}
-	if updated.quarantined() {
-		updated.retryAt = at.Add(s.pause(part, e.Open()))
+	s.suspects[subject] = updated
+	is := s.quarantined(updated)
+	delete(s.fatal, subject)
+	if is && subject.Kind == KindRequest {
+		s.fatal[subject] = updated
 	}
-	s.suspects[part] = updated
-	return append(changes, Change{
-		Part: part, Evidence: e,
-		Quarantined: updated.quarantined() && !old.quarantined(), Released: old.quarantined() && !updated.quarantined(),
-	})
+	return append(changes, Change{Subject: subject, Evidence: e, Quarantined: is && !was, Released: was && !is})
 }
 
-// makeRoom forgets the part with the oldest evidence that isn't quarantined if there are
-// maxParts.
+// makeRoom forgets the subject with the oldest evidence that isn't quarantined if there
+// are maxSubjects.
 func (s *State) makeRoom() {
-	if len(s.suspects) < maxParts {
+	if len(s.suspects) < maxSubjects {
 		return
 	}
-	oldest := ""
-	for part, e := range s.suspects {
-		if !e.quarantined() && (oldest == "" || e.changed.Before(s.suspects[oldest].changed)) {
-			oldest = part
+	var oldest *suspect
+	for _, e := range s.suspects {
+		if !s.quarantined(e) && (oldest == nil || e.changed.Before(oldest.changed)) {
+			oldest = e
 		}
 	}
-	delete(s.suspects, oldest)
+	if oldest != nil {
+		delete(s.suspects, oldest.subject)
+	}
 }
 
-// pause returns the pause of a part after a number of lost starts.
-func (s *State) pause(part string, lost int) time.Duration {
+// pause returns the pause of a subject after a number of lost starts.
+func (s *State) pause(subject Subject, lost int) time.Duration {
 	d := firstPause
 	for range lost - minLost {
 		d = min(maxPause, d*pauseFactor)
 	}
-	h := xxhash.Sum64String(s.daemon + "/" + part)
-	spread := pauseSpread * float64(h>>11) / float64(1<<53)
-	return d + time.Duration(spread*float64(d))
+	h := xxhash.Sum64String(s.daemon + "/" + subject.String())
+	return d + time.Duration(float64(h>>11)/float64(1<<53)*float64(pauseSpread))
 }
--- a/brtimeline/event.go
+++ b/brtimeline/event.go
@@ -32,8 +32,8 @@
 	EndpointLost
 	EndpointHalfOpen
 	EndpointRestored
-	PromptPartQuarantined
-	PromptPartReleased
+	QuarantineBegun
+	QuarantineEnded
 	OrderSent
 	OrderResponded
 	OrderPlanned
@@ -76,7 +76,7 @@
 	LedgerBegun: "ledger_begun", LedgerFinished: "ledger_finished", LedgerReleased: "ledger_released",
 	EndpointAnnounced: "endpoint_announced", EndpointLeaving: "endpoint_leaving", EndpointLost: "endpoint_lost",
 	EndpointHalfOpen: "endpoint_half_open", EndpointRestored: "endpoint_restored",
-	PromptPartQuarantined: "prompt_part_quarantined", PromptPartReleased: "prompt_part_released", OrderSent: "order_sent",
+	QuarantineBegun: "quarantine_begun", QuarantineEnded: "quarantine_ended", OrderSent: "order_sent",
 	OrderResponded: "order_answered", OrderPlanned: "order_planned", LeaseGranted: "lease_granted",
 	LeaseRenewed: "lease_renewed", LeaseExtended: "lease_extended", LeaseLost: "lease_lost",
 	LeaseReleased: "lease_released", PoolRecovered: "pool_recovered", LeaderElected: "leader_elected",
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -35,6 +35,7 @@
 	MaxTokens     int           `cbor:"max_tokens"`
 	PrefixHashes  []uint64      `cbor:"prefix_hashes,omitempty"` // one per block of PrefixBlockTokens, over the prompt from its start to the end of the block
 	NonIdempotent bool          `cbor:"non_idempotent"`
+	Fingerprint   string        `cbor:"fingerprint,omitempty"` // a brquarantine.Request.ID; the same under another RequestID
 
 	// BoundEpoch is the epoch in which a scheduler bound the ID to this entry, or 0 if the
 	// ID is not bound. The entry has held the request since then, so no other entry
