--- a/brentry/lost_test.go
+++ b/brentry/lost_test.go
@@ -65,7 +65,7 @@
 			}
 		})
 		seen := map[string]int{}
-		for i, path := range []string{"/a", "/a", "/b"} {
+		for _, path := range []string{"/a", "/a", "/b"} {
 			f.open(t, context.Background(), http.MethodPost, brengine.PathServices+"m"+path, newID(0), "")
 			d := <-f.dones
 			if d.OK || d.EndpointLost != test.want {
