brquarantine: hold a request back after two lost starts

A crash takes an endpoint for three seconds and more, and a service may have three of them. Against one exact request two lost starts without a success say more than against a part of prompts: few bystanders of one crash are at the next endpoint that crashes, and one that is is refused for a single pause. Parts stay at three.

--- a/brpool/quarantine_test.go
+++ b/brpool/quarantine_test.go
@@ -161,7 +161,7 @@
 			t.Errorf("sound call %d is refused: %v", n+1, refusal)
 		}
 	}
-	if grants != 3 {
-		t.Errorf("%d grants of the fatal call, want 3", grants)
+	if grants != 2 {
+		t.Errorf("%d grants of the fatal call, want 2", grants)
 	}
 }
--- a/brquarantine/request_test.go
+++ b/brquarantine/request_test.go
@@ -27,12 +27,12 @@
 	for _, parts := range [][]string{nil, {"system", "document"}} {
 		s := New("d")
 		fatal, sound := Request{"fatal", parts}, Request{"sound", parts}
-		loseUnder(s, 0, fatal, "a", "b")
+		loseUnder(s, 0, fatal, "a", "a")
 		s.RunProgressed(at(0), sound)
 		if got := heldBy(s, 0, fatal); got != "" {
-			t.Errorf("parts %v: held back by %q after two lost starts, want none", parts, got)
+			t.Errorf("parts %v: held back by %q after one lost start, want none", parts, got)
 		}
-		loseUnder(s, time.Second, fatal, "c")
+		loseUnder(s, time.Second, fatal, "b")
 		s.RunProgressed(at(time.Second), sound)
 		if got := heldBy(s, time.Second, fatal); got != "request/fatal" {
 			t.Errorf("parts %v: held back by %q, want request/fatal", parts, got)
@@ -87,15 +87,15 @@
 // TestLifetimes guards against keeping each request that was lost once for as long as a
 // quarantined one: nearly all of them never come again.
 func TestLifetimes(t *testing.T) {
-	request, two, three := Subject{KindRequest, "r"}, Evidence{Lost: []string{"a", "b"}}, Evidence{Lost: []string{"a", "b", "c"}}
+	request, one, two := Subject{KindRequest, "r"}, Evidence{Lost: []string{"a"}}, Evidence{Lost: []string{"a", "b"}}
 	for _, test := range []struct {
 		subject  Subject
 		evidence Evidence
 		want     time.Duration
 	}{
-		{request, two, suspicionLifetime},
-		{request, three, quarantineLifetime},
-		{request, three.WithCleared(), suspicionLifetime},
+		{request, one, suspicionLifetime},
+		{request, two, quarantineLifetime},
+		{request, two.WithCleared(), suspicionLifetime},
 		{part("p"), two, quarantineLifetime},
 	} {
 		if got := Lifetime(test.subject, test.evidence); got != test.want {
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -15,9 +15,12 @@
 	// suspicionLifetime is the same for a request that isn't quarantined. Each crash makes
 	// suspects of all requests at the endpoint, most of which never come again.
 	suspicionLifetime = 2 * time.Minute
-	// minLost is the number of starts of endpoints that must be lost under a subject before
-	// it is quarantined. One crash, or two at the same time, hit bystanders as well.
-	minLost = 3
+	// minLostPart is the number of starts of endpoints that must be lost under a part
+	// before it is quarantined. One crash, or two at the same time, hit bystanders as well.
+	minLostPart = 3
+	// minLostRequest is the same for a request. Few bystanders of one crash are at the next
+	// endpoint that crashes, and each crash takes a part of the capacity for seconds.
+	minLostRequest = 2
 	// firstPause is the time from the evidence that quarantines a subject until a request
 	// with it may try an endpoint again. A bystander is free again soon.
 	firstPause = 5 * time.Second
@@ -39,12 +42,21 @@
 
 // Lifetime returns the time after which the evidence e on a subject lapses.
 func Lifetime(s Subject, e Evidence) time.Duration {
-	if s.Kind == KindRequest && e.Open() < minLost {
+	if s.Kind == KindRequest && e.Open() < minLost(s.Kind) {
 		return suspicionLifetime
 	}
 	return quarantineLifetime
 }
 
+// minLost returns the number of open lost starts from which on a subject may be
+// quarantined.
+func minLost(k Kind) int {
+	if k == KindRequest {
+		return minLostRequest
+	}
+	return minLostPart
+}
+
 // Change is new evidence on one subject, to be published for its Lifetime.
 type Change struct {
 	Subject     Subject
@@ -68,7 +80,7 @@
 	subject  Subject
 	evidence Evidence
 	changed  time.Time // time of the latest evidence
-	retryAt  time.Time // end of the pause; set with minLost open starts
+	retryAt  time.Time // end of the pause; set if minLost starts are open
 	trying   bool      // a request with the subject is at an endpoint after the pause
 }
 
@@ -178,7 +190,7 @@
 // its lost starts was lost under a quarantined request as well: these are held back, and
 // the part may merely have stood beside them. The next loss without one blames it.
 func (s *State) quarantined(e *suspect) bool {
-	if e == nil || e.evidence.Open() < minLost {
+	if e == nil || e.evidence.Open() < minLost(e.subject.Kind) {
 		return false
 	}
 	return e.subject.Kind == KindRequest || e.evidence.openExcept(s.explained) > 0
@@ -214,7 +226,7 @@
 		subject.ID = strings.Clone(subject.ID) // it may share the memory of a header
 	}
 	updated := &suspect{subject: subject, evidence: e, changed: at}
-	if e.Open() >= minLost {
+	if e.Open() >= minLost(subject.Kind) {
 		updated.retryAt = at.Add(s.pause(subject, e.Open()))
 	}
 	s.suspects[subject] = updated
@@ -246,7 +258,7 @@
 // pause returns the pause of a subject after a number of lost starts.
 func (s *State) pause(subject Subject, lost int) time.Duration {
 	d := firstPause
-	for range lost - minLost {
+	for range lost - minLost(subject.Kind) {
 		d = min(maxPause, d*pauseFactor)
 	}
 	h := xxhash.Sum64String(s.daemon + "/" + subject.String())
--- a/brquarantine/state_test.go
+++ b/brquarantine/state_test.go
@@ -126,7 +126,7 @@
 	first := map[time.Duration]bool{}
 	for i := range 20 {
 		s := New(fmt.Sprint("d", i))
-		pause := s.pause(part("p"), minLost)
+		pause := s.pause(part("p"), minLostPart)
 		first[pause] = true
 		if pause < firstPause || pause > longestFirstPause {
 			t.Errorf("first pause %v, want %v to %v", pause, firstPause, longestFirstPause)
