brproxy: end the runs of a request that is quarantined

The daemons give such runs up now, unless they have made progress or are trials: most endpoints drop a request when its connection closes. Runs that only share a quarantined part go on.

--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -46,6 +46,8 @@
 	q.tried = append(q.tried, e.ID)
 	sendCtx, stall, stop := p.watchStall(ctx, q, e.ID)
 	defer stop()
+	sendCtx, endRun := p.trackRun(sendCtx, q, a)
+	defer endRun()
 	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, e))
 	if err != nil {
 		var sendErr *brconn.SendError
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -82,6 +82,7 @@
 	waiting         map[uint64]chan brplace.Effect
 	lastPlacementID uint64
 	quarantine      *brquarantine.State
+	runs            map[*attempt]run
 	quarantined     chan struct{} // closed and replaced when a part is quarantined
 
 	stop chan struct{}
@@ -109,6 +110,7 @@
 		policySet: make(chan struct{}),
 
 		quarantine:  brquarantine.New(cfg.Daemon),
+		runs:        map[*attempt]run{},
 		quarantined: make(chan struct{}),
 		stop:        make(chan struct{}),
 	}
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -50,6 +50,7 @@
 		switch {
 		case c.Quarantined:
 			wake = true
+			p.cancelRuns(c.Subject)
 			p.cfg.Log.Warn().Stringer("subject", c.Subject).Strs("lost", c.Evidence.Lost).Msg("quarantined")
 		case c.Released:
 			p.cfg.Log.Info().Stringer("subject", c.Subject).Msg("quarantine ended")
@@ -110,6 +111,7 @@
 	}
 	a.progressed = true
 	p.mu.Lock()
+	delete(p.runs, a)
 	changes := p.quarantine.RunProgressed(p.cfg.Clock.Now(), q.identity)
 	p.mu.Unlock()
 	p.evidenceChanged(changes)
