brplace: keep what a share has saved when the limit changes

Each change of a limit emptied the shares, so that an endpoint that states another limit in each response, as while it warms up, got far less than it takes. A share is kept until the next tick assigns the new one; only a first limit starts empty. TestChangedLimit fails without the change.

--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -50,7 +50,8 @@
 }
 
 // applyLimit makes the limit that is known of e effective. Until the next tick assigns
-// this daemon its share, it sends nothing to an endpoint whose limit has changed.
+// this daemon its share, it sends nothing to an endpoint that states its first limit, and
+// keeps its share of an earlier one.
 func (s *State) applyLimit(e *endpoint) {
 	if e == nil {
 		return
@@ -66,7 +67,6 @@
 		e.bucket = brlimit.Bucket{}
 	}
 	e.limit = limit
-	e.bucket.SetShare(s.now, brlimit.Share{})
 	s.service(e.Service).sharesStale = true
 }
 
--- a/brplace/limit_test.go
+++ b/brplace/limit_test.go
@@ -200,3 +200,25 @@
 		})
 	}
 }
+
+// TestChangedLimit guards against an endpoint that gets no requests because each of its
+// responses states another limit, as it does while it warms up.
+func TestChangedLimit(t *testing.T) {
+	s := newState()
+	addEndpoints(s, "a")
+	sent := 0
+	for ms := 0; ms < 10_000; ms += 50 {
+		limit := brlimit.Limit{Limited: true, Rate: 1 + float64(ms)/1e6}
+		for _, ev := range []Event{Tick{}, LimitPublished{ID: "a", Limit: limit}, Submit{request(uint64(ms+1), 0, ms)}} {
+			for _, effect := range s.Step(at(ms), ev) {
+				if d, ok := effect.(Dispatch); ok {
+					sent++
+					s.Step(at(ms), Ended{ID: d.ID, Result: Succeeded})
+				}
+			}
+		}
+	}
+	if sent < 8 || sent > 12 {
+		t.Errorf("%d requests sent in 10 s at about one a second, want nearly 10", sent)
+	}
+}
