brquarantine: tell the other daemons of a trial when it begins

The endpoint of a trial counts as lost from its beginning. The evidence travels while the request runs, and the caller's next attempt finds the other daemons with the longer pause. Success clears it as before; a trial without a result takes it back.

--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -90,6 +90,7 @@
 	route          brroute.Request
 	identity       brquarantine.Request
 	trials         []brquarantine.Subject // quarantined subjects for which the request is a trial
+	conclusive     bool                   // the run has made progress or lost its endpoint
 	rollout        *rollout
 	state          state
 	grantNumber    uint64
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -42,7 +42,7 @@
 		p.queue.Remove(r.ID)
 	} else {
 		p.table.Return(now, r.flight)
-		p.clearFlight(r)
+		p.clearFlight(now, r)
 	}
 	delete(p.requests, r.ID)
 }
@@ -121,7 +121,7 @@
 // failure of the endpoint.
 func (p *Pool) returnGrant(now time.Time, r *request, m brwire.Done) {
 	p.noteChanges(now, p.table.Done(now, r.flight, brroute.Result{Outcome: m.Outcome, Kind: m.Kind}))
-	p.clearFlight(r)
+	p.clearFlight(now, r)
 	delete(p.requests, r.ID)
 }
 
@@ -145,16 +145,16 @@
 func (p *Pool) closeRequest(now time.Time, r *request, ran bool) {
 	f := r.flight
 	p.table.Return(now, f)
-	p.clearFlight(r)
+	p.clearFlight(now, r)
 	delete(p.requests, r.ID)
 	p.finished.add(now, r.key, finishedRequest{entry: r.entry, endpoint: f.EndpointID, address: f.Address, customer: r.submit.Customer, ran: ran})
 }
 
 // clearFlight removes the flight from r. The table must have ended it.
-func (p *Pool) clearFlight(r *request) {
+func (p *Pool) clearFlight(now time.Time, r *request) {
 	p.clearUnacked(r)
 	p.sampleOf(r).add(-r.flight.Tokens())
 	p.grantedCount--
-	p.quarantine.End(r.trials)
+	p.quarantine.End(now, r.trials, startOf(r.flight), r.conclusive)
 	r.flight, r.trials = nil, nil
 }
--- a/brpool/quarantine.go
+++ b/brpool/quarantine.go
@@ -8,6 +8,7 @@
 
 	"bramleyroute/brerror"
 	"bramleyroute/brquarantine"
+	"bramleyroute/brroute"
 	"bramleyroute/brwire"
 )
 
@@ -59,8 +60,9 @@
 	case m.OK || m.OutputTokens >= minProgressTokens:
 		changes = p.quarantine.RunProgressed(now, r.identity)
 	case m.EndpointLost:
-		changes = p.quarantine.RunLost(now, r.identity, r.flight.EndpointID+"."+r.flight.Incarnation)
+		changes = p.quarantine.RunLost(now, r.identity, startOf(r.flight))
 	}
+	r.conclusive = m.OK || m.OutputTokens >= minProgressTokens || m.EndpointLost
 	refuse := false
 	for _, c := range changes {
 		if c.Quarantined || c.Released {
@@ -73,6 +75,9 @@
 	}
 }
 
+// startOf identifies the start of an endpoint at which f runs.
+func startOf(f *brroute.Flight) string { return f.EndpointID + "." + f.Incarnation }
+
 // refuseAllHeld refuses the queued requests that are held back, so that they don't
 // wait for an endpoint that they won't get.
 func (p *Pool) refuseAllHeld(now time.Time) {
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -195,7 +195,8 @@
 
 func (p *Pool) grant(now time.Time, r *request, c brroute.Choice) {
 	r.flight = p.table.Grant(now, r.route, c)
-	r.trials = p.quarantine.Begin(r.identity)
+	// The owner of the pool decides alone, so that it has nobody to tell of a trial.
+	r.trials, _ = p.quarantine.Begin(now, r.identity, startOf(r.flight))
 	p.lastGrantNumber++
 	r.state, r.grantNumber, r.grantedAt = granted, p.lastGrantNumber, now
 	p.unackedCount++
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -30,6 +30,7 @@
 	progressAt  time.Time              // time of the last report of progress to the placement
 	events      int                    // number of events received
 	result      brplace.Result         // evidence on the health of the endpoint
+	lost        bool                   // the endpoint ended the connection before the request made progress
 	progressed  bool                   // the endpoint has survived the beginning of the request
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
 }
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -85,13 +85,16 @@
 // beginTrial reports whether a placed request may be sent: it may have been quarantined
 // while it waited. If it may, the subjects for which this is a trial are recorded in a.
 func (p *Proxy) beginTrial(q *request, a *attempt) bool {
+	now := p.cfg.Clock.Now()
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	if _, _, held := p.quarantine.Check(p.cfg.Clock.Now(), q.identity); held {
-		return false
+	_, _, held := p.quarantine.Check(now, q.identity)
+	var changes []brquarantine.Change
+	if !held {
+		a.trials, changes = p.quarantine.Begin(now, q.identity, endpointStart(a.endpoint))
 	}
-	a.trials = p.quarantine.Begin(q.identity)
-	return true
+	p.mu.Unlock()
+	p.evidenceChanged(changes)
+	return !held
 }
 
 // endTrial records the end of the trials of a.
@@ -100,8 +103,9 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.quarantine.End(a.trials)
+	changes := p.quarantine.End(p.cfg.Clock.Now(), a.trials, endpointStart(a.endpoint), a.progressed || a.lost)
+	p.mu.Unlock()
+	p.evidenceChanged(changes)
 }
 
 // recordProgress records that the endpoint of a has survived the beginning of q.
@@ -123,6 +127,7 @@
 	if a.progressed || !brevent.EndedByPeer(err) {
 		return
 	}
+	a.lost = true
 	p.mu.Lock()
 	start := endpointStart(a.endpoint)
 	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), q.identity, start)
--- a/brquarantine/evidence.go
+++ b/brquarantine/evidence.go
@@ -29,6 +29,11 @@
 	return Evidence{Lost: e.Lost, Cleared: e.Lost}
 }
 
+// WithRetracted returns e with one lost start cleared, which turned out not to be lost.
+func (e Evidence) WithRetracted(start string) Evidence {
+	return e.WithMerged(Evidence{Lost: []string{start}, Cleared: []string{start}})
+}
+
 // WithMerged returns the union of e and o.
 func (e Evidence) WithMerged(o Evidence) Evidence {
 	return Evidence{Lost: union(e.Lost, o.Lost), Cleared: union(e.Cleared, o.Cleared)}
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -153,26 +153,38 @@
 	return Subject{}, 0, false
 }
 
-// Begin records that r is sent to an endpoint, after Check has found nothing. It returns
-// the subjects for which this is a trial: until they are passed to End, Check holds back
-// other requests with them.
-func (s *State) Begin(r Request) (trials []Subject) {
+// Begin records that r is sent to a start of an endpoint, after Check has found nothing. It
+// returns the subjects for which this is a trial: until they are passed to End, Check holds
+// back other requests with them. The start counts as lost from the beginning of a trial, so
+// that no other daemon tries beside it, not even for the caller that comes again at once.
+func (s *State) Begin(now time.Time, r Request, start string) (trials []Subject, changes []Change) {
 	for _, subject := range r.subjects() {
-		if e := s.suspects[subject]; s.quarantined(e) && !e.trying {
-			e.trying = true
-			trials = append(trials, subject)
+		e := s.suspects[subject]
+		if !s.quarantined(e) || e.trying {
+			continue
 		}
+		changes = s.update(changes, now, subject, e.evidence.WithLost(start))
+		s.suspects[subject].trying = true
+		trials = append(trials, subject)
 	}
-	return trials
+	return trials, changes
 }
 
-// End records the end of a request for which Begin returned trials.
-func (s *State) End(trials []Subject) {
+// End records the end of a request for which Begin returned trials. A trial that neither
+// made progress nor lost the endpoint tells nothing, and the next one may follow.
+func (s *State) End(now time.Time, trials []Subject, start string, conclusive bool) (changes []Change) {
 	for _, subject := range trials {
-		if e := s.suspects[subject]; e != nil {
-			e.trying = false
+		e := s.suspects[subject]
+		if e == nil {
+			continue
+		}
+		e.trying = false
+		if !conclusive {
+			changes = s.update(changes, now, subject, e.evidence.WithRetracted(start))
+			s.suspects[subject].retryAt = now
 		}
 	}
+	return changes
 }
 
 // Quarantined returns the evidence on the quarantined subjects.
