--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -26,6 +26,9 @@
 	addresses []string
 	dirs      []string // empty for a daemon without a disk
 	fleets    []*Fleet // nil while stopped
+	// networks holds the path of each daemon to the endpoints; it may be changed while
+	// the daemon runs.
+	networks []*endpointNetwork
 }
 
 func newCluster(t *testing.T, daemons, disks int) *cluster {
@@ -38,6 +41,7 @@
 			dir = filepath.Join(t.TempDir(), "data")
 		}
 		c.dirs = append(c.dirs, dir)
+		c.networks = append(c.networks, &endpointNetwork{})
 	}
 	for i := range daemons {
 		c.start(i, true)
@@ -54,7 +58,8 @@
 	c.t.Helper()
 	f, err := Start(Config{
 		ID: fmt.Sprint("d", i), Address: c.addresses[i], FailureDomain: "z", Dir: c.dirs[i], Tolerance: 1, Bootstrap: bootstrap,
-		Seeds: func() []string { return c.addresses[:min(3, len(c.addresses))] },
+		Seeds:        func() []string { return c.addresses[:min(3, len(c.addresses))] },
+		DialEndpoint: c.networks[i].dial,
 		Dialect: brproxy.Dialect{
 			Decode: func(r *http.Request) (brproxy.CallParams, error) {
 				return brproxy.CallParams{ID: r.Header.Get("Id"), PromptParts: r.Header.Values("Part")}, nil
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -39,7 +39,9 @@
 	Seeds         func() []string
 	Keys          brpeer.Keys
 	Dialect       brproxy.Dialect
-	Quota         brquota.Config
+	// DialEndpoint opens a connection to an endpoint; nil means TCP.
+	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
+	Quota        brquota.Config
 	// QuotaSlackTokens is as in brproxy.Config.
 	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
@@ -105,7 +107,7 @@
 	f.policies.changed = make(chan struct{}, 1)
 	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
-	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
+	f.pool = &brconn.Pool{Dial: cfg.DialEndpoint, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
