--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -157,7 +157,7 @@
 	defer cancel()
 	dial := p.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = DialTCP
 	}
 	n, err := dial(ctx, address)
 	if err != nil {
--- a/brconn/socket.go
+++ b/brconn/socket.go
@@ -11,8 +11,8 @@
 // milliseconds.
 const tcpUserTimeout = 18
 
-// dialTCP opens a TCP connection with userTimeout set and keep-alive probes off.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP opens a TCP connection with userTimeout set and keep-alive probes off.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAlive: -1,
 		Control: func(_, _ string, raw syscall.RawConn) error {
