brconn: tell relayed connections from direct ones

A lost path says nothing about an endpoint, so results need to say which path they came over, and idle connections over a lost path have to go. Put takes a connection that was dialed without a request.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -39,7 +39,10 @@
 	// MaybeSent reports whether the request may have reached the endpoint. It is false
 	// only if no byte of the request was written.
 	MaybeSent bool
-	Err       error
+	// Relayed reports whether the request was written to a connection through another
+	// daemon.
+	Relayed bool
+	Err     error
 }
 
 // Error implements the error interface.
@@ -82,10 +85,19 @@
 	}
 }
 
+// relayed reports whether c leads through another daemon. Such a connection says so by a
+// method.
+func (c *conn) relayed() bool {
+	r, ok := c.net.(interface{ Relayed() bool })
+	return ok && r.Relayed()
+}
+
 // Exchange is a request whose response header has been read. It implements
 // io.Reader for the response body. The caller must call Close.
 type Exchange struct {
 	Response Response
+	// Relayed reports whether the connection leads through another daemon.
+	Relayed bool
 
 	pool        *Pool
 	conn        *conn
@@ -104,7 +116,7 @@
 	if err != nil {
 		return nil, &SendError{Err: fmt.Errorf("brconn: connect to %s: %w", address, err)}
 	}
-	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1)}
+	x := &Exchange{Relayed: c.relayed(), pool: p, conn: c, writeResult: make(chan error, 1)}
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
 	if len(r.Body) <= bufferBytes {
 		x.writeResult <- c.write(r)
@@ -117,7 +129,7 @@
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
-		return nil, &SendError{MaybeSent: true, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
+		return nil, &SendError{MaybeSent: true, Relayed: x.Relayed, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
 	}
 	return x, nil
 }
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -74,29 +74,46 @@
 // CloseExpired closes the idle connections whose timeout has passed.
 func (p *Pool) CloseExpired() {
 	now := p.clock().Now()
-	var expired []*conn
+	p.closeIdle(func(c *conn) bool { return !now.Before(c.expires) })
+}
+
+// CloseIdle closes the idle connections for which match returns true.
+func (p *Pool) CloseIdle(match func(address string, relayed bool) bool) {
+	p.closeIdle(func(c *conn) bool { return match(c.address, c.relayed()) })
+}
+
+func (p *Pool) closeIdle(match func(*conn) bool) {
+	var matched []*conn
 	p.mu.Lock()
 	for address, conns := range p.idle {
-		unexpired := conns[:0]
+		kept := conns[:0]
 		for _, c := range conns {
-			if now.Before(c.expires) {
-				unexpired = append(unexpired, c)
+			if match(c) {
+				matched = append(matched, c)
 			} else {
-				expired = append(expired, c)
+				kept = append(kept, c)
 			}
 		}
-		clear(conns[len(unexpired):])
-		p.idle[address] = unexpired
-		if len(unexpired) == 0 {
+		clear(conns[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
 			delete(p.idle, address)
 		}
 	}
 	p.mu.Unlock()
-	for _, c := range expired {
+	for _, c := range matched {
 		c.net.Close()
 	}
 }
 
+// Put adds an open connection to the endpoint at address that wasn't used yet.
+func (p *Pool) Put(address string, c net.Conn) {
+	p.mu.Lock()
+	p.dialed++
+	p.mu.Unlock()
+	p.putIdle(newConn(c, address), defaultIdleTimeout)
+}
+
 func (p *Pool) clock() brclock.Clock {
 	if p.Clock == nil {
 		return brclock.System{}
