brplace: don't blame endpoints for a lost path

PathLost lifts what this daemon blamed on endpoints, and PeerPartitioned ignores the failures that a partitioned daemon reports.

--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -179,14 +179,14 @@
 }
 
 // checkStalled suspends the endpoint of f if f has no first byte and the endpoint
-// has made no progress for longer than stallTimeout.
+// has made no progress for longer than stallTimeout. A request on a lost path tells nothing.
 func (s *State) checkStalled(f *inflightRequest) {
 	e := f.endpoint
 	since := e.lastProgress
 	if f.dispatchedAt.After(since) {
 		since = f.dispatchedAt
 	}
-	if !f.gotFirstByte && s.now.Sub(since) > stallTimeout {
+	if !f.gotFirstByte && !f.pathLost && s.now.Sub(since) > stallTimeout {
 		s.suspend(e, Stalled)
 	}
 }
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -53,7 +53,7 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, LimitObserved,
-// LimitPublished, PeerReported, PeerLost, FleetChanged, Submit, Cancel, FirstByte,
+// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
 // Progressed, Ended and Tick.
 type Event interface{ event() }
 
@@ -94,6 +94,17 @@
 // PeerLost reports that another daemon has stopped sending reports.
 type PeerLost struct{ Daemon string }
 
+// PeerPartitioned reports whether another daemon has lost its direct path to the endpoints.
+// While it has, the failures that it reports may be those of its path.
+type PeerPartitioned struct {
+	Daemon      string
+	Partitioned bool
+}
+
+// PathLost reports that this daemon has lost its direct path to the endpoints, and reaches
+// them through other daemons from now on.
+type PathLost struct{}
+
 // FleetChanged carries the sorted IDs of all daemons, including this one.
 type FleetChanged struct{ Daemons []string }
 
@@ -190,6 +201,8 @@
 func (LimitPublished) event()  {}
 func (PeerReported) event()    {}
 func (PeerLost) event()        {}
+func (PeerPartitioned) event() {}
+func (PathLost) event()        {}
 func (FleetChanged) event()    {}
 func (Submit) event()          {}
 func (Cancel) event()          {}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -24,9 +24,11 @@
 	inflight  map[uint64]*inflightRequest
 	limits    map[string]*endpointLimit // by endpoint ID
 	peers     map[string]Report
-	daemons   []string // IDs of the daemons, including this one; empty if unknown
-	now       time.Time
-	effects   []Effect
+	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
+	partitionedPeers map[string]bool
+	daemons          []string // IDs of the daemons, including this one; empty if unknown
+	now              time.Time
+	effects          []Effect
 }
 
 // service holds the endpoints and the waiting requests of one service.
@@ -51,6 +53,7 @@
 	endpoint     *endpoint
 	dispatchedAt time.Time
 	gotFirstByte bool
+	pathLost     bool // this daemon has lost its direct path since the dispatch
 	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
 }
 
@@ -66,6 +69,8 @@
 		inflight:  map[uint64]*inflightRequest{},
 		limits:    map[string]*endpointLimit{},
 		peers:     map[string]Report{},
+
+		partitionedPeers: map[string]bool{},
 	}
 }
 
@@ -88,6 +93,11 @@
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
 		s.applyReport(e.Daemon, nil)
+		delete(s.partitionedPeers, e.Daemon)
+	case PeerPartitioned:
+		s.setPeerPartitioned(e)
+	case PathLost:
+		s.losePath()
 	case FleetChanged:
 		s.setDaemons(e.Daemons)
 	case Submit:
@@ -223,11 +233,15 @@
 			e.eventInterval = movingAverage(e.eventInterval, u.EventInterval, eventIntervalWeight)
 		}
 		if known && u.Ended >= prev.Ended && u.Failed >= prev.Failed {
-			s.recordOutcomes(e, u.Ended-prev.Ended, u.Failed-prev.Failed)
+			ended, failed := u.Ended-prev.Ended, u.Failed-prev.Failed
+			if s.partitionedPeers[daemon] {
+				ended, failed = ended-failed, 0
+			}
+			s.recordOutcomes(e, ended, failed)
 			if u.Ended-u.Failed > prev.Ended-prev.Failed {
 				e.lastProgress = s.now
 			}
-			if u.Failed > prev.Failed {
+			if failed > 0 {
 				failing = append(failing, e)
 			}
 		}
@@ -280,7 +294,7 @@
 	if !f.gotFirstByte {
 		e.own.PendingPromptTokens -= f.request.PromptTokens
 	}
-	switch ev.Result {
+	switch f.attributed(ev.Result) {
 	case Succeeded:
 		e.own.Ended++
 		e.lastProgress = s.now
