brfleet: reach endpoints through another daemon while the path is lost

Cause: a daemon had one path to an endpoint, its own. Every attempt of a daemon that was cut off was a dial that failed, and it suspended all endpoints for it. Taking itself out of rotation doesn't help: callers come back when fewer than half of a failure domain are in rotation, and open connections stay.

Everything else about a request stays with the daemon that took it, so that attempts, quotas, limits and at most once are decided in one place. Runs that end on a lost direct path are inconclusive for endpoints, rollouts and the quarantine, and what was concluded in the two seconds before is retracted. A partitioned daemon says so in a record; it doesn't relay, and its failures don't count at the others.

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -221,17 +221,27 @@
 	return a, ok && !a.Endpoint.Leaving
 }
 
-func (g *registry) remove(id string) {
+// knows reports whether an endpoint has announced the address.
+func (g *registry) knows(address string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.idByAddress[address]
+	return ok
+}
+
+// remove removes an endpoint and returns its address; empty if there was none.
+func (g *registry) remove(id string) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	a, ok := g.announcements[id]
 	if !ok {
-		return
+		return ""
 	}
 	delete(g.announcements, id)
 	if g.idByAddress[a.Endpoint.Address] == id {
 		delete(g.idByAddress, a.Endpoint.Address)
 	}
+	return a.Endpoint.Address
 }
 
 func (g *registry) count() int {
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -23,6 +23,7 @@
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
 	"bramleyroute/brquota"
+	"bramleyroute/brtunnel"
 
 	"github.com/rs/zerolog"
 )
@@ -64,6 +65,7 @@
 	pool    *brconn.Pool
 	metrics *metrics
 	proxy   *brproxy.Proxy
+	paths   *paths
 	node    *brgossip.Node
 	core    *brcore.Core
 
@@ -107,13 +109,15 @@
 	f.policies.changed = make(chan struct{}, 1)
 	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
-	f.pool = &brconn.Pool{Dial: cfg.DialEndpoint, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
+	f.paths = f.newPaths()
+	f.pool = &brconn.Pool{Dial: f.paths.dialer.Dial, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnEvidence: f.evidence.add,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
+	f.paths.dialer.Keep, f.paths.dialer.OnChange = f.pool.Put, f.onPathChange
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
@@ -129,7 +133,10 @@
 	})
 	f.node.Run()
 	f.links = &brpeer.Server{Mux: f.mux, Keys: cfg.Keys}
-	f.server = &http.Server{Handler: f.links, ReadHeaderTimeout: peerHeaderTimeout}
+	handler := http.NewServeMux()
+	handler.Handle(brtunnel.Path, f.paths.server)
+	handler.Handle("/", f.links)
+	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout}
 	f.wg.Go(func() { f.servePeers(l) })
 	f.wg.Go(f.runPolicies)
 	f.wg.Go(f.runLoad)
@@ -137,6 +144,8 @@
 	f.wg.Go(func() { f.runEvidenceFile(savedEvidence) })
 	f.wg.Go(f.runDaemons)
 	f.wg.Go(f.runRollouts)
+	f.wg.Go(f.runPaths)
+	f.wg.Go(f.paths.dialer.Run)
 	return f, nil
 }
 
@@ -155,6 +164,7 @@
 // leaving. Requests are still served.
 func (f *Fleet) Leave(ctx context.Context) {
 	f.leaving.Store(true)
+	f.paths.server.Leave()
 	f.proxy.DisableKeepAlives()
 	f.node.Leave()
 	if err := f.core.TransferLeadership(ctx); err != nil {
@@ -168,6 +178,8 @@
 	close(f.stop)
 	f.node.Close()
 	f.links.Close()
+	f.paths.dialer.Close()
+	f.paths.server.Close()
 	if err := f.server.Close(); err != nil {
 		f.cfg.Log.Warn().Err(err).Msg("closing the peer listener failed")
 	}
@@ -231,7 +243,9 @@
 		}
 		domain := 0
 		var active []string
-		for _, d := range f.node.Daemons() {
+		daemons := f.node.Daemons()
+		f.paths.dialer.SetRelays(f.relays(daemons))
+		for _, d := range daemons {
 			if d.Leaving {
 				continue
 			}
@@ -268,13 +282,15 @@
 		f.applyTallyRecord(r)
 	case kindEvidence:
 		f.applyEvidenceRecord(r)
+	case kindPath:
+		f.applyPathRecord(r)
 	}
 }
 
 func (f *Fleet) onExpired(r brgossip.Record) {
 	switch r.Kind() {
 	case kindEndpoint:
-		f.endpoints.remove(r.Name())
+		f.paths.dialer.Forget(f.endpoints.remove(r.Name()))
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: r.Name()})
 		f.cfg.Log.Info().Str("endpoint", r.Name()).Msg("endpoint removed because its record expired")
 	case kindLimit:
@@ -288,5 +304,7 @@
 		f.proxy.ApplyEvent(brplace.PeerLost{Daemon: r.Name()})
 	case kindEvidence:
 		f.evidenceExpired(r)
+	case kindPath:
+		f.setPartitioned(r.Name(), pathRecord{})
 	}
 }
--- /dev/null
+++ b/brfleet/path.go
@@ -0,0 +1,182 @@
+package brfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"bramleyroute/brconn"
+	"bramleyroute/brgossip"
+	"bramleyroute/brpath"
+	"bramleyroute/brplace"
+	"bramleyroute/brtunnel"
+)
+
+const (
+	// kindPath is the kind of the records of daemons that have lost their direct path to
+	// the endpoints, by daemon incarnation.
+	kindPath = "path"
+
+	// pathLifetime is the time after which a daemon counts as having a path again that
+	// doesn't renew its record every pathRenewInterval.
+	pathLifetime      = 12 * time.Second
+	pathRenewInterval = 5 * time.Second
+
+	// tunnelDialTimeout limits the dial of a daemon that relays. A running endpoint accepts
+	// within a few milliseconds, and the caller's daemon waits with a caller.
+	tunnelDialTimeout = 150 * time.Millisecond
+)
+
+// pathRecord is what a daemon publishes about its direct path to the endpoints.
+type pathRecord struct {
+	Daemon      string `cbor:"daemon"` // ID
+	Partitioned bool   `cbor:"partitioned"`
+}
+
+// paths is the part of a Fleet that reaches endpoints through other daemons, and relays
+// for them.
+type paths struct {
+	dialer *brpath.Dialer
+	client brtunnel.Dialer
+	server *brtunnel.Server
+
+	mu          sync.Mutex
+	seq         uint64            // of the latest record
+	partitioned map[string]string // IDs of other partitioned daemons, by incarnation
+}
+
+// newPaths returns the paths of f, with all functions set.
+func (f *Fleet) newPaths() *paths {
+	direct := f.cfg.DialEndpoint
+	if direct == nil {
+		direct = brconn.DialTCP
+	}
+	p := &paths{
+		dialer:      brpath.NewDialer(brpath.Config{FailureDomain: f.cfg.FailureDomain, Random: rand.Float64}),
+		client:      brtunnel.Dialer{Keys: f.cfg.Keys},
+		partitioned: map[string]string{},
+	}
+	p.dialer.Clock, p.dialer.Log = f.cfg.Clock, f.cfg.Log
+	p.dialer.Direct, p.dialer.Relayed = direct, p.dialRelayed
+	p.server = &brtunnel.Server{
+		Keys: f.cfg.Keys, Dial: direct, DialTimeout: tunnelDialTimeout, Clock: f.cfg.Clock,
+		Allow:     f.endpoints.knows,
+		Available: func() bool { return !p.dialer.Partitioned() },
+	}
+	return p
+}
+
+// dialRelayed opens a connection to an endpoint through another daemon.
+func (p *paths) dialRelayed(ctx context.Context, r brpath.Relay, address string) (net.Conn, error) {
+	c, err := p.client.Dial(ctx, r.Address, address)
+	var dialErr *brtunnel.DialError
+	if errors.As(err, &dialErr) && dialErr.Cause.ConcernsEndpoint() {
+		return nil, fmt.Errorf("%w: %w", brpath.ErrUnreachable, err)
+	}
+	return c, err
+}
+
+// onPathChange applies a change of this daemon's paths to endpoints.
+func (f *Fleet) onPathChange(c brpath.Change, address string, silent bool) {
+	f.cfg.Log.Info().Str("address", address).Stringer("change", c).Bool("silent", silent).Msg("path to an endpoint changed")
+	switch c {
+	case brpath.PathLost:
+		// Open connections may still work if new ones are refused. If nothing is answered,
+		// they don't.
+		if silent {
+			f.pool.CloseIdle(func(a string, relayed bool) bool { return a == address && !relayed })
+		}
+	case brpath.Partitioned:
+		if silent {
+			f.pool.CloseIdle(func(_ string, relayed bool) bool { return !relayed })
+		}
+		f.cfg.Log.Warn().Msg("direct path to the endpoints lost; connecting through other daemons")
+		f.proxy.PathLost()
+		f.publishPath()
+	case brpath.PathBack:
+		f.pool.CloseIdle(func(a string, relayed bool) bool { return a == address && relayed })
+	case brpath.Rejoined:
+		f.pool.CloseIdle(func(_ string, relayed bool) bool { return relayed })
+		f.cfg.Log.Warn().Msg("direct path to the endpoints is back")
+		f.proxy.PathBack()
+		f.publishPath()
+	}
+}
+
+// publishPath publishes whether this daemon has a direct path to the endpoints.
+func (f *Fleet) publishPath() {
+	p := f.paths
+	p.mu.Lock()
+	p.seq++
+	seq, record := p.seq, pathRecord{Daemon: f.cfg.ID, Partitioned: p.dialer.Partitioned()}
+	p.mu.Unlock() // applyPathRecord locks it while the node is locked
+	f.node.Publish(brgossip.Record{
+		Key: kindPath + "/" + f.incarnation, Version: brgossip.Version{Seq: seq}, Value: encode(record), Lifetime: pathLifetime,
+	})
+}
+
+// runPaths renews this daemon's record while it has no path.
+func (f *Fleet) runPaths() {
+	for {
+		select {
+		case <-f.stop:
+			return
+		case <-f.cfg.Clock.After(pathRenewInterval):
+		}
+		if f.paths.dialer.Partitioned() {
+			f.publishPath()
+		}
+	}
+}
+
+// applyPathRecord applies what another daemon has published about its path.
+func (f *Fleet) applyPathRecord(r brgossip.Record) {
+	record, ok := decode[pathRecord](f, r)
+	if !ok || r.Name() == f.incarnation {
+		return
+	}
+	f.setPartitioned(r.Name(), record)
+}
+
+// setPartitioned records whether another daemon has a path to the endpoints.
+func (f *Fleet) setPartitioned(incarnation string, r pathRecord) {
+	p := f.paths
+	p.mu.Lock()
+	if r.Partitioned {
+		p.partitioned[incarnation] = r.Daemon
+	} else {
+		delete(p.partitioned, incarnation)
+	}
+	p.mu.Unlock()
+	f.proxy.ApplyEvent(brplace.PeerPartitioned{Daemon: incarnation, Partitioned: r.Partitioned})
+	f.cfg.Log.Info().Str("peer", incarnation).Bool("partitioned", r.Partitioned).Msg("path of a daemon to the endpoints changed")
+}
+
+// relays returns those of the given daemons that can relay: all but this one, those that
+// are leaving or have lost their own path, and in a small fleet those without a link.
+func (f *Fleet) relays(daemons []brgossip.Daemon) []brpath.Relay {
+	linked := map[string]bool{}
+	for _, a := range f.node.LinkedAddresses() {
+		linked[a] = true
+	}
+	sparse := f.node.SendsDomainRecords()
+	p := f.paths
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	partitioned := map[string]bool{f.cfg.ID: true}
+	for _, id := range p.partitioned {
+		partitioned[id] = true
+	}
+	var relays []brpath.Relay
+	for _, d := range daemons {
+		if d.Leaving || partitioned[d.ID] || !sparse && !linked[d.Address] {
+			continue
+		}
+		relays = append(relays, brpath.Relay{Daemon: d.ID, Address: d.Address, FailureDomain: d.FailureDomain})
+	}
+	return relays
+}
--- a/brpath/dialer.go
+++ b/brpath/dialer.go
@@ -22,7 +22,7 @@
 	directTimeout = 500 * time.Millisecond
 	// relayTimeout limits one dial through a relay, and maxRelays the relays tried for
 	// one connection.
-	relayTimeout = 400 * time.Millisecond
+	relayTimeout = 250 * time.Millisecond
 	maxRelays    = 3
 	// minUnreachable is the number of relays that must fail to reach an endpoint before it
 	// counts as unreachable. One may have lost its own path and not know it yet.
--- a/brpath/state.go
+++ b/brpath/state.go
@@ -67,6 +67,21 @@
 	Rejoined           // the daemon is no longer partitioned
 )
 
+// String returns the name of c for logs.
+func (c Change) String() string {
+	switch c {
+	case PathLost:
+		return "lost"
+	case Partitioned:
+		return "partitioned"
+	case PathBack:
+		return "back"
+	case Rejoined:
+		return "rejoined"
+	}
+	return "none"
+}
+
 // New returns the State of a daemon that has lost no path. It panics if cfg.Random is
 // nil.
 func New(cfg Config) *State {
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brpath"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brquarantine"
@@ -32,6 +33,7 @@
 	result      brplace.Result         // evidence on the health of the endpoint
 	lost        bool                   // the endpoint ended the connection before the request made progress
 	progressed  bool                   // the endpoint has survived the beginning of the request
+	relayed     bool                   // the connection led through another daemon
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
 }
 
@@ -53,6 +55,7 @@
 	if err != nil {
 		var sendErr *brconn.SendError
 		errors.As(err, &sendErr)
+		a.relayed = sendErr.Relayed
 		q.mayHaveRun = q.mayHaveRun || sendErr.MaybeSent
 		if !sendErr.MaybeSent {
 			q.sends--
@@ -64,6 +67,7 @@
 		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
+	a.relayed = x.Relayed
 	q.framing, q.partialEvent = x.Response.Framing, 0
 	p.observeResponse(q, a, &x.Response)
 	switch {
@@ -142,12 +146,14 @@
 // sendFailureResult returns the result of an attempt whose send failed.
 func (p *Proxy) sendFailureResult(ctx context.Context, q *request, a *attempt, err *brconn.SendError) brplace.Result {
 	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.identity.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
-		Bool("sent", err.MaybeSent).Err(err).Msg("endpoint gave no answer")
+		Bool("sent", err.MaybeSent).Bool("relayed", err.Relayed).Err(err).Msg("endpoint gave no answer")
 	switch {
 	case q.in.Context().Err() != nil:
 		return brplace.Inconclusive
 	case ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget:
 		return brplace.Inconclusive // too little time remained when the request was sent
+	case errors.Is(err, brpath.ErrNoPath):
+		return brplace.Inconclusive
 	case !err.MaybeSent:
 		return brplace.WrongAddress
 	}
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -84,6 +84,7 @@
 	quarantine      *brquarantine.State
 	runs            map[*attempt]run
 	quarantined     chan struct{} // closed and replaced when a part is quarantined
+	path            pathState
 
 	stop chan struct{}
 	wg   sync.WaitGroup
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -122,13 +122,20 @@
 }
 
 // recordLost records that the endpoint of a may have crashed under q: it ended the
-// connection before the request made progress.
+// connection before the request made progress. If the path is to blame, the result of a
+// says nothing about the endpoint.
 func (p *Proxy) recordLost(q *request, a *attempt, err error) {
+	p.mu.Lock()
+	if p.pathFailed(q, a, err) {
+		p.mu.Unlock()
+		a.result = brplace.Inconclusive
+		return
+	}
 	if a.progressed || !brevent.EndedByPeer(err) {
+		p.mu.Unlock()
 		return
 	}
 	a.lost = true
-	p.mu.Lock()
 	start := endpointStart(a.endpoint)
 	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), q.identity, start)
 	p.mu.Unlock()
