brproxy, brpath: judge a lost connection only after a check of the path

A run whose connection ends over the direct path is now judged after a dial that tells a dead endpoint from a lost path; the connection is kept for the next request. A relay only blames an endpoint if something has arrived directly from an endpoint within 200 ms, and says that it has no path otherwise. Endpoints that were heard from since the first loss are still dialed directly: a daemon may be cut off from one service only. Retracting the evidence after the path was known was tried first; it came after the quarantine had been published.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -131,6 +131,9 @@
 		}
 		return nil, &SendError{MaybeSent: true, Relayed: x.Relayed, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
 	}
+	if p.OnDirect != nil && !x.Relayed {
+		p.OnDirect(address)
+	}
 	return x, nil
 }
 
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -110,11 +110,11 @@
 	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
 	f.paths = f.newPaths()
-	f.pool = &brconn.Pool{Dial: f.paths.dialer.Dial, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
+	f.pool = &brconn.Pool{Dial: f.paths.dialer.Dial, OnDirect: f.paths.dialer.Heard, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
-		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnEvidence: f.evidence.add,
+		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	f.paths.dialer.Keep, f.paths.dialer.OnChange = f.pool.Put, f.onPathChange
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -63,7 +63,7 @@
 	p.dialer.Clock, p.dialer.Log = f.cfg.Clock, f.cfg.Log
 	p.dialer.Direct, p.dialer.Relayed = direct, p.dialRelayed
 	p.server = &brtunnel.Server{
-		Keys: f.cfg.Keys, Dial: direct, DialTimeout: tunnelDialTimeout, Clock: f.cfg.Clock,
+		Keys: f.cfg.Keys, Dial: p.dialForPeer, DialTimeout: tunnelDialTimeout, Clock: f.cfg.Clock,
 		Allow:     f.endpoints.knows,
 		Available: func() bool { return !p.dialer.Partitioned() },
 	}
@@ -80,27 +80,47 @@
 	return c, err
 }
 
-// onPathChange applies a change of this daemon's paths to endpoints.
-func (f *Fleet) onPathChange(c brpath.Change, address string, silent bool) {
-	f.cfg.Log.Info().Str("address", address).Stringer("change", c).Bool("silent", silent).Msg("path to an endpoint changed")
+// dialForPeer opens a direct connection to an endpoint for another daemon.
+func (p *paths) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
+	c, err := p.dialer.DialDirect(ctx, address)
+	if errors.Is(err, brpath.ErrNoPath) {
+		return nil, fmt.Errorf("%w: %w", brtunnel.ErrNoPath, err)
+	}
+	return c, err
+}
+
+// pathWorks reports whether this daemon has a direct path to the endpoint at address, or
+// whether the endpoint is dead. It opens a connection to find out, which the next request
+// uses.
+func (f *Fleet) pathWorks(ctx context.Context, address string) bool {
+	c, err := f.paths.dialer.Dial(ctx, address)
+	if err != nil {
+		return errors.Is(err, brpath.ErrUnreachable)
+	}
+	f.pool.Put(address, c)
+	r, ok := c.(interface{ Relayed() bool })
+	return !ok || !r.Relayed()
+}
+
+// onPathChange applies a change of this daemon's paths to endpoints. Idle connections over
+// a lost path may hang or be reset when they are used, so that they are closed, unless
+// something has arrived from their endpoint since.
+func (f *Fleet) onPathChange(c brpath.Change, address string) {
+	f.cfg.Log.Info().Str("address", address).Stringer("change", c).Msg("path to an endpoint changed")
 	switch c {
 	case brpath.PathLost:
-		// Open connections may still work if new ones are refused. If nothing is answered,
-		// they don't.
-		if silent {
-			f.pool.CloseIdle(func(a string, relayed bool) bool { return a == address && !relayed })
-		}
+		f.pool.CloseIdle(func(a string, relayed bool) bool {
+			return a == address && !relayed && !f.paths.dialer.HeardSinceLoss(a)
+		})
 	case brpath.Partitioned:
-		if silent {
-			f.pool.CloseIdle(func(_ string, relayed bool) bool { return !relayed })
-		}
+		f.pool.CloseIdle(func(a string, relayed bool) bool { return !relayed && !f.paths.dialer.HeardSinceLoss(a) })
 		f.cfg.Log.Warn().Msg("direct path to the endpoints lost; connecting through other daemons")
 		f.proxy.PathLost()
 		f.publishPath()
 	case brpath.PathBack:
 		f.pool.CloseIdle(func(a string, relayed bool) bool { return a == address && relayed })
 	case brpath.Rejoined:
-		f.pool.CloseIdle(func(_ string, relayed bool) bool { return relayed })
+		f.pool.CloseIdle(func(a string, relayed bool) bool { return relayed && f.paths.dialer.PrefersDirect(a) })
 		f.cfg.Log.Warn().Msg("direct path to the endpoints is back")
 		f.proxy.PathBack()
 		f.publishPath()
--- a/brpath/dialer.go
+++ b/brpath/dialer.go
@@ -33,9 +33,9 @@
 // that no relay could say whether the endpoint is to blame.
 var ErrNoPath = errors.New("brpath: no path to the endpoint")
 
-// ErrUnreachable is wrapped by the error of Dialer.Relayed if the relay works but couldn't
-// connect to the endpoint.
-var ErrUnreachable = errors.New("brpath: the relay can't reach the endpoint")
+// ErrUnreachable reports that an endpoint can't be reached although the path works. It is
+// wrapped by the error of Dialer.Relayed if the relay couldn't connect to the endpoint.
+var ErrUnreachable = errors.New("brpath: endpoint is unreachable")
 
 // Dialer opens connections to endpoints, directly or through relays. Direct and Relayed
 // are required. It is safe for concurrent use. Run must be called for lost paths to be
@@ -48,9 +48,8 @@
 	// Keep takes a direct connection that nobody waits for; nil closes it.
 	Keep func(address string, c net.Conn)
 	// OnChange is called after each change of the state, for which address is the endpoint
-	// concerned. Silent says that the latest direct dial wasn't answered, rather than
-	// refused. It must not block. It may be nil.
-	OnChange func(c Change, address string, silent bool)
+	// concerned. It must not block. It may be nil.
+	OnChange func(c Change, address string)
 	Clock    brclock.Clock // nil means the system clock
 	Log      zerolog.Logger
 
@@ -103,6 +102,50 @@
 	return d.state.Partitioned()
 }
 
+// Heard records that something has arrived directly from the endpoint at address.
+func (d *Dialer) Heard(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.state.Heard(d.Clock.Now(), address)
+}
+
+// PrefersDirect reports whether the next connection to the endpoint at address is dialed
+// directly first.
+func (d *Dialer) PrefersDirect(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.Direct(address)
+}
+
+// HeardSinceLoss is State.HeardSinceLoss.
+func (d *Dialer) HeardSinceLoss(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.HeardSinceLoss(address)
+}
+
+// DialDirect opens a direct connection for another daemon. The error wraps ErrNoPath if
+// this daemon's own path may be to blame.
+func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
+	d.mu.Lock()
+	lost := d.state.Lost(address)
+	d.mu.Unlock()
+	if lost {
+		return nil, ErrNoPath
+	}
+	c, err := d.Direct(ctx, address)
+	if err == nil {
+		d.directConnected(address)
+		return c, nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.state.Partitioned() || d.Clock.Now().Sub(d.state.heardAt) > verdictWindow {
+		return nil, fmt.Errorf("%w: %w", ErrNoPath, err)
+	}
+	return nil, err
+}
+
 // SetRelays replaces the daemons that may relay.
 func (d *Dialer) SetRelays(relays []Relay) {
 	d.mu.Lock()
@@ -155,7 +198,7 @@
 		}
 		direct = nil
 	case <-d.Clock.After(hedgeDelay):
-		d.directFailed(address, true)
+		d.directFailed(address)
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
@@ -214,8 +257,7 @@
 		if err == nil {
 			d.directConnected(address)
 		} else if d.ctx.Err() == nil {
-			var timeout net.Error
-			d.directFailed(address, errors.As(err, &timeout) && timeout.Timeout())
+			d.directFailed(address)
 		}
 		select {
 		case done <- result{c, err}:
@@ -263,13 +305,17 @@
 			break
 		}
 	}
-	if unreachable == minUnreachable || unreachable > 0 && unreachable == len(tried) && ctx.Err() == nil {
-		d.mu.Lock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case ctx.Err() != nil:
+	case unreachable == minUnreachable, unreachable > 0 && unreachable == len(tried):
 		d.state.EndpointUnreachable(address)
-		d.mu.Unlock()
 		return nil, err
+	case d.state.Blames(d.Clock.Now(), address):
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
-	return nil, fmt.Errorf("%w: %s", ErrNoPath, err)
+	return nil, fmt.Errorf("%w: %w", ErrNoPath, err)
 }
 
 // dialRelay dials through one relay.
@@ -306,25 +352,21 @@
 
 func (d *Dialer) directConnected(address string) {
 	d.mu.Lock()
-	change := d.state.DirectConnected(address)
+	change := d.state.DirectConnected(d.Clock.Now(), address)
 	d.mu.Unlock()
 	d.changed(change, address)
 }
 
-func (d *Dialer) directFailed(address string, silent bool) {
+func (d *Dialer) directFailed(address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state.DirectFailed(d.Clock.Now(), address, silent)
+	d.state.DirectFailed(d.Clock.Now(), address)
 }
 
 func (d *Dialer) changed(c Change, address string) {
-	if c == NoChange || d.OnChange == nil {
-		return
+	if c != NoChange && d.OnChange != nil {
+		d.OnChange(c, address)
 	}
-	d.mu.Lock()
-	silent := d.state.Silent(address)
-	d.mu.Unlock()
-	d.OnChange(c, address, silent)
 }
 
 // Run dials endpoints directly whose path is lost, until Close is called.
--- a/brpath/dialer_test.go
+++ b/brpath/dialer_test.go
@@ -44,7 +44,7 @@
 		s.kept++
 		c.Close()
 	}
-	s.OnChange = func(c Change, _ string, _ bool) {
+	s.OnChange = func(c Change, _ string) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.changes = append(s.changes, c)
--- a/brpath/state.go
+++ b/brpath/state.go
@@ -15,6 +15,10 @@
 	maxTrialInterval = time.Second
 	// relayPause is the time for which a relay isn't used that couldn't relay.
 	relayPause = time.Second
+	// verdictWindow is the time since something arrived directly from an endpoint within
+	// which this daemon's path counts as working, so that a dial that fails is the fault of
+	// its endpoint.
+	verdictWindow = 200 * time.Millisecond
 	// remoteCost is the number of tunnels by which a relay in another failure domain must
 	// be less used to be preferred: it adds two crossings between failure domains.
 	remoteCost = 4
@@ -38,9 +42,12 @@
 type State struct {
 	cfg       Config
 	relays    []Relay
-	endpoints map[string]*path    // by address; only those whose path may be lost
-	lost      map[string]struct{} // addresses with a path lost since the last direct connection
-	tunnels   map[string]int      // open connections of this daemon, by relay ID
+	endpoints map[string]*path     // by address; only those whose path may be lost
+	lost      map[string]struct{}  // addresses with a path lost since the last direct connection
+	lostSince time.Time            // when the first of them was lost
+	heard     map[string]time.Time // when something last arrived directly, by address
+	heardAt   time.Time            // the latest of these
+	tunnels   map[string]int       // open connections of this daemon, by relay ID
 	paused    map[string]time.Time
 
 	partitioned   bool
@@ -51,7 +58,6 @@
 // path is the path to one endpoint after a direct dial has failed.
 type path struct {
 	lost    bool      // a relay has reached the endpoint since
-	silent  bool      // the last direct dial wasn't answered, rather than refused
 	triedAt time.Time // time of the last direct dial
 }
 
@@ -64,7 +70,7 @@
 	PathLost           // the path to one endpoint is lost
 	Partitioned        // the daemon is partitioned from now on
 	PathBack           // the path to one endpoint is back
-	Rejoined           // the daemon is no longer partitioned
+	Rejoined           // the daemon is no longer partitioned, but single paths may be lost
 )
 
 // String returns the name of c for logs.
@@ -89,7 +95,7 @@
 		panic("brpath: config without Random")
 	}
 	return &State{
-		cfg: cfg, endpoints: map[string]*path{}, lost: map[string]struct{}{},
+		cfg: cfg, endpoints: map[string]*path{}, lost: map[string]struct{}{}, heard: map[string]time.Time{},
 		tunnels: map[string]int{}, paused: map[string]time.Time{},
 	}
 }
@@ -109,22 +115,62 @@
 	if len(s.relays) == 0 {
 		return true
 	}
-	p := s.endpoints[address]
-	return !s.partitioned && (p == nil || !p.lost)
+	if s.Lost(address) {
+		return false
+	}
+	return !s.partitioned || s.HeardSinceLoss(address)
 }
 
-// DirectConnected records that a direct dial has connected.
-func (s *State) DirectConnected(address string) Change {
+// Lost reports whether the path to the endpoint at address is lost.
+func (s *State) Lost(address string) bool {
 	p := s.endpoints[address]
-	wasLost := p != nil && p.lost
+	return p != nil && p.lost
+}
+
+// Heard records that something has arrived directly from an endpoint.
+func (s *State) Heard(now time.Time, address string) {
+	s.heard[address], s.heardAt = now, now
+}
+
+// HeardSinceLoss reports whether something has arrived directly from the endpoint at
+// address since the first of the lost paths was lost. A daemon may be cut off from some
+// endpoints only, and connections may live on while new ones are refused.
+func (s *State) HeardSinceLoss(address string) bool {
+	at, ok := s.heard[address]
+	return ok && at.After(s.lostSince)
+}
+
+// Blames reports whether a direct dial of the endpoint at address that has just failed is
+// the fault of the endpoint, as far as this daemon can tell: it has just heard from an
+// endpoint, or no other one has failed within the last second.
+func (s *State) Blames(now time.Time, address string) bool {
+	if s.partitioned {
+		return false
+	}
+	if now.Sub(s.heardAt) <= verdictWindow {
+		return true
+	}
+	for a, p := range s.endpoints {
+		if a != address && now.Sub(p.triedAt) <= time.Second {
+			return false
+		}
+	}
+	return true
+}
+
+// DirectConnected records that a direct dial has connected. If the path to the endpoint was
+// lost, those to the others are tried soon.
+func (s *State) DirectConnected(now time.Time, address string) Change {
+	s.Heard(now, address)
+	wasLost := s.Lost(address)
+	if wasLost {
+		s.trialAt, s.trialInterval = now, minTrialInterval
+	}
 	delete(s.endpoints, address)
 	clear(s.lost)
 	switch {
 	case s.partitioned:
-		// The others are dialed directly as well from now on. Where that fails, a relay
-		// follows.
 		s.partitioned = false
-		clear(s.endpoints)
 		return Rejoined
 	case wasLost:
 		return PathBack
@@ -132,22 +178,14 @@
 	return NoChange
 }
 
-// DirectFailed records that a direct dial was refused, or isn't answered in time if silent
-// is true.
-func (s *State) DirectFailed(now time.Time, address string, silent bool) {
+// DirectFailed records that a direct dial was refused, or isn't answered in time.
+func (s *State) DirectFailed(now time.Time, address string) {
 	p := s.endpoints[address]
 	if p == nil {
 		p = &path{}
 		s.endpoints[address] = p
 	}
-	p.triedAt, p.silent = now, silent
-}
-
-// Silent reports whether the path to the endpoint at address is lost and the last direct
-// dial wasn't answered.
-func (s *State) Silent(address string) bool {
-	p := s.endpoints[address]
-	return p != nil && p.lost && p.silent
+	p.triedAt = now
 }
 
 // RelayConnected records that a relay has reached an endpoint.
@@ -160,6 +198,7 @@
 	if len(s.lost) == 0 {
 		s.trialInterval = minTrialInterval
 		s.trialAt = now.Add(s.trialInterval)
+		s.lostSince = now
 	}
 	s.lost[address] = struct{}{}
 	if !s.partitioned && len(s.lost) >= minLostPaths {
@@ -183,6 +222,7 @@
 func (s *State) Forget(address string) {
 	delete(s.endpoints, address)
 	delete(s.lost, address)
+	delete(s.heard, address)
 }
 
 // NextTrial returns the address of an endpoint to be dialed directly to find out whether
--- a/brpath/state_test.go
+++ b/brpath/state_test.go
@@ -18,7 +18,7 @@
 
 // lose makes the path to an endpoint lost.
 func lose(s *State, now time.Time, address string) Change {
-	s.DirectFailed(now, address, true)
+	s.DirectFailed(now, address)
 	return s.RelayConnected(now, address)
 }
 
@@ -30,36 +30,41 @@
 	type step struct {
 		what   string
 		change Change
-		direct string // whether a, b and c are dialed directly
+		direct string // whether a, b, c and d are dialed directly
 	}
 	var got []step
 	record := func(what string, c Change) {
-		direct := fmt.Sprint(s.Direct("a"), s.Direct("b"), s.Direct("c"))
+		direct := fmt.Sprint(s.Direct("a"), s.Direct("b"), s.Direct("c"), s.Direct("d"))
 		got = append(got, step{what, c, direct})
 	}
-	s.DirectFailed(t0, "a", false)
+	s.DirectFailed(t0, "a")
 	s.EndpointUnreachable("a")
 	record("endpoint a is dead", NoChange)
 	record("a relay reaches it later", s.RelayConnected(t0, "a"))
 	record("path to a lost", lose(s, t0, "a"))
 	record("and to b", lose(s, t0, "b"))
 	record("path to b again", lose(s, t0, "b"))
-	record("path to b is back", s.DirectConnected("b"))
+	record("path to b is back", s.DirectConnected(t0, "b"))
+	record("path to a is back", s.DirectConnected(t0, "a"))
 	record("path to a lost again", lose(s, t0, "a"))
-	record("direct connection to c", s.DirectConnected("c"))
+	record("direct connection to c", s.DirectConnected(t0, "c"))
 	record("path to b lost", lose(s, t0, "b"))
-	record("path to b is back", s.DirectConnected("b"))
+	record("path to c lost", lose(s, t0, "c"))
+	s.Heard(t0.Add(1), "d")
+	record("heard from d", NoChange)
 	want := []step{
-		{"endpoint a is dead", NoChange, "true true true"},
-		{"a relay reaches it later", NoChange, "true true true"},
-		{"path to a lost", PathLost, "false true true"},
-		{"and to b", Partitioned, "false false false"},
-		{"path to b again", NoChange, "false false false"},
-		{"path to b is back", Rejoined, "true true true"},
-		{"path to a lost again", PathLost, "false true true"},
-		{"direct connection to c", NoChange, "false true true"},
-		{"path to b lost", PathLost, "false false true"},
-		{"path to b is back", PathBack, "false true true"},
+		{"endpoint a is dead", NoChange, "true true true true"},
+		{"a relay reaches it later", NoChange, "true true true true"},
+		{"path to a lost", PathLost, "false true true true"},
+		{"and to b", Partitioned, "false false false false"},
+		{"path to b again", NoChange, "false false false false"},
+		{"path to b is back", Rejoined, "false true true true"},
+		{"path to a is back", PathBack, "true true true true"},
+		{"path to a lost again", PathLost, "false true true true"},
+		{"direct connection to c", NoChange, "false true true true"},
+		{"path to b lost", PathLost, "false false true true"},
+		{"path to c lost", Partitioned, "false false false false"},
+		{"heard from d", NoChange, "false false false true"},
 	}
 	if diff := cmp.Diff(want, got, cmp.AllowUnexported(step{})); diff != "" {
 		t.Errorf("changes (-want +got):\n%s", diff)
@@ -97,9 +102,11 @@
 	if len(got) != 3 {
 		t.Errorf("trials %v, want some of each endpoint", got)
 	}
-	s.DirectConnected("e0")
+	for i := range 3 {
+		s.DirectConnected(t0, fmt.Sprint("e", i))
+	}
 	if a, due := s.NextTrial(t0.Add(time.Minute)); due {
-		t.Errorf("trial of %s after the path is back, want none", a)
+		t.Errorf("trial of %s after the paths are back, want none", a)
 	}
 }
 
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -52,7 +52,7 @@
 	short bool // see service.isShort; set by State
 }
 
-// Event is one of EndpointChanged, EndpointLost, EndpointPaused, LimitObserved,
+// Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
 // LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
 // Progressed, Ended and Tick.
 type Event interface{ event() }
@@ -70,6 +70,10 @@
 	Duration time.Duration
 }
 
+// EndpointFailed reports a dispatch that ended as Inconclusive before and turned out to
+// have Failed.
+type EndpointFailed struct{ ID string }
+
 // LimitObserved reports what a response states about the limit of its endpoint.
 type LimitObserved struct {
 	ID     string
@@ -197,6 +201,7 @@
 func (EndpointChanged) event() {}
 func (EndpointLost) event()    {}
 func (EndpointPaused) event()  {}
+func (EndpointFailed) event()  {}
 func (LimitObserved) event()   {}
 func (LimitPublished) event()  {}
 func (PeerReported) event()    {}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -85,6 +85,10 @@
 		s.removeEndpoint(e.ID)
 	case EndpointPaused:
 		s.pause(e.ID, e.Duration)
+	case EndpointFailed:
+		if f := s.endpoints[e.ID]; f != nil {
+			s.recordFailed(f)
+		}
 	case LimitObserved:
 		s.observeLimit(e)
 	case LimitPublished:
@@ -302,10 +306,7 @@
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
-		e.own.Ended++
-		e.own.Failed++
-		s.recordOutcomes(e, 1, 1)
-		s.checkHealth(e)
+		s.recordFailed(e)
 	case WrongAddress:
 		e.own.Ended++
 		e.own.Failed++
@@ -315,6 +316,14 @@
 	s.placeWaiting(v, maxPlacements)
 }
 
+// recordFailed counts a request of this daemon that failed because of its endpoint.
+func (s *State) recordFailed(e *endpoint) {
+	e.own.Ended++
+	e.own.Failed++
+	s.recordOutcomes(e, 1, 1)
+	s.checkHealth(e)
+}
+
 func (s *State) tick() {
 	for _, f := range s.inflight {
 		s.checkStalled(f)
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -111,15 +111,25 @@
 // reportResult calls Config.OnResult with the result of a dispatch, unless the result
 // is inconclusive for the version of the endpoint.
 func (p *Proxy) reportResult(q *request, a *attempt) {
-	if p.cfg.OnResult == nil || a.result != brplace.Succeeded && a.result != brplace.Failed {
-		return
+	if a.result == brplace.Succeeded || a.result == brplace.Failed {
+		p.reportVersionResult(p.versionResult(q, a))
 	}
+}
+
+func (p *Proxy) reportVersionResult(r VersionResult) {
+	if p.cfg.OnResult != nil {
+		p.cfg.OnResult(r)
+	}
+}
+
+// versionResult returns the result of a dispatch for the version of its endpoint.
+func (p *Proxy) versionResult(q *request, a *attempt) VersionResult {
 	result := VersionResult{Service: q.service, Route: q.route.Name, Version: a.endpoint.Version, Succeeded: a.result == brplace.Succeeded}
 	if !a.firstByteAt.IsZero() {
 		expected := baseFirstByteTime + time.Duration(q.call.PromptTokens)*firstByteTimePerToken
 		result.LatencyRatio = float64(a.firstByteAt.Sub(a.sentAt)) / float64(expected)
 	}
-	p.cfg.OnResult(result)
+	return result
 }
 
 // The expected time to the first byte is baseFirstByteTime plus
--- a/brproxy/path.go
+++ b/brproxy/path.go
@@ -1,6 +1,7 @@
 package brproxy
 
 import (
+	"context"
 	"errors"
 	"time"
 
@@ -9,45 +10,35 @@
 	"bramleyroute/brtunnel"
 )
 
-// pathEvidenceAge is the time before the loss of the path is known within which lost
-// connections count as its consequence. The path is known to be lost once two dials have
-// failed.
-const pathEvidenceAge = 2 * time.Second
+// pathCheckTimeout limits the check whether an endpoint or the path to it is to blame.
+const pathCheckTimeout = time.Second
 
 // pathState is what the proxy knows of this daemon's direct path to the endpoints.
 type pathState struct {
 	lost   bool
 	backAt time.Time // end of the last loss
-	// recent holds the runs that were lost over direct connections within pathEvidenceAge.
-	recent []lostRun
+	// unjudged holds the runs whose connections their endpoints have ended, as it seems,
+	// by the address of the endpoint, while the path to it is checked.
+	unjudged map[string][]lostRun
 }
 
-// lostRun is a run whose connection was ended by its endpoint, as it seemed.
+// lostRun is a run whose connection was ended from the other side.
 type lostRun struct {
-	at       time.Time
-	identity brquarantine.Request
-	start    string // of the endpoint
+	requestID  string
+	identity   brquarantine.Request
+	endpoint   brplace.Endpoint
+	progressed bool // before its end
+	result     VersionResult
 }
 
 // PathLost records that this daemon has lost its direct path to the endpoints and reaches
-// them through other daemons. Connections that end on the direct path say nothing about
-// the endpoints from then on, and what was concluded from those that ended just before is
-// taken back.
+// them through other daemons. Connections on the direct path say nothing about the
+// endpoints from then on.
 func (p *Proxy) PathLost() {
 	p.mu.Lock()
-	now := p.cfg.Clock.Now()
+	defer p.mu.Unlock()
 	p.path.lost = true
-	var changes []brquarantine.Change
-	for _, r := range p.path.recent {
-		if now.Sub(r.at) <= pathEvidenceAge {
-			changes = append(changes, p.quarantine.RunRetracted(now, r.identity, r.start)...)
-		}
-	}
-	p.path.recent = nil
 	p.step(brplace.PathLost{})
-	p.mu.Unlock()
-	p.evidenceChanged(changes)
-	p.cfg.ReportsChanged()
 }
 
 // PathBack records that this daemon has its direct path to the endpoints again.
@@ -57,22 +48,46 @@
 	p.path.lost, p.path.backAt = false, p.cfg.Clock.Now()
 }
 
-// pathFailed reports whether err, the end of the connection of a, is a fault of the path
-// rather than of the endpoint. If that isn't known yet, the run is kept until it is. The
-// caller must hold p.mu.
-func (p *Proxy) pathFailed(q *request, a *attempt, err error) bool {
-	switch {
-	case errors.Is(err, brtunnel.ErrRelayLost):
-		return true
-	case a.relayed:
-		return false
-	case p.path.lost || a.sentAt.Before(p.path.backAt):
+// pathFailed reports whether err, the end of the connection of a, is known to be a fault
+// of the path rather than of the endpoint.
+func (p *Proxy) pathFailed(a *attempt, err error) bool {
+	if errors.Is(err, brtunnel.ErrRelayLost) {
 		return true
 	}
-	now := p.cfg.Clock.Now()
-	for len(p.path.recent) > 0 && now.Sub(p.path.recent[0].at) > pathEvidenceAge {
-		p.path.recent = p.path.recent[1:]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !a.relayed && (p.path.lost || a.sentAt.Before(p.path.backAt))
+}
+
+// checkPath finds out in the background whether the endpoint of a lost run is to blame or
+// the path, and records it as lost in the former case.
+func (p *Proxy) checkPath(r lostRun) {
+	address := r.endpoint.Address
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, checking := p.path.unjudged[address]
+	p.path.unjudged[address] = append(p.path.unjudged[address], r)
+	if !checking {
+		p.wg.Go(func() { p.judgePath(address) })
+	}
+}
+
+// judgePath checks the path to an endpoint and judges its unjudged runs.
+func (p *Proxy) judgePath(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), pathCheckTimeout)
+	defer cancel()
+	works := p.cfg.PathWorks(ctx, address)
+	p.mu.Lock()
+	runs := p.path.unjudged[address]
+	delete(p.path.unjudged, address)
+	p.mu.Unlock()
+	p.cfg.Log.Info().Str("address", address).Bool("works", works).Int("runs", len(runs)).Msg("path checked after lost connections")
+	if !works {
+		return
+	}
+	for _, r := range runs {
+		p.ApplyEvent(brplace.EndpointFailed{ID: r.endpoint.ID})
+		p.reportVersionResult(r.result)
+		p.recordLostStart(r)
 	}
-	p.path.recent = append(p.path.recent, lostRun{now, q.identity, endpointStart(a.endpoint)})
-	return false
 }
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -1,6 +1,7 @@
 package brproxy
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -49,6 +50,10 @@
 	// OnEvidence is called with new evidence on parts of prompts, to be published to the
 	// other daemons. It must not block. It may be nil.
 	OnEvidence func([]brquarantine.Change)
+	// PathWorks reports whether this daemon has a direct path to the endpoint at address,
+	// or can't tell. It is called when the endpoint has ended the connection of a run, as
+	// it seems. It may be nil.
+	PathWorks func(ctx context.Context, address string) bool
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
@@ -113,6 +118,7 @@
 		quarantine:  brquarantine.New(cfg.Daemon),
 		runs:        map[*attempt]run{},
 		quarantined: make(chan struct{}),
+		path:        pathState{unjudged: map[string][]lostRun{}},
 		stop:        make(chan struct{}),
 	}
 	p.wg.Go(p.tick)
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -122,25 +122,41 @@
 }
 
 // recordLost records that the endpoint of a may have crashed under q: it ended the
-// connection before the request made progress. If the path is to blame, the result of a
-// says nothing about the endpoint.
+// connection. If the path is to blame, the end says nothing about the endpoint; where that
+// isn't known it is checked first.
 func (p *Proxy) recordLost(q *request, a *attempt, err error) {
-	p.mu.Lock()
-	if p.pathFailed(q, a, err) {
-		p.mu.Unlock()
+	switch {
+	case p.pathFailed(a, err):
 		a.result = brplace.Inconclusive
 		return
+	case !brevent.EndedByPeer(err):
+		return
 	}
-	if a.progressed || !brevent.EndedByPeer(err) {
-		p.mu.Unlock()
+	r := lostRun{
+		requestID: q.call.ID, identity: q.identity, endpoint: a.endpoint, progressed: a.progressed,
+		result: p.versionResult(q, a),
+	}
+	if p.cfg.PathWorks != nil && !a.relayed && len(a.trials) == 0 {
+		a.result = brplace.Inconclusive
+		p.checkPath(r)
 		return
 	}
-	a.lost = true
-	start := endpointStart(a.endpoint)
-	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), q.identity, start)
+	a.lost = !a.progressed
+	p.recordLostStart(r)
+}
+
+// recordLostStart records that an endpoint was lost under a request, unless that had made
+// progress.
+func (p *Proxy) recordLostStart(r lostRun) {
+	if r.progressed {
+		return
+	}
+	start := endpointStart(r.endpoint)
+	p.mu.Lock()
+	changes := p.quarantine.RunLost(p.cfg.Clock.Now(), r.identity, start)
 	p.mu.Unlock()
 	for _, c := range changes {
-		p.cfg.Log.Info().Str("id", q.call.ID).Stringer("subject", c.Subject).Str("lost", start).Int("open", c.Evidence.Open()).Msg("suspected")
+		p.cfg.Log.Info().Str("id", r.requestID).Stringer("subject", c.Subject).Str("lost", start).Int("open", c.Evidence.Open()).Msg("suspected")
 	}
 	p.evidenceChanged(changes)
 }
--- a/brquarantine/state.go
+++ b/brquarantine/state.go
@@ -102,18 +102,6 @@
 	return changes
 }
 
-// RunRetracted takes back what RunLost recorded for r and a start of an endpoint: the
-// endpoint wasn't lost. It returns the evidence to publish.
-func (s *State) RunRetracted(now time.Time, r Request, start string) []Change {
-	var changes []Change
-	for _, subject := range r.subjects() {
-		if e := s.evidence(subject); e.lost(start) {
-			changes = s.update(changes, now, subject, e.WithRetracted(start))
-		}
-	}
-	return changes
-}
-
 // RunProgressed records that r has made progress: the endpoint survived its beginning. It
 // returns the evidence to publish.
 func (s *State) RunProgressed(now time.Time, r Request) []Change {
--- a/brtunnel/cause.go
+++ b/brtunnel/cause.go
@@ -63,6 +63,10 @@
 // Unwrap returns the underlying error.
 func (e *DialError) Unwrap() error { return e.Err }
 
+// ErrNoPath is wrapped by an error of Server.Dial if the path of the relay may be to blame
+// rather than the endpoint. The cause is NoPath.
+var ErrNoPath = errors.New("brtunnel: no path to endpoints")
+
 // dialCause returns the cause for an error of connecting to an endpoint.
 func dialCause(err error) Cause {
 	for _, local := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
@@ -72,6 +76,8 @@
 	}
 	var n net.Error
 	switch {
+	case errors.Is(err, ErrNoPath):
+		return NoPath
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return EndpointRefused
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.As(err, &n) && n.Timeout():
