brpath: blame an endpoint only after something was heard from another

TestPartitionBlamesNoEndpoint, connections of seven daemons reset: without the check of the path four requests are in quarantine at all daemons. A daemon whose dial fails now has to hear from an endpoint after the dial began, or within 60 ms, before it blames the endpoint.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -131,12 +131,17 @@
 		}
 		return nil, &SendError{MaybeSent: true, Relayed: x.Relayed, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
 	}
-	if p.OnDirect != nil && !x.Relayed {
-		p.OnDirect(address)
-	}
+	x.heard()
 	return x, nil
 }
 
+// heard calls Pool.OnDirect for a direct connection.
+func (x *Exchange) heard() {
+	if x.pool.OnDirect != nil && !x.Relayed {
+		x.pool.OnDirect(x.conn.address)
+	}
+}
+
 // write writes the request line, header and body of a request.
 func (c *conn) write(r Request) error {
 	fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
@@ -182,6 +187,9 @@
 // framing marks it. An EventReader also recognizes an event stream that was broken off.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
+	if n > 0 {
+		x.heard()
+	}
 	if err == io.EOF {
 		x.complete = true
 	}
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -36,8 +36,8 @@
 	// Matches reports whether a response belongs to the request with the given ID;
 	// nil accepts every response.
 	Matches func(id string, answer *Response) bool
-	// OnDirect is called when the header of a response has arrived over a connection that
-	// doesn't lead through another daemon. It may be nil.
+	// OnDirect is called when the header of a response or a part of its body has arrived
+	// over a connection that doesn't lead through another daemon. It may be nil.
 	OnDirect func(address string)
 
 	background sync.WaitGroup // discards bodies
--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"path/filepath"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,6 +30,32 @@
 	// networks holds the path of each daemon to the endpoints; it may be changed while
 	// the daemon runs.
 	networks []*endpointNetwork
+	logs     []*logCounter // by daemon
+}
+
+// logCounter counts the log entries of a daemon by their message.
+type logCounter struct {
+	mu       sync.Mutex
+	messages map[string]int
+}
+
+// Write counts one log entry.
+func (l *logCounter) Write(b []byte) (int, error) {
+	var entry struct{ Message string }
+	if err := json.Unmarshal(b, &entry); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.messages[entry.Message]++
+	return len(b), nil
+}
+
+// count returns the number of entries with a message.
+func (l *logCounter) count(message string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.messages[message]
 }
 
 func newCluster(t *testing.T, daemons, disks int) *cluster {
@@ -42,6 +69,7 @@
 		}
 		c.dirs = append(c.dirs, dir)
 		c.networks = append(c.networks, &endpointNetwork{})
+		c.logs = append(c.logs, &logCounter{messages: map[string]int{}})
 	}
 	for i := range daemons {
 		c.start(i, true)
@@ -77,7 +105,7 @@
 			err := json.Unmarshal(body, &p)
 			return p, err
 		},
-		Log: zerolog.Nop(),
+		Log: zerolog.New(c.logs[i]),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/brfleet/network_test.go
+++ b/brfleet/network_test.go
@@ -111,8 +111,11 @@
 	n, err := c.Conn.Read(b)
 	for {
 		state, changed := c.network.current(c.address)
-		if state != silentPartition {
+		switch state {
+		case connected, newConnsPartition:
 			return n, err
+		case resetPartition:
+			return 0, syscall.ECONNRESET
 		}
 		select {
 		case <-changed:
--- a/brpath/dialer.go
+++ b/brpath/dialer.go
@@ -27,6 +27,10 @@
 	// minUnreachable is the number of relays that must fail to reach an endpoint before it
 	// counts as unreachable. One may have lost its own path and not know it yet.
 	minUnreachable = 2
+	// verdictWait is the time for which a daemon waits after a failed dial to hear from any
+	// endpoint, which shows that its own path works. Busy daemons hear from streams every
+	// few milliseconds.
+	verdictWait = 60 * time.Millisecond
 )
 
 // ErrNoPath reports that neither a direct dial nor a relay has reached an endpoint, and
@@ -59,6 +63,7 @@
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
 	total  Stats
+	heard  chan struct{} // closed and set to nil by Heard; nil if nobody waits
 }
 
 // Stats holds the totals of a Dialer.
@@ -107,6 +112,37 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.state.Heard(d.Clock.Now(), address)
+	d.wakeHeard()
+}
+
+// wakeHeard wakes the calls of awaitHeard. The caller must hold d.mu.
+func (d *Dialer) wakeHeard() {
+	if d.heard != nil {
+		close(d.heard)
+		d.heard = nil
+	}
+}
+
+// awaitHeard waits up to verdictWait for something to arrive directly from any endpoint
+// after t, and reports whether it has.
+func (d *Dialer) awaitHeard(ctx context.Context, t time.Time) bool {
+	d.mu.Lock()
+	if d.state.HeardSince(t) {
+		d.mu.Unlock()
+		return true
+	}
+	if d.heard == nil {
+		d.heard = make(chan struct{})
+	}
+	heard := d.heard
+	d.mu.Unlock()
+	select {
+	case <-heard:
+		return true
+	case <-d.Clock.After(verdictWait):
+	case <-ctx.Done():
+	}
+	return false
 }
 
 // PrefersDirect reports whether the next connection to the endpoint at address is dialed
@@ -128,19 +164,18 @@
 // this daemon's own path may be to blame.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	d.mu.Lock()
-	lost := d.state.Lost(address)
+	lost := d.state.Lost(address) || d.state.Partitioned()
 	d.mu.Unlock()
 	if lost {
 		return nil, ErrNoPath
 	}
+	began := d.Clock.Now()
 	c, err := d.Direct(ctx, address)
 	if err == nil {
 		d.directConnected(address)
 		return c, nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.state.Partitioned() || d.Clock.Now().Sub(d.state.heardAt) > verdictWindow {
+	if !d.awaitHeard(ctx, began) {
 		return nil, fmt.Errorf("%w: %w", ErrNoPath, err)
 	}
 	return nil, err
@@ -283,6 +318,7 @@
 // endpoint. The error wraps ErrUnreachable if those that could relay didn't reach it, and
 // ErrNoPath if they were too few to tell.
 func (d *Dialer) dialRelays(ctx context.Context, address string) (net.Conn, error) {
+	began := d.Clock.Now()
 	var tried []string
 	unreachable := 0
 	err := errors.New("no daemon can relay")
@@ -312,7 +348,7 @@
 	case unreachable == minUnreachable, unreachable > 0 && unreachable == len(tried):
 		d.state.EndpointUnreachable(address)
 		return nil, err
-	case d.state.Blames(d.Clock.Now(), address):
+	case !d.state.Partitioned() && d.state.HeardSince(began), d.state.OnlyFailure(d.Clock.Now(), address):
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
 	return nil, fmt.Errorf("%w: %w", ErrNoPath, err)
@@ -353,6 +389,7 @@
 func (d *Dialer) directConnected(address string) {
 	d.mu.Lock()
 	change := d.state.DirectConnected(d.Clock.Now(), address)
+	d.wakeHeard()
 	d.mu.Unlock()
 	d.changed(change, address)
 }
--- a/brpath/state.go
+++ b/brpath/state.go
@@ -15,10 +15,9 @@
 	maxTrialInterval = time.Second
 	// relayPause is the time for which a relay isn't used that couldn't relay.
 	relayPause = time.Second
-	// verdictWindow is the time since something arrived directly from an endpoint within
-	// which this daemon's path counts as working, so that a dial that fails is the fault of
-	// its endpoint.
-	verdictWindow = 200 * time.Millisecond
+	// recentFailure is the time for which a failed direct dial speaks against the path
+	// rather than against the next endpoint that can't be reached.
+	recentFailure = time.Second
 	// remoteCost is the number of tunnels by which a relay in another failure domain must
 	// be less used to be preferred: it adds two crossings between failure domains.
 	remoteCost = 4
@@ -140,18 +139,18 @@
 	return ok && at.After(s.lostSince)
 }
 
-// Blames reports whether a direct dial of the endpoint at address that has just failed is
-// the fault of the endpoint, as far as this daemon can tell: it has just heard from an
-// endpoint, or no other one has failed within the last second.
-func (s *State) Blames(now time.Time, address string) bool {
+// HeardSince reports whether something has arrived directly from any endpoint after t. If
+// a direct dial that began at t has failed, its endpoint is to blame then.
+func (s *State) HeardSince(t time.Time) bool { return s.heardAt.After(t) }
+
+// OnlyFailure reports whether no other endpoint than that at address has failed a direct
+// dial lately.
+func (s *State) OnlyFailure(now time.Time, address string) bool {
 	if s.partitioned {
 		return false
 	}
-	if now.Sub(s.heardAt) <= verdictWindow {
-		return true
-	}
 	for a, p := range s.endpoints {
-		if a != address && now.Sub(p.triedAt) <= time.Second {
+		if a != address && now.Sub(p.triedAt) <= recentFailure {
 			return false
 		}
 	}
