--- a/brconn/socket.go
+++ b/brconn/socket.go
@@ -15,17 +15,20 @@
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var setErr error
-			err := raw.Control(func(fd uintptr) {
-				setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-			})
-			return errors.Join(err, setErr)
-		},
+		Control:   func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw) },
 	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// SetUserTimeout sets userTimeout on a TCP socket.
+func SetUserTimeout(raw syscall.RawConn) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
 // reusable reports whether an idle connection is open and has no data to read. It
 // returns true for connections that don't implement syscall.Conn.
 func reusable(c net.Conn) bool {
--- a/brtunnel/server.go
+++ b/brtunnel/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -169,13 +168,7 @@
 	t.active.Store(true)
 	// The reader of the HTTP server may hold bytes that the client sent early.
 	first, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
-	if !s.add(t) {
-		t.close()
-		s.release(t)
-		return
-	}
-	_, err = fmt.Fprintf(client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", protocol)
-	if err != nil {
+	if !s.add(t) || t.switchProtocol() != nil {
 		t.close()
 		s.release(t)
 		return
--- a/brtunnel/stats.go
+++ b/brtunnel/stats.go
@@ -8,7 +8,7 @@
 	Opened  uint64           // tunnels opened
 	Refused map[Cause]uint64 // requests refused
 
-	ToEndpoint, ToClient uint64 // bytes passed on
+	ToEndpoint, ToClient uint64 // bytes received for them
 }
 
 // Stats returns the current numbers.
--- a/brtunnel/tunnel.go
+++ b/brtunnel/tunnel.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -9,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bramleyroute/brconn"
 )
 
 const (
@@ -35,6 +38,22 @@
 	upErr  error         // error of writing to the endpoint; read after upDone
 }
 
+// switchProtocol answers the request for t. A client that is gone is noticed by its
+// unacknowledged bytes, since a tunnel whose endpoint sends is never idle.
+func (t *tunnel) switchProtocol() error {
+	if c, ok := t.client.(syscall.Conn); ok {
+		raw, err := c.SyscallConn()
+		if err != nil {
+			return err
+		}
+		if err := brconn.SetUserTimeout(raw); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(t.client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", protocol)
+	return err
+}
+
 // close ends t at once.
 func (t *tunnel) close() {
 	t.endpoint.Close()
@@ -77,10 +96,9 @@
 // endpoint has sent and then sees the end of the connection.
 func (t *tunnel) writeUp(b []byte) bool {
 	t.active.Store(true)
-	n, err := t.endpoint.Write(b)
-	t.server.toEndpoint.Add(uint64(n))
-	t.upErr = err
-	return err == nil
+	t.server.toEndpoint.Add(uint64(len(b)))
+	_, t.upErr = t.endpoint.Write(b)
+	return t.upErr == nil
 }
 
 // copyDown copies the bytes of the endpoint to the client in frames, sends the end
@@ -106,9 +124,9 @@
 // writeDown writes a frame with the n bytes after the space for the header in buffer.
 func (t *tunnel) writeDown(buffer *[bufferBytes]byte, n int) bool {
 	t.active.Store(true)
+	t.server.toClient.Add(uint64(n))
 	putHeader(buffer[:], kindData, n)
 	_, err := t.client.Write(buffer[:headerBytes+n])
-	t.server.toClient.Add(uint64(n))
 	return err == nil
 }
 
