brtunnel: keep tunnels of slow clients, correct cause of a dial ended by Close

The relay set TCP_USER_TIMEOUT of 2 s on the client's connection. The kernel applies it to a closed receive window too, so that a client that didn't read for some 3 s lost its tunnel: TestSlowClient fails with 2 s and passes with the idle timeout, which is now used.

A dial that Close cancels was reported as endpoint-unreachable, which says something about the endpoint; now it is leaving.

The tests are extended where a changed copy of the code still passed: without reading on after the end frame, without interrupting a write to an endpoint that doesn't read or to a client that doesn't read, and without ending a dial in Close. Each of these changes now fails a test.

--- a/brconn/socket.go
+++ b/brconn/socket.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, whose unit is
@@ -15,16 +16,18 @@
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAlive: -1,
-		Control:   func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw) },
+		Control:   func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw, userTimeout) },
 	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// SetUserTimeout sets userTimeout on a TCP socket.
-func SetUserTimeout(raw syscall.RawConn) error {
+// SetUserTimeout limits the time that data written to a TCP socket may stay
+// unacknowledged. It also limits the time that the other end may leave its receive window
+// closed.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
-		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
 	})
 	return errors.Join(err, setErr)
 }
--- a/brtunnel/end_test.go
+++ b/brtunnel/end_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -69,7 +71,7 @@
 }
 
 // TestEarlyResponse guards against losing a response, or its proper end, to an endpoint
-// that doesn't read the whole request.
+// that reads only a part of the request.
 func TestEarlyResponse(t *testing.T) {
 	const response = "HTTP/1.1 413 Content Too Large\r\n\r\n"
 	address := startEndpoint(t, func(c *net.TCPConn) {
@@ -89,6 +91,45 @@
 	}
 }
 
+// stuckConn is a connection to an endpoint that doesn't read. Once a write waits for it,
+// it closes its side of the connection.
+type stuckConn struct {
+	net.Conn
+	writing, interrupted chan struct{}
+}
+
+func (c *stuckConn) Write([]byte) (int, error) {
+	close(c.writing)
+	<-c.interrupted
+	return 0, os.ErrDeadlineExceeded
+}
+
+func (c *stuckConn) Read([]byte) (int, error) {
+	<-c.writing
+	return 0, io.EOF
+}
+
+func (c *stuckConn) SetWriteDeadline(time.Time) error {
+	close(c.interrupted)
+	return nil
+}
+
+// TestEndDuringWrite guards against an end that is held back by a write to an endpoint
+// that doesn't read.
+func TestEndDuringWrite(t *testing.T) {
+	pipe, _ := net.Pipe()
+	stuck := &stuckConn{pipe, make(chan struct{}), make(chan struct{})}
+	s := &Server{Allow: everyAddress, Dial: func(context.Context, string) (net.Conn, error) { return stuck, nil }}
+	c := dial(t, startRelay(t, s), "endpoint:1")
+	if _, err := io.WriteString(c, "request"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("error %v, want io.EOF", err)
+		stuck.SetWriteDeadline(past)
+	}
+}
+
 // stoppedClock is a clock whose time is set and whose timers never fire.
 type stoppedClock struct{ *brclock.Manual }
 
@@ -138,18 +179,28 @@
 	}
 }
 
-// TestIdleTimer guards against checks that don't run, also while the client doesn't
-// read what the endpoint sends.
+// TestIdleTimer guards against checks that don't run.
 func TestIdleTimer(t *testing.T) {
 	s := &Server{Allow: everyAddress, IdleTimeout: 35 * time.Millisecond}
-	relay := startRelay(t, s)
-	if _, err := dial(t, relay, startEndpoint(t, echo)).Read(make([]byte, 1)); !errors.Is(err, ErrSilent) {
+	c := dial(t, startRelay(t, s), startEndpoint(t, echo))
+	if _, err := c.Read(make([]byte, 1)); !errors.Is(err, ErrSilent) {
 		t.Errorf("error %v, want ErrSilent", err)
 	}
-	dial(t, relay, startEndpoint(t, func(c *net.TCPConn) { brtest.WriteForever(c, "data: x\n\n") }))
-	brtest.Await(t, bound, "tunnel of a client that doesn't read ends", func() bool {
-		stats := s.Stats()
-		return stats.Opened == 2 && stats.Open == 0
+}
+
+// TestIdleClient guards against a tunnel that is kept because its client doesn't read
+// what the endpoint sends.
+func TestIdleClient(t *testing.T) {
+	clock := stoppedClock{brclock.NewManual(time.Unix(100, 0))}
+	s := &Server{Allow: everyAddress, Clock: clock}
+	relay := startRelay(t, s)
+	dial(t, relay, startEndpoint(t, func(c *net.TCPConn) { brtest.WriteForever(c, strings.Repeat("x", 1000)) }))
+	since := map[*tunnel]time.Time{}
+	// The tunnel stays active until the socket buffers are full.
+	brtest.Await(t, bound, "tunnel ends", func() bool {
+		clock.Advance(defaultIdleTimeout)
+		since = s.checkIdle(since, defaultIdleTimeout)
+		return s.Stats().Open == 0
 	})
 }
 
@@ -189,7 +240,9 @@
 	s := &Server{Allow: everyAddress}
 	c := dial(t, startRelay(t, s), startEndpoint(t, echo))
 	relay := onlyTunnel(s)
-	for _, n := range []net.Conn{c.Conn, relay.client, relay.endpoint} {
+	for n, want := range map[net.Conn]time.Duration{
+		c.Conn: 2 * time.Second, relay.endpoint: 2 * time.Second, relay.client: defaultIdleTimeout,
+	} {
 		raw, err := n.(syscall.Conn).SyscallConn()
 		if err != nil {
 			t.Fatal(err)
@@ -197,8 +250,8 @@
 		err = raw.Control(func(fd uintptr) {
 			const tcpUserTimeout = 18
 			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
-			if err != nil || got != 2000 {
-				t.Errorf("TCP_USER_TIMEOUT is %d ms, error %v, want 2000 ms", got, err)
+			if err != nil || int64(got) != want.Milliseconds() {
+				t.Errorf("TCP_USER_TIMEOUT is %d ms, error %v, want %v", got, err, want)
 			}
 		})
 		if err != nil {
@@ -206,3 +259,37 @@
 		}
 	}
 }
+
+// TestSlowClient guards against a relay that ends the connection of a client that
+// doesn't read for longer than the TCP_USER_TIMEOUT of connections to endpoints: the
+// kernel applies that to a closed receive window too.
+func TestSlowClient(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes 5 s")
+	}
+	const size = 32 << 20 // more than all socket buffers
+	address := startEndpoint(t, func(c *net.TCPConn) { _, _ = c.Write(make([]byte, size)) })
+	c := dial(t, startRelay(t, &Server{Allow: everyAddress}), address)
+	if err := c.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	<-time.After(5 * time.Second) // the kernel checks the timeout 3 s after the window closes
+	if n, err := io.Copy(io.Discard, c); n != size || err != nil {
+		t.Errorf("read %d bytes, error %v, want %d bytes", n, err, size)
+	}
+}
+
+// TestWriteAfterEnd guards against a relay that resets the connection of a client that
+// is still writing, which may discard the end frame.
+func TestWriteAfterEnd(t *testing.T) {
+	c := dial(t, startRelay(t, &Server{Allow: everyAddress}), startEndpoint(t, func(*net.TCPConn) {}))
+	brtest.Await(t, bound, "end frame arrives", func() bool { return !reusable(c) })
+	for range 10 {
+		if _, err := c.Write(make([]byte, 1000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+		t.Errorf("error %v, want io.EOF", err)
+	}
+}
--- a/brtunnel/fuzz_test.go
+++ b/brtunnel/fuzz_test.go
@@ -64,8 +64,11 @@
 		if diff := cmp.Diff(wantContent, content); diff != "" {
 			t.Errorf("content (-want +got):\n%s", diff)
 		}
-		want := endError(wantEnd)
-		if wantEnd == endClosed && err != io.EOF || !errors.Is(err, want) && !errors.Is(err, ErrRelayLost) {
+		want, known := map[end]error{endClosed: io.EOF, endReset: ErrReset, endSilent: ErrSilent}[wantEnd]
+		if !known {
+			want = ErrRelayLost
+		}
+		if !errors.Is(err, want) || known && err != want {
 			t.Errorf("error %v, want %v", err, want)
 		}
 		if byEndpoint := wantEnd == endClosed || wantEnd == endReset; brevent.EndedByPeer(err) != byEndpoint {
--- a/brtunnel/idle.go
+++ b/brtunnel/idle.go
@@ -9,9 +9,11 @@
 // up to one interval longer than set.
 const idleChecks = 35
 
+func (s *Server) idleTimeout() time.Duration { return cmp.Or(s.IdleTimeout, defaultIdleTimeout) }
+
 // runIdle periodically ends the tunnels whose idle timeout has passed.
 func (s *Server) runIdle() {
-	timeout := cmp.Or(s.IdleTimeout, defaultIdleTimeout)
+	timeout := s.idleTimeout()
 	since := map[*tunnel]time.Time{} // when a tunnel was last seen active
 	for {
 		select {
--- a/brtunnel/server.go
+++ b/brtunnel/server.go
@@ -86,7 +86,11 @@
 	endpoint, err := s.dial(r.Context(), address)
 	if err != nil {
 		s.release(nil)
-		s.refuse(w, dialCause(err), http.StatusBadGateway)
+		cause := dialCause(err)
+		if s.closeCtx.Err() != nil {
+			cause = Leaving // Close may have canceled the dial
+		}
+		s.refuse(w, cause, http.StatusBadGateway)
 		return
 	}
 	s.open(w, endpoint)
--- a/brtunnel/server_test.go
+++ b/brtunnel/server_test.go
@@ -1,7 +1,9 @@
 package brtunnel
 
 import (
+	"bufio"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -107,20 +109,29 @@
 }
 
 // TestCloseDuringDial guards against Close that waits for the timeout of a dial or
-// leaves one behind.
+// leaves one behind, and that makes the endpoint look unreachable.
 func TestCloseDuringDial(t *testing.T) {
 	dialing := make(chan struct{})
 	s := &Server{Allow: func(string) bool { close(dialing); return true }, DialTimeout: time.Hour, Dial: blockDial}
-	relay := startRelay(t, s)
-	done := make(chan error, 1)
+	c, err := net.Dial("tcp", startRelay(t, s))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprintf(c, "GET %s?address=endpoint:1 HTTP/1.1\r\nHost: h\r\nUpgrade: %s\r\n\r\n", Path, protocol)
+	await(t, dialing, "dial of the server")
+	closed := make(chan struct{})
 	go func() {
-		_, err := (&Dialer{}).Dial(t.Context(), relay, "endpoint:1")
-		done <- err
+		s.Close()
+		close(closed)
 	}()
-	await(t, dialing, "dial of the server")
-	s.Close()
-	if err := await(t, done, "end of Dial"); err == nil {
-		t.Error("no error after Close of the server")
+	await(t, closed, "end of Close")
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := Cause(response.Header.Get(causeHeader)); got != Leaving {
+		t.Errorf("cause %q after Close of the server, want %q", got, Leaving)
 	}
 }
 
--- a/brtunnel/tunnel.go
+++ b/brtunnel/tunnel.go
@@ -39,14 +39,16 @@
 }
 
 // switchProtocol answers the request for t. A client that is gone is noticed by its
-// unacknowledged bytes, since a tunnel whose endpoint sends is never idle.
+// unacknowledged bytes, since a tunnel whose endpoint sends isn't idle. The timeout isn't
+// shorter than that of an idle tunnel, because it also ends the connection of a client
+// that is only slow to read.
 func (t *tunnel) switchProtocol() error {
 	if c, ok := t.client.(syscall.Conn); ok {
 		raw, err := c.SyscallConn()
 		if err != nil {
 			return err
 		}
-		if err := brconn.SetUserTimeout(raw); err != nil {
+		if err := brconn.SetUserTimeout(raw, t.server.idleTimeout()); err != nil {
 			return err
 		}
 	}
