--- a/brconn/socket.go
+++ b/brconn/socket.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 )
 
 // tcpUserTimeout is the Linux socket option TCP_USER_TIMEOUT, whose unit is
@@ -15,17 +16,22 @@
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{
 		KeepAlive: -1,
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var setErr error
-			err := raw.Control(func(fd uintptr) {
-				setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
-			})
-			return errors.Join(err, setErr)
-		},
+		Control:   func(_, _ string, raw syscall.RawConn) error { return SetUserTimeout(raw, userTimeout) },
 	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// SetUserTimeout limits the time that data written to a TCP socket may stay
+// unacknowledged. It also limits the time that the other end may leave its receive window
+// closed.
+func SetUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
+	var setErr error
+	err := raw.Control(func(fd uintptr) {
+		setErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(timeout.Milliseconds()))
+	})
+	return errors.Join(err, setErr)
+}
+
 // reusable reports whether an idle connection is open and has no data to read. It
 // returns true for connections that don't implement syscall.Conn.
 func reusable(c net.Conn) bool {
--- a/brtunnel/server.go
+++ b/brtunnel/server.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -87,7 +86,11 @@
 	endpoint, err := s.dial(r.Context(), address)
 	if err != nil {
 		s.release(nil)
-		s.refuse(w, dialCause(err), http.StatusBadGateway)
+		cause := dialCause(err)
+		if s.closeCtx.Err() != nil {
+			cause = Leaving // Close may have canceled the dial
+		}
+		s.refuse(w, cause, http.StatusBadGateway)
 		return
 	}
 	s.open(w, endpoint)
@@ -169,13 +172,7 @@
 	t.active.Store(true)
 	// The reader of the HTTP server may hold bytes that the client sent early.
 	first, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
-	if !s.add(t) {
-		t.close()
-		s.release(t)
-		return
-	}
-	_, err = fmt.Fprintf(client, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", protocol)
-	if err != nil {
+	if !s.add(t) || t.switchProtocol() != nil {
 		t.close()
 		s.release(t)
 		return
