brfleet: publish pauses while connections are relayed

An endpoint that answers 503 with Retry-After wants no requests over the connections of the daemon that it has told. It can't see that some of these requests come from other daemons.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -114,7 +114,7 @@
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
-		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
+		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	f.paths.dialer.Keep, f.paths.dialer.OnChange = f.pool.Put, f.onPathChange
@@ -284,6 +284,8 @@
 		f.applyEvidenceRecord(r)
 	case kindPath:
 		f.applyPathRecord(r)
+	case kindPause:
+		f.applyPauseRecord(r)
 	}
 }
 
--- a/brfleet/limit.go
+++ b/brfleet/limit.go
@@ -19,13 +19,13 @@
 	if r, ok := f.node.Get(key); ok && r.Version.Epoch == l.Born {
 		version = r.Version
 	}
-	version.Seq = f.nextLimitSeq(version.Seq)
+	version.Seq = f.nextWriterSeq(version.Seq)
 	f.node.Publish(brgossip.Record{Key: key, Version: version, Value: encode(l.Limit), Lifetime: brlimit.Lifetime})
 }
 
-// nextLimitSeq returns a sequence number after seq. Its last 16 bits are a hash of this
-// daemon, so that of two limits that two daemons publish at once one is newer everywhere.
-func (f *Fleet) nextLimitSeq(seq uint64) uint64 {
+// nextWriterSeq returns a sequence number after seq. Its last 16 bits are a hash of this
+// daemon, so that of two records that two daemons publish at once one is newer everywhere.
+func (f *Fleet) nextWriterSeq(seq uint64) uint64 {
 	const writerBits = 16
 	return (seq>>writerBits+1)<<writerBits | xxhash.Sum64String(f.cfg.ID)>>(64-writerBits)
 }
--- a/brfleet/partition_test.go
+++ b/brfleet/partition_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -330,3 +331,48 @@
 		t.Error("no connection was relayed")
 	}
 }
+
+// TestPauseHoldsForRelayedRequests guards against requests that reach an endpoint over the
+// connections of a daemon which it has asked for a pause, because another daemon sends
+// them through that one.
+func TestPauseHoldsForRelayedRequests(t *testing.T) {
+	const pause = 2 * time.Second
+	c := newCluster(t, 3, 3)
+	c.put(0, 1)
+	c.awaitInForce(1)
+	var arrived atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		arrived.Add(1)
+		w.Header().Set("Retry-After", strconv.FormatFloat(pause.Seconds(), 'f', -1, 64))
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(server.Close)
+	if err := c.fleets[0].Announce(Announcement{
+		Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: server.Listener.Addr().String(), Slots: 7}, Born: 1, Sequence: 1,
+	}); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range c.fleets {
+		c.await("endpoint is known", func() bool { return f.endpoints.count() == 1 })
+	}
+	for _, n := range c.networks[1:] {
+		n.set(resetPartition, nil)
+	}
+	c.await("the request is relayed", func() bool {
+		sendParts(t, c.fleets[1])
+		return arrived.Load() > 0
+	})
+	// The daemon that relays learns of the pause within the time of a report.
+	c.await("the pause is known where it was asked for", func() bool {
+		_, ok := c.fleets[0].node.Get(kindPause + "/e")
+		return ok
+	})
+	before := arrived.Load()
+	for range 10 {
+		sendParts(t, c.fleets[0])
+		sendParts(t, c.fleets[1])
+	}
+	if n := arrived.Load() - before; n > 0 {
+		t.Errorf("%d requests arrive in the pause, want none", n)
+	}
+}
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -36,6 +36,9 @@
 	case pause > 0:
 		p.cfg.Log.Info().Str("id", q.call.ID).Str("endpoint", e.ID).Dur("pause_ms", pause).Msg("endpoint asked for a pause")
 		p.ApplyEvent(brplace.EndpointPaused{ID: e.ID, Duration: pause})
+		if p.cfg.OnPause != nil {
+			p.cfg.OnPause(e, pause, a.relayed)
+		}
 	}
 }
 
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -47,6 +47,10 @@
 	// OnLimit is called with the limit that a response states, if it is to be published
 	// to the other daemons. It may be nil.
 	OnLimit func(brplace.LimitLearned)
+	// OnPause is called when an endpoint asks for a pause, with the endpoint as it was at the
+	// dispatch. Relayed says that it asked another daemon, over whose connection the request
+	// went. It may be nil.
+	OnPause func(e brplace.Endpoint, pause time.Duration, relayed bool)
 	// OnEvidence is called with new evidence on parts of prompts, to be published to the
 	// other daemons. It must not block. It may be nil.
 	OnEvidence func([]brquarantine.Change)
