brconn, brproxy: log why a response was broken off

A deadline, a stall, a quarantine and a caller that left all read "use of closed network connection" in the log, since a read on a connection that its context has closed returned that error. It returns the cause of the context now, as Send did before. Entries on ended requests also state the time that was left until the deadline.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -90,9 +90,10 @@
 	pool        *Pool
 	conn        *conn
 	response    *http.Response
-	writeResult chan error  // receives the result of writing the request
-	stopCancel  func() bool // stops closing the connection when the context ends
-	complete    bool        // the response body was read to its end
+	writeResult chan error   // receives the result of writing the request
+	stopCancel  func() bool  // stops closing the connection when the context ends
+	cause       func() error // returns the cause with which the context ended, or nil
+	complete    bool         // the response body was read to its end
 	closed      atomic.Bool
 }
 
@@ -104,7 +105,7 @@
 	if err != nil {
 		return nil, &SendError{Err: fmt.Errorf("brconn: connect to %s: %w", address, err)}
 	}
-	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1)}
+	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1), cause: func() error { return context.Cause(ctx) }}
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
 	if len(r.Body) <= bufferBytes {
 		x.writeResult <- c.write(r)
@@ -114,7 +115,7 @@
 	}
 	if err := x.readHead(r); err != nil {
 		x.Close()
-		if cause := context.Cause(ctx); cause != nil {
+		if cause := x.cause(); cause != nil {
 			err = cause
 		}
 		return nil, &SendError{MaybeSent: true, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
@@ -165,10 +166,19 @@
 
 // Read reads the response body. It returns io.EOF only at the end of the body as its
 // framing marks it. An EventReader also recognizes an event stream that was broken off.
+// After the end of the context of Send, it returns the cause of that end in place of the
+// error of the closed connection.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
+	if err == nil {
+		return n, nil
+	}
 	if err == io.EOF {
 		x.complete = true
+		return n, io.EOF
+	}
+	if cause := x.cause(); cause != nil {
+		err = fmt.Errorf("brconn: response body: %w", cause)
 	}
 	return n, err
 }
--- a/brproxy/end.go
+++ b/brproxy/end.go
@@ -86,7 +86,7 @@
 		e = e.Strs("parts", q.call.PromptParts)
 	}
 	if !q.deadline.IsZero() {
-		e = e.Int64("deadline_ms", q.deadline.Sub(q.arrived).Milliseconds())
+		e = e.Int64("deadline_ms", q.deadline.Sub(q.arrived).Milliseconds()).Int64("left_ms", q.deadline.Sub(p.cfg.Clock.Now()).Milliseconds())
 	}
 	if status != 0 {
 		e = e.Int("status", status)
--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -1,6 +1,7 @@
 package brproxy
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -68,6 +69,38 @@
 	proxy     *Proxy
 	front     *httptest.Server
 	endpoints []*fakeEndpoint
+	log       *logRecorder
+}
+
+// logRecorder records log lines.
+type logRecorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logRecorder) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(b))
+	return len(b), nil
+}
+
+// entries returns the lines with the given message.
+func (l *logRecorder) entries(t *testing.T, message string) []map[string]any {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []map[string]any
+	for _, line := range l.lines {
+		var entry map[string]any
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry["message"] == message {
+			found = append(found, entry)
+		}
+	}
+	return found
 }
 
 func testPolicy() brpolicy.Policy {
@@ -93,8 +126,8 @@
 
 func newSystem(t *testing.T, handlers ...http.HandlerFunc) *testSystem {
 	t.Helper()
-	s := &testSystem{}
-	s.proxy = New(Config{Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.Nop()})
+	s := &testSystem{log: &logRecorder{}}
+	s.proxy = New(Config{Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.New(s.log)})
 	s.proxy.SetPolicy(brpolicy.Compile(testPolicy()))
 	for i, handler := range handlers {
 		e := &fakeEndpoint{handler: handler}
--- a/brproxy/run_test.go
+++ b/brproxy/run_test.go
@@ -32,15 +32,7 @@
 				status, _, _ := s.do(t, "POST", path, map[string]string{"Deadline": "2500"})
 				ended <- status
 			}
-			running := func() map[string]int {
-				s.proxy.mu.Lock()
-				defer s.proxy.mu.Unlock()
-				ids := map[string]int{}
-				for _, r := range s.proxy.runs {
-					ids[r.requestID]++
-				}
-				return ids
-			}
+			running := func() map[string]int { return runningIDs(s) }
 			go send(test.path)
 			brtest.Await(t, 5*time.Second, "request is at an endpoint", func() bool { return s.arrivals() == 1 && len(running()) == 1 })
 			var fatal string
