--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -49,6 +49,8 @@
 	mu      sync.Mutex
 	headers []http.Header
 	handler http.HandlerFunc
+	server  *httptest.Server
+	address string
 }
 
 func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -133,9 +135,10 @@
 		e := &fakeEndpoint{handler: handler}
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
+		e.server, e.address = server, server.Listener.Addr().String()
 		s.endpoints = append(s.endpoints, e)
 		s.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: brplace.Endpoint{
-			ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Address: server.Listener.Addr().String(), Slots: 4,
+			ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Address: e.address, Slots: 4,
 		}})
 	}
 	s.front = httptest.NewUnstartedServer(s.proxy)
