brplace: count the time in the queue from the latest Submit

Callers saw streams broken off in the moment in which their endpoint was given up, long before their deadlines, with the reason "waited".

A stream that is resumed, or a request that is retried, is submitted again. Its time in the queue was counted from its arrival, so that one whose first dispatch had taken longer than MaxQueueTime was rejected at the next tick, or at once as paused or limited. The placement counts from Submit now, and brproxy derives MaxQueueTime from the time that is left until the caller disconnects. A response that has begun may wait for all of it, since a rejection would only break it off.

A request that was sent before doesn't wait for a faster endpoint. Before, that followed from its age in most cases.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -170,9 +170,10 @@
 
 // waitsForFaster reports whether r should not start at an endpoint that is too slow
 // for it, since some usable endpoint is fast enough and r has waited for at most
-// fastWaitFraction of its MaxQueueTime.
+// fastWaitFraction of its MaxQueueTime. A request that was sent before has no time for
+// that.
 func (s *State) waitsForFaster(v *service, r *Request) bool {
-	if !r.Stream || s.now.Sub(r.Arrived) > time.Duration(fastWaitFraction*float64(r.MaxQueueTime)) {
+	if !r.Stream || len(r.ExcludedEndpoints) > 0 || s.now.Sub(r.queuedAt) > time.Duration(fastWaitFraction*float64(r.MaxQueueTime)) {
 		return false
 	}
 	for _, e := range v.endpoints {
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -43,13 +43,13 @@
 	Stream            bool
 	PromptTokens      int           // prompt length in tokens
 	ExpectedEvents    float64       // expected number of events of a streamed response
-	Arrived           time.Time     // arrival at this daemon
 	FirstByteDue      time.Time     // time by which the first response byte is due
 	Deadline          time.Time     // time until which the caller waits
-	MaxQueueTime      time.Duration // maximum time between arrival and dispatch
+	MaxQueueTime      time.Duration // maximum time between Submit and dispatch
 	ExcludedEndpoints []string      // IDs of endpoints to exclude
 
-	short bool // see service.isShort; set by State
+	short    bool      // see service.isShort; set by State
+	queuedAt time.Time // time of Submit; set by State
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, LimitObserved,
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -114,7 +114,7 @@
 // endpoint either stays paused for longer than r may wait, or has a limit, and this
 // daemon's shares of the limits don't reach for r and the requests ahead of it.
 func (s *State) unservable(v *service, r *Request, ahead int) (Reason, time.Duration) {
-	remaining := r.MaxQueueTime - s.now.Sub(r.Arrived)
+	remaining := r.MaxQueueTime - s.now.Sub(r.queuedAt)
 	var pause time.Duration // until the first endpoint is no longer paused
 	var rate, tokens float64
 	limited := false
--- a/brplace/limit_test.go
+++ b/brplace/limit_test.go
@@ -80,7 +80,7 @@
 	r.byRank[rank].requests++
 	r.arrived[d][id] = r.now
 	r.step(d, Submit{Request{
-		ID: id, Service: "s", Rank: rank, Arrived: at, FirstByteDue: at.Add(600 * time.Millisecond),
+		ID: id, Service: "s", Rank: rank, FirstByteDue: at.Add(600 * time.Millisecond),
 		Deadline: at.Add(6 * time.Second), MaxQueueTime: limitWait,
 	}})
 }
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -30,7 +30,7 @@
 func (s *State) submit(r Request) {
 	v := s.service(r.Service)
 	v.urgentRank = min(v.urgentRank, r.Rank)
-	r.short = v.isShort(&r)
+	r.short, r.queuedAt = v.isShort(&r), s.now
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
 			s.reject(&r, NoEndpoint, s.retryDelay())
@@ -138,7 +138,7 @@
 		v.startInterval, v.lastStart = 0, time.Time{}
 	}
 	v.queue = slices.DeleteFunc(v.queue, func(r *Request) bool {
-		if s.now.Sub(r.Arrived) < r.MaxQueueTime {
+		if s.now.Sub(r.queuedAt) < r.MaxQueueTime {
 			return false
 		}
 		s.reject(r, QueueTimeout, s.retryDelay())
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -180,7 +180,7 @@
 		}
 		r.step(q.daemon, Submit{Request{
 			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: prompt, ExpectedEvents: expected,
-			Arrived: at, FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
+			FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
 	})
--- a/brplace/state_test.go
+++ b/brplace/state_test.go
@@ -35,7 +35,7 @@
 func request(id uint64, rank, ms int) Request {
 	return Request{
 		ID: id, Service: "s", Rank: rank, Stream: true, PromptTokens: 400, ExpectedEvents: 10,
-		Arrived: at(ms), FirstByteDue: at(ms + 300), Deadline: at(ms + 15000), MaxQueueTime: 1200 * time.Millisecond,
+		FirstByteDue: at(ms + 300), Deadline: at(ms + 15000), MaxQueueTime: 1200 * time.Millisecond,
 	}
 }
 
@@ -121,7 +121,7 @@
 	s := newState()
 	checkEffects(t, "no endpoint yet", s.Step(at(0), Submit{request(1, 1, 0)}))
 	checkEffects(t, "announced", s.Step(at(100), EndpointChanged{Endpoint{ID: "a", Service: "s", Slots: 2}}), "dispatch 1 a")
-	checkEffects(t, "no endpoint of another service", s.Step(at(100), Submit{Request{ID: 2, Service: "t", Arrived: at(100), MaxQueueTime: time.Second}}))
+	checkEffects(t, "no endpoint of another service", s.Step(at(100), Submit{Request{ID: 2, Service: "t", MaxQueueTime: time.Second}}))
 	checkEffects(t, "maximum wait exceeded", s.Step(at(700), Tick{}), "reject 2 waited")
 }
 
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -122,6 +122,7 @@
 			if _, werr := q.out.Write(b); werr != nil {
 				return p.callerDisconnected(q, werr)
 			}
+			q.relayedAt = p.cfg.Clock.Now()
 		}
 		if err == io.EOF {
 			if !q.headSent {
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -25,7 +25,8 @@
 	// of them were killed.
 	maxPolicyWait = 1500 * time.Millisecond
 	// queueTimeFraction is the fraction of the time until the caller disconnects
-	// that a request may wait for its dispatch, so that the response begins in time.
+	// that a request may wait for its dispatch, so that the response begins in time. A
+	// response that has begun may wait for all of it: a rejection would only break it off.
 	queueTimeFraction = 0.6
 )
 
@@ -43,11 +44,12 @@
 	in       *http.Request
 	out      http.ResponseWriter
 
-	sends       int      // number of dispatches that may have reached an endpoint
-	tried       []string // IDs of the endpoints of all dispatches
-	mayHaveRun  bool     // an endpoint may have run the request
-	headSent    bool     // the response header was relayed
-	lastEventID string   // ID of the last relayed event
+	sends       int       // number of dispatches that may have reached an endpoint
+	tried       []string  // IDs of the endpoints of all dispatches
+	mayHaveRun  bool      // an endpoint may have run the request
+	headSent    bool      // the response header was relayed
+	lastEventID string    // ID of the last relayed event
+	relayedAt   time.Time // time at which the caller was last sent something; its arrival before that
 
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
@@ -62,6 +64,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.stats.Requests.Add(1)
 	q := &request{in: r, out: w, arrived: p.cfg.Clock.Now()}
+	q.relayedAt = q.arrived
 	if !markBusy(r) || !p.drain.begin(w) {
 		w.Header().Set("Connection", "close")
 		p.refuse(q, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
@@ -305,19 +308,27 @@
 	r := brplace.Request{
 		ID: id, Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
 		PromptTokens: q.call.PromptTokens, ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
-		Arrived: q.arrived, FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
+		FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
 	}
-	remaining := q.deadline.Sub(q.arrived)
-	if q.route.CallerTimeout > 0 {
-		remaining = min(remaining, q.route.CallerTimeout)
+	r.MaxQueueTime = q.callerWait(p.cfg.Clock.Now())
+	if !q.headSent {
+		r.MaxQueueTime = time.Duration(queueTimeFraction * float64(r.MaxQueueTime))
 	}
-	r.MaxQueueTime = time.Duration(queueTimeFraction * float64(remaining))
 	if p.cfg.SelectVersion != nil {
 		r.Version, r.ExcludedVersion = p.cfg.SelectVersion(q.service, q.route.Name)
 	}
 	return r
 }
 
+// callerWait returns the time from now until the caller disconnects if it is sent nothing.
+func (q *request) callerWait(now time.Time) time.Duration {
+	wait := q.deadline.Sub(now)
+	if q.route.CallerTimeout > 0 {
+		wait = min(wait, q.relayedAt.Add(q.route.CallerTimeout).Sub(now))
+	}
+	return wait
+}
+
 // expectedEvents returns the expected number of events of the response, based on
 // the caller's estimate of its length or else on typicalOutputFraction.
 func (p *Proxy) expectedEvents(q *request) float64 {
