brproxy: don't count a slow caller as silence of its endpoint

Callers that read nothing for a second lost their streams: the stall timer ran on while the proxy was blocked in a write to the caller, expired, and ended the run of an endpoint that had data to send. The timer is stopped while data is relayed.

--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -111,8 +111,8 @@
 			return p.streamFailed(ctx, q, a, err)
 		}
 		if len(b) > 0 {
+			s.pause()
 			p.recordEvents(q, a, b)
-			s.reset()
 			if !q.headSent {
 				p.relayHead(q, x, -1)
 			}
@@ -136,6 +136,7 @@
 		if werr := control.Flush(); werr != nil {
 			return p.callerDisconnected(q, werr)
 		}
+		s.reset()
 	}
 }
 
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -79,7 +79,18 @@
 	s.cancel(errStalled)
 }
 
-// reset restarts the timer when the endpoint has sent data.
+// pause stops the timer while data of the endpoint is relayed, which may take as long as
+// the caller takes to read.
+func (s *stallTimer) pause() {
+	if s.timer == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer.Stop()
+}
+
+// reset restarts the timer when the data of the endpoint has been relayed.
 func (s *stallTimer) reset() {
 	if s.timer == nil {
 		return
