brproxy: end a stalled run only when its successor can be sent

Callers saw responses that broke off, or failed with 502, a second after a sound endpoint fell silent, with most of their time left.

The stall timer ended a run after half of the time until the caller disconnects, before it was known whether the request could go on elsewhere: without another endpoint, without room or a retry in the budget, or if the other endpoint refused the connection, the run of a sound endpoint was lost. It also ended what can't go on elsewhere at all: streams without event IDs or on other routes, and long responses.

While the run goes on, a successor is sought now: a placement, an open connection, then a retry of the budget. Only then the run is ended, and the successor is sent in the next moment, so that the two don't overlap. Data that arrives meanwhile ends the search, so that no event is missing or comes twice. If none is found, the search is repeated every 250 ms, and the run goes on until its end, the deadline, or the caller leaves. What can't go on elsewhere is no longer watched.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -24,6 +24,7 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	Conn   *Conn // open connection to use; nil means one of the pool
 }
 
 // Response is the status line and header of a response from an endpoint.
@@ -101,10 +102,14 @@
 // header. When ctx ends the connection is closed, which makes the endpoint cancel
 // the request. Errors are of type *SendError.
 func (p *Pool) Send(ctx context.Context, address string, r Request) (*Exchange, error) {
-	c, err := p.get(ctx, address)
-	if err != nil {
-		return nil, &SendError{Err: fmt.Errorf("brconn: connect to %s: %w", address, err)}
+	open := r.Conn
+	if open == nil {
+		var err error
+		if open, err = p.Connect(ctx, address); err != nil {
+			return nil, &SendError{Err: err}
+		}
 	}
+	c := open.conn
 	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1), cause: func() error { return context.Cause(ctx) }}
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
 	if len(r.Body) <= bufferBytes {
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -122,6 +123,31 @@
 	}
 }
 
+// Conn is an open connection to an endpoint that is reserved for one request. It must be
+// passed to Send in Request.Conn or released.
+type Conn struct {
+	pool *Pool
+	conn *conn
+}
+
+// Connect returns an open connection to address. It ends with an error when ctx ends.
+func (p *Pool) Connect(ctx context.Context, address string) (*Conn, error) {
+	c, err := p.get(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("brconn: connect to %s: %w", address, err)
+	}
+	return &Conn{pool: p, conn: c}, nil
+}
+
+// Release returns an unused connection to the pool.
+func (c *Conn) Release() {
+	timeout := defaultIdleTimeout
+	if !c.conn.expires.IsZero() {
+		timeout = c.conn.expires.Sub(c.pool.clock().Now())
+	}
+	c.pool.putIdle(c.conn, timeout)
+}
+
 // popIdle removes and returns the most recently used idle connection to address,
 // or returns nil if there is none.
 func (p *Pool) popIdle(address string) *conn {
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -33,23 +33,29 @@
 	lost        bool                   // the endpoint ended the connection before the request made progress
 	progressed  bool                   // the endpoint has survived the beginning of the request
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
+	stall       *stallWatch
 }
 
-// dispatch sends the request to an endpoint and relays the response.
-func (p *Proxy) dispatch(ctx context.Context, q *request, id uint64, e brplace.Endpoint) outcome {
-	a := &attempt{placementID: id, endpoint: e, sentAt: p.cfg.Clock.Now(), result: brplace.Inconclusive}
+// dispatch sends the request to the endpoint of s and relays the response.
+func (p *Proxy) dispatch(ctx context.Context, q *request, s *successor) outcome {
+	e := s.endpoint
+	a := &attempt{placementID: s.placementID, endpoint: e, sentAt: p.cfg.Clock.Now(), result: brplace.Inconclusive}
 	defer p.endAttempt(q, a)
 	if !p.beginTrial(q, a) {
+		if s.conn != nil {
+			s.conn.Release()
+		}
 		return retryElsewhere
 	}
 	p.stats.Dispatches.Add(1)
 	p.countSend(q)
 	q.tried = append(q.tried, e.ID)
-	sendCtx, stall, stop := p.watchStall(ctx, q, e.ID)
-	defer stop()
+	sendCtx, stall := p.watchStall(ctx, q, e.ID)
+	defer stall.end()
+	a.stall = stall
 	sendCtx, endRun := p.trackRun(sendCtx, q, a)
 	defer endRun()
-	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, e))
+	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, s))
 	if err != nil {
 		var sendErr *brconn.SendError
 		errors.As(err, &sendErr)
@@ -61,7 +67,7 @@
 		if a.result == brplace.Failed {
 			p.recordLost(q, a, err)
 		}
-		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
+		return p.retry(ctx, q, a, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
 	q.framing, q.partialEvent = x.Response.Framing, 0
@@ -69,14 +75,14 @@
 	switch {
 	case p.cfg.Dialect.Misdirected(&x.Response):
 		a.result = brplace.WrongAddress
-		return p.retry(ctx, q, "misdirected", http.StatusServiceUnavailable)
+		return p.retry(ctx, q, a, "misdirected", http.StatusServiceUnavailable)
 	case p.cfg.Dialect.NotRun(&x.Response):
 		x.Discard()
-		return p.retry(ctx, q, "endpoint_full", http.StatusServiceUnavailable)
+		return p.retry(ctx, q, a, "endpoint_full", http.StatusServiceUnavailable)
 	}
 	q.mayHaveRun = true
 	if isStream(q.route, &x.Response) {
-		return p.relayStream(ctx, q, a, x, stall)
+		return p.relayStream(ctx, q, a, x)
 	}
 	return p.relayResponse(ctx, q, a, x)
 }
@@ -126,16 +132,16 @@
 	firstByteTimePerToken = 25 * time.Microsecond
 )
 
-// outgoing returns the request to be sent to the endpoint e.
-func (p *Proxy) outgoing(q *request, e brplace.Endpoint) brconn.Request {
+// outgoing returns the request to be sent to the endpoint of s.
+func (p *Proxy) outgoing(q *request, s *successor) brconn.Request {
 	p.cfg.ReportsChanged()
-	d := DispatchParams{Endpoint: e.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
+	d := DispatchParams{Endpoint: s.endpoint.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
 	if q.customer != nil {
 		d.Customer = q.customer.Name
 	}
 	return brconn.Request{
 		ID: q.call.ID, Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
-		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body,
+		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: s.conn,
 	}
 }
 
@@ -154,10 +160,13 @@
 	return brplace.Failed
 }
 
-// retry returns retryElsewhere if the request may be sent to another endpoint, and
-// otherwise ends the request with an error response. The status is that of the
-// response if the request may have run and the deadline has not passed.
-func (p *Proxy) retry(ctx context.Context, q *request, reason string, status int) outcome {
+// retry returns retryElsewhere if the request may be sent to another endpoint after the
+// attempt a, and otherwise ends the request with an error response. The status is that of
+// the response if the request may have run and the deadline has not passed.
+func (p *Proxy) retry(ctx context.Context, q *request, a *attempt, reason string, status int) outcome {
+	if p.hasSuccessor(ctx, q, a, reason) {
+		return retryElsewhere
+	}
 	mayRetry := !q.mayHaveRun || q.route.RetryMode != brpolicy.NeverRetry
 	if ctx.Err() == nil && mayRetry && q.sends < q.route.MaxAttempts && len(q.tried) < maxEndpointsTried {
 		if q.sends == 0 || p.takeRetry(q) {
@@ -184,6 +193,22 @@
 	return finished
 }
 
+// hasSuccessor ends the search for a successor of a, and reports whether one is to be sent.
+// It counts in the retry budget already.
+func (p *Proxy) hasSuccessor(ctx context.Context, q *request, a *attempt, reason string) bool {
+	next := a.stall.stop()
+	switch {
+	case next == nil:
+		return false
+	case ctx.Err() != nil:
+		p.releaseSuccessor(next)
+		return false
+	}
+	q.next = next
+	p.cfg.Log.Info().Str("id", q.call.ID).Str("reason", reason).Int("sends", q.sends).Str("next", next.endpoint.ID).Msg("retrying at another endpoint")
+	return true
+}
+
 const (
 	// maxEndpointsTried limits the number of endpoints tried for one request,
 	// including failed dials.
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -34,11 +34,11 @@
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
 	if err != nil {
 		if ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget {
-			return p.retry(ctx, q, "deadline", http.StatusGatewayTimeout)
+			return p.retry(ctx, q, a, "deadline", http.StatusGatewayTimeout)
 		}
 		a.result = brplace.Failed
 		p.recordLost(q, a, err)
-		return p.retry(ctx, q, "incomplete response: "+err.Error(), http.StatusBadGateway)
+		return p.retry(ctx, q, a, "incomplete response: "+err.Error(), http.StatusBadGateway)
 	}
 	p.recordFirstByte(a)
 	a.result = brplace.Succeeded
@@ -47,12 +47,19 @@
 	}
 	if x.Response.Status >= http.StatusInternalServerError {
 		a.result = brplace.Failed
+		if p.hasSuccessor(ctx, q, a, "status "+strconv.Itoa(x.Response.Status)) {
+			return retryElsewhere
+		}
 		if q.route.RetryMode == brpolicy.SafeToRetry && q.sends < q.route.MaxAttempts && ctx.Err() == nil && p.takeRetry(q) {
 			p.cfg.Log.Info().Str("id", q.call.ID).Int("status", x.Response.Status).Str("endpoint", a.endpoint.ID).
 				Msg("endpoint returned a server error; retrying at another endpoint")
 			return retryElsewhere
 		}
 	}
+	if len(body) == maxBufferedBody && p.hasSuccessor(ctx, q, a, "response stalled") {
+		return retryElsewhere
+	}
+	a.stall.close()
 	if q.headSent {
 		p.abort(q, "resume refused with status "+strconv.Itoa(x.Response.Status))
 	}
@@ -99,10 +106,14 @@
 }
 
 // relayStream relays the events of a stream as they arrive.
-func (p *Proxy) relayStream(ctx context.Context, q *request, a *attempt, x *brconn.Exchange, s *stallTimer) outcome {
+func (p *Proxy) relayStream(ctx context.Context, q *request, a *attempt, x *brconn.Exchange) outcome {
 	events := brconn.NewEventReader(x)
 	control := http.NewResponseController(q.out)
 	for {
+		if q.headSent && !q.resumable() {
+			a.stall.close()
+		}
+		a.stall.await()
 		b, err := events.Next()
 		if err != nil {
 			q.partialEvent = events.Partial()
@@ -111,7 +122,9 @@
 			return p.streamFailed(ctx, q, a, err)
 		}
 		if len(b) > 0 {
-			s.pause()
+			if !a.stall.progress() && err == nil {
+				return p.retry(ctx, q, a, "stream stalled", http.StatusBadGateway)
+			}
 			p.recordEvents(q, a, b)
 			if !q.headSent {
 				p.relayHead(q, x, -1)
@@ -125,6 +138,7 @@
 			q.relayedAt = p.cfg.Clock.Now()
 		}
 		if err == io.EOF {
+			a.stall.close()
 			if !q.headSent {
 				p.relayHead(q, x, -1)
 			}
@@ -136,7 +150,6 @@
 		if werr := control.Flush(); werr != nil {
 			return p.callerDisconnected(q, werr)
 		}
-		s.reset()
 	}
 }
 
@@ -158,13 +171,13 @@
 		p.recordLost(q, a, err)
 	}
 	reason := "stream failed: " + err.Error()
-	if q.headSent && (q.route.RetryMode != brpolicy.Resumable || q.lastEventID == "") {
+	if q.headSent && !q.resumable() {
 		p.abort(q, reason)
 	}
 	if q.headSent {
 		p.stats.Resumed.Add(1)
 	}
-	return p.retry(ctx, q, reason, http.StatusBadGateway)
+	return p.retry(ctx, q, a, reason, http.StatusBadGateway)
 }
 
 // recordEvents updates the attempt with the events in b.
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -54,6 +54,8 @@
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
 
+	next *successor // the next dispatch, if its endpoint is known already
+
 	// Number of waiting requests and free slots at the rejection by the placement,
 	// for the log.
 	waiting, freeSlots int
@@ -225,42 +227,53 @@
 // run dispatches the request until it has a response or must not be sent again.
 func (p *Proxy) run(ctx context.Context, q *request) {
 	for {
+		next := q.next
+		q.next = nil
 		if pause, held := p.checkQuarantine(q); held {
+			if next != nil {
+				p.releaseSuccessor(next)
+			}
 			p.stats.Quarantined.Add(1)
 			p.endUndispatched(ctx, q, quarantineReason, pause)
 			return
 		}
-		id, decision := p.awaitPlacement(ctx, q)
+		if next != nil {
+			if p.dispatch(ctx, q, next) == finished {
+				return
+			}
+			continue
+		}
+		id, decision := p.awaitPlacement(ctx, q, p.placementRequest(q))
 		switch e := decision.(type) {
 		case brplace.Dispatch:
-			if result := p.dispatch(ctx, q, id, e.Endpoint); result == retryElsewhere {
-				continue
+			if p.dispatch(ctx, q, &successor{placementID: id, endpoint: e.Endpoint}) == finished {
+				return
 			}
-			return
 		case brplace.Reject:
 			q.waiting, q.freeSlots = e.Waiting, e.FreeSlots
 			p.endUndispatched(ctx, q, string(e.Reason), e.RetryAfter)
 			return
 		default:
-			if ctx.Err() == nil {
-				continue // the request or a part was quarantined meanwhile
+			if ctx.Err() != nil {
+				p.endUndispatched(ctx, q, "deadline", 0)
+				return
 			}
-			p.endUndispatched(ctx, q, "deadline", 0)
-			return
+			// The request or a part was quarantined meanwhile.
 		}
 	}
 }
 
-// awaitPlacement submits the request to the placement and waits for the decision.
-// It returns the placement ID, and a nil effect if ctx ends or the quarantine holds the
-// request back first.
-func (p *Proxy) awaitPlacement(ctx context.Context, q *request) (uint64, brplace.Effect) {
+// awaitPlacement submits r, which is the request q, to the placement and waits for the
+// decision. It returns the placement ID, and a nil effect if ctx ends or the quarantine
+// holds the request back first.
+func (p *Proxy) awaitPlacement(ctx context.Context, q *request, r brplace.Request) (uint64, brplace.Effect) {
 	decisions := make(chan brplace.Effect, 1)
 	p.mu.Lock()
 	p.lastPlacementID++
 	id := p.lastPlacementID
 	p.waiting[id] = decisions
-	p.step(brplace.Submit{Request: p.placementRequest(q, id)})
+	r.ID = id
+	p.step(brplace.Submit{Request: r})
 	p.mu.Unlock()
 	select {
 	case e := <-decisions:
@@ -303,10 +316,10 @@
 	}
 }
 
-// placementRequest returns the placement request for q.
-func (p *Proxy) placementRequest(q *request, id uint64) brplace.Request {
+// placementRequest returns the placement request for q, without its ID.
+func (p *Proxy) placementRequest(q *request) brplace.Request {
 	r := brplace.Request{
-		ID: id, Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
+		Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
 		PromptTokens: q.call.PromptTokens, ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
 		FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
 	}
@@ -329,6 +342,12 @@
 	return wait
 }
 
+// resumable reports whether another endpoint could go on with the response that the caller
+// has received a part of.
+func (q *request) resumable() bool {
+	return q.route.RetryMode == brpolicy.Resumable && q.lastEventID != ""
+}
+
 // expectedEvents returns the expected number of events of the response, based on
 // the caller's estimate of its length or else on typicalOutputFraction.
 func (p *Proxy) expectedEvents(q *request) float64 {
--- a/brproxy/silent_test.go
+++ b/brproxy/silent_test.go
@@ -163,8 +163,8 @@
 			if n := s.arrivals(); n != 1 {
 				t.Errorf("%d arrivals, want 1", n)
 			}
-			if n := s.proxy.Waiting(); n != 0 {
-				t.Errorf("%d requests wait, want none", n)
+			if waiting, retries := s.proxy.Waiting(), s.proxy.Stats().Retries.Load(); waiting != 0 || retries != 0 {
+				t.Errorf("%d requests wait and %d retries were taken from the budget, want none", waiting, retries)
 			}
 		})
 	}
--- a/brquota/retry.go
+++ b/brquota/retry.go
@@ -22,8 +22,7 @@
 // TakeRetry reports whether the retry budget of the service allows another dispatch
 // of a request, and if so deducts one retry.
 func (l *Limiter) TakeRetry(service string) bool {
-	l.addRetries(service, 0)
-	if l.retries[service] < 1 {
+	if !l.RetryAvailable(service) {
 		return false
 	}
 	l.retries[service]--
@@ -31,6 +30,12 @@
 	return true
 }
 
+// RetryAvailable reports whether TakeRetry would allow another dispatch.
+func (l *Limiter) RetryAvailable(service string) bool {
+	l.addRetries(service, 0)
+	return l.retries[service] >= 1
+}
+
 // addRetries adds n retries to the budget of a service, up to retryBurst.
 func (l *Limiter) addRetries(service string, n float64) {
 	level, ok := l.retries[service]
