brproxy: answer and log a request whose handler panics

A panic between ServeHTTP and net/http closed the connection: the caller got neither an answer nor a refusal, and nothing was logged in the daemon's log. The submission to the placement releases its lock when it panics, so that the daemon goes on serving.

--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -62,11 +62,13 @@
 }
 
 // ServeHTTP serves one request of a caller. It panics with http.ErrAbortHandler to
-// abort a response that can't be completed.
+// abort a response that can't be completed. After another panic the caller gets a response
+// with status 500 if it has received nothing yet.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.stats.Requests.Add(1)
 	q := &request{in: r, out: w, arrived: p.cfg.Clock.Now()}
 	q.relayedAt = q.arrived
+	defer p.recoverPanic(q)
 	if !markBusy(r) || !p.drain.begin(w) {
 		w.Header().Set("Connection", "close")
 		p.refuse(q, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
@@ -267,14 +269,7 @@
 // decision. It returns the placement ID, and a nil effect if ctx ends or the quarantine
 // holds the request back first.
 func (p *Proxy) awaitPlacement(ctx context.Context, q *request, r brplace.Request) (uint64, brplace.Effect) {
-	decisions := make(chan brplace.Effect, 1)
-	p.mu.Lock()
-	p.lastPlacementID++
-	id := p.lastPlacementID
-	p.waiting[id] = decisions
-	r.ID = id
-	p.step(brplace.Submit{Request: r})
-	p.mu.Unlock()
+	id, decisions := p.submit(r)
 	select {
 	case e := <-decisions:
 		return id, e
@@ -298,6 +293,18 @@
 	return id, nil
 }
 
+// submit submits r to the placement and returns its ID and the channel of the decision.
+func (p *Proxy) submit(r brplace.Request) (uint64, <-chan brplace.Effect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	decisions := make(chan brplace.Effect, 1)
+	p.lastPlacementID++
+	r.ID = p.lastPlacementID
+	p.waiting[r.ID] = decisions
+	p.step(brplace.Submit{Request: r})
+	return r.ID, decisions
+}
+
 // awaitDecision waits for the decision of the placement. It returns nil if ctx ends or
 // q is held back by the quarantine first.
 func (p *Proxy) awaitDecision(ctx context.Context, q *request, decisions <-chan brplace.Effect) brplace.Effect {
