brproxy: close idle connections by the policy in force

Beside a change of the configuration, a caller could get neither an answer nor a refusal: callers reuse connections that have been idle for up to four fifths of the newest idle timeout, but a connection kept the timeout of the policy in force when it was accepted. When the timeout grew, connections from before were closed while requests were sent on them.

The proxy closes idle connections itself now, a second after the longer of two timeouts: that in force, and that in force when the connection became idle. A request that has been read while its connection is being closed is refused and not dispatched, as at a stop.

--- a/brproxy/callers.go
+++ b/brproxy/callers.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // connTracker tracks the connections of callers, so that idle ones can be closed
@@ -16,7 +17,7 @@
 	mu    sync.Mutex
 	conns map[net.Conn]*callerConn
 
-	servers []*limitedServer
+	servers []*limitedServer // those that accept connections
 }
 
 // callerConn is the state of one connection. A request sets busy before it reads
@@ -25,8 +26,21 @@
 type callerConn struct {
 	busy    atomic.Bool // true from the start of a request until its response is written
 	closing atomic.Bool // no further request on the connection is dispatched
+
+	idleSince time.Time     // zero while a request is in progress and before the first one
+	idleLimit time.Duration // limit of the policy in force at idleSince
 }
 
+const (
+	// defaultIdleTimeout applies if the policy sets none.
+	defaultIdleTimeout = 30 * time.Second
+	// idleGrace is added to the idle timeout. A caller may know a policy with a longer one
+	// before this daemon does, and may send a request at the very end of it.
+	idleGrace = time.Second
+	// idleCheckInterval is the interval at which idle connections are checked.
+	idleCheckInterval = 10 * tickInterval
+)
+
 // callerConnKey is the context key of the *callerConn of a request.
 type callerConnKey struct{}
 
@@ -51,8 +65,13 @@
 	switch state {
 	case http.StateIdle:
 		if s := p.callers.conns[c]; s != nil {
+			s.idleSince, s.idleLimit = p.cfg.Clock.Now(), p.idleTimeout()
 			s.busy.Store(false)
 		}
+	case http.StateActive:
+		if s := p.callers.conns[c]; s != nil {
+			s.idleSince = time.Time{}
+		}
 	case http.StateClosed, http.StateHijacked:
 		delete(p.callers.conns, c)
 	}
@@ -60,10 +79,27 @@
 
 // CloseIdle closes the connections without a request in progress. The other
 // connections accept no further requests.
-func (p *Proxy) CloseIdle() {
+func (p *Proxy) CloseIdle() { p.closeIdle(func(*callerConn) bool { return true }) }
+
+// closeExpired closes the connections that have been idle for idleGrace longer than the
+// policies allow: that in force now, and that in force when they became idle, on which
+// their callers may still rely.
+func (p *Proxy) closeExpired() {
+	now, limit := p.cfg.Clock.Now(), p.idleTimeout()
+	p.closeIdle(func(s *callerConn) bool {
+		return !s.idleSince.IsZero() && now.Sub(s.idleSince) > max(limit, s.idleLimit)+idleGrace
+	})
+}
+
+// closeIdle closes the connections that match and have no request in progress. Those that
+// match and have one accept no further requests.
+func (p *Proxy) closeIdle(match func(*callerConn) bool) {
 	var idle []net.Conn
 	p.callers.mu.Lock()
 	for c, s := range p.callers.conns {
+		if !match(s) {
+			continue
+		}
 		s.closing.Store(true)
 		if !s.busy.Load() {
 			idle = append(idle, c)
@@ -75,6 +111,14 @@
 	}
 }
 
+// idleTimeout returns the idle timeout of the policy in force.
+func (p *Proxy) idleTimeout() time.Duration {
+	if t := p.table.Load(); t != nil && t.Policy().Limits.IdleTimeout > 0 {
+		return t.Policy().Limits.IdleTimeout
+	}
+	return defaultIdleTimeout
+}
+
 // markBusy marks the connection of a request as busy. It returns false if the
 // connection is being closed.
 func markBusy(r *http.Request) bool {
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -1,7 +1,9 @@
 package brproxy
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -123,11 +125,14 @@
 func (p *Proxy) Close() {
 	close(p.stop)
 	p.callers.mu.Lock()
-	servers := p.callers.servers
+	servers := slices.Clone(p.callers.servers)
+	conns := slices.Collect(maps.Keys(p.callers.conns))
 	p.callers.mu.Unlock()
 	for _, s := range servers {
-		// Only closing the listener can fail, and limitedServer.Close doesn't.
-		_ = s.server.Close()
+		p.retire(s)
+	}
+	for _, c := range conns {
+		c.Close()
 	}
 	p.wg.Wait()
 }
@@ -222,6 +227,7 @@
 
 // tick runs the periodic work until Close is called.
 func (p *Proxy) tick() {
+	checked := p.cfg.Clock.Now() // time of the latest check of idle connections
 	for {
 		select {
 		case <-p.stop:
@@ -230,5 +236,9 @@
 		}
 		p.ApplyEvent(brplace.Tick{})
 		p.cfg.Pool.CloseExpired()
+		if now := p.cfg.Clock.Now(); now.Sub(checked) >= idleCheckInterval {
+			checked = now
+			p.closeExpired()
+		}
 	}
 }
