brproxy: end a stalled run only when its successor is accepted

The successor is sent while the stalled run goes on. That ends when the header of the successor's response arrives, or after 200 ms: two runs may be at work for 400 ms by the users' rules, and an endpoint without room rejects within milliseconds. If the successor is rejected or fails before, or data of the stalled run arrives, the stalled run goes on. Each such request counts in the attempts of the route and in the retry budget.

TestRejectedSuccessor failed in six of six cases before. TestSilentSuccessor bounds the overlap. TestStalledEndpoint replaced its sync.Once between two cases while a handler could still use it (a race in the test, reported by -race); each case has its own flag now, with the same checks.

--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -34,39 +34,39 @@
 	progressed  bool                   // the endpoint has survived the beginning of the request
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
 	stall       *stallWatch
+	conn        *brconn.Conn // open connection to the endpoint; nil means one of the pool
+	sent        *sentRequest // the request, if it was sent while the dispatch before went on
 }
 
-// dispatch sends the request to the endpoint of s and relays the response.
-func (p *Proxy) dispatch(ctx context.Context, q *request, s *successor) outcome {
-	e := s.endpoint
-	a := &attempt{placementID: s.placementID, endpoint: e, sentAt: p.cfg.Clock.Now(), result: brplace.Inconclusive}
+func newAttempt(placementID uint64, e brplace.Endpoint) *attempt {
+	return &attempt{placementID: placementID, endpoint: e, result: brplace.Inconclusive}
+}
+
+// dispatch sends the request to the endpoint of a, unless that was done ahead, and relays
+// the response.
+func (p *Proxy) dispatch(ctx context.Context, q *request, a *attempt) outcome {
 	defer p.endAttempt(q, a)
-	if !p.beginTrial(q, a) {
-		if s.conn != nil {
-			s.conn.Release()
+	if a.sent == nil {
+		a.sentAt = p.cfg.Clock.Now()
+		if !p.beginTrial(q, a) {
+			return retryElsewhere
 		}
-		return retryElsewhere
+		p.stats.Dispatches.Add(1)
 	}
-	p.stats.Dispatches.Add(1)
 	p.countSend(q)
-	q.tried = append(q.tried, e.ID)
-	sendCtx, stall := p.watchStall(ctx, q, e.ID)
+	q.tried = append(q.tried, a.endpoint.ID)
+	sendCtx, stall := p.watchStall(ctx, q, a.endpoint.ID)
 	defer stall.end()
 	a.stall = stall
 	sendCtx, endRun := p.trackRun(sendCtx, q, a)
 	defer endRun()
-	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, s))
+	x, err := p.send(sendCtx, q, a)
 	if err != nil {
-		var sendErr *brconn.SendError
-		errors.As(err, &sendErr)
-		q.mayHaveRun = q.mayHaveRun || sendErr.MaybeSent
-		if !sendErr.MaybeSent {
+		if p.recordSendFailure(ctx, q, a, err) {
+			q.mayHaveRun = true
+		} else {
 			q.sends--
 		}
-		a.result = p.sendFailureResult(ctx, q, a, sendErr)
-		if a.result == brplace.Failed {
-			p.recordLost(q, a, err)
-		}
 		return p.retry(ctx, q, a, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
@@ -132,17 +132,29 @@
 	firstByteTimePerToken = 25 * time.Microsecond
 )
 
-// outgoing returns the request to be sent to the endpoint of s.
-func (p *Proxy) outgoing(q *request, s *successor) brconn.Request {
+// outgoing returns the request to be sent to the endpoint of a.
+func (p *Proxy) outgoing(q *request, a *attempt) brconn.Request {
 	p.cfg.ReportsChanged()
-	d := DispatchParams{Endpoint: s.endpoint.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
+	d := DispatchParams{Endpoint: a.endpoint.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
 	if q.customer != nil {
 		d.Customer = q.customer.Name
 	}
 	return brconn.Request{
 		ID: q.call.ID, Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
-		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: s.conn,
+		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: a.conn,
+	}
+}
+
+// recordSendFailure records the result of an attempt whose send failed, and reports whether
+// the request may have reached the endpoint.
+func (p *Proxy) recordSendFailure(ctx context.Context, q *request, a *attempt, err error) (maybeSent bool) {
+	var sendErr *brconn.SendError
+	errors.As(err, &sendErr)
+	a.result = p.sendFailureResult(ctx, q, a, sendErr)
+	if a.result == brplace.Failed {
+		p.recordLost(q, a, err)
 	}
+	return sendErr.MaybeSent
 }
 
 // sendFailureResult returns the result of an attempt whose send failed.
@@ -201,7 +213,7 @@
 	case next == nil:
 		return false
 	case ctx.Err() != nil:
-		p.releaseSuccessor(next)
+		p.dropSuccessor(q, next)
 		return false
 	}
 	q.next = next
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -54,7 +54,7 @@
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
 
-	next *successor // the next dispatch, if its endpoint is known already
+	next *attempt // the next dispatch, if it was sent already
 
 	// Number of waiting requests and free slots at the rejection by the placement,
 	// for the log.
@@ -233,7 +233,7 @@
 		q.next = nil
 		if pause, held := p.checkQuarantine(q); held {
 			if next != nil {
-				p.releaseSuccessor(next)
+				p.dropSuccessor(q, next)
 			}
 			p.stats.Quarantined.Add(1)
 			p.endUndispatched(ctx, q, quarantineReason, pause)
@@ -248,7 +248,7 @@
 		id, decision := p.awaitPlacement(ctx, q, p.placementRequest(q))
 		switch e := decision.(type) {
 		case brplace.Dispatch:
-			if p.dispatch(ctx, q, &successor{placementID: id, endpoint: e.Endpoint}) == finished {
+			if p.dispatch(ctx, q, newAttempt(id, e.Endpoint)) == finished {
 				return
 			}
 		case brplace.Reject:
--- a/brproxy/silent_test.go
+++ b/brproxy/silent_test.go
@@ -225,3 +225,56 @@
 		t.Errorf("%d bytes, error %v, want %d and none", n, err, len(large)*count)
 	}
 }
+
+// TestRejectedSuccessor guards against ending the run of a sound endpoint for one that then
+// rejects the request, fails, or isn't the one that was meant.
+func TestRejectedSuccessor(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		handler http.HandlerFunc
+	}{
+		{"full", respond(http.StatusServiceUnavailable, "Not-Run", "full")},
+		{"another endpoint at the address", respond(http.StatusMisdirectedRequest, "Not-Run", "")},
+		{"lost response", truncate("")},
+	} {
+		for _, path := range []string{"/resume/", "/safe/"} {
+			t.Run(test.name+path, func(t *testing.T) {
+				t.Parallel()
+				s := newSilentSystem(t, silentBetween(silence, "", event(1)), test.handler)
+				s.preferFirst()
+				status, body, complete := s.do(t, "POST", path, nil)
+				if status != http.StatusOK || body != event(1) || !complete {
+					t.Errorf("status %d, body %q, complete %v, want 200, the event and true", status, body, complete)
+				}
+				if n, m := s.endpoints[0].arrivals(), s.endpoints[1].arrivals(); n != 1 || m != 1 {
+					t.Errorf("%d and %d arrivals, want one each: the route allows two", n, m)
+				}
+			})
+		}
+	}
+}
+
+// TestSilentSuccessor guards against two runs of a request that are at work at the same
+// time for longer than the users allow, when the successor is silent at first too.
+func TestSilentSuccessor(t *testing.T) {
+	const maxTwoRuns = 400 * time.Millisecond
+	firstEnded, secondBegan := make(chan time.Time, 1), make(chan time.Time, 1)
+	s := newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		send(w, event(1))
+		<-r.Context().Done()
+		firstEnded <- time.Now()
+	}, func(w http.ResponseWriter, r *http.Request) {
+		secondBegan <- time.Now()
+		if pause(r, 600*time.Millisecond) {
+			send(w, event(2))
+		}
+	})
+	s.preferFirst()
+	status, body, complete := s.do(t, "POST", "/resume/", nil)
+	if diff := cmp.Diff(events(2), body); diff != "" || status != http.StatusOK || !complete {
+		t.Errorf("status %d, complete %v, want 200 and true; body (-want +got): %s", status, complete, diff)
+	}
+	if both := (<-firstEnded).Sub(<-secondBegan); both > maxTwoRuns {
+		t.Errorf("both runs are at work for %v, want at most %v", both, maxTwoRuns)
+	}
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -3,15 +3,17 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"bramleyroute/brconn"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 )
 
-// errStalled is the cause with which the context of a stalled dispatch is canceled when
-// its successor is about to be sent.
+// errStalled is the cause with which the context of a stalled dispatch is canceled in favor
+// of its successor.
 var errStalled = errors.New("brproxy: endpoint stalled")
 
 const (
@@ -25,12 +27,16 @@
 	// searchInterval is the interval at which a successor is sought again after none
 	// was found.
 	searchInterval = 250 * time.Millisecond
+	// maxOverlap is the longest time for which a stalled run goes on after its successor
+	// was sent. An endpoint without room rejects a request within milliseconds. The users
+	// bound the time in which two runs of a request are at work by 400 ms.
+	maxOverlap = 200 * time.Millisecond
 )
 
 // stallWatch seeks a successor for a dispatch whose endpoint stalls. A sound endpoint may
-// be silent for a second and go on. So the dispatch is ended only when the successor can
-// be sent at once, and goes on if there is none. Data that arrives meanwhile ends the
-// search.
+// be silent for a second and go on. So the dispatch is ended only when the successor is
+// accepted or has been sent for maxOverlap, and goes on if there is none. Data that
+// arrives meanwhile ends the search.
 //
 // The goroutine of the request calls the methods. It must not change the request between
 // await and progress or stop, since a search reads it.
@@ -41,17 +47,19 @@
 	cancel   context.CancelCauseFunc // ends the dispatch
 	endpoint string                  // ID of the endpoint
 
-	mu          sync.Mutex
-	timer       *time.Timer // nil if the request must not be sent again
-	waiting     bool        // the dispatch waits for data
-	stopped     bool
-	since       time.Time          // begin of the wait
-	timeout     time.Duration      // after which the endpoint has stalled
-	extension   time.Duration      // added to timeout if the endpoint makes other progress
-	extended    bool               // timeout was extended during this wait
-	endSearch   context.CancelFunc // nil if no successor is sought
-	unreachable []string           // IDs of endpoints that were to be successors
-	next        *successor         // set when the dispatch was canceled with errStalled
+	mu        sync.Mutex
+	timer     *time.Timer // nil if the request must not be sent again
+	waiting   bool        // the dispatch waits for data
+	stopped   bool
+	since     time.Time          // begin of the wait
+	timeout   time.Duration      // after which the endpoint has stalled
+	extension time.Duration      // added to timeout if the endpoint makes other progress
+	extended  bool               // timeout was extended during this wait
+	endSearch context.CancelFunc // nil if no successor is sought
+	failed    []string           // IDs of endpoints that were to be successors
+	sends     int                // number of requests sent to them
+	attempts  int                // number of further sends that the route allows
+	next      *attempt           // set when the dispatch was canceled with errStalled
 
 	searches sync.WaitGroup
 }
@@ -68,6 +76,7 @@
 	}
 	w.mu.Lock() // the timer may expire at once
 	defer w.mu.Unlock()
+	w.attempts = q.route.MaxAttempts - q.sends
 	w.begin()
 	w.timer = time.AfterFunc(w.timeout, w.check)
 	return dispatchCtx, w
@@ -116,7 +125,7 @@
 
 // stop ends the watch and waits for the end of a search. It returns the successor that is
 // to be sent, once, or nil.
-func (w *stallWatch) stop() *successor {
+func (w *stallWatch) stop() *attempt {
 	w.mu.Lock()
 	w.stopped = true
 	w.pause()
@@ -126,15 +135,16 @@
 	defer w.mu.Unlock()
 	next := w.next
 	w.next = nil
-	w.request.tried = append(w.request.tried, w.unreachable...)
-	w.unreachable = nil
+	w.request.tried = append(w.request.tried, w.failed...)
+	w.request.sends += w.sends
+	w.failed, w.sends = nil, 0
 	return next
 }
 
 // close ends the watch of a dispatch that needs no successor.
 func (w *stallWatch) close() {
 	if next := w.stop(); next != nil {
-		w.proxy.releaseSuccessor(next)
+		w.proxy.dropSuccessor(w.request, next)
 	}
 }
 
@@ -169,57 +179,98 @@
 
 // beginSearch begins to seek a successor. The caller must hold w.mu.
 func (w *stallWatch) beginSearch() {
-	excluded := append(w.request.tried[:len(w.request.tried):len(w.request.tried)], w.unreachable...)
-	if len(excluded) >= maxEndpointsTried {
+	if w.sends >= w.attempts {
 		return
 	}
 	r := w.proxy.placementRequest(w.request)
-	r.ExcludedEndpoints = excluded
+	r.ExcludedEndpoints = slices.Concat(w.request.tried, w.failed)
 	r.MaxQueueTime = w.request.callerWait(w.proxy.cfg.Clock.Now()) // nothing is lost by waiting
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.endSearch = cancel
 	w.searches.Go(func() {
-		defer cancel()
-		w.search(ctx, r)
+		if w.search(ctx, r) {
+			return // the successor uses ctx
+		}
+		cancel()
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.waiting {
+			w.endSearch = nil
+			w.timer.Reset(searchInterval)
+		}
 	})
 }
 
-// search seeks a successor for the request r. If it finds none, the next search follows
-// after searchInterval, or at once if an endpoint couldn't be reached.
-func (w *stallWatch) search(ctx context.Context, r brplace.Request) {
-	var next *successor
-	if w.proxy.retryAvailable(w.request) {
-		next = w.proxy.findSuccessor(ctx, w.request, r)
+// search seeks a successor for the request r and reports whether one has replaced the
+// dispatch.
+func (w *stallWatch) search(ctx context.Context, r brplace.Request) bool {
+	for len(r.ExcludedEndpoints) < maxEndpointsTried && w.proxy.retryAvailable(w.request) {
+		a, err := w.proxy.findSuccessor(ctx, w.request, r)
+		if a == nil {
+			return false
+		}
+		if err == nil && w.send(ctx, a) {
+			return true
+		}
+		w.proxy.endAttempt(w.request, a)
+		if err == nil || ctx.Err() != nil {
+			return false
+		}
+		r.ExcludedEndpoints = append(r.ExcludedEndpoints, a.endpoint.ID)
+		w.addFailed(a, 0)
 	}
+	return false
+}
+
+// addFailed records an attempt that didn't replace the dispatch, with the number of sends.
+func (w *stallWatch) addFailed(a *attempt, sends int) {
 	w.mu.Lock()
-	replaced := w.replace(ctx, next)
-	if !replaced && ctx.Err() == nil {
-		w.endSearch = nil
-		wait := searchInterval
-		if next != nil && next.conn == nil {
-			wait = 0
-		}
-		w.timer.Reset(wait)
+	defer w.mu.Unlock()
+	w.failed = append(w.failed, a.endpoint.ID)
+	w.sends += sends
+}
+
+// send sends the successor a and reports whether it has replaced the dispatch: its endpoint
+// has accepted the request, or has not rejected it within maxOverlap.
+func (w *stallWatch) send(ctx context.Context, a *attempt) bool {
+	r, ok := w.prepare(ctx, a)
+	if !ok {
+		a.conn.Release()
+		return false
 	}
-	w.mu.Unlock()
-	if !replaced && next != nil {
-		w.proxy.releaseSuccessor(next)
+	w.proxy.sendAhead(ctx, a, r)
+	select {
+	case <-a.sent.done:
+	case <-w.proxy.cfg.Clock.After(maxOverlap):
+	}
+	if !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a) {
+		return true
 	}
+	a.sent.drop()
+	w.addFailed(a, 1)
+	return false
 }
 
-// replace ends the dispatch in favor of next and reports whether it did. The caller must
-// hold w.mu.
-func (w *stallWatch) replace(ctx context.Context, next *successor) bool {
-	switch {
-	case next == nil || ctx.Err() != nil:
-		return false
-	case next.conn == nil:
-		w.unreachable = append(w.unreachable, next.endpoint.ID)
-		return false
-	case !w.proxy.takeRetry(w.request):
+// prepare returns the request to be sent to the successor a, and whether it may be sent:
+// the search hasn't ended, and the retry budget has a retry.
+func (w *stallWatch) prepare(ctx context.Context, a *attempt) (brconn.Request, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil || !w.proxy.takeRetry(w.request) || !w.proxy.beginTrial(w.request, a) {
+		return brconn.Request{}, false
+	}
+	return w.proxy.outgoing(w.request, a), true
+}
+
+// replace ends the dispatch in favor of a, unless the search has ended, and reports whether
+// it did.
+func (w *stallWatch) replace(ctx context.Context, a *attempt) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if ctx.Err() != nil {
 		return false
 	}
-	w.next = next
+	w.next, w.endSearch = a, nil
 	w.cancel(errStalled)
 	return true
 }
--- a/brproxy/stream_test.go
+++ b/brproxy/stream_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,7 +17,6 @@
 // TestResume guards against missing, duplicate or spliced events when a stream is
 // resumed at another endpoint.
 func TestResume(t *testing.T) {
-	event := func(i int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i) }
 	handler := func(w http.ResponseWriter, r *http.Request) {
 		last, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 		if err != nil {
@@ -83,12 +83,8 @@
 // although another endpoint could respond. A request that must not be repeated has
 // to stay at the stalled endpoint.
 func TestStalledEndpoint(t *testing.T) {
-	event := func(i int) string { return fmt.Sprintf("id: %d\ndata: e%d\n\n", i, i) }
-	var first sync.Once
-	stallFirst := func(w http.ResponseWriter, r *http.Request) {
-		stall := false
-		first.Do(func() { stall = true })
-		if stall {
+	stallFirst := func(stalled *atomic.Bool, w http.ResponseWriter, r *http.Request) {
+		if !stalled.Swap(true) {
 			if strings.HasPrefix(r.URL.Path, "/resume") {
 				io.WriteString(w, event(1))
 				http.NewResponseController(w).Flush()
@@ -112,8 +108,9 @@
 		{"/resume/", 200, event(1) + event(2), 2},
 		{"/never/", http.StatusGatewayTimeout, "", 1},
 	} {
-		first = sync.Once{}
-		s := newSystem(t, stallFirst, stallFirst)
+		stalled := &atomic.Bool{} // of this test case: handlers of the one before may still run
+		handler := func(w http.ResponseWriter, r *http.Request) { stallFirst(stalled, w, r) }
+		s := newSystem(t, handler, handler)
 		status, body, _ := s.do(t, "POST", test.path, map[string]string{"Deadline": "800"})
 		if status != test.status || test.body != "" && body != test.body || s.arrivals() != test.arrivals {
 			t.Errorf("%s: status %d, body %q, %d arrivals, want those of the test case", test.path, status, body, s.arrivals())
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -7,39 +7,99 @@
 	"bramleyroute/brplace"
 )
 
-// successor is the next dispatch of a request, which has a placement.
-type successor struct {
-	placementID uint64
-	endpoint    brplace.Endpoint
-	conn        *brconn.Conn   // open connection to the endpoint; nil if there is none yet
-	result      brplace.Result // of the placement if the request isn't sent
+// sentRequest is a request that was sent to a successor while the dispatch before it went
+// on.
+type sentRequest struct {
+	end      context.CancelCauseFunc // ends the exchange
+	done     chan struct{}           // closed when exchange or err is set
+	exchange *brconn.Exchange
+	err      error
 }
 
 // findSuccessor waits for a placement of r, which is the request q, and connects to the
-// endpoint. It returns nil if ctx ends first or the placement rejects r, and a successor
-// without a connection if the endpoint can't be reached.
-func (p *Proxy) findSuccessor(ctx context.Context, q *request, r brplace.Request) *successor {
+// endpoint. It returns nil if ctx ends first or the placement rejects r, and an error if
+// the endpoint can't be reached. The caller must end the attempt.
+func (p *Proxy) findSuccessor(ctx context.Context, q *request, r brplace.Request) (*attempt, error) {
 	id, decision := p.awaitPlacement(ctx, q, r)
 	d, ok := decision.(brplace.Dispatch)
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	s := &successor{placementID: id, endpoint: d.Endpoint, result: brplace.Inconclusive}
+	a := newAttempt(id, d.Endpoint)
 	var err error
-	s.conn, err = p.cfg.Pool.Connect(ctx, d.Endpoint.Address)
-	if err != nil && ctx.Err() == nil {
-		s.result = brplace.WrongAddress
+	if a.conn, err = p.cfg.Pool.Connect(ctx, d.Endpoint.Address); err == nil {
+		return a, nil
+	}
+	if ctx.Err() == nil {
+		a.result = brplace.WrongAddress
 		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", d.Endpoint.ID).Err(err).Msg("no connection to the next endpoint of a request")
 	}
-	return s
+	return a, err
+}
+
+// drop ends the exchange and waits for its end.
+func (s *sentRequest) drop() {
+	s.end(context.Canceled)
+	<-s.done
+	if s.exchange != nil {
+		s.exchange.Close()
+	}
+}
+
+// sendAhead sends the request r for the attempt a and doesn't wait for the response.
+func (p *Proxy) sendAhead(ctx context.Context, a *attempt, r brconn.Request) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	s := &sentRequest{end: cancel, done: make(chan struct{})}
+	a.sent, a.sentAt = s, p.cfg.Clock.Now()
+	p.stats.Dispatches.Add(1)
+	go func() {
+		defer close(s.done)
+		s.exchange, s.err = p.cfg.Pool.Send(ctx, a.endpoint.Address, r)
+	}()
+}
+
+// rejected reports whether the request that was sent ahead for a has failed or was
+// rejected by now, and if so sets the result of the attempt.
+func (p *Proxy) rejected(ctx context.Context, q *request, a *attempt) bool {
+	select {
+	case <-a.sent.done:
+	default:
+		return false
+	}
+	if ctx.Err() != nil {
+		return true // ended by this daemon
+	}
+	if a.sent.err != nil {
+		p.recordSendFailure(ctx, q, a, a.sent.err)
+		return true
+	}
+	res := &a.sent.exchange.Response
+	switch {
+	case p.cfg.Dialect.Misdirected(res):
+		a.result = brplace.WrongAddress
+	case !p.cfg.Dialect.NotRun(res):
+		return false
+	}
+	p.observeResponse(q, a, res)
+	a.sent.exchange.Discard()
+	return true
 }
 
-// releaseSuccessor ends the placement of a successor that isn't sent.
-func (p *Proxy) releaseSuccessor(s *successor) {
-	if s.conn != nil {
-		s.conn.Release()
+// send sends the request of the attempt a, unless that was done ahead, and waits for the
+// header of the response. The exchange ends when ctx does.
+func (p *Proxy) send(ctx context.Context, q *request, a *attempt) (*brconn.Exchange, error) {
+	if a.sent == nil {
+		return p.cfg.Pool.Send(ctx, a.endpoint.Address, p.outgoing(q, a))
 	}
-	p.ApplyEvent(brplace.Ended{ID: s.placementID, Result: s.result})
+	context.AfterFunc(ctx, func() { a.sent.end(context.Cause(ctx)) })
+	<-a.sent.done
+	return a.sent.exchange, a.sent.err
+}
+
+// dropSuccessor ends a successor whose request isn't needed any more.
+func (p *Proxy) dropSuccessor(q *request, a *attempt) {
+	a.sent.drop()
+	p.endAttempt(q, a)
 }
 
 // retryAvailable reports whether the retry budget of the service has a retry.
