--- a/brproxy/silent_test.go
+++ b/brproxy/silent_test.go
@@ -278,3 +278,51 @@
 		t.Errorf("both runs are at work for %v, want at most %v", both, maxTwoRuns)
 	}
 }
+
+// TestSilenceIsNoEvidence guards against suspecting a request that its endpoint crashed under
+// it, which ends its runs at all endpoints, because the endpoint was silent for a second.
+func TestSilenceIsNoEvidence(t *testing.T) {
+	for _, others := range []int{0, 1} { // the stalled run goes on, or ends
+		s := newSilentSystem(t, silentBetween(silence, "", event(1)), respond(200, "", event(1)))
+		s.preferFirst()
+		if others == 0 {
+			s.occupy("e1", 10)
+		}
+		if status, _, _ := s.do(t, "POST", "/resume/", map[string]string{"Part": "p"}); status != http.StatusOK {
+			t.Errorf("status %d, want 200", status)
+		}
+		if n := len(s.log.entries(t, "suspected")); n != 0 {
+			t.Errorf("%d suspicions, want none", n)
+		}
+	}
+}
+
+// TestPolicyChangeKeepsWaitingRequests guards against a request that waits for an endpoint
+// and gets neither an answer nor a refusal, because a new policy has neither its route nor
+// its service nor its customer any more.
+func TestPolicyChangeKeepsWaitingRequests(t *testing.T) {
+	for _, freed := range []bool{true, false} {
+		s := newSystem(t, respond(200, "", "ok"))
+		s.occupy("e0", 10)
+		ended := make(chan int, 1)
+		go func() {
+			status, _, _ := s.do(t, "POST", "/never/", map[string]string{"Deadline": "1000", "Key": "l"})
+			ended <- status
+		}()
+		brtest.Await(t, 5*time.Second, "request waits", func() bool { return s.proxy.Waiting() == 1 })
+		s.proxy.SetPolicy(brpolicy.Compile(brpolicy.Policy{Version: 2}))
+		want := http.StatusServiceUnavailable
+		if freed {
+			want = http.StatusOK
+			s.occupy("e0", 0)
+		}
+		select {
+		case status := <-ended:
+			if status != want {
+				t.Errorf("status %d, want %d", status, want)
+			}
+		case <-time.After(2 * time.Second):
+			t.Error("no answer and no refusal")
+		}
+	}
+}
