--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -25,7 +25,8 @@
 	// of them were killed.
 	maxPolicyWait = 1500 * time.Millisecond
 	// queueTimeFraction is the fraction of the time until the caller disconnects
-	// that a request may wait for its dispatch, so that the response begins in time.
+	// that a request may wait for its dispatch, so that the response begins in time. A
+	// response that has begun may wait for all of it: a rejection would only break it off.
 	queueTimeFraction = 0.6
 )
 
@@ -43,25 +44,31 @@
 	in       *http.Request
 	out      http.ResponseWriter
 
-	sends       int      // number of dispatches that may have reached an endpoint
-	tried       []string // IDs of the endpoints of all dispatches
-	mayHaveRun  bool     // an endpoint may have run the request
-	headSent    bool     // the response header was relayed
-	lastEventID string   // ID of the last relayed event
+	sends       int       // number of dispatches that may have reached an endpoint
+	tried       []string  // IDs of the endpoints of all dispatches
+	mayHaveRun  bool      // an endpoint may have run the request
+	headSent    bool      // the response header was relayed
+	lastEventID string    // ID of the last relayed event
+	relayedAt   time.Time // time at which the caller was last sent something; its arrival before that
 
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
 
+	next *attempt // the next dispatch, if it was sent already
+
 	// Number of waiting requests and free slots at the rejection by the placement,
 	// for the log.
 	waiting, freeSlots int
 }
 
 // ServeHTTP serves one request of a caller. It panics with http.ErrAbortHandler to
-// abort a response that can't be completed.
+// abort a response that can't be completed. After another panic the caller gets a response
+// with status 500 if it has received nothing yet.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.stats.Requests.Add(1)
 	q := &request{in: r, out: w, arrived: p.cfg.Clock.Now()}
+	q.relayedAt = q.arrived
+	defer p.recoverPanic(q)
 	if !markBusy(r) || !p.drain.begin(w) {
 		w.Header().Set("Connection", "close")
 		p.refuse(q, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
@@ -222,43 +229,47 @@
 // run dispatches the request until it has a response or must not be sent again.
 func (p *Proxy) run(ctx context.Context, q *request) {
 	for {
+		next := q.next
+		q.next = nil
 		if pause, held := p.checkQuarantine(q); held {
+			if next != nil {
+				p.dropSuccessor(q, next)
+			}
 			p.stats.Quarantined.Add(1)
 			p.endUndispatched(ctx, q, quarantineReason, pause)
 			return
 		}
-		id, decision := p.awaitPlacement(ctx, q)
+		if next != nil {
+			if p.dispatch(ctx, q, next) == finished {
+				return
+			}
+			continue
+		}
+		id, decision := p.awaitPlacement(ctx, q, p.placementRequest(q))
 		switch e := decision.(type) {
 		case brplace.Dispatch:
-			if result := p.dispatch(ctx, q, id, e.Endpoint); result == retryElsewhere {
-				continue
+			if p.dispatch(ctx, q, newAttempt(id, e.Endpoint)) == finished {
+				return
 			}
-			return
 		case brplace.Reject:
 			q.waiting, q.freeSlots = e.Waiting, e.FreeSlots
 			p.endUndispatched(ctx, q, string(e.Reason), e.RetryAfter)
 			return
 		default:
-			if ctx.Err() == nil {
-				continue // the request or a part was quarantined meanwhile
+			if ctx.Err() != nil {
+				p.endUndispatched(ctx, q, "deadline", 0)
+				return
 			}
-			p.endUndispatched(ctx, q, "deadline", 0)
-			return
+			// The request or a part was quarantined meanwhile.
 		}
 	}
 }
 
-// awaitPlacement submits the request to the placement and waits for the decision.
-// It returns the placement ID, and a nil effect if ctx ends or the quarantine holds the
-// request back first.
-func (p *Proxy) awaitPlacement(ctx context.Context, q *request) (uint64, brplace.Effect) {
-	decisions := make(chan brplace.Effect, 1)
-	p.mu.Lock()
-	p.lastPlacementID++
-	id := p.lastPlacementID
-	p.waiting[id] = decisions
-	p.step(brplace.Submit{Request: p.placementRequest(q, id)})
-	p.mu.Unlock()
+// awaitPlacement submits r, which is the request q, to the placement and waits for the
+// decision. It returns the placement ID, and a nil effect if ctx ends or the quarantine
+// holds the request back first.
+func (p *Proxy) awaitPlacement(ctx context.Context, q *request, r brplace.Request) (uint64, brplace.Effect) {
+	id, decisions := p.submit(r)
 	select {
 	case e := <-decisions:
 		return id, e
@@ -282,6 +293,18 @@
 	return id, nil
 }
 
+// submit submits r to the placement and returns its ID and the channel of the decision.
+func (p *Proxy) submit(r brplace.Request) (uint64, <-chan brplace.Effect) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	decisions := make(chan brplace.Effect, 1)
+	p.lastPlacementID++
+	r.ID = p.lastPlacementID
+	p.waiting[r.ID] = decisions
+	p.step(brplace.Submit{Request: r})
+	return r.ID, decisions
+}
+
 // awaitDecision waits for the decision of the placement. It returns nil if ctx ends or
 // q is held back by the quarantine first.
 func (p *Proxy) awaitDecision(ctx context.Context, q *request, decisions <-chan brplace.Effect) brplace.Effect {
@@ -300,24 +323,38 @@
 	}
 }
 
-// placementRequest returns the placement request for q.
-func (p *Proxy) placementRequest(q *request, id uint64) brplace.Request {
+// placementRequest returns the placement request for q, without its ID.
+func (p *Proxy) placementRequest(q *request) brplace.Request {
 	r := brplace.Request{
-		ID: id, Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
+		Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
 		PromptTokens: q.call.PromptTokens, ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
-		Arrived: q.arrived, FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
+		FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
 	}
-	remaining := q.deadline.Sub(q.arrived)
-	if q.route.CallerTimeout > 0 {
-		remaining = min(remaining, q.route.CallerTimeout)
+	r.MaxQueueTime = q.callerWait(p.cfg.Clock.Now())
+	if !q.headSent {
+		r.MaxQueueTime = time.Duration(queueTimeFraction * float64(r.MaxQueueTime))
 	}
-	r.MaxQueueTime = time.Duration(queueTimeFraction * float64(remaining))
 	if p.cfg.SelectVersion != nil {
 		r.Version, r.ExcludedVersion = p.cfg.SelectVersion(q.service, q.route.Name)
 	}
 	return r
 }
 
+// callerWait returns the time from now until the caller disconnects if it is sent nothing.
+func (q *request) callerWait(now time.Time) time.Duration {
+	wait := q.deadline.Sub(now)
+	if q.route.CallerTimeout > 0 {
+		wait = min(wait, q.relayedAt.Add(q.route.CallerTimeout).Sub(now))
+	}
+	return wait
+}
+
+// resumable reports whether another endpoint could go on with the response that the caller
+// has received a part of.
+func (q *request) resumable() bool {
+	return q.route.RetryMode == brpolicy.Resumable && q.lastEventID != ""
+}
+
 // expectedEvents returns the expected number of events of the response, based on
 // the caller's estimate of its length or else on typicalOutputFraction.
 func (p *Proxy) expectedEvents(q *request) float64 {
