--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -35,36 +35,41 @@
 	progressed  bool                   // the endpoint has survived the beginning of the request
 	relayed     bool                   // the connection led through another daemon
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
+	stall       *stallWatch
+	conn        *brconn.Conn // open connection to the endpoint; nil means one of the pool
+	sent        *sentRequest // the request, if it was sent while the dispatch before went on
 }
 
-// dispatch sends the request to an endpoint and relays the response.
-func (p *Proxy) dispatch(ctx context.Context, q *request, id uint64, e brplace.Endpoint) outcome {
-	a := &attempt{placementID: id, endpoint: e, sentAt: p.cfg.Clock.Now(), result: brplace.Inconclusive}
+func newAttempt(placementID uint64, e brplace.Endpoint) *attempt {
+	return &attempt{placementID: placementID, endpoint: e, result: brplace.Inconclusive}
+}
+
+// dispatch sends the request to the endpoint of a, unless that was done ahead, and relays
+// the response.
+func (p *Proxy) dispatch(ctx context.Context, q *request, a *attempt) outcome {
 	defer p.endAttempt(q, a)
-	if !p.beginTrial(q, a) {
-		return retryElsewhere
+	if a.sent == nil {
+		a.sentAt = p.cfg.Clock.Now()
+		if !p.beginTrial(q, a) {
+			return retryElsewhere
+		}
+		p.stats.Dispatches.Add(1)
 	}
-	p.stats.Dispatches.Add(1)
 	p.countSend(q)
-	q.tried = append(q.tried, e.ID)
-	sendCtx, stall, stop := p.watchStall(ctx, q, e.ID)
-	defer stop()
+	q.tried = append(q.tried, a.endpoint.ID)
+	sendCtx, stall := p.watchStall(ctx, q, a.endpoint.ID)
+	defer stall.end()
+	a.stall = stall
 	sendCtx, endRun := p.trackRun(sendCtx, q, a)
 	defer endRun()
-	x, err := p.cfg.Pool.Send(sendCtx, e.Address, p.outgoing(q, e))
+	x, err := p.send(sendCtx, q, a)
 	if err != nil {
-		var sendErr *brconn.SendError
-		errors.As(err, &sendErr)
-		a.relayed = sendErr.Relayed
-		q.mayHaveRun = q.mayHaveRun || sendErr.MaybeSent
-		if !sendErr.MaybeSent {
+		if p.recordSendFailure(ctx, q, a, err) {
+			q.mayHaveRun = true
+		} else {
 			q.sends--
 		}
-		a.result = p.sendFailureResult(ctx, q, a, sendErr)
-		if a.result == brplace.Failed {
-			p.recordLost(q, a, err)
-		}
-		return p.retry(ctx, q, err.Error(), http.StatusBadGateway)
+		return p.retry(ctx, q, a, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
 	a.relayed = x.Relayed
@@ -73,14 +78,14 @@
 	switch {
 	case p.cfg.Dialect.Misdirected(&x.Response):
 		a.result = brplace.WrongAddress
-		return p.retry(ctx, q, "misdirected", http.StatusServiceUnavailable)
+		return p.retry(ctx, q, a, "misdirected", http.StatusServiceUnavailable)
 	case p.cfg.Dialect.NotRun(&x.Response):
 		x.Discard()
-		return p.retry(ctx, q, "endpoint_full", http.StatusServiceUnavailable)
+		return p.retry(ctx, q, a, "endpoint_full", http.StatusServiceUnavailable)
 	}
 	q.mayHaveRun = true
 	if isStream(q.route, &x.Response) {
-		return p.relayStream(ctx, q, a, x, stall)
+		return p.relayStream(ctx, q, a, x)
 	}
 	return p.relayResponse(ctx, q, a, x)
 }
@@ -140,19 +145,32 @@
 	firstByteTimePerToken = 25 * time.Microsecond
 )
 
-// outgoing returns the request to be sent to the endpoint e.
-func (p *Proxy) outgoing(q *request, e brplace.Endpoint) brconn.Request {
+// outgoing returns the request to be sent to the endpoint of a.
+func (p *Proxy) outgoing(q *request, a *attempt) brconn.Request {
 	p.cfg.ReportsChanged()
-	d := DispatchParams{Endpoint: e.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
+	d := DispatchParams{Endpoint: a.endpoint.ID, Timeout: max(time.Millisecond, q.deadline.Sub(p.cfg.Clock.Now())), LastEventID: q.lastEventID}
 	if q.customer != nil {
 		d.Customer = q.customer.Name
 	}
 	return brconn.Request{
 		ID: q.call.ID, Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
-		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body,
+		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: a.conn,
 	}
 }
 
+// recordSendFailure records the result of an attempt whose send failed, and reports whether
+// the request may have reached the endpoint.
+func (p *Proxy) recordSendFailure(ctx context.Context, q *request, a *attempt, err error) (maybeSent bool) {
+	var sendErr *brconn.SendError
+	errors.As(err, &sendErr)
+	a.relayed = sendErr.Relayed
+	a.result = p.sendFailureResult(ctx, q, a, sendErr)
+	if a.result == brplace.Failed {
+		p.recordLost(q, a, err)
+	}
+	return sendErr.MaybeSent
+}
+
 // sendFailureResult returns the result of an attempt whose send failed.
 func (p *Proxy) sendFailureResult(ctx context.Context, q *request, a *attempt, err *brconn.SendError) brplace.Result {
 	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.identity.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
@@ -162,18 +180,27 @@
 		return brplace.Inconclusive
 	case ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget:
 		return brplace.Inconclusive // too little time remained when the request was sent
-	case errors.Is(err, brpath.ErrNoPath):
-		return brplace.Inconclusive
 	case !err.MaybeSent:
-		return brplace.WrongAddress
+		return connectFailureResult(err)
 	}
 	return brplace.Failed
 }
 
-// retry returns retryElsewhere if the request may be sent to another endpoint, and
-// otherwise ends the request with an error response. The status is that of the
-// response if the request may have run and the deadline has not passed.
-func (p *Proxy) retry(ctx context.Context, q *request, reason string, status int) outcome {
+// connectFailureResult returns the result of an attempt without a connection.
+func connectFailureResult(err error) brplace.Result {
+	if errors.Is(err, brpath.ErrNoPath) {
+		return brplace.Inconclusive
+	}
+	return brplace.WrongAddress
+}
+
+// retry returns retryElsewhere if the request may be sent to another endpoint after the
+// attempt a, and otherwise ends the request with an error response. The status is that of
+// the response if the request may have run and the deadline has not passed.
+func (p *Proxy) retry(ctx context.Context, q *request, a *attempt, reason string, status int) outcome {
+	if p.hasSuccessor(ctx, q, a, reason) {
+		return retryElsewhere
+	}
 	mayRetry := !q.mayHaveRun || q.route.RetryMode != brpolicy.NeverRetry
 	if ctx.Err() == nil && mayRetry && q.sends < q.route.MaxAttempts && len(q.tried) < maxEndpointsTried {
 		if q.sends == 0 || p.takeRetry(q) {
@@ -200,6 +227,22 @@
 	return finished
 }
 
+// hasSuccessor ends the search for a successor of a, and reports whether one is to be sent.
+// It counts in the retry budget already.
+func (p *Proxy) hasSuccessor(ctx context.Context, q *request, a *attempt, reason string) bool {
+	next := a.stall.stop()
+	switch {
+	case next == nil:
+		return false
+	case ctx.Err() != nil:
+		p.dropSuccessor(q, next)
+		return false
+	}
+	q.next = next
+	p.cfg.Log.Info().Str("id", q.call.ID).Str("reason", reason).Int("sends", q.sends).Str("next", next.endpoint.ID).Msg("retrying at another endpoint")
+	return true
+}
+
 const (
 	// maxEndpointsTried limits the number of endpoints tried for one request,
 	// including failed dials.
--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -1,6 +1,7 @@
 package brproxy
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -48,6 +49,8 @@
 	mu      sync.Mutex
 	headers []http.Header
 	handler http.HandlerFunc
+	server  *httptest.Server
+	address string
 }
 
 func (e *fakeEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -68,6 +71,38 @@
 	proxy     *Proxy
 	front     *httptest.Server
 	endpoints []*fakeEndpoint
+	log       *logRecorder
+}
+
+// logRecorder records log lines.
+type logRecorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logRecorder) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, string(b))
+	return len(b), nil
+}
+
+// entries returns the lines with the given message.
+func (l *logRecorder) entries(t *testing.T, message string) []map[string]any {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []map[string]any
+	for _, line := range l.lines {
+		var entry map[string]any
+		if err := json.Unmarshal([]byte(line), &entry); err != nil {
+			t.Fatal(err)
+		}
+		if entry["message"] == message {
+			found = append(found, entry)
+		}
+	}
+	return found
 }
 
 func testPolicy() brpolicy.Policy {
@@ -93,16 +128,17 @@
 
 func newSystem(t *testing.T, handlers ...http.HandlerFunc) *testSystem {
 	t.Helper()
-	s := &testSystem{}
-	s.proxy = New(Config{Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.Nop()})
+	s := &testSystem{log: &logRecorder{}}
+	s.proxy = New(Config{Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.New(s.log)})
 	s.proxy.SetPolicy(brpolicy.Compile(testPolicy()))
 	for i, handler := range handlers {
 		e := &fakeEndpoint{handler: handler}
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
+		e.server, e.address = server, server.Listener.Addr().String()
 		s.endpoints = append(s.endpoints, e)
 		s.proxy.ApplyEvent(brplace.EndpointChanged{Endpoint: brplace.Endpoint{
-			ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Address: server.Listener.Addr().String(), Slots: 4,
+			ID: fmt.Sprint("e", i), Service: "s", Zone: "z", Address: e.address, Slots: 4,
 		}})
 	}
 	s.front = httptest.NewUnstartedServer(s.proxy)
