brproxy: keep the idle timeout that was in force during a request

TestIdleTimeoutFollowsPolicy/shrinks failed once under the race detector beside a build of brplace's tests ('unexpected EOF' after 1.8 s). The caller reads the response and the policy changes before net/http reports the connection as idle, so that the shorter timeout of the new policy counted as the one in force when it became idle. The longest timeout since the request began counts now.

--- a/brproxy/callers.go
+++ b/brproxy/callers.go
@@ -28,7 +28,7 @@
 	closing atomic.Bool // no further request on the connection is dispatched
 
 	idleSince time.Time     // zero while a request is in progress and before the first one
-	idleLimit time.Duration // limit of the policy in force at idleSince
+	idleLimit time.Duration // longest limit in force since the latest request began, until idleSince
 }
 
 const (
@@ -65,12 +65,12 @@
 	switch state {
 	case http.StateIdle:
 		if s := p.callers.conns[c]; s != nil {
-			s.idleSince, s.idleLimit = p.cfg.Clock.Now(), p.idleTimeout()
+			s.idleSince, s.idleLimit = p.cfg.Clock.Now(), max(s.idleLimit, p.idleTimeout())
 			s.busy.Store(false)
 		}
 	case http.StateActive:
 		if s := p.callers.conns[c]; s != nil {
-			s.idleSince = time.Time{}
+			s.idleSince, s.idleLimit = time.Time{}, p.idleTimeout()
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(p.callers.conns, c)
@@ -82,7 +82,7 @@
 func (p *Proxy) CloseIdle() { p.closeIdle(func(*callerConn) bool { return true }) }
 
 // closeExpired closes the connections that have been idle for idleGrace longer than the
-// policies allow: that in force now, and that in force when they became idle, on which
+// policies allow: that in force now, and those in force during the last request, on which
 // their callers may still rely.
 func (p *Proxy) closeExpired() {
 	now, limit := p.cfg.Clock.Now(), p.idleTimeout()
