--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -40,7 +40,10 @@
 	// MaybeSent reports whether the request may have reached the endpoint. It is false
 	// only if no byte of the request was written.
 	MaybeSent bool
-	Err       error
+	// Relayed reports whether the request was written to a connection through another
+	// daemon.
+	Relayed bool
+	Err     error
 }
 
 // Error implements the error interface.
@@ -83,10 +86,19 @@
 	}
 }
 
+// relayed reports whether c leads through another daemon. Such a connection says so by a
+// method.
+func (c *conn) relayed() bool {
+	r, ok := c.net.(interface{ Relayed() bool })
+	return ok && r.Relayed()
+}
+
 // Exchange is a request whose response header has been read. It implements
 // io.Reader for the response body. The caller must call Close.
 type Exchange struct {
 	Response Response
+	// Relayed reports whether the connection leads through another daemon.
+	Relayed bool
 
 	pool        *Pool
 	conn        *conn
@@ -110,7 +122,10 @@
 		}
 	}
 	c := open.conn
-	x := &Exchange{pool: p, conn: c, writeResult: make(chan error, 1), cause: func() error { return context.Cause(ctx) }}
+	x := &Exchange{
+		Relayed: c.relayed(), pool: p, conn: c, writeResult: make(chan error, 1),
+		cause: func() error { return context.Cause(ctx) },
+	}
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
 	if len(r.Body) <= bufferBytes {
 		x.writeResult <- c.write(r)
@@ -123,11 +138,19 @@
 		if cause := x.cause(); cause != nil {
 			err = cause
 		}
-		return nil, &SendError{MaybeSent: true, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
+		return nil, &SendError{MaybeSent: true, Relayed: x.Relayed, Err: fmt.Errorf("brconn: response from %s: %w", address, err)}
 	}
+	x.heard()
 	return x, nil
 }
 
+// heard calls Pool.OnDirect for a direct connection.
+func (x *Exchange) heard() {
+	if x.pool.OnDirect != nil && !x.Relayed {
+		x.pool.OnDirect(x.conn.address)
+	}
+}
+
 // write writes the request line, header and body of a request.
 func (c *conn) write(r Request) error {
 	fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
@@ -175,6 +198,9 @@
 // error of the closed connection.
 func (x *Exchange) Read(b []byte) (int, error) {
 	n, err := x.response.Body.Read(b)
+	if n > 0 {
+		x.heard()
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/brconn/silent_test.go
+++ b/brconn/silent_test.go
@@ -46,7 +46,7 @@
 // to a silent host by TCP_USER_TIMEOUT, whatever their count.
 func TestKeepAliveProbesAreOff(t *testing.T) {
 	e := startEndpoint(t, func(_ *endpoint, c net.Conn, r *bufio.Reader) { io.Copy(io.Discard, r) })
-	c, err := dialTCP(t.Context(), e.address)
+	c, err := DialTCP(t.Context(), e.address)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -52,8 +52,8 @@
 	queuedAt time.Time // time of Submit; set by State
 }
 
-// Event is one of EndpointChanged, EndpointLost, EndpointPaused, LimitObserved,
-// LimitPublished, PeerReported, PeerLost, FleetChanged, Submit, Cancel, FirstByte,
+// Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
+// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
 // Progressed, Ended and Tick.
 type Event interface{ event() }
 
@@ -70,6 +70,10 @@
 	Duration time.Duration
 }
 
+// EndpointFailed reports a dispatch that ended as Inconclusive before and turned out to
+// have Failed.
+type EndpointFailed struct{ ID string }
+
 // LimitObserved reports what a response states about the limit of its endpoint.
 type LimitObserved struct {
 	ID     string
@@ -94,6 +98,17 @@
 // PeerLost reports that another daemon has stopped sending reports.
 type PeerLost struct{ Daemon string }
 
+// PeerPartitioned reports whether another daemon has lost its direct path to the endpoints.
+// While it has, the failures that it reports may be those of its path.
+type PeerPartitioned struct {
+	Daemon      string
+	Partitioned bool
+}
+
+// PathLost reports that this daemon has lost its direct path to the endpoints, and reaches
+// them through other daemons from now on.
+type PathLost struct{}
+
 // FleetChanged carries the sorted IDs of all daemons, including this one.
 type FleetChanged struct{ Daemons []string }
 
@@ -186,10 +201,13 @@
 func (EndpointChanged) event() {}
 func (EndpointLost) event()    {}
 func (EndpointPaused) event()  {}
+func (EndpointFailed) event()  {}
 func (LimitObserved) event()   {}
 func (LimitPublished) event()  {}
 func (PeerReported) event()    {}
 func (PeerLost) event()        {}
+func (PeerPartitioned) event() {}
+func (PathLost) event()        {}
 func (FleetChanged) event()    {}
 func (Submit) event()          {}
 func (Cancel) event()          {}
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brpath"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brquarantine"
@@ -32,6 +33,7 @@
 	result      brplace.Result         // evidence on the health of the endpoint
 	lost        bool                   // the endpoint ended the connection before the request made progress
 	progressed  bool                   // the endpoint has survived the beginning of the request
+	relayed     bool                   // the connection led through another daemon
 	trials      []brquarantine.Subject // quarantined subjects for which this is a trial
 	stall       *stallWatch
 	conn        *brconn.Conn // open connection to the endpoint; nil means one of the pool
@@ -70,6 +72,7 @@
 		return p.retry(ctx, q, a, err.Error(), http.StatusBadGateway)
 	}
 	defer x.Close()
+	a.relayed = x.Relayed
 	q.framing, q.partialEvent = x.Response.Framing, 0
 	p.observeResponse(q, a, &x.Response)
 	switch {
@@ -113,15 +116,25 @@
 // reportResult calls Config.OnResult with the result of a dispatch, unless the result
 // is inconclusive for the version of the endpoint.
 func (p *Proxy) reportResult(q *request, a *attempt) {
-	if p.cfg.OnResult == nil || a.result != brplace.Succeeded && a.result != brplace.Failed {
-		return
+	if a.result == brplace.Succeeded || a.result == brplace.Failed {
+		p.reportVersionResult(p.versionResult(q, a))
 	}
+}
+
+func (p *Proxy) reportVersionResult(r VersionResult) {
+	if p.cfg.OnResult != nil {
+		p.cfg.OnResult(r)
+	}
+}
+
+// versionResult returns the result of a dispatch for the version of its endpoint.
+func (p *Proxy) versionResult(q *request, a *attempt) VersionResult {
 	result := VersionResult{Service: q.service, Route: q.route.Name, Version: a.endpoint.Version, Succeeded: a.result == brplace.Succeeded}
 	if !a.firstByteAt.IsZero() {
 		expected := baseFirstByteTime + time.Duration(q.call.PromptTokens)*firstByteTimePerToken
 		result.LatencyRatio = float64(a.firstByteAt.Sub(a.sentAt)) / float64(expected)
 	}
-	p.cfg.OnResult(result)
+	return result
 }
 
 // The expected time to the first byte is baseFirstByteTime plus
@@ -150,6 +163,7 @@
 func (p *Proxy) recordSendFailure(ctx context.Context, q *request, a *attempt, err error) (maybeSent bool) {
 	var sendErr *brconn.SendError
 	errors.As(err, &sendErr)
+	a.relayed = sendErr.Relayed
 	a.result = p.sendFailureResult(ctx, q, a, sendErr)
 	if a.result == brplace.Failed {
 		p.recordLost(q, a, err)
@@ -160,18 +174,26 @@
 // sendFailureResult returns the result of an attempt whose send failed.
 func (p *Proxy) sendFailureResult(ctx context.Context, q *request, a *attempt, err *brconn.SendError) brplace.Result {
 	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.identity.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
-		Bool("sent", err.MaybeSent).Err(err).Msg("endpoint gave no answer")
+		Bool("sent", err.MaybeSent).Bool("relayed", err.Relayed).Err(err).Msg("endpoint gave no answer")
 	switch {
 	case q.in.Context().Err() != nil:
 		return brplace.Inconclusive
 	case ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget:
 		return brplace.Inconclusive // too little time remained when the request was sent
 	case !err.MaybeSent:
-		return brplace.WrongAddress
+		return connectFailureResult(err)
 	}
 	return brplace.Failed
 }
 
+// connectFailureResult returns the result of an attempt without a connection.
+func connectFailureResult(err error) brplace.Result {
+	if errors.Is(err, brpath.ErrNoPath) {
+		return brplace.Inconclusive
+	}
+	return brplace.WrongAddress
+}
+
 // retry returns retryElsewhere if the request may be sent to another endpoint after the
 // attempt a, and otherwise ends the request with an error response. The status is that of
 // the response if the request may have run and the deadline has not passed.
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -1,6 +1,7 @@
 package brproxy
 
 import (
+	"context"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -48,9 +49,17 @@
 	// OnLimit is called with the limit that a response states, if it is to be published
 	// to the other daemons. It may be nil.
 	OnLimit func(brplace.LimitLearned)
+	// OnPause is called when an endpoint asks for a pause, with the endpoint as it was at the
+	// dispatch. Relayed says that it asked another daemon, over whose connection the request
+	// went. It may be nil.
+	OnPause func(e brplace.Endpoint, pause time.Duration, relayed bool)
 	// OnEvidence is called with new evidence on parts of prompts, to be published to the
 	// other daemons. It must not block. It may be nil.
 	OnEvidence func([]brquarantine.Change)
+	// PathWorks reports whether this daemon has a direct path to the endpoint at address,
+	// or can't tell. It is called when the endpoint has ended the connection of a run, as
+	// it seems. It may be nil.
+	PathWorks func(ctx context.Context, address string) bool
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
@@ -86,6 +95,7 @@
 	quarantine      *brquarantine.State
 	runs            map[*attempt]run
 	quarantined     chan struct{} // closed and replaced when a part is quarantined
+	path            pathState
 
 	stop chan struct{}
 	wg   sync.WaitGroup
@@ -114,6 +124,7 @@
 		quarantine:  brquarantine.New(cfg.Daemon),
 		runs:        map[*attempt]run{},
 		quarantined: make(chan struct{}),
+		path:        pathState{unjudged: map[string][]lostRun{}},
 		stop:        make(chan struct{}),
 	}
 	p.wg.Go(p.tick)
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -31,7 +31,7 @@
 		return a, nil
 	}
 	if ctx.Err() == nil {
-		a.result = brplace.WrongAddress
+		a.result = connectFailureResult(err)
 		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", d.Endpoint.ID).Err(err).Msg("no connection to the next endpoint of a request")
 	}
 	return a, err
@@ -73,6 +73,7 @@
 		p.recordSendFailure(ctx, q, a, a.sent.err)
 		return true
 	}
+	a.relayed = a.sent.exchange.Relayed
 	res := &a.sent.exchange.Response
 	switch {
 	case p.cfg.Dialect.Misdirected(res):
