brlimit: keep the rejection limits that endpoints state, divide their slots

An endpoint that bears few rejections a second states so in all its responses. Limit gets that number beside the rate, so that it is learned, published, lifted and expired by the same rules. A limit of 0 rejections is one, so that whether it is stated is a field of its own; a limit without a rate is refreshed like one with it.

Slots divides the slots of such endpoints among holders, alike at all members, as Shares divides a rate: the requests of all members together can't exceed them. One holder for each slot leaves the fewest members without a slot.

The division passed a member over at its part of all rounded up, so that with 67 members and 342 slots some held 6 and some none (TestSlotsAgree, seen failing so). Members below their part rounded down now come first.

--- a/brlimit/holders.go
+++ b/brlimit/holders.go
@@ -32,16 +32,44 @@
 	if !found {
 		return shares
 	}
-	d := newDivision(rates, members)
+	total := 0
+	for _, rate := range rates {
+		total += holderCount(rate, len(members))
+	}
+	d := newDivision(total, members)
 	for _, endpoint := range slices.Sorted(maps.Keys(rates)) {
-		holders := d.holders(endpoint, rates[endpoint])
-		if slices.Contains(holders, self) {
-			shares[endpoint] = shareOf(rates[endpoint], len(holders))
+		count := holderCount(rates[endpoint], len(members))
+		if d.divide(endpoint, count, count)[self] > 0 {
+			shares[endpoint] = shareOf(rates[endpoint], count)
 		}
 	}
 	return shares
 }
 
+// Slots returns the slots that the given member may use of those of endpoints, by
+// endpoint, leaving out those of which it has none. The slots of an endpoint are divided
+// among as many holders as possible, in the same way as the limits of Shares, so that the
+// requests of all members together don't exceed them.
+func Slots(slots map[string]int, members []string, member string) map[string]int {
+	parts := map[string]int{}
+	self, found := slices.BinarySearch(members, member)
+	if !found {
+		return parts
+	}
+	total := 0
+	for _, n := range slots {
+		total += n
+	}
+	d := newDivision(total, members)
+	for _, endpoint := range slices.Sorted(maps.Keys(slots)) {
+		n := slots[endpoint]
+		if part := d.divide(endpoint, n, min(n, len(members)))[self]; part > 0 {
+			parts[endpoint] = part
+		}
+	}
+	return parts
+}
+
 // Whole returns the share of a single sender of a rate in requests per second.
 func Whole(rate float64) Share { return shareOf(rate, 1) }
 
@@ -65,51 +93,64 @@
 // division assigns holders to one endpoint after the other.
 type division struct {
 	hashes []uint64 // of the members
-	held   []int    // number of endpoints that each member holds
-	most   int      // number that each member holds before it is passed over
+	held   []int    // number of parts that each member holds
+	parts  int      // number of parts of all endpoints
 }
 
-func newDivision(rates map[string]float64, members []string) *division {
-	total := 0
-	for _, rate := range rates {
-		total += holderCount(rate, len(members))
-	}
-	d := &division{held: make([]int, len(members)), most: (total + len(members) - 1) / len(members)}
+// newDivision returns a division of the given number of parts of all endpoints.
+func newDivision(parts int, members []string) *division {
+	d := &division{held: make([]int, len(members)), parts: parts}
 	for _, m := range members {
 		d.hashes = append(d.hashes, xxhash.Sum64String(m))
 	}
 	return d
 }
 
-// holders returns the indices of the members that hold an endpoint with the given rate.
-func (d *division) holders(endpoint string, rate float64) []int {
+// divide divides the parts of an endpoint among the given number of holders, evenly but
+// for one, and returns how many each holder has, by the index of the member.
+func (d *division) divide(endpoint string, parts, holders int) map[int]int {
 	h := xxhash.Sum64String(endpoint)
 	var chosen []int
-	for range holderCount(rate, len(d.hashes)) {
+	for range holders {
 		chosen = append(chosen, d.next(h, chosen))
 	}
-	for _, member := range chosen {
-		d.held[member]++
+	divided := map[int]int{}
+	for i, member := range chosen {
+		divided[member] = (parts + holders - 1 - i) / holders
+		d.held[member] += divided[member]
 	}
-	return chosen
+	return divided
 }
 
 // next returns the first member that isn't chosen, in the order of endpoint h. Those that
-// hold enough come last.
+// hold their part of all come later, and those that hold more come last.
 func (d *division) next(h uint64, chosen []int) int {
-	best, bestFull, bestHash := -1, true, uint64(0)
+	best, bestExcess, bestHash := -1, 0, uint64(0)
 	for i, m := range d.hashes {
 		if slices.Contains(chosen, i) {
 			continue
 		}
-		full, hash := d.held[i] >= d.most, mix(m^h)
-		if best < 0 || full != bestFull && !full || full == bestFull && hash < bestHash {
-			best, bestFull, bestHash = i, full, hash
+		excess, hash := d.excess(i), mix(m^h)
+		if best < 0 || excess < bestExcess || excess == bestExcess && hash < bestHash {
+			best, bestExcess, bestHash = i, excess, hash
 		}
 	}
 	return best
 }
 
+// excess returns 0 if a member holds less than its part of all, rounded down, 1 if it
+// holds less than that rounded up, and 2 otherwise.
+func (d *division) excess(member int) int {
+	least, most := d.parts/len(d.held), (d.parts+len(d.held)-1)/len(d.held)
+	switch held := d.held[member]; {
+	case held < least:
+		return 0
+	case held < most:
+		return 1
+	}
+	return 2
+}
+
 // mix spreads the bits of x, so that members have unlike orders for unlike endpoints.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/brlimit/limit.go
+++ b/brlimit/limit.go
@@ -15,10 +15,15 @@
 )
 
 // Limit is what a response states about its endpoint: the requests per second that it
-// takes from all callers together, or no limit. The zero value is no limit.
+// takes and the rejections per second that it bears, of all callers together. The zero
+// value is no limit. Limits are compared with ==.
 type Limit struct {
-	Limited bool    `cbor:"limited"`
+	Limited bool    `cbor:"limited"`        // whether Rate is stated
 	Rate    float64 `cbor:"rate,omitempty"` // requests per second; only if Limited
+	// Brittle reports whether RejectionLimit is stated: an endpoint that rejects more
+	// requests than that in a second for want of room fails.
+	Brittle        bool `cbor:"brittle,omitempty"`
+	RejectionLimit int  `cbor:"rejection_limit,omitempty"` // rejections per second; only if Brittle
 }
 
 // Known is the limit of one endpoint as far as a process knows. The zero value is no
@@ -39,7 +44,7 @@
 func (k *Known) Observe(now, sentAt time.Time, l Limit) (publish bool) {
 	switch {
 	case l == k.limit:
-		publish = l.Limited && now.Sub(k.publishedAt) >= refreshInterval
+		publish = l != Limit{} && now.Sub(k.publishedAt) >= refreshInterval
 	case !sentAt.Before(k.since):
 		k.limit, k.since, publish = l, now, true
 	}
--- a/brlimit/limit_test.go
+++ b/brlimit/limit_test.go
@@ -14,7 +14,8 @@
 // TestObserve guards against a limit that an older response lifts or brings back, and
 // against one that lapses though the endpoint still states it.
 func TestObserve(t *testing.T) {
-	one, two, none := Limit{true, 1}, Limit{true, 2}, Limit{}
+	one, two, none := Limit{Limited: true, Rate: 1}, Limit{Limited: true, Rate: 2}, Limit{}
+	brittle, both := Limit{Brittle: true}, Limit{Limited: true, Rate: 1, Brittle: true}
 	type step struct {
 		now, sentAt int
 		stated      Limit
@@ -30,6 +31,9 @@
 		{"older without a limit", []step{{10, 5, one, true, one}, {30, 9, none, false, one}}},
 		{"older with another limit", []step{{10, 5, one, true, one}, {30, 9, two, false, one}}},
 		{"older with the lifted limit", []step{{10, 5, one, true, one}, {30, 20, none, true, none}, {40, 25, one, false, none}}},
+		{"no rejections", []step{{10, 5, brittle, true, brittle}, {20, 15, brittle, false, brittle}, {6000, 5900, brittle, true, brittle}}},
+		{"no rejections, lifted", []step{{10, 5, brittle, true, brittle}, {30, 20, none, true, none}}},
+		{"one of two lifted", []step{{10, 5, both, true, both}, {30, 9, one, false, both}, {40, 20, one, true, one}}},
 		{"refreshed", []step{{10, 5, one, true, one}, {20, 15, one, false, one}, {6000, 5900, one, true, one}}},
 	} {
 		var k Known
@@ -84,6 +88,40 @@
 	}
 }
 
+// TestSlotsAgree guards against members that together use more slots than an endpoint
+// has, or fewer, and against one that holds many while another holds none.
+func TestSlotsAgree(t *testing.T) {
+	for _, members := range []int{1, 11, 67, 200} {
+		for _, each := range []int{0, 1, 4, 7, 19} {
+			var ids []string
+			slots := map[string]int{}
+			for i := range members {
+				ids = append(ids, fmt.Sprintf("d%03d", i))
+			}
+			for i := range 18 {
+				slots[fmt.Sprint("e", i)] = each
+			}
+			sum, fewest, most := map[string]int{}, 18*each, 0
+			for _, id := range ids {
+				held := 0
+				for e, n := range Slots(slots, ids, id) {
+					sum[e] += n
+					held += n
+				}
+				fewest, most = min(fewest, held), max(most, held)
+			}
+			for e := range slots {
+				if sum[e] != each {
+					t.Errorf("%d members, %d slots: %d held in all", members, each, sum[e])
+				}
+			}
+			if even := 18 * each / members; fewest < even/2 || most > 2*even+2 {
+				t.Errorf("%d members, %d slots: %d to %d held by each, want about %d", members, each, fewest, most, even)
+			}
+		}
+	}
+}
+
 // TestSharesAreStable guards against a change of all holders when one member or one
 // endpoint is added: each new holder starts beside an old one that doesn't know yet.
 func TestSharesAreStable(t *testing.T) {
