brplace: send brittle endpoints no more than their slots, over all daemons

An endpoint that bears N rejections a second fails when it has to turn more away for want of room. Nothing obeyed that: each daemon sends what its picture has room for, and two beyond the slots for urgent requests.

An endpoint's rejection limit goes the way of its rate: learned, published, lifted and expired by the same code. Each slot of a brittle endpoint belongs to one daemon (brlimit.Slots). A daemon keeps to its own slots, counting those of requests that were broken off for 100 ms more. After a rejection, which is published as well, all daemons reuse only slots that their own requests have freed for a second, so that a retry can't bring down the next endpoint. A start that has stated nothing counts as brittle if the one before it or most endpoints of the service do. A daemon with no slot of a service, as in a fleet with more daemons than slots, uses slots of others only while few of all are in use and it hears from all daemons, and else rejects at once with the time to come back.

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -67,9 +67,14 @@
 	if !s.mayStart(v, r) {
 		return nil
 	}
+	candidates := s.candidates(v, r, s.hasRoom)
+	if len(candidates) == 0 && v.borrows {
+		// All daemons with the same view would take the cheapest one.
+		candidates = s.sample(s.candidates(v, r, s.mayLend), 1)
+	}
 	var best *endpoint
 	var lowest time.Duration
-	for _, e := range s.candidates(v, r) {
+	for _, e := range candidates {
 		if c := s.cost(v, e, r); best == nil || c < lowest {
 			best, lowest = e, c
 		}
@@ -91,11 +96,11 @@
 	return !s.large() || !overloaded || v.running < s.fairShare(slots)
 }
 
-// candidates returns the endpoints to choose from for r: all that have room for it, or
-// in a large fleet a random sample of those that this daemon prefers. The daemons of a
+// candidates returns the endpoints to choose from for r: all that have room for it by
+// the given function, or in a large fleet a random sample of those that this daemon prefers. The daemons of a
 // large fleet see each other's usage late. If all of them chose the cheapest endpoint,
 // they would choose the same one until the next reports arrive.
-func (s *State) candidates(v *service, r *Request) []*endpoint {
+func (s *State) candidates(v *service, r *Request, hasRoom func(*endpoint, *Request) bool) []*endpoint {
 	skipSlow := s.waitsForFaster(v, r)
 	limit := len(v.endpoints)
 	if s.large() {
@@ -106,7 +111,7 @@
 		if len(found) == limit {
 			break
 		}
-		if !e.usable(s.now) || !eligible(e, r) || e.active() >= e.Slots+overflow(r) || skipSlow && s.tooSlow(e, r) {
+		if !e.usable(s.now) || !eligible(e, r) || !hasRoom(e, r) || skipSlow && s.tooSlow(e, r) {
 			continue
 		}
 		found = append(found, e)
@@ -190,6 +195,15 @@
 	return r.ExpectedEvents*float64(e.eventInterval) > maxDeadlineFraction*float64(remaining)
 }
 
+// hasRoom reports whether this daemon may send r to e by the number of requests there:
+// within its own slots if e is brittle, and within those of e otherwise.
+func (s *State) hasRoom(e *endpoint, r *Request) bool {
+	if e.slotUse.brittle {
+		return s.hasOwnSlot(e)
+	}
+	return e.active() < e.Slots+overflow(r)
+}
+
 // overflow returns the number of requests beyond the slots of an endpoint that r
 // may be dispatched with.
 func overflow(r *Request) int {
@@ -250,6 +264,7 @@
 	if e.limit.Limited {
 		e.bucket.Take(s.now)
 	}
+	s.takeSlot(e)
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
 	}
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -51,8 +51,9 @@
 	suspendedUntil time.Time
 	lastSuspension time.Duration  // duration of the last suspension
 	pausedUntil    time.Time      // until then the endpoint wants no requests of this daemon
-	limit          brlimit.Limit  // requests per second that it takes from all daemons
-	bucket         brlimit.Bucket // this daemon's share of the limit
+	limit          brlimit.Limit  // as it states
+	bucket         brlimit.Bucket // this daemon's share of the rate
+	slotUse        slotUse
 }
 
 // usageSum is the sum of the usage by other daemons.
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -72,17 +72,20 @@
 
 // LimitObserved reports what a response states about the limit of its endpoint.
 type LimitObserved struct {
-	ID     string
-	Born   uint64    // start of the endpoint to which the request was sent
-	SentAt time.Time // time at which it was sent
-	Limit  brlimit.Limit
+	ID       string
+	Born     uint64    // start of the endpoint to which the request was sent
+	Request  uint64    // ID of the request
+	SentAt   time.Time // time at which it was sent
+	Limit    brlimit.Limit
+	Rejected bool // the endpoint rejected the request for want of room
 }
 
 // LimitPublished carries the limit of an endpoint that a daemon has published.
 type LimitPublished struct {
-	ID    string
-	Born  uint64 // start of the endpoint
-	Limit brlimit.Limit
+	ID       string
+	Born     uint64 // start of the endpoint
+	Limit    brlimit.Limit
+	Rejected bool // the endpoint has just rejected a request for want of room
 }
 
 // PeerReported carries the latest report of another daemon.
@@ -158,7 +161,8 @@
 	Failed   float64 // decayed number of failed requests over all daemons
 }
 
-// LimitLearned reports a limit to be published to the other daemons.
+// LimitLearned reports a limit, or a rejection by an endpoint that bears few, to be
+// published to the other daemons.
 type LimitLearned LimitObserved
 
 // Cause is the reason for the suspension of an endpoint.
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -8,15 +8,17 @@
 	"bramleyroute/brlimit"
 )
 
-// endpointLimit is the limit that one start of an endpoint stated. It may be known
-// before the endpoint is.
+// endpointLimit is the limit that one start of an endpoint has stated, to this daemon or
+// another. It may be known before the endpoint is.
 type endpointLimit struct {
 	born  uint64
 	known brlimit.Known
+	// rejectedAt is the time at which this daemon last published a rejection.
+	rejectedAt time.Time
 }
 
 // limitOf returns the limit of a start of an endpoint, and creates it if necessary.
-// The limit of an earlier start doesn't hold for a later one.
+// The limit of an earlier start doesn't hold for a later one; see isBrittle.
 func (s *State) limitOf(id string, born uint64) *endpointLimit {
 	l := s.limits[id]
 	if l == nil || l.born < born {
@@ -29,11 +31,22 @@
 // observeLimit applies what a response states about the limit of its endpoint.
 func (s *State) observeLimit(ev LimitObserved) {
 	l := s.limitOf(ev.ID, ev.Born)
-	if l.born != ev.Born || !l.known.Observe(s.now, ev.SentAt, ev.Limit) {
+	if l.born != ev.Born {
 		return
 	}
-	s.effects = append(s.effects, LimitLearned(ev))
+	publish := l.known.Observe(s.now, ev.SentAt, ev.Limit)
 	s.applyLimit(s.endpoints[ev.ID])
+	ev.Rejected = ev.Rejected && l.known.Limit().Brittle
+	if ev.Rejected {
+		s.recordRejection(ev.ID, ev.Request)
+		if s.now.Sub(l.rejectedAt) >= rejectionInterval {
+			l.rejectedAt, publish = s.now, true
+		}
+	}
+	if publish {
+		ev.Limit = l.known.Limit()
+		s.effects = append(s.effects, LimitLearned(ev))
+	}
 }
 
 // setLimit applies a limit that another daemon has published.
@@ -43,10 +56,13 @@
 		return
 	}
 	l.known.Set(s.now, ev.Limit)
-	if s.endpoints[ev.ID] == nil && !ev.Limit.Limited {
+	if s.endpoints[ev.ID] == nil && ev.Limit == (brlimit.Limit{}) {
 		delete(s.limits, ev.ID)
 	}
 	s.applyLimit(s.endpoints[ev.ID])
+	if ev.Rejected {
+		s.recordRejection(ev.ID, 0)
+	}
 }
 
 // applyLimit makes the limit that is known of e effective. Until the next tick assigns
@@ -60,14 +76,14 @@
 	if l := s.limits[e.ID]; l != nil && l.born == e.Born {
 		limit = l.known.Limit()
 	}
-	if limit == e.limit {
-		return
-	}
-	if !e.limit.Limited {
-		e.bucket = brlimit.Bucket{}
+	if limit != e.limit {
+		if !e.limit.Limited {
+			e.bucket = brlimit.Bucket{}
+		}
+		e.limit = limit
+		s.service(e.Service).sharesStale = true
 	}
-	e.limit = limit
-	s.service(e.Service).sharesStale = true
+	s.setBrittle(e, s.isBrittle(e))
 }
 
 // setDaemons replaces the IDs of the daemons. They hold the limits of all services.
@@ -88,11 +104,14 @@
 		return
 	}
 	v.sharesStale = false
-	rates := map[string]float64{}
+	rates, slots := map[string]float64{}, map[string]int{}
 	for _, e := range v.endpoints {
 		if e.limit.Limited {
 			rates[e.ID] = e.limit.Rate
 		}
+		if e.slotUse.brittle {
+			slots[e.ID] = e.Slots
+		}
 	}
 	daemons := s.daemons
 	if len(daemons) == 0 {
@@ -102,6 +121,10 @@
 	for id := range maps.Keys(rates) {
 		s.endpoints[id].bucket.SetShare(s.now, shares[id])
 	}
+	parts := brlimit.Slots(slots, daemons, s.cfg.Daemon)
+	for id := range maps.Keys(slots) {
+		s.endpoints[id].slotUse.share = parts[id]
+	}
 }
 
 // withinLimit reports whether this daemon may send another request to e now.
@@ -111,8 +134,9 @@
 
 // unservable returns why r can't be placed in time and the time after which it may be
 // sent again, or an empty reason if it may be placed. That is so if each eligible
-// endpoint either stays paused for longer than r may wait, or has a limit, and this
-// daemon's shares of the limits don't reach for r and the requests ahead of it.
+// endpoint either stays paused for longer than r may wait, has a limit, and this
+// daemon's shares of the limits don't reach for r and the requests ahead of it, or is
+// brittle, and this daemon has no slot of it and may not borrow one.
 func (s *State) unservable(v *service, r *Request, ahead int) (Reason, time.Duration) {
 	remaining := r.MaxQueueTime - s.now.Sub(r.Arrived)
 	var pause time.Duration // until the first endpoint is no longer paused
@@ -127,6 +151,8 @@
 			if pause == 0 || p < pause {
 				pause = p
 			}
+		case e.slotUse.brittle && (e.slotUse.share == 0 || s.now.Before(e.suspendedUntil)) && !s.lends(e):
+			limited = true
 		case !e.limit.Limited:
 			return "", 0
 		default:
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -40,6 +40,7 @@
 		// one heartbeat, so half the maximum wait is enough.
 		r.MaxQueueTime /= 2
 	}
+	v.borrows = s.mayBorrow(v)
 	if reason, retryAfter := s.unservable(v, &r, s.aheadOf(v, &r)); reason != "" {
 		s.reject(&r, reason, retryAfter)
 		return
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -43,6 +43,9 @@
 	running       int           // number of running requests of this daemon
 	shortRunning  int           // number of those that are short
 	sharesStale   bool          // the limits of its endpoints or the daemons have changed since assignShares
+	utilization   float64       // moving average of the part of its slots in use
+	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
+	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -52,6 +55,7 @@
 	dispatchedAt time.Time
 	gotFirstByte bool
 	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
+	rejected     bool // the endpoint rejected it for want of room
 }
 
 // New returns a State without endpoints. New panics if cfg.Random is nil.
@@ -156,6 +160,7 @@
 		e.Endpoint = announced
 		s.attach(e)
 	default:
+		s.service(e.Service).sharesStale = s.service(e.Service).sharesStale || e.slotUse.brittle && e.Slots != announced.Slots
 		e.Endpoint = announced
 	}
 	s.applyLimit(s.endpoints[announced.ID])
@@ -166,7 +171,7 @@
 	v := s.service(e.Service)
 	v.endpoints = append(v.endpoints, e)
 	slices.SortFunc(v.endpoints, s.comparePreference)
-	v.sharesStale = v.sharesStale || e.limit.Limited
+	v.sharesStale = v.sharesStale || e.hasShares()
 }
 
 // comparePreference orders endpoints by this daemon's preference: first those of its own
@@ -189,7 +194,7 @@
 func (s *State) detach(e *endpoint) {
 	v := s.service(e.Service)
 	v.endpoints = slices.DeleteFunc(v.endpoints, func(x *endpoint) bool { return x == e })
-	v.sharesStale = v.sharesStale || e.limit.Limited
+	v.sharesStale = v.sharesStale || e.hasShares()
 }
 
 func (s *State) removeEndpoint(id string) {
@@ -277,6 +282,7 @@
 	e.own.Active--
 	v.countRunning(&f.request, -1)
 	e.lastEnded = s.now
+	e.slotUse.recordEnd(s.now, f, ev.Result)
 	if !f.gotFirstByte {
 		e.own.PendingPromptTokens -= f.request.PromptTokens
 	}
@@ -308,7 +314,10 @@
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
+		s.updateBrittle(v)
+		v.updateUtilization()
 		s.assignShares(v)
+		v.borrows = s.mayBorrow(v)
 		s.placeWaiting(v, maxPlacements)
 		s.rejectUnservable(v)
 	}
