brproxy, brfleet: obey the rejection limits in the responses of endpoints

What callers would see: endpoints that state in all responses that they bear few rejections a second fail one after the other, since nobody read that.

A response's rejection limit goes to the placement and, as the rate does, to all daemons in the record of the endpoint's limit. A rejection for want of room by such an endpoint is published in the same record, and counts at the others for a second. Each of the two values of a response counts by itself: one that is no number is logged and leaves that part as it was.

--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -60,12 +60,15 @@
 				return brproxy.CallParams{ID: r.Header.Get("Id"), PromptParts: r.Header.Values("Part")}, nil
 			},
 			EncodeHeader: func(in http.Header, _ brproxy.DispatchParams) http.Header { return in },
-			NotRun:       func(*brconn.Response) bool { return false },
+			NotRun:       func(res *brconn.Response) bool { return res.Header.Get("Not-Run") != "" },
 			Misdirected:  func(*brconn.Response) bool { return false },
 			Leaving:      func(res *brconn.Response) bool { return res.Header.Get("Leaving") != "" },
 			RateLimit: func(res *brconn.Response) (float64, bool, error) {
 				return brheader.RateLimit(res.Header.Values("Limit"))
 			},
+			RejectionLimit: func(res *brconn.Response) (int, bool, error) {
+				return brheader.RejectionLimit(res.Header.Values("Rejections"))
+			},
 		},
 		DecodePolicy: func(body []byte) (brpolicy.Policy, error) {
 			var p brpolicy.Policy
--- a/brfleet/limit.go
+++ b/brfleet/limit.go
@@ -1,6 +1,8 @@
 package brfleet
 
 import (
+	"time"
+
 	"bramleyroute/brgossip"
 	"bramleyroute/brlimit"
 	"bramleyroute/brplace"
@@ -12,6 +14,16 @@
 // Each daemon may write them.
 const kindLimit = "limit"
 
+// limitRecord is the value of a record of a limit.
+type limitRecord struct {
+	brlimit.Limit
+	Rejected bool `cbor:"rejected,omitempty"` // it was published because of a rejection
+}
+
+// rejectionLifetime is the age up to which a record of a rejection still tells that its
+// endpoint has no room.
+const rejectionLifetime = time.Second
+
 // publishLimit publishes a limit to all daemons.
 func (f *Fleet) publishLimit(l brplace.LimitLearned) {
 	key := kindLimit + "/" + l.ID
@@ -20,7 +32,7 @@
 		version = r.Version
 	}
 	version.Seq = f.nextLimitSeq(version.Seq)
-	f.node.Publish(brgossip.Record{Key: key, Version: version, Value: encode(l.Limit), Lifetime: brlimit.Lifetime})
+	f.node.Publish(brgossip.Record{Key: key, Version: version, Value: encode(limitRecord{l.Limit, l.Rejected}), Lifetime: brlimit.Lifetime})
 }
 
 // nextLimitSeq returns a sequence number after seq. Its last 16 bits are a hash of this
@@ -32,12 +44,14 @@
 
 // applyLimitRecord applies the newest limit of an endpoint.
 func (f *Fleet) applyLimitRecord(r brgossip.Record) {
-	limit, ok := decode[brlimit.Limit](f, r)
+	limit, ok := decode[limitRecord](f, r)
 	if !ok {
 		return
 	}
-	f.proxy.ApplyEvent(brplace.LimitPublished{ID: r.Name(), Born: r.Version.Epoch, Limit: limit})
+	rejected := limit.Rejected && r.Age < rejectionLifetime
+	f.proxy.ApplyEvent(brplace.LimitPublished{ID: r.Name(), Born: r.Version.Epoch, Limit: limit.Limit, Rejected: rejected})
 	f.cfg.Log.Info().Str("endpoint", r.Name()).Bool("limited", limit.Limited).Float64("limit_per_s", limit.Rate).
+		Bool("brittle", limit.Brittle).Int("rejections_per_s", limit.RejectionLimit).Bool("rejected", rejected).
 		Dur("age_ms", r.Age).Msg("limit of an endpoint published")
 }
 
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -28,6 +28,14 @@
 	return l
 }
 
+// Limit returns the limit that a start of an endpoint has stated, as far as known.
+func (s *State) Limit(id string, born uint64) brlimit.Limit {
+	if l := s.limits[id]; l != nil && l.born == born {
+		return l.known.Limit()
+	}
+	return brlimit.Limit{}
+}
+
 // observeLimit applies what a response states about the limit of its endpoint.
 func (s *State) observeLimit(ev LimitObserved) {
 	l := s.limitOf(ev.ID, ev.Born)
@@ -72,11 +80,7 @@
 	if e == nil {
 		return
 	}
-	var limit brlimit.Limit
-	if l := s.limits[e.ID]; l != nil && l.born == e.Born {
-		limit = l.known.Limit()
-	}
-	if limit != e.limit {
+	if limit := s.Limit(e.ID, e.Born); limit != e.limit {
 		if !e.limit.Limited {
 			e.bucket = brlimit.Bucket{}
 		}
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -50,6 +50,9 @@
 	// takes from all daemons together, and whether the response states one. It returns an
 	// error for a statement that can't be interpreted.
 	RateLimit func(a *brconn.Response) (rate float64, stated bool, err error)
+	// RejectionLimit is the same for the number of rejections per second that the endpoint
+	// bears.
+	RejectionLimit func(a *brconn.Response) (limit int, stated bool, err error)
 	// Matches reports whether a response belongs to the request with the given ID.
 	Matches func(id string, a *brconn.Response) bool
 }
--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -41,6 +41,9 @@
 	Misdirected: func(a *brconn.Response) bool { return a.Status == http.StatusMisdirectedRequest },
 	Leaving:     func(a *brconn.Response) bool { return a.Header.Get("Leaving") != "" },
 	RateLimit:   func(a *brconn.Response) (float64, bool, error) { return brheader.RateLimit(a.Header.Values("Limit")) },
+	RejectionLimit: func(a *brconn.Response) (int, bool, error) {
+		return brheader.RejectionLimit(a.Header.Values("Rejections"))
+	},
 }
 
 // fakeEndpoint records the headers of its requests and responds with a function.
--- a/brproxy/observe_test.go
+++ b/brproxy/observe_test.go
@@ -9,10 +9,12 @@
 	"testing"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brlimit"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"github.com/rs/zerolog"
 )
 
@@ -112,3 +114,63 @@
 		}
 	}
 }
+
+// TestStatedLimits guards against overlooking a limit in a response of any kind, against a
+// value that can't be read and changes a limit, and against a rejection that isn't
+// published.
+func TestStatedLimits(t *testing.T) {
+	none, brittle := brlimit.Limit{}, brlimit.Limit{Brittle: true, RejectionLimit: 2}
+	both := brlimit.Limit{Limited: true, Rate: 1e6, Brittle: true, RejectionLimit: 2}
+	for _, test := range []struct {
+		name          string
+		status        int
+		first, second []string // header fields of the two responses
+		want          []brplace.LimitLearned
+	}{
+		{"none", 200, nil, nil, nil},
+		{"stated", 200, []string{"Rejections", "2"}, []string{"Rejections", "2"}, []brplace.LimitLearned{{Limit: brittle}}},
+		{"failed call", 500, []string{"Rejections", "2"}, []string{"Rejections", "2"}, []brplace.LimitLearned{{Limit: brittle}}},
+		{"lifted", 200, []string{"Rejections", "2"}, nil, []brplace.LimitLearned{{Limit: brittle}, {Limit: none}}},
+		{"no number", 200, []string{"Rejections", "2"}, []string{"Rejections", "few"}, []brplace.LimitLearned{{Limit: brittle}}},
+		{"rate no number", 200, []string{"Rejections", "2"}, []string{"Rejections", "2", "Limit", "NaN"}, []brplace.LimitLearned{{Limit: brittle}}},
+		{"one no number", 200, []string{"Rejections", "2"}, []string{"Rejections", "-", "Limit", "1e6"}, []brplace.LimitLearned{{Limit: brittle}, {Limit: both}}},
+		{"rejected", 503, []string{"Rejections", "2", "Not-Run", "1"}, nil, []brplace.LimitLearned{{Limit: brittle, Rejected: true}, {Limit: none}}},
+		{"rejected, not brittle", 503, []string{"Not-Run", "1"}, nil, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var mu sync.Mutex
+			var got []brplace.LimitLearned
+			p := New(Config{
+				Dialect: testDialect, Pool: &brconn.Pool{}, FailureDomain: "z", Log: zerolog.Nop(),
+				OnLimit: func(l brplace.LimitLearned) {
+					mu.Lock()
+					defer mu.Unlock()
+					got = append(got, l)
+				},
+			})
+			defer p.Close()
+			p.SetPolicy(brpolicy.Compile(testPolicy()))
+			fields := test.first
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				respondHeader(test.status, fields...)(w, r)
+			}))
+			defer server.Close()
+			p.ApplyEvent(brplace.EndpointChanged{Endpoint: brplace.Endpoint{
+				ID: "e", Service: "s", Zone: "z", Address: server.Listener.Addr().String(), Slots: 4,
+			}})
+			for range 2 {
+				r := httptest.NewRequest("POST", "/never/", nil)
+				r.Host = "h"
+				r.Header = http.Header{"Id": {"1"}, "Key": {"k"}}
+				p.ServeHTTP(httptest.NewRecorder(), r)
+				fields = test.second
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ignore := cmpopts.IgnoreFields(brplace.LimitLearned{}, "ID", "Born", "Request", "SentAt")
+			if diff := cmp.Diff(test.want, got, ignore); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -93,7 +93,8 @@
 // function of cfg.Dialect is nil. The caller must call Close.
 func New(cfg Config) *Proxy {
 	d := cfg.Dialect
-	if d.Decode == nil || d.EncodeHeader == nil || d.NotRun == nil || d.Misdirected == nil || d.Leaving == nil || d.RateLimit == nil || cfg.Pool == nil {
+	if d.Decode == nil || d.EncodeHeader == nil || d.NotRun == nil || d.Misdirected == nil || d.Leaving == nil ||
+		d.RateLimit == nil || d.RejectionLimit == nil || cfg.Pool == nil {
 		panic("brproxy: nil Pool or Dialect function in Config")
 	}
 	if cfg.Clock == nil {
