brroute: let endpoints announce how many rejections they bear

The announcement on the product's own interface gets the same statement as the responses on the users' platform, rejection_limit beside rate_limit. Two ways led beyond them: the cached part of a prompt needs no room, and a trial of a half-open endpoint none at all. Neither counts for an endpoint that states the limit. A negative one changes nothing and is reported like an invalid rate.

Before, with the statement read but not obeyed (TestRejectionLimit): 3 requests of 700 tokens granted to an endpoint with room for 1500, and a trial granted to it when it was full. After: 2 and none.

--- a/brroute/choose.go
+++ b/brroute/choose.go
@@ -111,7 +111,8 @@
 			continue
 		}
 		if e.halfOpen {
-			if t.trial == nil && !now.Before(e.retryAt) && (trial == nil || e.retryAt.Before(trial.retryAt)) {
+			due := t.trial == nil && !now.Before(e.retryAt) && (!e.limit.Brittle || t.fits(e, r, tokens))
+			if due && (trial == nil || e.retryAt.Before(trial.retryAt)) {
 				trial = e
 			}
 			continue
@@ -158,14 +159,15 @@
 // fits reports whether e has room for r, which has the given number of tokens in
 // all. An idle endpoint accepts a request of any length. The cached part of the
 // prompt needs no room, since engines share cached blocks. It is counted once r
-// is granted, so an endpoint exceeds its limit by at most one cached prompt.
+// is granted, so an endpoint exceeds its limit by at most one cached prompt. One
+// that bears few rejections may not exceed it.
 func (t *Table) fits(e *endpoint, r Request, tokens int) bool {
 	occupied := max(e.load, e.outstanding)
 	if occupied == 0 {
 		return true
 	}
 	cached := 0
-	if t.opts.Kind == brwire.KindEngine {
+	if t.opts.Kind == brwire.KindEngine && !e.limit.Brittle {
 		cached = t.cachedOn(e, r)
 	}
 	limit := t.outstandingLimitOf(e)
--- a/brroute/table.go
+++ b/brroute/table.go
@@ -105,9 +105,9 @@
 	Silent   State = "silent"
 	Removed  State = "removed"
 
-	Limited      State = "limited"       // states a rate limit, or another one
+	Limited      State = "limited"       // states a limit, or another one
 	Unlimited    State = "unlimited"     // no longer states one
-	InvalidLimit State = "invalid_limit" // states a rate limit that isn't a number of requests per second
+	InvalidLimit State = "invalid_limit" // states a limit that isn't a number of requests per second
 )
 
 // Change reports that an endpoint entered a state.
--- a/brwire/endpoint.go
+++ b/brwire/endpoint.go
@@ -24,8 +24,11 @@
 	CacheEvents    []CacheEvent `json:"cache_events,omitempty" cbor:"cache_events,omitempty"`
 	// RateLimit is the number of requests per second that the endpoint takes; nil means
 	// no limit.
-	RateLimit   *float64 `json:"rate_limit,omitempty" cbor:"rate_limit,omitempty"`
-	FailedLoads []string `json:"failed_loads,omitempty" cbor:"failed_loads,omitempty"` // versions that the endpoint failed to load
+	RateLimit *float64 `json:"rate_limit,omitempty" cbor:"rate_limit,omitempty"`
+	// RejectionLimit is the number of requests per second that the endpoint can reject for
+	// want of room before it fails; nil means no limit.
+	RejectionLimit *int     `json:"rejection_limit,omitempty" cbor:"rejection_limit,omitempty"`
+	FailedLoads    []string `json:"failed_loads,omitempty" cbor:"failed_loads,omitempty"` // versions that the endpoint failed to load
 }
 
 // Age returns the age of the load figures when the report was sent.
