--- a/brlimit/doc.go
+++ b/brlimit/doc.go
@@ -1,5 +1,6 @@
-// Package brlimit keeps the rate limits that endpoints state in their responses, over
-// all processes that send requests to them.
+// Package brlimit keeps the limits that endpoints state in their responses, over all
+// processes that send requests to them: the requests per second that an endpoint takes,
+// and the rejections per second that it bears.
 //
 // A process that learns a limit publishes it. The right to send then lies with a few
 // holders, which every process works out alike from the endpoints with a limit and the
@@ -14,6 +15,10 @@
 // at the price of a round trip and of seconds without any request when the grantor is
 // lost.
 //
+// An endpoint that bears few rejections must not be sent more than its slots. Each slot
+// belongs to one member, by the same division, so that no message is needed for a request
+// and the members can't exceed the slots together.
+//
 // The types do no I/O and take the time as an argument. They aren't safe for concurrent
 // use.
 package brlimit
--- a/brlimit/holders.go
+++ b/brlimit/holders.go
@@ -94,12 +94,14 @@
 type division struct {
 	hashes []uint64 // of the members
 	held   []int    // number of parts that each member holds
-	parts  int      // number of parts of all endpoints
+	// least and most are a member's part of all, rounded down and up.
+	least, most int
 }
 
 // newDivision returns a division of the given number of parts of all endpoints.
 func newDivision(parts int, members []string) *division {
-	d := &division{held: make([]int, len(members)), parts: parts}
+	n := len(members)
+	d := &division{held: make([]int, n), least: parts / n, most: (parts + n - 1) / n}
 	for _, m := range members {
 		d.hashes = append(d.hashes, xxhash.Sum64String(m))
 	}
@@ -130,8 +132,11 @@
 		if slices.Contains(chosen, i) {
 			continue
 		}
-		excess, hash := d.excess(i), mix(m^h)
-		if best < 0 || excess < bestExcess || excess == bestExcess && hash < bestHash {
+		excess := d.excess(i)
+		if best >= 0 && excess > bestExcess {
+			continue
+		}
+		if hash := mix(m ^ h); best < 0 || excess < bestExcess || hash < bestHash {
 			best, bestExcess, bestHash = i, excess, hash
 		}
 	}
@@ -141,11 +146,10 @@
 // excess returns 0 if a member holds less than its part of all, rounded down, 1 if it
 // holds less than that rounded up, and 2 otherwise.
 func (d *division) excess(member int) int {
-	least, most := d.parts/len(d.held), (d.parts+len(d.held)-1)/len(d.held)
 	switch held := d.held[member]; {
-	case held < least:
+	case held < d.least:
 		return 0
-	case held < most:
+	case held < d.most:
 		return 1
 	}
 	return 2
--- a/brlimit/limit_test.go
+++ b/brlimit/limit_test.go
@@ -191,3 +191,21 @@
 		})
 	}
 }
+
+func BenchmarkSlots(b *testing.B) {
+	for _, size := range []struct{ members, endpoints, slots int }{{11, 18, 7}, {67, 72, 4}, {200, 156, 4}} {
+		var ids []string
+		slots := map[string]int{}
+		for i := range size.members {
+			ids = append(ids, fmt.Sprintf("d%03d", i))
+		}
+		for i := range size.endpoints {
+			slots[fmt.Sprint("e", i)] = size.slots
+		}
+		b.Run(fmt.Sprintf("members=%d/endpoints=%d/slots=%d", size.members, size.endpoints, size.slots), func(b *testing.B) {
+			for b.Loop() {
+				Slots(slots, ids, "d000")
+			}
+		})
+	}
+}
