--- a/brplace/brittle.go
+++ b/brplace/brittle.go
@@ -49,20 +49,13 @@
 // isBrittle reports whether e bears few rejections, by what it states or, until its first
 // response, by what the start before it or most endpoints of the service have stated.
 func (s *State) isBrittle(e *endpoint) bool {
-	if s.hasStated(e) {
+	if e.stated {
 		return e.limit.Brittle
 	}
 	l := s.limits[e.ID]
 	return l != nil && l.known.Limit().Brittle || s.service(e.Service).mostBrittle
 }
 
-// hasStated reports whether the present start of e has stated its limit, or that it has
-// none.
-func (s *State) hasStated(e *endpoint) bool {
-	l := s.limits[e.ID]
-	return l != nil && l.born == e.Born
-}
-
 // setBrittle records whether e is brittle. This daemon has no slots of it until the next
 // tick.
 func (s *State) setBrittle(e *endpoint, brittle bool) {
@@ -88,7 +81,7 @@
 func (s *State) updateBrittle(v *service) {
 	stated, brittle := 0, 0
 	for _, e := range v.endpoints {
-		if s.hasStated(e) {
+		if e.stated {
 			stated++
 			if e.limit.Brittle {
 				brittle++
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -51,7 +51,8 @@
 	suspendedUntil time.Time
 	lastSuspension time.Duration  // duration of the last suspension
 	pausedUntil    time.Time      // until then the endpoint wants no requests of this daemon
-	limit          brlimit.Limit  // as it states
+	limit          brlimit.Limit  // as its present start states
+	stated         bool           // the present start has stated a limit, or that it has none
 	bucket         brlimit.Bucket // this daemon's share of the rate
 	slotUse        slotUse
 }
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -80,6 +80,8 @@
 	if e == nil {
 		return
 	}
+	l := s.limits[e.ID]
+	e.stated = l != nil && l.born == e.Born
 	if limit := s.Limit(e.ID, e.Born); limit != e.limit {
 		if !e.limit.Limited {
 			e.bucket = brlimit.Bucket{}
