brplace: don't track which request was rejected

The slot of a rejected request may as well count as taken for 100 ms more: its daemon sends the endpoint nothing for a second.

--- a/brplace/brittle.go
+++ b/brplace/brittle.go
@@ -152,22 +152,19 @@
 	}
 }
 
-// recordRejection records that an endpoint has rejected a request for want of room:
-// the given one of this daemon, or another daemon's.
-func (s *State) recordRejection(id string, request uint64) {
-	if f := s.inflight[request]; f != nil {
-		f.rejected = true
-	}
+// recordRejection records that an endpoint has rejected a request of this or another
+// daemon for want of room.
+func (s *State) recordRejection(id string) {
 	if e := s.endpoints[id]; e != nil {
 		e.slotUse.rejectedUntil, e.slotUse.freed = s.now.Add(rejectionWindow), 0
 	}
 }
 
 // recordSlot records the end of a request that was sent to e.
-func (s *State) recordSlot(e *endpoint, f *inflightRequest, result Result) {
+func (s *State) recordSlot(e *endpoint, result Result) {
 	u := &e.slotUse
 	switch {
-	case !u.brittle || f.rejected || result == WrongAddress:
+	case !u.brittle || result == WrongAddress:
 	case result == Succeeded:
 		if s.now.Before(u.rejectedUntil) {
 			u.freed++
--- a/brplace/brittle_replay_test.go
+++ b/brplace/brittle_replay_test.go
@@ -322,8 +322,7 @@
 		limit = brlimit.Limit{Brittle: true, RejectionLimit: r.rejections}
 	}
 	r.step(q.daemon, LimitObserved{
-		ID: r.endpoint(q.endpoint).ID, Born: r.servers[q.endpoint].born, Request: q.attempt,
-		SentAt: start.Add(q.sentAt), Limit: limit, Rejected: rejected,
+		ID: r.endpoint(q.endpoint).ID, Born: r.servers[q.endpoint].born, SentAt: start.Add(q.sentAt), Limit: limit, Rejected: rejected,
 	})
 }
 
--- a/brplace/brittle_test.go
+++ b/brplace/brittle_test.go
@@ -141,7 +141,7 @@
 		endpoint, request := sent[1], uint64(1)
 		if own {
 			effects := s.Step(at(70), LimitObserved{
-				ID: endpoint, Born: 1, Request: request, SentAt: at(60), Limit: brlimit.Limit{Brittle: true, RejectionLimit: 1}, Rejected: true,
+				ID: endpoint, Born: 1, SentAt: at(60), Limit: brlimit.Limit{Brittle: true, RejectionLimit: 1}, Rejected: true,
 			})
 			if len(effects) != 1 || !effects[0].(LimitLearned).Rejected {
 				t.Errorf("effects %v of a rejection, want it published", effects)
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -74,7 +74,6 @@
 type LimitObserved struct {
 	ID       string
 	Born     uint64    // start of the endpoint to which the request was sent
-	Request  uint64    // ID of the request
 	SentAt   time.Time // time at which it was sent
 	Limit    brlimit.Limit
 	Rejected bool // the endpoint rejected the request for want of room
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -46,7 +46,7 @@
 	s.applyLimit(s.endpoints[ev.ID])
 	ev.Rejected = ev.Rejected && l.known.Limit().Brittle
 	if ev.Rejected {
-		s.recordRejection(ev.ID, ev.Request)
+		s.recordRejection(ev.ID)
 		if s.now.Sub(l.rejectedAt) >= rejectionInterval {
 			l.rejectedAt, publish = s.now, true
 		}
@@ -69,7 +69,7 @@
 	}
 	s.applyLimit(s.endpoints[ev.ID])
 	if ev.Rejected {
-		s.recordRejection(ev.ID, 0)
+		s.recordRejection(ev.ID)
 	}
 }
 
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -55,7 +55,6 @@
 	dispatchedAt time.Time
 	gotFirstByte bool
 	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
-	rejected     bool // the endpoint rejected it for want of room
 }
 
 // New returns a State without endpoints. New panics if cfg.Random is nil.
@@ -282,7 +281,7 @@
 	e.own.Active--
 	v.countRunning(&f.request, -1)
 	e.lastEnded = s.now
-	s.recordSlot(e, f, ev.Result)
+	s.recordSlot(e, ev.Result)
 	if !f.gotFirstByte {
 		e.own.PendingPromptTokens -= f.request.PromptTokens
 	}
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -46,7 +46,7 @@
 func (p *Proxy) observeLimit(q *request, a *attempt, res *brconn.Response) {
 	e := a.endpoint
 	observed := brplace.LimitObserved{
-		ID: e.ID, Born: e.Born, Request: a.placementID, SentAt: a.sentAt, Limit: p.statedLimit(q, e, res),
+		ID: e.ID, Born: e.Born, SentAt: a.sentAt, Limit: p.statedLimit(q, e, res),
 		Rejected: res.Status == http.StatusServiceUnavailable && p.cfg.Dialect.NotRun(res),
 	}
 	p.mu.Lock()
--- a/brproxy/observe_test.go
+++ b/brproxy/observe_test.go
@@ -167,7 +167,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			ignore := cmpopts.IgnoreFields(brplace.LimitLearned{}, "ID", "Born", "Request", "SentAt")
+			ignore := cmpopts.IgnoreFields(brplace.LimitLearned{}, "ID", "Born", "SentAt")
 			if diff := cmp.Diff(test.want, got, ignore); diff != "" {
 				t.Error(diff)
 			}
