Drop records that daemons can't decode instead of closing the link

An endpoint that announced itself, or was withdrawn, under an ID that isn't UTF-8 ('PUT /-/instances/e%ff') made the first daemon publish a record whose key the others can't decode. They closed the link, got the record again after each reconnection, and followed no record of that daemon until the record expired. The same came from records of over 4 MB, and from records that are allowed one by one and exceed the maximum message size together. Records with a negative age or lifetime never expired.

A record is now checked where it is published and where it is received, the records of a message are decoded one by one, and messages are limited in bytes as well.

Before: TestOddRecordKeepsLinks, TestOddBatch failed on the code of ('sound record at the other daemon: not within 10s' for a key of invalid UTF-8, a large value and a number in place of a record; the other odd records were accepted), and TestLargeRecords without the limit in bytes. Ruled out: values that can't be decoded; these are byte strings to the link and were already logged and left out.

--- a/brfleet/record.go
+++ b/brfleet/record.go
@@ -25,3 +25,9 @@
 	}
 	return value, err == nil
 }
+
+// onDropped logs a record that isn't used. Keys that aren't valid may be long.
+func (f *Fleet) onDropped(r brgossip.Record, err error) {
+	const loggedBytes = 64
+	f.cfg.Log.Warn().Str("key", r.Key[:min(len(r.Key), loggedBytes)]).Err(err).Msg("record dropped")
+}
--- a/brgossip/flush.go
+++ b/brgossip/flush.go
@@ -15,8 +15,11 @@
 	// they are sent.
 	DefaultFlushInterval = 25 * time.Millisecond
 
-	// maxBatch is the maximum number of records in one message.
-	maxBatch = 64
+	// maxBatch is the maximum number of records in one message, and maxBatchBytes the
+	// size of their keys and values in bytes: messages beyond brwire.MaxMessage close
+	// the link.
+	maxBatch      = 64
+	maxBatchBytes = 1 << 20
 	// maxQueuedMessages is the number of unsent messages to a peer from which on its
 	// pending records wait. A slow peer then receives only their newest versions, and
 	// the queue takes little memory.
@@ -128,34 +131,32 @@
 	return deliveries, map[string]struct{}{}
 }
 
+// encodeAll returns the encoded pending records, sorted by key and in batches of at most
+// maxBatch records and maxBatchBytes. A larger record makes a batch of its own.
 func (n *Node) encodeAll(now time.Time, pending map[string]struct{}) [][]byte {
 	var bodies [][]byte
-	for _, keys := range chunks(pending) {
-		bodies = append(bodies, n.encode(now, keys))
-	}
-	return bodies
-}
-
-// chunks returns the pending keys, sorted and split into batches.
-func chunks(pending map[string]struct{}) [][]string {
-	if len(pending) == 0 {
-		return nil
+	var b batch
+	size := 0
+	for _, key := range slices.Sorted(maps.Keys(pending)) {
+		r, ok := n.store.Get(now, key)
+		if !ok {
+			continue
+		}
+		bytes := len(r.Key) + len(r.Value)
+		if len(b.Records) == maxBatch || len(b.Records) > 0 && size+bytes > maxBatchBytes {
+			bodies = append(bodies, encode(b))
+			b.Records, size = b.Records[:0], 0
+		}
+		b.Records = append(b.Records, r)
+		size += bytes
 	}
-	keys := make([]string, 0, len(pending))
-	for key := range pending {
-		keys = append(keys, key)
+	if len(b.Records) > 0 {
+		bodies = append(bodies, encode(b))
 	}
-	slices.Sort(keys)
-	return slices.Collect(slices.Chunk(keys, maxBatch))
+	return bodies
 }
 
-func (n *Node) encode(now time.Time, keys []string) []byte {
-	var b batch
-	for _, key := range keys {
-		if r, ok := n.store.Get(now, key); ok {
-			b.Records = append(b.Records, r)
-		}
-	}
+func encode(b batch) []byte {
 	body, err := brwire.Encode(b)
 	if err != nil {
 		panic(fmt.Sprintf("brgossip: encode records: %v", err))
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -55,6 +55,9 @@
 	// overlap and must not block.
 	OnRecord  func(Record)
 	OnExpired func(Record)
+	// OnDropped is called with each record that can't be decoded, as far as it could be,
+	// or fails Record.Check. It may be nil, and must not block.
+	OnDropped func(Record, error)
 	// OnLink is called when a link to a daemon has opened or closed.
 	OnLink func(address string, open bool)
 
@@ -159,7 +162,7 @@
 
 // Publish publishes a record of this daemon, or of an endpoint that announced
 // itself here, to all daemons. It reports whether the record is newer than the
-// stored one.
+// stored one. A record that fails Record.Check isn't.
 func (n *Node) Publish(r Record) bool {
 	return n.merge(r, nil)
 }
@@ -264,6 +267,10 @@
 // the peers other than the one that it came from. It reports whether the record
 // was stored.
 func (n *Node) merge(r Record, from *brpeer.Conn) bool {
+	if err := r.Check(); err != nil {
+		n.drop(r, err)
+		return false
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.peers[from]
@@ -350,13 +357,6 @@
 	}
 }
 
-// receive merges records received from another daemon.
-func (n *Node) receive(c *brpeer.Conn, b batch) {
-	for _, r := range b.Records {
-		n.merge(r, c)
-	}
-}
-
 // addPeer starts sending to a peer that was dialed or that sent a hello message.
 func (n *Node) addPeer(c *brpeer.Conn, address string) {
 	n.mu.Lock()
