Check announcements of endpoints at every daemon

The daemon that reads a heartbeat took slots of 1e9 and, port 0, the addresses 0.0.0.0 and 224.0.0.1, texts of 100,000 bytes, a body that was cut at the limit, cold_remaining_ms of another type, and IDs with control characters or of any length. The daemons that get the record over a link checked nothing: a value under another ID was used and never removed, a port of 65536 was dialed.

Announcement.Check says what names an endpoint to use. It is applied where a heartbeat is read and to each record, whose key and version must be those of its value as well. cold_remaining_ms may still be missing, since it isn't used.

Ruled out: deep nesting, wrong types, fractions and numbers beyond 64 bits in the fields that are used (encoding/json and the CBOR decoder refuse them), and dials of such addresses (TestOddAddress passed before).

--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -29,13 +29,6 @@
 	withdrawnSequence = math.MaxUint64
 )
 
-// Announcement is an endpoint's heartbeat.
-type Announcement struct {
-	Endpoint brplace.Endpoint
-	Born     uint64 // start time of the endpoint, Unix milliseconds
-	Sequence uint64 // number of the heartbeat since the start
-}
-
 // ErrUnknownService is returned for an announcement of a service that the policy
 // in force does not define.
 var ErrUnknownService = errors.New("brfleet: unknown service")
@@ -46,9 +39,13 @@
 
 // Announce publishes a heartbeat to all daemons. A heartbeat older than the
 // current record of the endpoint has no effect. Announce returns an error that
-// wraps ErrUnknownService for an unknown service, and ErrIsolated if a leaving
-// endpoint announces itself while no other daemon can be reached.
+// wraps ErrInvalid or ErrUnknownService for an announcement that names no endpoint to
+// use, and ErrIsolated if a leaving endpoint announces itself while no other daemon can
+// be reached.
 func (f *Fleet) Announce(a Announcement) error {
+	if err := a.Check(); err != nil {
+		return err
+	}
 	if t := f.proxy.Table(); t != nil && t.Service(a.Endpoint.Service) == nil {
 		return fmt.Errorf("%w %q", ErrUnknownService, a.Endpoint.Service)
 	}
@@ -73,8 +70,12 @@
 }
 
 // Withdraw marks the endpoint as leaving and publishes that to all daemons. It
-// returns ErrIsolated if no other daemon can be reached.
+// returns an error that wraps ErrInvalid if no endpoint can have the ID, and ErrIsolated
+// if no other daemon can be reached.
 func (f *Fleet) Withdraw(id string) error {
+	if err := (Announcement{Endpoint: brplace.Endpoint{ID: id}}).checkIdentity(); err != nil {
+		return err
+	}
 	if f.isolated() {
 		return ErrIsolated
 	}
@@ -122,6 +123,10 @@
 	if !ok {
 		return
 	}
+	if err := a.checkRecord(r); err != nil {
+		f.onDropped(r, err)
+		return
+	}
 	change := f.endpoints.update(a)
 	if change.displaced != "" {
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: change.displaced})
