Refuse commands that can't be decoded before they reach the log

State.Apply panicked on a log entry that can't be decoded. A command with text that isn't UTF-8 is encoded without an error, so that a call of a faulty daemon with such a command would have ended every replica, and again after each restart, since the entry stays in the log. The interface for operators can't cause it: encoding/json replaces such bytes.

Each daemon now decodes a command before it proposes it, and an entry that can't be decoded changes nothing, as one of an unknown kind did already.

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -237,6 +237,9 @@
 // group has fewer voters than the tolerance requires, because a smaller group
 // could lose an acknowledged command with a single disk.
 func (c *Core) localPropose(ctx context.Context, data []byte) (Verdict, error) {
+	if _, err := brwire.Decode[Command](data); err != nil {
+		return 0, brerror.New(brerror.InvalidRequest, "command can't be decoded: %w", err)
+	}
 	r := c.replica.Load()
 	if r == nil {
 		return 0, errNoReplica
--- a/brcore/state.go
+++ b/brcore/state.go
@@ -58,13 +58,13 @@
 	rollouts map[string]Rollout
 }
 
-// Apply applies a committed command and returns the encoded verdict. It panics if
-// the command cannot be decoded.
+// Apply applies a committed command and returns the encoded verdict. A command that
+// can't be decoded changes nothing: an error would end every replica that applies it,
+// again after each restart.
 func (s *State) Apply(index uint64, data []byte) []byte {
 	c, err := brwire.Decode[Command](data)
 	if err != nil {
-		// Only commands encoded by this package are proposed.
-		panic(fmt.Sprintf("brcore: decode log entry %d: %v", index, err))
+		return []byte{byte(NoChange)}
 	}
 	return []byte{byte(s.apply(index, c))}
 }
