Refuse rollouts without a positive duration

POST /-/rollouts took a duration_s of 1e-10, which is 0 as a time.Duration, and of 1e300, which is negative on x86-64. brcanary.Decide panics on such a duration, in a goroutine of the leading daemon that nothing recovers. The order is in the log, so that each daemon that leads after it ends as well.

The duration is checked where the order is read, and a rollout without one that an earlier release has put into the log is taken back.

Before: TestOddRolloutInLog ended with 'panic: brcanary: duration must be positive', and TestControl got 200 for the first two of the three new orders, want 400.

--- a/brfleet/policy.go
+++ b/brfleet/policy.go
@@ -39,7 +39,7 @@
 	return err
 }
 
-// InvalidError reports why a policy document is invalid.
+// InvalidError reports why a policy document or a rollout is invalid.
 type InvalidError struct{ Reason error }
 
 // Error returns the text of the reason.
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"bramleyroute/brcanary"
 	"bramleyroute/brcore"
@@ -62,14 +65,29 @@
 	recordedAt time.Time
 }
 
-// BeginRollout starts a rollout. Errors are as for brcore.Core.PutDocument.
+// BeginRollout starts a rollout. It returns an InvalidError for a rollout without a
+// duration or with text that isn't UTF-8. Other errors are as for
+// brcore.Core.PutDocument.
 func (f *Fleet) BeginRollout(ctx context.Context, r brcore.Rollout) (brcore.Verdict, error) {
+	if err := checkRollout(r); err != nil {
+		return 0, &InvalidError{err}
+	}
 	v, err := f.core.BeginRollout(ctx, r)
 	f.cfg.Log.Info().Str("service", r.Service).Str("target", r.Target).Uint8("verdict", uint8(v)).AnErr("error", err).
 		Msg("rollout requested")
 	return v, err
 }
 
+func checkRollout(r brcore.Rollout) error {
+	if r.Duration <= 0 {
+		return fmt.Errorf("brfleet: duration %v of a rollout isn't positive", r.Duration)
+	}
+	if !utf8.ValidString(r.Service) || !utf8.ValidString(r.Target) {
+		return errors.New("brfleet: service or target of a rollout is not UTF-8")
+	}
+	return nil
+}
+
 // Rollout returns the newest rollout of a service; its Outcome is empty when there
 // was none.
 func (f *Fleet) Rollout(ctx context.Context, service string) (brcore.Rollout, error) {
@@ -232,8 +250,10 @@
 	f.rollouts.mu.Unlock()
 	share := 0.0
 	if r.Outcome == brcore.Running {
-		var o brcanary.Outcome
-		share, o = brcanary.Decide(elapsed, r.Duration, routes)
+		o := brcanary.RollBack
+		if r.Duration > 0 { // an earlier release also accepted others
+			share, o = brcanary.Decide(elapsed, r.Duration, routes)
+		}
 		next := r
 		next.Elapsed = elapsed
 		switch o {
