Don't believe a refusal without an ID that may be a copy

A response that says 'not run' and has no ID was taken for the answer to the current request. An endpoint that writes an earlier refusal once more on a kept connection, after it has begun to run the next request there, so made the daemon answer 503 for a request that ran, or send it to a second endpoint.

A connection isn't used again after a refusal without an ID, so that no copy of it can come, and such a refusal is believed only on a connection that has carried no refusal before. Otherwise the request may have run. Copies with the ID of an earlier request were told apart before: with a length the answer after them is found, in chunks, without a length, cut off or three of them end in 'may have run'.

Ruled out: a copy with the ID of the current request, since no endpoint is tried twice for a request and each attempt of a caller has a new ID; a look at the bytes that have arrived before the request is sent, since the copy comes later.

--- a/brconn/doc.go
+++ b/brconn/doc.go
@@ -6,5 +6,5 @@
 // found closed before the first byte is written is replaced without an error.
 // Responses are matched to requests by the ID that the endpoint echoes, so that a
 // late or excess response is discarded. A connection is reused only after a complete
-// exchange.
+// exchange, and not after a refusal that names no request.
 package brconn
--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -71,6 +71,8 @@
 	reader  *bufio.Reader // reads from limiter
 	writer  *bufio.Writer
 	expires time.Time // time after which an idle connection is not reused
+	refused bool      // a response on the connection was a refusal
+	unnamed bool      // a refusal on the connection named no request
 }
 
 func newConn(n net.Conn, address string) *conn {
@@ -137,8 +139,9 @@
 
 // readHead reads response headers until one matches the request. It returns
 // ErrResponseMismatch after more than maxMismatches mismatches, after one whose body is
-// longer than maxMismatchBytes or of unknown length, or if the endpoint switches
-// protocols. Errors include brheader.ErrTooLarge.
+// longer than maxMismatchBytes or of unknown length, after a refusal that may be a copy
+// of an earlier one, or if the endpoint switches protocols. Errors include
+// brheader.ErrTooLarge.
 func (x *Exchange) readHead(r Request) error {
 	for range maxMismatches + 1 {
 		response, err := x.conn.limiter.ReadResponse(x.conn.reader, &http.Request{Method: r.Method})
@@ -149,7 +152,11 @@
 			return ErrResponseMismatch
 		}
 		a := Response{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: brheader.FramingOf(response)}
+		believed := x.conn.recordRefusal(x.pool, &a)
 		if x.pool.Matches == nil || x.pool.Matches(r.ID, &a) {
+			if !believed {
+				return ErrResponseMismatch
+			}
 			x.Response, x.response = a, response
 			return nil
 		}
@@ -163,6 +170,21 @@
 	return ErrResponseMismatch
 }
 
+// recordRefusal records whether a response on c is a refusal. It returns false for one
+// that names no request and may be a copy of an earlier one.
+func (c *conn) recordRefusal(p *Pool, res *Response) bool {
+	if p.Refusal == nil {
+		return true
+	}
+	refusal, named := p.Refusal(res)
+	if !refusal {
+		return true
+	}
+	before := c.refused
+	c.refused, c.unnamed = true, c.unnamed || !named
+	return named || !before
+}
+
 // Read reads the response body. It returns io.EOF only at the end of the body as its
 // framing marks it. An EventReader also recognizes an event stream that was broken off.
 func (x *Exchange) Read(b []byte) (int, error) {
@@ -234,7 +256,7 @@
 // idleTimeout returns how long the connection may stay idle in the pool, and
 // whether it may be reused at all.
 func (x *Exchange) idleTimeout() (time.Duration, bool) {
-	if !x.complete || x.response.Close || x.conn.reader.Buffered() > 0 {
+	if !x.complete || x.response.Close || x.conn.unnamed || x.conn.reader.Buffered() > 0 {
 		return 0, false
 	}
 	select {
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -36,6 +36,12 @@
 	// Matches reports whether a response belongs to the request with the given ID;
 	// nil accepts every response.
 	Matches func(id string, answer *Response) bool
+	// Refusal reports whether a response says that its request hasn't run, and whether
+	// it names the request; nil means that none says so. A refusal without a name is
+	// believed only on a connection that has carried no refusal before, and isn't
+	// followed by another request there: an endpoint may send a copy of it later, which
+	// nothing would tell from a refusal of that request.
+	Refusal func(res *Response) (refusal, named bool)
 
 	background sync.WaitGroup // discards bodies
 
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -105,7 +105,7 @@
 	f.policies.changed = make(chan struct{}, 1)
 	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
-	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
+	f.pool = &brconn.Pool{Clock: cfg.Clock, Matches: cfg.Dialect.Matches, Refusal: cfg.Dialect.Refusal}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -30,7 +30,7 @@
 }
 
 // Dialect maps between header fields and the types of this package. All functions
-// except Matches are required.
+// except Matches and Refusal are required.
 type Dialect struct {
 	// Decode decodes the header of a caller's request. An error results in a
 	// response with status 400.
@@ -52,4 +52,6 @@
 	RateLimit func(a *brconn.Response) (rate float64, stated bool, err error)
 	// Matches reports whether a response belongs to the request with the given ID.
 	Matches func(id string, a *brconn.Response) bool
+	// Refusal is as in brconn.Pool.
+	Refusal func(a *brconn.Response) (refusal, named bool)
 }
