Reset the connection of an HTTP/1.0 caller when a stream is aborted

HTTP/1.0 has no chunks: the end of the connection marks the end of a response without a length. A stream that was broken off ended with a regular close and so looked complete. The connection is reset in that case. With HTTP/1.1 the end of the chunks is missing.

Before: TestUnfinishedStreamOfHTTP10 got a response that looks complete. What remains: a daemon that is killed, or stopped with the response unfinished at the end of the grace period, closes the connection regularly.

--- a/brproxy/end.go
+++ b/brproxy/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -58,9 +59,28 @@
 func (p *Proxy) abort(q *request, reason string) {
 	p.stats.Failed.Add(1)
 	p.log(q, "response aborted", 0, reason)
+	if !q.in.ProtoAtLeast(1, 1) {
+		p.resetCaller(q)
+	}
 	panic(http.ErrAbortHandler)
 }
 
+// resetCaller resets the connection of a caller. HTTP/1.0 has no chunks, so that the end
+// of the connection marks the end of a response without a length: only a reset tells one
+// that was aborted from a complete one.
+func (p *Proxy) resetCaller(q *request) {
+	c, _, err := http.NewResponseController(q.out).Hijack()
+	if err != nil {
+		p.cfg.Log.Warn().Str("id", q.call.ID).Err(err).Msg("connection of a caller can't be reset")
+		return
+	}
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// An error means that the connection is closed already.
+		_ = tcp.SetLinger(0)
+	}
+	c.Close()
+}
+
 // log writes the log entry for the end of a request.
 func (p *Proxy) log(q *request, message string, status int, reason string) {
 	e := p.cfg.Log.Info().Str("id", q.call.ID).Int64("ms", p.cfg.Clock.Now().Sub(q.arrived).Milliseconds())
