Don't go on with a stream from a response that isn't one

When a stream had broken off, any successful response of the next endpoint on a route for streams was relayed as the rest of it: an object that ends with an empty line, encoded bytes, a 206. A 204 ended the stream as if it were complete. Failures were not relayed.

A response now goes on with a stream only if it has its status, media type and encoding. Otherwise the request goes to another endpoint where its route allows that, or the stream is broken off without a byte of the response.

What remains: an empty response with the media type of event streams and a complete framing is believed, as nothing tells it from the rest of a stream that broke off after its last event.

--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -95,13 +95,16 @@
 		h.Del("Content-Length")
 	}
 	q.out.WriteHeader(x.Response.Status)
-	q.headSent = true
+	q.headSent, q.streamHead = true, streamHeadOf(&x.Response)
 }
 
 // relayStream relays the events of a stream as they arrive.
 func (p *Proxy) relayStream(ctx context.Context, q *request, a *attempt, x *brconn.Exchange, s *stallTimer) outcome {
 	events := brconn.NewEventReader(x)
 	control := http.NewResponseController(q.out)
+	if q.headSent && q.streamHead != streamHeadOf(&x.Response) {
+		return p.notResumed(ctx, q, a, "response doesn't go on with the stream")
+	}
 	for {
 		b, err := events.Next()
 		if err != nil {
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -43,11 +43,12 @@
 	in       *http.Request
 	out      http.ResponseWriter
 
-	sends       int      // number of dispatches that may have reached an endpoint
-	tried       []string // IDs of the endpoints of all dispatches
-	mayHaveRun  bool     // an endpoint may have run the request
-	headSent    bool     // the response header was relayed
-	lastEventID string   // ID of the last relayed event
+	sends       int        // number of dispatches that may have reached an endpoint
+	tried       []string   // IDs of the endpoints of all dispatches
+	mayHaveRun  bool       // an endpoint may have run the request
+	headSent    bool       // the response header was relayed
+	lastEventID string     // ID of the last relayed event
+	streamHead  streamHead // of the relayed header
 
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
