Don't relay a stream that starts again instead of being resumed

An endpoint that ignores Last-Event-Id runs the request anew and sends all events from the first one. They were relayed after those of the first endpoint, or to a caller that resumes a stream itself: events came twice, and events of two runs were joined.

Event IDs increase. The first event of a resumed stream that has one must now come after the event at which it is resumed, on routes that are resumable; otherwise the request goes to another endpoint, or the stream is broken off without a byte of the response.

What remains: a stream that goes on too late, since IDs need not be consecutive.

--- a/brevent/event.go
+++ b/brevent/event.go
@@ -65,6 +65,23 @@
 	return n
 }
 
+// FirstID returns the ID of the first event in b that has one, or the empty string. b
+// begins at the start of an event and ends after a whole event.
+func FirstID(b []byte) string {
+	for len(b) > 0 {
+		line := b
+		if i := bytes.IndexAny(b, "\r\n"); i >= 0 {
+			line, b = b[:i], b[i+1:]
+		} else {
+			b = nil
+		}
+		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
 // LastID returns the ID of the last event in b that has one, or the empty string. b
 // ends after a whole event.
 func LastID(b []byte) string {
--- a/brevent/event_test.go
+++ b/brevent/event_test.go
@@ -77,3 +77,19 @@
 		}
 	}
 }
+
+// TestFirstID guards against an ID that is taken from the data of an event or from a later
+// event.
+func TestFirstID(t *testing.T) {
+	for body, want := range map[string]string{
+		"":                                   "",
+		":\n\n":                              "",
+		"id: 1\ndata: a\n\nid: 2\n\n":        "1",
+		"data: id: 7\n\nid:2\r\n\r\nid: 3\n": "2",
+		":\r\rdata: a\rid: x y \r\r":         "x y",
+	} {
+		if got := FirstID([]byte(body)); got != want {
+			t.Errorf("FirstID(%q) = %q, want %q", body, got, want)
+		}
+	}
+}
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -16,6 +16,7 @@
 	MaxOutputTokens  int           // maximum response length in tokens
 	OutputTokensHint int           // caller's estimate of the response length in tokens; 0 if not stated
 	HasTokens        bool          // whether PromptTokens and MaxOutputTokens were stated
+	LastEventID      string        // ID of the event after which the caller resumes a stream; empty if it doesn't
 	// PromptParts holds the IDs of the parts of the prompt that other requests may share.
 	PromptParts []string
 }
--- a/brproxy/harness_test.go
+++ b/brproxy/harness_test.go
@@ -20,7 +20,7 @@
 
 var testDialect = Dialect{
 	Decode: func(r *http.Request) (CallParams, error) {
-		c := CallParams{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), PromptParts: r.Header.Values("Part")}
+		c := CallParams{ID: r.Header.Get("Id"), Key: r.Header.Get("Key"), LastEventID: r.Header.Get("Last-Event-Id"), PromptParts: r.Header.Values("Part")}
 		if ms, err := strconv.Atoi(r.Header.Get("Deadline")); err == nil {
 			c.Deadline = time.Duration(ms) * time.Millisecond
 		}
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -105,6 +105,7 @@
 	if q.headSent && q.streamHead != streamHeadOf(&x.Response) {
 		return p.notResumed(ctx, q, a, "response doesn't go on with the stream")
 	}
+	resume := q.resumePoint()
 	for {
 		b, err := events.Next()
 		if err != nil {
@@ -114,6 +115,9 @@
 			return p.streamFailed(ctx, q, a, err)
 		}
 		if len(b) > 0 {
+			if !resume.accepts(b) {
+				return p.notResumed(ctx, q, a, "stream doesn't go on after its last event")
+			}
 			p.recordEvents(q, a, b)
 			s.reset()
 			if !q.headSent {
