Drop reports with numbers that no daemon can have counted

The reports of other daemons were applied unchecked: a negative number of running requests makes an endpoint look empty to all daemons that add it up, and NaN in a tally, a share or a retry budget stays in each sum. Such a report is now dropped like one that can't be decoded, so that its daemon counts as silent.

--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -22,13 +22,13 @@
 
 // cluster is a fleet of daemons on loopback. The first ones have a disk.
 type cluster struct {
-	t         *testing.T
+	t         testing.TB
 	addresses []string
 	dirs      []string // empty for a daemon without a disk
 	fleets    []*Fleet // nil while stopped
 }
 
-func newCluster(t *testing.T, daemons, disks int) *cluster {
+func newCluster(t testing.TB, daemons, disks int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, fleets: make([]*Fleet, daemons)}
 	for i := range daemons {
@@ -87,7 +87,7 @@
 	}
 }
 
-func testPolicy(t *testing.T, version uint64) []byte {
+func testPolicy(t testing.TB, version uint64) []byte {
 	t.Helper()
 	body, err := json.Marshal(brpolicy.Policy{
 		Version: version, Services: []brpolicy.Service{{Name: "s"}},
--- a/brfleet/limit.go
+++ b/brfleet/limit.go
@@ -32,7 +32,7 @@
 
 // applyLimitRecord applies the newest limit of an endpoint.
 func (f *Fleet) applyLimitRecord(r brgossip.Record) {
-	limit, ok := decode[brlimit.Limit](f, r)
+	limit, ok := decodeChecked(f, r, checkLimit)
 	if !ok {
 		return
 	}
--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -5,7 +5,6 @@
 
 	"bramleyroute/brgossip"
 	"bramleyroute/brplace"
-	"bramleyroute/brquota"
 )
 
 const (
@@ -145,7 +144,7 @@
 	if r.Name() == f.incarnation || r.Version.Seq <= f.loadSeqs[r.Name()] {
 		return
 	}
-	if report, ok := decode[brplace.Report](f, r); ok {
+	if report, ok := decodeChecked(f, r, checkLoad); ok {
 		f.loadSeqs[r.Name()] = r.Version.Seq
 		f.proxy.ApplyEvent(brplace.PeerReported{Daemon: r.Name(), Report: report})
 	}
@@ -155,7 +154,7 @@
 	if r.Name() == f.incarnation {
 		return
 	}
-	if report, ok := decode[brquota.Report](f, r); ok {
+	if report, ok := decodeChecked(f, r, checkQuotaUsage); ok {
 		f.proxy.PeerReported(r.Name(), report)
 	}
 }
--- a/brfleet/record.go
+++ b/brfleet/record.go
@@ -16,6 +16,19 @@
 	return b
 }
 
+// decodeChecked decodes the value of a record and reports whether it is valid.
+func decodeChecked[T any](f *Fleet, r brgossip.Record, check func(T) error) (T, bool) {
+	value, ok := decode[T](f, r)
+	if !ok {
+		return value, false
+	}
+	if err := check(value); err != nil {
+		f.onDropped(r, err)
+		return value, false
+	}
+	return value, true
+}
+
 // decode decodes the value of a record and reports whether it could. A value that
 // cannot be decoded comes from a daemon of a later release.
 func decode[T any](f *Fleet, r brgossip.Record) (T, bool) {
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -193,7 +193,7 @@
 }
 
 func (f *Fleet) applyTallyRecord(r brgossip.Record) {
-	t, ok := decode[tallies](f, r)
+	t, ok := decodeChecked(f, r, checkTallies)
 	if !ok {
 		return
 	}
@@ -206,7 +206,7 @@
 }
 
 func (f *Fleet) applyShareRecord(r brgossip.Record) {
-	s, ok := decode[versionShare](f, r)
+	s, ok := decodeChecked(f, r, checkShare)
 	if !ok {
 		return
 	}
