Drop messages of the log that no replica can have sent

Only a faulty daemon sends them. Message.Check holds what doesn't depend on the log of the receiver, and a message that fails it is dropped like one that is lost. The panics on two leaders of one term and on committed entries that conflict stay: after them, going on could lose what was acknowledged.

Before: TestOddLogMessages ended with a nil pointer dereference in the daemon. The simulation now fails if a replica sends a message that others would drop; it passes. FuzzReceive: 715,051 executions in 25 s (-fuzzminimizetime 1x) without a finding.

--- a/brcontrol/peers.go
+++ b/brcontrol/peers.go
@@ -110,7 +110,12 @@
 	})
 }
 
+// deliver passes a message to the State. The protocol tolerates the loss of those that it
+// drops.
 func (r *Replica) deliver(e envelope) {
+	if e.Message.Check() != nil {
+		return // no replica of this release sends it
+	}
 	r.mu.Lock()
 	ready := r.state != nil
 	if ready {
@@ -122,7 +127,7 @@
 	}
 	select {
 	case r.inbox <- e.Message:
-	default: // drop the message; the protocol tolerates message loss
+	default: // drop the message
 	}
 }
 
--- a/brlog/sim_test.go
+++ b/brlog/sim_test.go
@@ -253,6 +253,9 @@
 }
 
 func (s *sim) transmit(n *node, e Send) {
+	if err := e.Message.Check(); err != nil {
+		s.fail("%s sends a message that others drop: %v", n.id, err)
+	}
 	for _, x := range s.nodes {
 		if x.id != e.Message.To || s.blockedLinks[[2]int{n.slot, x.slot}] {
 			continue
