--- a/brpolicy/policy.go
+++ b/brpolicy/policy.go
@@ -111,6 +111,10 @@
 	return nil
 }
 
+// maxWeight is the largest weight of a service. A float64 holds the sum of all weights of
+// a route exactly.
+const maxWeight = 1_000_000_000
+
 // check validates a route. The keys of services are the services of the policy.
 func (r Route) check(services map[string]bool) error {
 	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
@@ -127,6 +131,9 @@
 		if t.Weight < 0 {
 			return fmt.Errorf("negative weight of service %q", t.Service)
 		}
+		if t.Weight > maxWeight {
+			return fmt.Errorf("weight %d of service %q, want at most %d", t.Weight, t.Service, maxWeight)
+		}
 		weight += t.Weight
 	}
 	if weight == 0 {
