--- a/brpolicy/odd_test.go
+++ b/brpolicy/odd_test.go
@@ -7,8 +7,7 @@
 )
 
 // TestOddWeights guards against weights whose sum overflows, so that a request goes to a
-// service with the weight 0, and against sums that a float64 can't hold, for which no
-// service is found.
+// service with the weight 0, and against sums that a float64 can't hold exactly.
 func TestOddWeights(t *testing.T) {
 	for _, weights := range [][]int{
 		{0, math.MaxInt, math.MaxInt}, {math.MaxInt}, {1 << 62}, {0, 1 << 62, 1 << 62}, {maxWeight + 1},
