Check records of endpoints before they replace others

A record that names no endpoint to use was left out where it is applied, but stored and passed on: under the ID of a sound endpoint, with a version newer than all heartbeats or a lifetime of 0, it kept the sound record out. Config.Accept is asked before a newer record is stored, and the lifetime of an endpoint's record is limited.

Before: TestOddRecordOfSoundEndpoint failed ('heartbeat is known: not within 20s'). TestOddEndpointRecords now sends the records over links to each daemon, since the node of a daemon doesn't take them any more.

--- a/brfleet/announcement.go
+++ b/brfleet/announcement.go
@@ -29,6 +29,9 @@
 	// its heartbeats, or as withdrawn.
 	maxBorn     = 1 << 53
 	maxSequence = 1 << 53
+	// maxRecordLifetime is the longest lifetime of the record of an endpoint, with room
+	// for another endpointLifetime in a later release.
+	maxRecordLifetime = 4 * endpointLifetime
 )
 
 // ErrInvalid is wrapped by the errors of announcements that name no endpoint to use.
@@ -82,6 +85,9 @@
 // withdrawn endpoint has withdrawnSequence, and no more than an ID if it was withdrawn
 // before its first announcement.
 func (a Announcement) checkRecord(r brgossip.Record) error {
+	if r.Lifetime <= 0 || r.Lifetime > maxRecordLifetime {
+		return fmt.Errorf("%w: lifetime of %v", ErrInvalid, r.Lifetime)
+	}
 	if a.Endpoint.ID != r.Name() || a.Born != r.Version.Epoch || a.Sequence != r.Version.Seq {
 		return fmt.Errorf("%w: value of another endpoint or version", ErrInvalid)
 	}
--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -123,10 +123,6 @@
 	if !ok {
 		return
 	}
-	if err := a.checkRecord(r); err != nil {
-		f.onDropped(r, err)
-		return
-	}
 	change := f.endpoints.update(a)
 	if change.displaced != "" {
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: change.displaced})
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -115,7 +115,7 @@
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
-		OnRecord: f.onRecord, OnExpired: f.onExpired, OnDropped: f.onDropped, OnLink: f.onLink,
+		Accept: f.accept, OnRecord: f.onRecord, OnExpired: f.onExpired, OnDropped: f.onDropped, OnLink: f.onLink,
 		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
 		DomainKinds: map[string]bool{kindDomainLoad: true}, Clock: cfg.Clock,
 	})
--- a/brfleet/odd_test.go
+++ b/brfleet/odd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"math"
 	"strings"
@@ -95,15 +96,17 @@
 			links = append(links, f.node.Conn(address))
 		}
 	}
+	conns := c.dialAll()
 	n := 0
 	for name := range oddEndpointValues("") {
 		n++
 		id := fmt.Sprint("odd", n)
-		// The node takes the record, as the daemon of another release would.
-		c.fleets[0].node.Publish(brgossip.Record{
-			Key: kindEndpoint + "/" + id, Version: brgossip.Version{Epoch: 1, Seq: 1},
-			Value: oddEndpointValues(id)[name], Lifetime: endpointLifetime,
-		})
+		for _, conn := range conns {
+			pushRecord(t, conn, brgossip.Record{
+				Key: kindEndpoint + "/" + id, Version: brgossip.Version{Epoch: 1, Seq: 1},
+				Value: oddEndpointValues(id)[name], Lifetime: endpointLifetime,
+			})
+		}
 		sound := brplace.Endpoint{ID: "sound of " + name, Service: "s", Address: "10.0.0.2:1", Slots: 2}
 		if err := c.fleets[0].Announce(Announcement{Endpoint: sound, Born: 1, Sequence: 1}); err != nil {
 			t.Fatal(err)
@@ -125,3 +128,60 @@
 		}
 	}
 }
+
+// dialAll opens a link to each daemon, as a daemon of another release could.
+func (c *cluster) dialAll() []*brpeer.Conn {
+	c.t.Helper()
+	var conns []*brpeer.Conn
+	for _, address := range c.addresses {
+		conn, err := brpeer.Dial(context.Background(), address, nil, &brpeer.Mux{})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(conn.Close)
+		conns = append(conns, conn)
+	}
+	return conns
+}
+
+// pushRecord sends a record to a daemon as brgossip does.
+func pushRecord(t *testing.T, conn *brpeer.Conn, r brgossip.Record) {
+	t.Helper()
+	type batch struct {
+		Records []brgossip.Record `cbor:"records"`
+	}
+	if err := brpeer.Push(conn, "gossip_records", batch{[]brgossip.Record{r}}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestOddRecordOfSoundEndpoint guards against a record under the ID of a sound endpoint
+// that is newer than all heartbeats of it, or never expires, and keeps them out.
+func TestOddRecordOfSoundEndpoint(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	for _, f := range c.fleets {
+		c.await("links", func() bool { return len(f.node.LinkedAddresses()) == 2 })
+	}
+	e := brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.2:1", Slots: 2}
+	value := encode(Announcement{Endpoint: e, Born: 1, Sequence: 1})
+	for _, conn := range c.dialAll() {
+		for _, r := range []brgossip.Record{
+			{Version: brgossip.Version{Epoch: math.MaxUint64}, Value: value, Lifetime: endpointLifetime},
+			{Version: brgossip.Version{Epoch: 1 << 60, Seq: 1}, Value: []byte{0xff}, Lifetime: endpointLifetime},
+			{Version: brgossip.Version{Epoch: 1, Seq: 1}, Value: value},
+			{Version: brgossip.Version{Epoch: 1, Seq: 1}, Value: value, Lifetime: 1 << 60},
+		} {
+			r.Key = kindEndpoint + "/e"
+			pushRecord(t, conn, r)
+		}
+		// A reply shows that the daemon has read the records.
+		_, _ = brpeer.Call[struct{}, struct{}](context.Background(), conn, "unknown", struct{}{})
+	}
+	e.Slots = 5
+	if err := c.fleets[1].Announce(Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range c.fleets {
+		c.await("heartbeat is known", func() bool { a, ok := f.endpoints.serving("e"); return ok && a.Endpoint.Slots == 5 })
+	}
+}
--- a/brfleet/record.go
+++ b/brfleet/record.go
@@ -39,6 +39,19 @@
 	return value, err == nil
 }
 
+// accept returns an error for a record of an endpoint that names none to use. It would
+// replace the record of a sound endpoint under the same ID.
+func (f *Fleet) accept(r brgossip.Record) error {
+	if r.Kind() != kindEndpoint {
+		return nil
+	}
+	a, err := brwire.Decode[Announcement](r.Value)
+	if err != nil {
+		return err
+	}
+	return a.checkRecord(r)
+}
+
 // onDropped logs a record that isn't used. Keys that aren't valid may be long.
 func (f *Fleet) onDropped(r brgossip.Record, err error) {
 	const loggedBytes = 64
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -50,13 +50,16 @@
 	Mux   *brpeer.Mux // handlers of the daemon's peer listener; the node adds its own
 	// Seeds returns the currently configured peer addresses.
 	Seeds func() []string
+	// Accept returns an error for a record that is newer than the stored one and must
+	// neither replace it nor be passed on; nil accepts each. It must not block.
+	Accept func(Record) error
 	// OnRecord is called with each new version of a record, whether published
 	// locally or received, and OnExpired with each expired record. Calls don't
 	// overlap and must not block.
 	OnRecord  func(Record)
 	OnExpired func(Record)
 	// OnDropped is called with each record that can't be decoded, as far as it could be,
-	// or fails Record.Check. It may be nil, and must not block.
+	// fails Record.Check or isn't accepted. It may be nil, and must not block.
 	OnDropped func(Record, error)
 	// OnLink is called when a link to a daemon has opened or closed.
 	OnLink func(address string, open bool)
@@ -274,6 +277,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	p := n.peers[from]
+	if !n.accepts(r) {
+		return false
+	}
 	if !n.store.Merge(n.cfg.Clock.Now(), r) {
 		if p != nil {
 			n.dropPending(p, r)
--- a/brgossip/receive.go
+++ b/brgossip/receive.go
@@ -31,3 +31,16 @@
 		n.cfg.OnDropped(r, err)
 	}
 }
+
+// accepts reports whether Config.Accept accepts r, and drops it otherwise. A record that
+// isn't newer than the stored one isn't looked at.
+func (n *Node) accepts(r Record) bool {
+	if n.cfg.Accept == nil || !n.store.IsNewer(r) {
+		return true
+	}
+	err := n.cfg.Accept(r)
+	if err != nil {
+		n.drop(r, err)
+	}
+	return err == nil
+}
--- a/brgossip/store.go
+++ b/brgossip/store.go
@@ -62,8 +62,7 @@
 	if r.Lifetime > 0 && r.Age >= r.Lifetime {
 		return false
 	}
-	old, ok := s.entries[r.Key]
-	if ok && !old.record.Version.Less(r.Version) {
+	if !s.IsNewer(r) {
 		return false
 	}
 	if s.entries == nil {
@@ -73,6 +72,12 @@
 	return true
 }
 
+// IsNewer reports whether r is newer than the stored version, or there is none.
+func (s *Store) IsNewer(r Record) bool {
+	old, ok := s.entries[r.Key]
+	return !ok || old.record.Version.Less(r.Version)
+}
+
 // Get returns the record of key with its current age, and whether it exists.
 func (s *Store) Get(now time.Time, key string) (Record, bool) {
 	e, ok := s.entries[key]
