brgossip: don't forward a domain record of an unknown peer

A replica took the failure domain of a sender that it doesn't know yet for its own and sent the record to its subscribers, so that it left its domain.

That this was the cause isn't shown.

--- a/brgossip/relay.go
+++ b/brgossip/relay.go
@@ -58,7 +58,11 @@
 		return nil
 	}
 	domain, fromReplica := t.self.FailureDomain, false
-	if p := n.peers[from]; p != nil {
+	if from != nil {
+		p := n.peers[from]
+		if p == nil {
+			return nil // the link has just opened, and its daemon isn't known yet
+		}
 		d, _ := t.daemon(p.address)
 		domain, fromReplica = d.FailureDomain, d.Replica
 	}
