--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -110,7 +110,10 @@
 	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
 	f.metrics = newMetrics()
 	f.paths = f.newPaths()
-	f.pool = &brconn.Pool{Dial: f.paths.dialer.Dial, OnDirect: f.paths.dialer.Heard, Clock: cfg.Clock, Matches: cfg.Dialect.Matches}
+	f.pool = &brconn.Pool{
+		Dial: f.paths.dialer.Dial, OnDirect: f.paths.dialer.Heard, Clock: cfg.Clock,
+		Matches: cfg.Dialect.Matches, Refusal: cfg.Dialect.Refusal,
+	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
@@ -121,7 +124,7 @@
 	f.node = brgossip.New(brgossip.Config{
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
-		OnRecord: f.onRecord, OnExpired: f.onExpired, OnLink: f.onLink,
+		Accept: f.accept, OnRecord: f.onRecord, OnExpired: f.onExpired, OnDropped: f.onDropped, OnLink: f.onLink,
 		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
 		DomainKinds: map[string]bool{kindDomainLoad: true}, Clock: cfg.Clock,
 	})
--- a/brfleet/limit.go
+++ b/brfleet/limit.go
@@ -44,7 +44,7 @@
 
 // applyLimitRecord applies the newest limit of an endpoint.
 func (f *Fleet) applyLimitRecord(r brgossip.Record) {
-	limit, ok := decode[limitRecord](f, r)
+	limit, ok := decodeChecked(f, r, checkLimit)
 	if !ok {
 		return
 	}
--- a/brfleet/pause.go
+++ b/brfleet/pause.go
@@ -29,7 +29,7 @@
 
 // applyPauseRecord applies the pause of an endpoint.
 func (f *Fleet) applyPauseRecord(r brgossip.Record) {
-	pause, ok := decode[time.Duration](f, r)
+	pause, ok := decodeChecked(f, r, checkPause)
 	if !ok {
 		return
 	}
--- a/brplace/brittle_replay_test.go
+++ b/brplace/brittle_replay_test.go
@@ -169,8 +169,8 @@
 	r.streams[r.lastID] = q
 	at := start.Add(q.arrived)
 	r.step(q.daemon, Submit{Request{
-		ID: r.lastID, Service: "s", Rank: q.rank, Arrived: at, FirstByteDue: at.Add(brittleTarget),
-		Deadline: at.Add(6 * time.Second), MaxQueueTime: brittleWait, ExcludedEndpoints: q.tried,
+		ID: r.lastID, Service: "s", Rank: q.rank, FirstByteDue: at.Add(brittleTarget),
+		Deadline: at.Add(6 * time.Second), MaxQueueTime: brittleWait - (r.now - q.arrived), ExcludedEndpoints: q.tried,
 	}})
 }
 
--- a/brproxy/dialect.go
+++ b/brproxy/dialect.go
@@ -16,6 +16,7 @@
 	MaxOutputTokens  int           // maximum response length in tokens
 	OutputTokensHint int           // caller's estimate of the response length in tokens; 0 if not stated
 	HasTokens        bool          // whether PromptTokens and MaxOutputTokens were stated
+	LastEventID      string        // ID of the event after which the caller resumes a stream; empty if it doesn't
 	// PromptParts holds the IDs of the parts of the prompt that other requests may share.
 	PromptParts []string
 }
@@ -30,7 +31,7 @@
 }
 
 // Dialect maps between header fields and the types of this package. All functions
-// except Matches are required.
+// except Matches and Refusal are required.
 type Dialect struct {
 	// Decode decodes the header of a caller's request. An error results in a
 	// response with status 400.
@@ -55,4 +56,6 @@
 	RejectionLimit func(a *brconn.Response) (limit int, stated bool, err error)
 	// Matches reports whether a response belongs to the request with the given ID.
 	Matches func(id string, a *brconn.Response) bool
+	// Refusal is as in brconn.Pool.
+	Refusal func(a *brconn.Response) (refusal, named bool)
 }
--- a/brproxy/observe.go
+++ b/brproxy/observe.go
@@ -11,9 +11,9 @@
 	"bramleyroute/brplace"
 )
 
-// maxPause limits the pause that an endpoint may ask for, so that a wrong value
+// MaxPause limits the pause that an endpoint may ask for, so that a wrong value
 // doesn't remove it for good.
-const maxPause = 10 * time.Minute
+const MaxPause = 10 * time.Minute
 
 // observeResponse applies what a response to q states about the endpoint itself:
 // that it is leaving, that it limits its requests or the rejections that it bears, or that
@@ -31,7 +31,7 @@
 	if res.Status != http.StatusServiceUnavailable {
 		return
 	}
-	pause, err := brheader.RetryAfter(res.Header, p.cfg.Clock.Now(), maxPause)
+	pause, err := brheader.RetryAfter(res.Header, p.cfg.Clock.Now(), MaxPause)
 	switch {
 	case err != nil:
 		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", e.ID).Err(err).Msg("Retry-After of an endpoint ignored")
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -102,13 +102,17 @@
 		h.Del("Content-Length")
 	}
 	q.out.WriteHeader(x.Response.Status)
-	q.headSent = true
+	q.headSent, q.streamHead = true, streamHeadOf(&x.Response)
 }
 
 // relayStream relays the events of a stream as they arrive.
 func (p *Proxy) relayStream(ctx context.Context, q *request, a *attempt, x *brconn.Exchange) outcome {
 	events := brconn.NewEventReader(x)
 	control := http.NewResponseController(q.out)
+	if q.headSent && q.streamHead != streamHeadOf(&x.Response) {
+		return p.notResumed(ctx, q, a, "response doesn't go on with the stream")
+	}
+	resume := q.resumePoint()
 	for {
 		if q.headSent && !q.resumable() {
 			a.stall.close()
@@ -125,6 +129,9 @@
 			if !a.stall.progress() && err == nil {
 				return p.retry(ctx, q, a, "stream stalled", http.StatusBadGateway)
 			}
+			if !resume.accepts(b) {
+				return p.notResumed(ctx, q, a, "stream doesn't go on after its last event")
+			}
 			p.recordEvents(q, a, b)
 			if !q.headSent {
 				p.relayHead(q, x, -1)
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -44,12 +44,13 @@
 	in       *http.Request
 	out      http.ResponseWriter
 
-	sends       int       // number of dispatches that may have reached an endpoint
-	tried       []string  // IDs of the endpoints of all dispatches
-	mayHaveRun  bool      // an endpoint may have run the request
-	headSent    bool      // the response header was relayed
-	lastEventID string    // ID of the last relayed event
-	relayedAt   time.Time // time at which the caller was last sent something; its arrival before that
+	sends       int        // number of dispatches that may have reached an endpoint
+	tried       []string   // IDs of the endpoints of all dispatches
+	mayHaveRun  bool       // an endpoint may have run the request
+	headSent    bool       // the response header was relayed
+	lastEventID string     // ID of the last relayed event
+	streamHead  streamHead // of the relayed header
+	relayedAt   time.Time  // time at which the caller was last sent something; its arrival before that
 
 	framing      brheader.Framing // of the latest response
 	partialEvent int              // number of bytes after the last whole event of the latest stream
