--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -85,9 +85,12 @@
 // begin begins a wait for data. The caller must hold w.mu.
 func (w *stallWatch) begin() {
 	w.since = w.proxy.cfg.Clock.Now()
-	wait := float64(w.request.callerWait(w.since))
-	w.timeout = time.Duration(stallFraction * wait)
-	w.extension = time.Duration((busyStallFraction - stallFraction) * wait)
+	wait := w.request.deadline.Sub(w.since)
+	if t := w.request.route.CallerTimeout; t > 0 {
+		wait = min(wait, t)
+	}
+	w.timeout = time.Duration(stallFraction * float64(wait))
+	w.extension = time.Duration((busyStallFraction - stallFraction) * float64(wait))
 	w.waiting, w.extended = true, false
 }
 
