brproxy: an ended search doesn't clear a later one

A search that data had ended also cleared the search that began after it, which then couldn't be ended by data any more: events could come twice. It takes a search that lasts longer than the next wait for data; found by reading, not seen, and without a test of its own.

--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -194,13 +194,13 @@
 		if w.search(ctx, r) {
 			return // the successor uses ctx
 		}
-		cancel()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.waiting {
+		if ctx.Err() == nil { // otherwise another search may have begun
 			w.endSearch = nil
 			w.timer.Reset(searchInterval)
 		}
+		cancel()
 	})
 }
 
