brproxy: a panic in a search for a successor doesn't end the process

The search runs in goroutines of its own since, where net/http recovers nothing: a panic in the placement, in the encoding of the header or in the interpretation of the successor's response would have ended the daemon. It is logged, the successor is dropped, and the request goes on at its endpoint. TestPanicInSearch ended the test process before.

--- a/brproxy/panic.go
+++ b/brproxy/panic.go
@@ -16,10 +16,22 @@
 		panic(v)
 	}
 	p.stats.Failed.Add(1)
-	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
+	p.reportPanic(q, v)
 	if q.headSent {
 		panic(http.ErrAbortHandler)
 	}
 	q.out.Header().Del("Content-Length")
 	http.Error(q.out, "internal_error", http.StatusInternalServerError)
 }
+
+// logPanic recovers from a panic in a search for a successor of q, which would end the
+// process. The request goes on at its endpoint. It must be deferred.
+func (p *Proxy) logPanic(q *request) {
+	if v := recover(); v != nil {
+		p.reportPanic(q, v)
+	}
+}
+
+func (p *Proxy) reportPanic(q *request, v any) {
+	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
+}
--- a/brproxy/panic_test.go
+++ b/brproxy/panic_test.go
@@ -68,3 +68,56 @@
 		})
 	}
 }
+
+// TestPanicInSearch guards against a panic that ends the process because it occurs while a
+// successor is sought or sent, outside of the goroutine of the request.
+func TestPanicInSearch(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		arm  func(c *Config, searching func() bool)
+	}{
+		{"placement", func(c *Config, searching func() bool) {
+			c.SelectVersion = func(string, string) (string, string) {
+				if searching() {
+					panic("select")
+				}
+				return "", ""
+			}
+		}},
+		{"header to the successor", func(c *Config, searching func() bool) {
+			c.Dialect.EncodeHeader = func(in http.Header, d DispatchParams) http.Header {
+				if searching() {
+					panic("encode")
+				}
+				return testDialect.EncodeHeader(in, d)
+			}
+		}},
+		{"response of the successor", func(c *Config, _ func() bool) {
+			c.Dialect.NotRun = func(a *brconn.Response) bool {
+				if a.Header.Get("Not-Run") != "" {
+					panic("not run")
+				}
+				return false
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilentSystem(t, silentBetween(silence, "", event(1)), respond(http.StatusServiceUnavailable, "Not-Run", "full"))
+			s.preferFirst()
+			test.arm(&s.proxy.cfg, func() bool { return s.endpoints[0].arrivals() > 0 })
+			status, body, complete := s.do(t, "POST", "/resume/", nil)
+			if status != http.StatusOK || body != event(1) || !complete {
+				t.Errorf("status %d, body %q, complete %v, want 200, the event and true", status, body, complete)
+			}
+			if n := len(s.log.entries(t, "panic while serving a request")); n == 0 {
+				t.Error("no log entry, want one")
+			}
+			for id, u := range s.proxy.PlacementReport(time.Minute) {
+				if u.Active != 0 {
+					t.Errorf("%d requests are counted at endpoint %s, want none", u.Active, id)
+				}
+			}
+		})
+	}
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -159,6 +159,7 @@
 
 // check begins a search if the endpoint has stalled, and otherwise waits until it may have.
 func (w *stallWatch) check() {
+	defer w.proxy.logPanic(w.request)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.waiting || w.endSearch != nil || w.next != nil {
@@ -207,6 +208,7 @@
 // search seeks a successor for the request r and reports whether one has replaced the
 // dispatch.
 func (w *stallWatch) search(ctx context.Context, r brplace.Request) bool {
+	defer w.proxy.logPanic(w.request)
 	for len(r.ExcludedEndpoints) < maxEndpointsTried && w.proxy.retryAvailable(w.request) {
 		a, err := w.proxy.findSuccessor(ctx, w.request, r)
 		if a == nil {
@@ -215,7 +217,6 @@
 		if err == nil && w.send(ctx, a) {
 			return true
 		}
-		w.proxy.endAttempt(w.request, a)
 		if err == nil || ctx.Err() != nil {
 			return false
 		}
@@ -235,10 +236,14 @@
 
 // send sends the successor a and reports whether it has replaced the dispatch: its endpoint
 // has accepted the request, or has not rejected it within maxOverlap.
-func (w *stallWatch) send(ctx context.Context, a *attempt) bool {
+func (w *stallWatch) send(ctx context.Context, a *attempt) (replaced bool) {
+	defer func() {
+		if !replaced {
+			w.drop(a)
+		}
+	}()
 	r, ok := w.prepare(ctx, a)
 	if !ok {
-		a.conn.Release()
 		return false
 	}
 	w.proxy.sendAhead(ctx, a, r)
@@ -246,12 +251,18 @@
 	case <-a.sent.done:
 	case <-w.proxy.cfg.Clock.After(maxOverlap):
 	}
-	if !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a) {
-		return true
+	return !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a)
+}
+
+// drop ends a successor that hasn't replaced the dispatch.
+func (w *stallWatch) drop(a *attempt) {
+	if a.sent == nil {
+		a.conn.Release()
+		w.proxy.endAttempt(w.request, a)
+		return
 	}
-	a.sent.drop()
+	w.proxy.dropSuccessor(w.request, a)
 	w.addFailed(a, 1)
-	return false
 }
 
 // prepare returns the request to be sent to the successor a, and whether it may be sent:
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -17,8 +17,8 @@
 }
 
 // findSuccessor waits for a placement of r, which is the request q, and connects to the
-// endpoint. It returns nil if ctx ends first or the placement rejects r, and an error if
-// the endpoint can't be reached. The caller must end the attempt.
+// endpoint. It returns nil if ctx ends first or the placement rejects r, and an error with
+// the ended attempt if the endpoint can't be reached.
 func (p *Proxy) findSuccessor(ctx context.Context, q *request, r brplace.Request) (*attempt, error) {
 	id, decision := p.awaitPlacement(ctx, q, r)
 	d, ok := decision.(brplace.Dispatch)
@@ -34,6 +34,7 @@
 		a.result = brplace.WrongAddress
 		p.cfg.Log.Warn().Str("id", q.call.ID).Str("endpoint", d.Endpoint.ID).Err(err).Msg("no connection to the next endpoint of a request")
 	}
+	p.endAttempt(q, a)
 	return a, err
 }
 
