brroute: compare slow and failed requests with the old version's rate of the same time

Cause: the breaker compared the new version with the old one's rate over about the last minute. While the share grows most of the new version's requests are recent and most of the old one's are not. A machine that becomes busy and slows down both alike then raises the new version's rate at once and the old one's hardly.

The rate is now also taken over the times of the new version's requests, in periods of 5 s, and the larger one counts. Thresholds are unchanged; the versions of TestBreakerStopsBadVersions are stopped within the same numbers of requests, and one that is always slow beside 25% of slow requests of both within 30.

TestRolloutKinds each/good failed once with "18 slow requests of 69, old version's rate 0.050" 0.6 s after such a growth, on a machine with a load average of 25 to 34. That rate allows 40 slow ones among some 800 old requests, so that the old version may have been about as slow at the time. What slowed them isn't traced, and the process test wasn't seen to fail again: the fix rests on the test of the package.

--- a/brroute/breaker.go
+++ b/brroute/breaker.go
@@ -25,6 +25,11 @@
 	// breakerHalfLife is the half-life of the request counts, so that both versions
 	// are compared over about the last minute.
 	breakerHalfLife = 30 * time.Second
+	// breakerPeriod is the time over which the old version's present rate is taken.
+	// periodPriorRequests at its rate of the last minute are added to its counts of
+	// a period.
+	breakerPeriod       = 5 * time.Second
+	periodPriorRequests = 20
 	// dominantRouteFraction is the fraction of the failed and slow requests above
 	// which a single route is considered the cause.
 	dominantRouteFraction = 0.7
@@ -36,7 +41,11 @@
 // version must be stopped. The zero value is ready to use.
 //
 // The rule applies to each route and to all routes together. Let p be the old
-// version's rate, at least 0.5% for failures and 5% for slow requests. The new
+// version's rate, at least 0.5% for failures and 5% for slow requests. It is the rate
+// over about the last minute, or over the times of the new version's requests if that
+// is larger: after the new version's share was raised, most of its requests are recent
+// and most of the old version's are not, so that a machine that becomes busy and slows
+// down both raises the new version's rate of the last minute more. The new
 // version is stopped after m >= 3 consecutive failures with p^m <= 1.4e-7, or
 // after k >= 3 failures (5 slow requests) of n requests with
 // exp(-n KL(k/n, p)) <= 1.4e-7, the Chernoff bound of the binomial tail. For
@@ -44,9 +53,10 @@
 // 1.4e-7 per request for consecutive failures and 1.4e-7 per evaluation for
 // counts. If the faults are spread over several routes, all routes are stopped.
 type Breaker struct {
-	total      versionStats
-	routes     map[string]*versionStats
-	lastHalved time.Time
+	total       versionStats
+	routes      map[string]*versionStats
+	lastHalved  time.Time
+	periodSince time.Time
 }
 
 // Sample is the observation of one completed or stalled request.
@@ -60,6 +70,9 @@
 // versionStats holds the counts of both versions on one route or on all routes.
 type versionStats struct {
 	old, new         counts
+	expected         counts // of new, before the current period, at the old version's rates of the same periods
+	periodOld        counts // of the current period
+	periodNew        counts // of the current period
 	streak           int    // consecutive failures of the new version
 	streakRoute      string // route of the first failure of the streak
 	streakMultiRoute bool   // whether the streak includes failures on several routes
@@ -104,7 +117,7 @@
 	}
 	// The route is stopped, so its faults no longer count against the other routes.
 	b.total.subtractNew(r)
-	r.new, r.streak = counts{}, 0
+	r.new, r.expected, r.periodNew, r.streak = counts{}, counts{}, counts{}, 0
 	return Verdict{Route: s.Route, Reason: reason}, true
 }
 
@@ -122,9 +135,18 @@
 	return worst < dominantRouteFraction*(b.total.new.failed+b.total.new.slow)
 }
 
+// decay ends the current period if it is complete and halves the counts that are due.
 func (b *Breaker) decay(now time.Time) {
 	if b.lastHalved.IsZero() {
-		b.lastHalved = now
+		b.lastHalved, b.periodSince = now, now
+	}
+	if now.Sub(b.periodSince) < breakerPeriod && now.Sub(b.lastHalved) < breakerHalfLife {
+		return
+	}
+	b.periodSince = now
+	b.total.endPeriod()
+	for _, r := range b.routes {
+		r.endPeriod()
 	}
 	for ; now.Sub(b.lastHalved) >= breakerHalfLife; b.lastHalved = b.lastHalved.Add(breakerHalfLife) {
 		b.total.halve()
@@ -135,17 +157,52 @@
 }
 
 func (v *versionStats) halve() {
-	for _, c := range [...]*counts{&v.old, &v.new} {
+	for _, c := range [...]*counts{&v.old, &v.new, &v.expected} {
 		c.requests, c.failed, c.slow = c.requests/2, c.failed/2, c.slow/2
 	}
 }
 
+// endPeriod adds the expected counts of the current period and starts the next one.
+func (v *versionStats) endPeriod() {
+	failed, slow := v.expectedInPeriod()
+	v.expected.failed, v.expected.slow = v.expected.failed+failed, v.expected.slow+slow
+	v.periodOld, v.periodNew = counts{}, counts{}
+}
+
+// expectedInPeriod returns the numbers of failed and slow requests that are expected
+// of the new version's requests of the current period at the old version's rates.
+func (v *versionStats) expectedInPeriod() (failed, slow float64) {
+	rate := func(k, p float64) float64 {
+		return (k + p*periodPriorRequests) / (v.periodOld.requests + periodPriorRequests)
+	}
+	n := v.periodNew.requests
+	return n * rate(v.periodOld.failed, v.old.rate(v.old.failed, failureFloor)), n * rate(v.periodOld.slow, v.old.rate(v.old.slow, slowFloor))
+}
+
+// oldRates returns the old version's rates of failed and slow requests to compare the
+// new version with.
+func (v *versionStats) oldRates() (failed, slow float64) {
+	failed, slow = v.old.rate(v.old.failed, failureFloor), v.old.rate(v.old.slow, slowFloor)
+	if v.new.requests == 0 {
+		return failed, slow
+	}
+	f, s := v.expectedInPeriod()
+	f, s = (v.expected.failed+f)/v.new.requests, (v.expected.slow+s)/v.new.requests
+	return min(0.99, max(failed, f)), min(0.99, max(slow, s))
+}
+
 func (v *versionStats) count(s Sample) {
-	c := &v.old
 	if s.New {
-		c = &v.new
 		v.updateStreak(s)
+		v.new.add(s)
+		v.periodNew.add(s)
+		return
 	}
+	v.old.add(s)
+	v.periodOld.add(s)
+}
+
+func (c *counts) add(s Sample) {
 	c.requests++
 	if s.Failed {
 		c.failed++
@@ -155,6 +212,11 @@
 	}
 }
 
+func (c *counts) subtract(o counts) {
+	c.requests = max(0, c.requests-o.requests)
+	c.failed, c.slow = max(0, c.failed-o.failed), max(0, c.slow-o.slow)
+}
+
 // updateStreak updates the streak of consecutive failures with s.
 func (v *versionStats) updateStreak(s Sample) {
 	if !s.Failed {
@@ -170,23 +232,22 @@
 
 func (v *versionStats) subtractNew(r *versionStats) {
 	v.streak, v.streakMultiRoute = 0, false
-	v.new.requests = max(0, v.new.requests-r.new.requests)
-	v.new.failed = max(0, v.new.failed-r.new.failed)
-	v.new.slow = max(0, v.new.slow-r.new.slow)
+	v.new.subtract(r.new)
+	v.expected.subtract(r.expected)
+	v.periodNew.subtract(r.periodNew)
 }
 
 // stopReason returns the reason to stop the new version, or "" if there is none.
 func (v *versionStats) stopReason() string {
-	p := v.old.rate(v.old.failed, failureFloor)
+	p, slowRate := v.oldRates()
 	if v.streak >= minFailures && float64(v.streak)*-math.Log(p) >= evidenceThreshold {
 		return fmt.Sprintf("%d failures in a row", v.streak)
 	}
 	if v.new.failed >= minFailures && v.new.evidence(v.new.failed, p) >= evidenceThreshold {
 		return fmt.Sprintf("%.0f failures in %.0f requests, old version's failure rate %.3f", v.new.failed, v.new.requests, p)
 	}
-	p = v.old.rate(v.old.slow, slowFloor)
-	if v.new.slow >= minSlow && v.new.evidence(v.new.slow, p) >= evidenceThreshold {
-		return fmt.Sprintf("%.0f slow requests of %.0f, old version's rate %.3f", v.new.slow, v.new.requests, p)
+	if v.new.slow >= minSlow && v.new.evidence(v.new.slow, slowRate) >= evidenceThreshold {
+		return fmt.Sprintf("%.0f slow requests of %.0f, old version's rate %.3f", v.new.slow, v.new.requests, slowRate)
 	}
 	return ""
 }
--- a/brroute/breaker_test.go
+++ b/brroute/breaker_test.go
@@ -43,6 +43,7 @@
 		}, 0, "booking"},
 		{"fails one in three", func(r *rand.Rand, s Sample) Sample { s.Failed = noise(r, 0.002) || s.New && noise(r, 0.33); return s }, 100, ""},
 		{"slow", func(r *rand.Rand, s Sample) Sample { s.Slow = noise(r, 0.04) || s.New; return s }, 20, ""},
+		{"slow on a busy machine", func(r *rand.Rand, s Sample) Sample { s.Slow = noise(r, 0.25) || s.New; return s }, 30, ""},
 	} {
 		for seed := range uint64(50) {
 			rng := rand.New(rand.NewPCG(seed, 1))
@@ -74,3 +75,41 @@
 		}
 	}
 }
+
+// Guards against a breaker that stops a good version because the machine is busy: the
+// new version's share rises from 28 to 250 per mille, and right after that the same
+// fraction of both versions' requests is slow for some seconds. Most of the old
+// version's requests of the last minute are from before, most of the new one's are not.
+func TestBreakerKeepsGoodVersionsWhenBothSlowDown(t *testing.T) {
+	for _, c := range []struct {
+		slow float64
+		busy time.Duration
+	}{{0.25, 5 * time.Second}, {0.5, time.Second}, {0.5, 3 * time.Second}, {0.8, 10 * time.Second}} {
+		stopped := 0
+		for seed := range uint64(100) {
+			rng := rand.New(rand.NewPCG(seed, 3))
+			var b Breaker
+			credit := 0
+			for now := time.Duration(0); now < 30*time.Second; now += 25 * time.Millisecond { // 40 requests/s
+				share, slow := 28, 0.01
+				if now >= 15*time.Second {
+					share = 250
+				}
+				if 15*time.Second <= now && now < 15*time.Second+c.busy {
+					slow = c.slow
+				}
+				s := Sample{Route: []string{"question", "draft", "review"}[rng.IntN(3)], Slow: rng.Float64() < slow}
+				if credit += share; credit >= 1000 {
+					credit, s.New = credit-1000, true
+				}
+				if _, bad := b.Observe(start.Add(now), s); bad {
+					stopped++
+					break
+				}
+			}
+		}
+		if stopped > 0 {
+			t.Errorf("%.2f of the requests slow for %v: %d of 100 good versions stopped, want 0", c.slow, c.busy, stopped)
+		}
+	}
+}
