brquota: don't deduct the whole total of a customer that a returning daemon left out

Cause: a report leaves out customers that were idle for 2 s. The first report of a daemon that is heard of again gives the totals that later ones are compared with; a customer missing there got a total of zero, so that its next request at that daemon deducted all that it had spent there since the start.

Such a customer's first totals are now taken as they are. What it spent since the report before isn't counted, at most one report interval once per daemon. A daemon that just started is still counted from zero.

--- a/brquota/peer.go
+++ b/brquota/peer.go
@@ -37,6 +37,7 @@
 	estimatedTo time.Time          // time until which the buckets hold its estimated usage, if not active
 	spendRates  map[string]float64 // moving average of quota spent per second, by customer
 	demandRates map[string]float64 // moving average of quota requested per second, by customer
+	joinedLate  bool               // its usage before the first report that names a customer isn't counted
 }
 
 // PeerReported applies the latest totals of another daemon. Usage before the first
@@ -84,6 +85,7 @@
 		p.reportedAt, p.estimatedTo = now.Add(-r.Uptime), now.Add(-r.Uptime)
 		return p
 	}
+	p.joinedLate = true
 	maps.Copy(p.customers, r.Customers)
 	maps.Copy(p.requests, r.Requests)
 	maps.Copy(p.retries, r.Retries)
@@ -95,10 +97,14 @@
 // none.
 func (l *Limiter) applyTotals(now time.Time, p *peer, r Report) {
 	elapsed := now.Sub(p.reportedAt)
-	for customer := range r.Customers {
-		if _, ok := p.customers[customer]; !ok {
-			p.customers[customer] = Totals{}
+	for customer, totals := range r.Customers {
+		if _, ok := p.customers[customer]; ok {
+			continue
+		}
+		if !p.joinedLate {
+			totals = Totals{}
 		}
+		p.customers[customer] = totals
 	}
 	for customer, prev := range p.customers {
 		limit := l.limits[customer]
