brquota: restore the quota withheld from a daemon that was cut off from others

A daemon that lacks reports refills its bucket at the square of the part that it hears from. The others don't lack them and spend the whole rate, which this daemon deducts, so that its level falls to minus one or two bursts. After the cut the fleet spends as much as each copy is refilled, so that the level stays there.

The quota withheld is now counted, and what lost daemons spent meanwhile is taken from their first reports; the difference is restored when all daemons report. If one hasn't returned, nothing is restored, since its usage isn't known; the totals of lost daemons are kept for a minute. In the test the four daemons admitted 0 of a mean of 63,366 in 10 s after the cut before, and 59,173 to 75,443 after, with the sum within 1.1 times the limit.

--- a/brquota/limiter.go
+++ b/brquota/limiter.go
@@ -77,7 +77,9 @@
 	ownRetries  map[string]float64    // number of own retries, by service
 	peers       map[string]*peer
 	activePeers int       // number of peers that are active
+	lostPeers   int       // number of peers that are lost
 	daemonCount int       // number of daemons, including this one
+	withholding bool      // quota was withheld from the buckets and not restored yet
 	startedAt   time.Time // time of the first refill
 	lastRefill  time.Time // time of the last refill of the buckets
 	lastCheck   time.Time // time of the last check for silent peers
@@ -97,6 +99,8 @@
 	demandRate  float64 // quota requested per second at the active peers
 	ownDemand   float64 // moving average of the quota requested per second at this daemon
 	ownRequests float64 // quota requested at this daemon since the last refill
+	withheld    float64 // quota not refilled because daemons were disconnected; see restore
+	unseen      float64 // quota spent by daemons while they were lost, as reported after their return
 }
 
 // demand returns the quota requested per second at all daemons.
@@ -259,8 +263,11 @@
 		return
 	}
 	share := l.refillShare(l.activePeers)
+	l.withholding = l.withholding || share < 1
 	for customer, b := range l.buckets {
-		b.level = min(b.level+elapsed.Seconds()*(l.limits[customer].Rate*share-b.spendRate), b.burst)
+		rate := l.limits[customer].Rate
+		b.level = min(b.level+elapsed.Seconds()*(rate*share-b.spendRate), b.burst)
+		b.withheld += elapsed.Seconds() * rate * (1 - share)
 		b.ownDemand += averageWeight(elapsed) * (b.ownRequests/elapsed.Seconds() - b.ownDemand)
 		b.ownRequests = 0
 	}
--- a/brquota/peer.go
+++ b/brquota/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 )
 
@@ -22,6 +23,9 @@
 	// count. Those of a daemon that was disconnected are older than the buckets.
 	maxFirstUptime = 2 * time.Second
 
+	// lostRetention is the time for which the totals of a lost daemon are kept.
+	lostRetention = time.Minute
+
 	// rateWindow is the averaging time of the rates of another daemon.
 	rateWindow = 500 * time.Millisecond
 )
@@ -38,6 +42,7 @@
 	spendRates  map[string]float64 // moving average of quota spent per second, by customer
 	demandRates map[string]float64 // moving average of quota requested per second, by customer
 	joinedLate  bool               // its usage before the first report that names a customer isn't counted
+	lost        bool               // PeerLost was called since its last report
 }
 
 // PeerReported applies the latest totals of another daemon. Usage before the first
@@ -46,7 +51,11 @@
 func (l *Limiter) PeerReported(now time.Time, daemon string, r Report) {
 	l.refill(now)
 	p := l.peers[daemon]
-	if p == nil {
+	if p == nil || p.lost {
+		if p != nil {
+			l.addUnseen(p, r)
+			l.lostPeers--
+		}
 		p = l.newPeer(now, r)
 		l.peers[daemon] = p
 	}
@@ -54,6 +63,9 @@
 	l.applyTotals(now, p, r)
 	p.reportedAt = now
 	l.activate(p)
+	if l.withholding && l.activePeers+1 >= l.daemonCount {
+		l.restore()
+	}
 	for service, n := range r.Requests {
 		l.addRetries(service, retryRatio*(n-p.requests[service]))
 		p.requests[service] = n
@@ -65,14 +77,57 @@
 	}
 }
 
-// PeerLost removes another daemon.
+// PeerLost tells that another daemon has stopped sending reports. Its totals are kept for
+// lostRetention.
 func (l *Limiter) PeerLost(daemon string) {
 	p := l.peers[daemon]
-	if p == nil {
+	if p == nil || p.lost {
 		return
 	}
 	l.deactivate(p)
-	delete(l.peers, daemon)
+	p.lost = true
+	l.lostPeers++
+}
+
+// forgetLost removes the lost peers whose last report is older than lostRetention.
+func (l *Limiter) forgetLost(now time.Time) {
+	for daemon, p := range l.peers {
+		if p.lost && now.Sub(p.reportedAt) >= lostRetention {
+			delete(l.peers, daemon)
+			l.lostPeers--
+		}
+	}
+}
+
+// addUnseen adds the quota that p spent while it was lost to the buckets. What it spent
+// of a customer that r leaves out isn't known, so that nothing is restored then.
+func (l *Limiter) addUnseen(p *peer, r Report) {
+	for customer, b := range l.buckets {
+		totals, ok := r.Customers[customer]
+		if !ok {
+			b.unseen = math.Inf(1)
+			continue
+		}
+		estimated := p.spendRates[customer] * p.estimatedTo.Sub(p.reportedAt).Seconds()
+		b.unseen += float64(totals.Spent-p.customers[customer].Spent) - estimated
+	}
+}
+
+// restore adds the quota that was withheld from the buckets while daemons were
+// disconnected, less what these spent, now that all daemons report. The reduced refill
+// stands for the unknown usage of the disconnected daemons and is more than that. A
+// daemon that others didn't lose would stay below their level: while a customer demands
+// more than its rate the whole fleet spends as much as each copy is refilled, so that it
+// would admit nothing. If a lost daemon hasn't returned, its usage isn't known and
+// nothing is restored.
+func (l *Limiter) restore() {
+	l.withholding = false
+	for _, b := range l.buckets {
+		if l.lostPeers == 0 {
+			b.level = min(b.level+max(0, b.withheld-b.unseen), b.burst)
+		}
+		b.withheld, b.unseen = 0, 0
+	}
 }
 
 // newPeer returns the state of a daemon before its first report r.
@@ -154,6 +209,7 @@
 		return
 	}
 	l.lastCheck = now
+	l.forgetLost(now)
 	timeout := l.peerTimeout()
 	for _, p := range l.peers {
 		if now.Sub(p.reportedAt) >= timeout {
