brrollout: close a block only when it holds the new version's expected request

At 5 requests/s a block of 5 s has some 10 requests of a route. If one is the new version's, its part of the block is a tenth, not the share of 2%, so that a bad one adds at most ln 10 = 2.3 instead of ln 50 = 3.9; blocks without one add nothing, so that most of the old version's requests are never used.

A block now also has to be so large that one request of the new version is expected in it, up to the limit of a minute. Since blocks may be longer, they are closed when the share falls, as they were when it grows: within a block the share must be the same.

The judge now needs the share, so that Judge.NewVersionOnly became Judge.Share.

--- a/brrollout/judge.go
+++ b/brrollout/judge.go
@@ -50,8 +50,8 @@
 	// blockLength is the minimum length of a block. A block counts both versions
 	// over the same time, so that a busy fleet affects both counts.
 	blockLength = 5 * time.Second
-	// blockLimit is the age at which a block with requests of the new version only
-	// is closed while the old version has traffic.
+	// blockLimit is the age at which a block is closed that has requests of the new
+	// version only while the old version has traffic, or that isn't large; see complete.
 	blockLimit = time.Minute
 	// blockCap limits the amount that one block adds to a log likelihood ratio.
 	// Failures occur in clusters, which the binomial model doesn't describe, so a
@@ -164,16 +164,16 @@
 type Judge struct {
 	OldVersion string `cbor:"old_version"`
 	NewVersion string `cbor:"new_version"`
-	// BlockLength is the minimum length of a block, and BlockLimit the age at which
-	// a block without requests of the old version is closed. 0 means 5 s and 1 min.
+	// BlockLength is the minimum length of a block, and BlockLimit its maximum length.
+	// 0 means 5 s and 1 min.
 	BlockLength time.Duration `cbor:"block_length,omitempty"`
 	BlockLimit  time.Duration `cbor:"block_limit,omitempty"`
 
-	Loaded         bool            `cbor:"loaded"`   // see WithTraffic
-	NewVersionOnly bool            `cbor:"alone"`    // see WithTraffic
-	Routes         []RouteCounts   `cbor:"routes"`   // in order of appearance
-	Evidence       []RouteEvidence `cbor:"evidence"` // in the order of Routes; trailing elements may be missing
-	Blocks         []Block         `cbor:"blocks"`   // open blocks
+	Loaded   bool            `cbor:"loaded"`          // see WithTraffic
+	Share    int             `cbor:"share,omitempty"` // see WithTraffic
+	Routes   []RouteCounts   `cbor:"routes"`          // in order of appearance
+	Evidence []RouteEvidence `cbor:"evidence"`        // in the order of Routes; trailing elements may be missing
+	Blocks   []Block         `cbor:"blocks"`          // open blocks
 }
 
 // Add returns j with the counts of s added. Samples of other versions are ignored.
@@ -196,11 +196,12 @@
 }
 
 // WithTraffic returns j with the current traffic state: loaded reports whether the
-// fleet is under load, and newVersionOnly whether the new version has all requests.
-// A fault that occurs only under load is diluted by the evidence of other times, so
-// blocks that begin under load are also tested separately.
-func (j Judge) WithTraffic(loaded, newVersionOnly bool) Judge {
-	j.Loaded, j.NewVersionOnly = loaded, newVersionOnly
+// fleet is under load, and share is the new version's share in per mille. A share
+// of 0 means that it is not known. A fault that occurs only under load is diluted by
+// the evidence of other times, so blocks that begin under load are also tested
+// separately.
+func (j Judge) WithTraffic(loaded bool, share int) Judge {
+	j.Loaded, j.Share = loaded, share
 	return j
 }
 
@@ -362,10 +363,16 @@
 	return &j.Blocks[len(j.Blocks)-1]
 }
 
+// complete reports whether b can be closed at now. A block must be large enough that
+// at least one of its requests is expected to be the new version's. In a smaller one
+// the new version's fraction is far above its share if it has a request at all, and a
+// bad one then adds little evidence; blocks without requests of the new version add
+// none, so that the old version's requests in them would be lost.
 func (j Judge) complete(b Block, now time.Time) bool {
 	age := now.Sub(b.Since)
-	paired := j.NewVersionOnly || b.New.Requests == 0 || b.Old.Requests > 0
-	return age >= cmp.Or(j.BlockLength, blockLength) && paired || age >= cmp.Or(j.BlockLimit, blockLimit)
+	paired := j.Share == 1000 || b.New.Requests == 0 || b.Old.Requests > 0
+	large := j.Share == 0 || (b.Old.Requests+b.New.Requests)*j.Share >= 1000
+	return age >= cmp.Or(j.BlockLength, blockLength) && paired && large || age >= cmp.Or(j.BlockLimit, blockLimit)
 }
 
 func (j Judge) reason(row int, m Metric, logRatio float64) string {
--- a/brrollout/parts_test.go
+++ b/brrollout/parts_test.go
@@ -155,6 +155,30 @@
 	}
 }
 
+// TestJudgeAtLowRate guards against a judge that compares the few requests of the new
+// version only with those of the old one that end within the same few seconds: at one
+// request a second and a share of 2%, a version with half of its requests slow, beside
+// 2% of the old one's, must be found worse within ten minutes.
+func TestJudgeAtLowRate(t *testing.T) {
+	j := Judge{OldVersion: "v1", NewVersion: "v2"}.WithTraffic(false, 20)
+	oldCount, newCount := 0, 0
+	for i := 1; i <= 600; i++ {
+		now := simStart.Add(time.Duration(i) * time.Second)
+		s := brwire.Samples{Route: "r", Version: "v1", Requests: 1}
+		if i%50 == 25 {
+			s.Version = "v2"
+			newCount++
+			s.SlowFirst = newCount % 2
+		} else if oldCount++; oldCount%50 == 0 {
+			s.SlowFirst = 1
+		}
+		if j = j.Add(now, s).Close(now); j.Verdict().Worse {
+			return
+		}
+	}
+	t.Errorf("after %d requests of the new version the verdict is %+v, want worse", newCount, j.Verdict())
+}
+
 // TestAnyEventsKeepOutcome guards against a second or late outcome, a nonzero share
 // after a rollback, and a share above the stage's, under any order of events and
 // after any resumption.
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -184,7 +184,7 @@
 }
 
 func (t *transition) decide() {
-	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share == 1000)
+	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share)
 	v := t.policy.Verdict(t.Judge)
 	t.Suspect = !v.MayGrow
 	if v.Doubtful {
@@ -242,6 +242,10 @@
 		t.SettledAt = t.now.Add(t.scaled(settleTime))
 		t.Judge = t.Judge.Flush()
 	}
+	if settleRatio*float64(share) < float64(t.Share) {
+		// The requests of one block are comparable only at the same share.
+		t.Judge = t.Judge.Flush()
+	}
 	if share != t.Share {
 		t.Share = share
 		t.emit(SetShare{t.RolloutID, t.NewVersion, share})
