brrollout: don't roll a good version back on little evidence

The rule was made for the later stages, whose share may have to grow; in the early ones the share is at its least while the limit is reached and no traffic is risked. It now holds in the later stages only.

At full traffic nothing but time lowers the evidence of the earlier stages, since the old version has no requests to compare with.

--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -195,7 +195,7 @@
 	switch {
 	case v.Worse:
 		t.rollBack("judge: " + v.Reason)
-	case t.exposureSpent() && (t.LoadFails.doubtful() || t.OrderFails.doubtful()):
+	case t.Stage >= earlyStages && t.exposureSpent() && (t.LoadFails.doubtful() || t.OrderFails.doubtful()):
 		t.rollBack("loads or orders of the new version fail while its traffic exposure is at the limit")
 	case t.exposureSpent() && t.Suspect && t.DoubtReason != "":
 		t.rollBack("judge, with the traffic exposure at the limit: " + t.DoubtReason)
@@ -203,7 +203,7 @@
 		t.rollBack("not finished by finish_by: " + t.unmetConditions(v))
 	case t.Stage == 0 && t.StageSince.IsZero() && !t.now.Before(t.timeAt(stages[1].Latest)):
 		t.rollBack("no endpoint serves the new version in time: " + t.unmetConditions(v))
-	case !v.MayGrow:
+	case !v.MayGrow && (v.Doubtful || !lastStage):
 		t.noteHold(v.Reason)
 	case !stayedLongEnough:
 	case !lastStage:
