--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -59,8 +59,10 @@
 	// version must have ended at the stage's share before the next stage starts
 	// ahead of its Latest. earlyStageRequests applies before the last early stage.
 	// Only requests under load count, except in stages whose share is below the
-	// equal share of the new version's endpoints, which can't be loaded then.
-	earlyStageRequests = 15
+	// equal share of the new version's endpoints, which can't be loaded then. With 15
+	// instead of 6, three stages of a small fleet with 5 requests/s took all that
+	// exposureLimit allows before the share at which a fault under load shows.
+	earlyStageRequests = 6
 	stageRequests      = 100
 	// minFinishRequests is the minimum number of requests of the new version in the
 	// whole rollout for the outcome Finished.
--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -139,37 +139,65 @@
 // TestExposureOnSeenSeeds guards against a bad version that gets 2% of the traffic
 // or more. The seeds are those on which this was observed: requests under load were
 // required while the fleet had little load, a suspect version lost the load that
-// shows its fault, the share grew while loads and orders failed, or the versions were
-// compared concurrently while the old one had too little traffic for that.
+// shows its fault, the share grew while loads and orders failed, the versions were
+// compared concurrently while the old one had too little traffic for that, blocks of
+// evidence were shorter than one request of the new version takes to come, or the
+// traffic that the early stages may have was spent before the share was high enough to
+// load the new version's endpoints.
 func TestExposureOnSeenSeeds(t *testing.T) {
 	checkExposure(t, []knownCase{
 		{"slow only under load", 2008}, {"slow only under load", 11023}, {"slow only under load", 11030},
 		{"slow only under load", 20064}, {"refuses orders", 2064}, {"refuses orders", 5077},
 		{"refuses orders", 22015}, {"fails to load", 23012},
 		{"fails at the end", 22008}, {"fails at the end", 31068}, {"fails at the end", 32003},
+		{"slow only under load", 33040}, {"slow only under load", 33068}, {"slow only under load", 33084},
+		{"slow only under load", 50002}, {"bad on one route", 60038},
 	})
 }
 
+// TestGoodVersionsOnSeenSeeds guards against good versions that are rolled back on the
+// seeds on which this was observed: two of their first loads or orders failed, or the
+// evidence at full traffic stayed at the level that holds growth.
+func TestGoodVersionsOnSeenSeeds(t *testing.T) {
+	for _, c := range []knownCase{
+		{"good, endpoints flaky", 33048}, {"good, endpoints flaky", 33053},
+		{"good, endpoints flaky", 50060}, {"good, endpoints flaky", 50069},
+	} {
+		if r := newSim(c.find(t), c.seed, Policy{}).result(); r.outcome != Finished {
+			t.Errorf("%s, seed %d: outcome %s (%s), want finished", c.kind, c.seed, r.outcome, r.reason)
+		}
+	}
+}
+
 // TestExposureOnOpenSeeds checks the same on seeds for which the fault is not fixed
-// yet, and fails. In the first three the load rises again only after the early
-// stages; the cause of the last one is not known.
+// yet, and fails. On 23031, 73044 and 20088 the 30 to 52 requests that the early stages
+// may have at the last one's share hold too little evidence, a part of it left out after
+// each growth of the share, and the later stages add more traffic before they add enough
+// evidence. The others aren't traced.
 func TestExposureOnOpenSeeds(t *testing.T) {
 	checkExposure(t, []knownCase{
-		{"slow only under load", 33040}, {"slow only under load", 33068}, {"slow only under load", 50002},
-		{"bad on one route", 60038},
+		{"slow only under load", 23031}, {"slow only under load", 72066}, {"slow only under load", 73044},
+		{"bad on one route", 20088}, {"fails at the end", 72003},
 	})
 }
 
+// find returns the kind of rollout of c.
+func (c knownCase) find(t *testing.T) kind {
+	t.Helper()
+	i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == c.kind })
+	if i < 0 {
+		t.Fatalf("unknown kind of rollout %q", c.kind)
+	}
+	return kinds[i]
+}
+
 func checkExposure(t *testing.T, cases []knownCase) {
 	t.Helper()
 	for _, c := range cases {
-		i := slices.IndexFunc(kinds, func(k kind) bool { return k.name == c.kind })
-		if i < 0 {
-			t.Fatalf("unknown kind of rollout %q", c.kind)
-		}
-		r := newSim(kinds[i], c.seed, Policy{}).result()
+		k := c.find(t)
+		r := newSim(k, c.seed, Policy{}).result()
 		share := r.share
-		if kinds[i].to > lateStagesStart {
+		if k.to > lateStagesStart {
 			share = r.faultyShare // traffic before the fault does no harm
 		}
 		if r.outcome != RolledBack || share >= 0.02 {
