--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -184,7 +184,7 @@
 }
 
 func (t *transition) decide() {
-	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share == 1000)
+	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share)
 	v := t.policy.Verdict(t.Judge)
 	t.Suspect = !v.MayGrow
 	if v.Doubtful {
@@ -195,7 +195,7 @@
 	switch {
 	case v.Worse:
 		t.rollBack("judge: " + v.Reason)
-	case t.exposureSpent() && (t.LoadFails.doubtful() || t.OrderFails.doubtful()):
+	case t.Stage >= earlyStages && t.exposureSpent() && (t.LoadFails.doubtful() || t.OrderFails.doubtful()):
 		t.rollBack("loads or orders of the new version fail while its traffic exposure is at the limit")
 	case t.exposureSpent() && t.Suspect && t.DoubtReason != "":
 		t.rollBack("judge, with the traffic exposure at the limit: " + t.DoubtReason)
@@ -203,7 +203,7 @@
 		t.rollBack("not finished by finish_by: " + t.unmetConditions(v))
 	case t.Stage == 0 && t.StageSince.IsZero() && !t.now.Before(t.timeAt(stages[1].Latest)):
 		t.rollBack("no endpoint serves the new version in time: " + t.unmetConditions(v))
-	case !v.MayGrow:
+	case !v.MayGrow && (v.Doubtful || !lastStage):
 		t.noteHold(v.Reason)
 	case !stayedLongEnough:
 	case !lastStage:
@@ -242,6 +242,10 @@
 		t.SettledAt = t.now.Add(t.scaled(settleTime))
 		t.Judge = t.Judge.Flush()
 	}
+	if settleRatio*float64(share) < float64(t.Share) {
+		// The requests of one block are comparable only at the same share.
+		t.Judge = t.Judge.Flush()
+	}
 	if share != t.Share {
 		t.Share = share
 		t.emit(SetShare{t.RolloutID, t.NewVersion, share})
