brproxy: end no stalled run for a successor that fails

Callers of a sound endpoint that was silent for a second lost their response although the endpoint went on: its run was ended as soon as another endpoint had sent any header but a rejection. A stream that had begun was broken off ("resume refused with status 500"), and another request got the error.

A successor whose response is a server error doesn't replace the stalled run. For a stream that has begun, neither does anything but a stream. It counts in the attempts and as evidence on its endpoint, as before.

--- /dev/null
+++ b/brproxy/handover_test.go
@@ -0,0 +1,38 @@
+package brproxy
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// TestFailedSuccessorEndsNoRun guards against ending the run of a sound endpoint for one
+// whose response can't take its place: an error, or for a stream that has begun anything
+// but its continuation.
+func TestFailedSuccessorEndsNoRun(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		silent     http.HandlerFunc
+		successor  http.HandlerFunc
+		want       string
+	}{
+		{"error after the header", "/resume/", silentBetween(silence, event(1), event(2)), respond(http.StatusInternalServerError, "", "failed"), events(2)},
+		{"error before the header", "/resume/", silentBetween(silence, "", event(1)), respond(http.StatusInternalServerError, "", "failed"), event(1)},
+		{"error on a route for other responses", "/safe/", silentBetween(silence, "", "ok"), respond(http.StatusBadGateway, "", "failed"), "ok"},
+		{"unknown to the successor", "/resume/", silentBetween(silence, event(1), event(2)), respond(http.StatusNotFound, "", "unknown"), events(2)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSilentSystem(t, test.silent, test.successor)
+			s.preferFirst()
+			status, body, complete := s.do(t, "POST", test.path, nil)
+			if diff := cmp.Diff(test.want, body); diff != "" || status != http.StatusOK || !complete {
+				t.Errorf("status %d, complete %v, want 200 and true; body (-want +got): %s", status, complete, diff)
+			}
+			if n := s.endpoints[1].arrivals(); n != 1 {
+				t.Errorf("%d arrivals at the successor, want 1", n)
+			}
+		})
+	}
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -231,7 +231,7 @@
 }
 
 // send sends the successor a and reports whether it has replaced the dispatch: its endpoint
-// has accepted the request, or has not rejected it within maxOverlap.
+// has accepted the request, or has neither rejected it nor failed within maxOverlap.
 func (w *stallWatch) send(ctx context.Context, a *attempt) bool {
 	r, ok := w.prepare(ctx, a)
 	if !ok {
@@ -259,6 +259,7 @@
 	if ctx.Err() != nil || !w.proxy.takeRetry(w.request) || !w.proxy.beginTrial(w.request, a) {
 		return brconn.Request{}, false
 	}
+	a.continues = w.request.headSent
 	return w.proxy.outgoing(w.request, a), true
 }
 
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"bramleyroute/brconn"
 	"bramleyroute/brplace"
@@ -58,8 +59,9 @@
 	}()
 }
 
-// rejected reports whether the request that was sent ahead for a has failed or was
-// rejected by now, and if so sets the result of the attempt.
+// rejected reports whether the request that was sent ahead for a has failed, was rejected
+// or has a response by now that can't replace that of the stalled run, and if so sets the
+// result of the attempt.
 func (p *Proxy) rejected(ctx context.Context, q *request, a *attempt) bool {
 	select {
 	case <-a.sent.done:
@@ -77,7 +79,12 @@
 	switch {
 	case p.cfg.Dialect.Misdirected(res):
 		a.result = brplace.WrongAddress
-	case !p.cfg.Dialect.NotRun(res):
+	case p.cfg.Dialect.NotRun(res):
+	case res.Status >= http.StatusInternalServerError:
+		a.result = brplace.Failed
+	case a.continues && !isStream(q.route, res):
+		// The response can't be appended to the part that the caller has received.
+	default:
 		return false
 	}
 	p.observeResponse(q, a, res)
