--- a/brpath/dialer.go
+++ b/brpath/dialer.go
@@ -27,10 +27,6 @@
 	// minUnreachable is the number of relays that must fail to reach an endpoint before it
 	// counts as unreachable. One may have lost its own path and not know it yet.
 	minUnreachable = 2
-	// verdictWait is the time for which a daemon waits after a failed dial to hear from any
-	// endpoint, which shows that its own path works. Busy daemons hear from streams every
-	// few milliseconds.
-	verdictWait = 60 * time.Millisecond
 )
 
 // ErrNoPath reports that neither a direct dial nor a relay has reached an endpoint, and
@@ -59,6 +55,7 @@
 
 	mu     sync.Mutex
 	state  *State
+	closed bool
 	wg     sync.WaitGroup
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -80,12 +77,27 @@
 	return d
 }
 
-// Close ends the dials in progress and waits for them.
+// Close ends the dials in progress and waits for them. Later ones fail with net.ErrClosed.
 func (d *Dialer) Close() {
+	d.mu.Lock()
+	d.closed = true
+	d.mu.Unlock()
 	d.cancel()
 	d.wg.Wait()
 }
 
+// begin registers an operation that Close waits for, and reports whether d is open. The
+// caller must call d.wg.Done at the end.
+func (d *Dialer) begin() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closed {
+		return false
+	}
+	d.wg.Add(1)
+	return true
+}
+
 // Stats returns the totals since the creation of d.
 func (d *Dialer) Stats() Stats {
 	d.mu.Lock()
@@ -107,44 +119,6 @@
 	return d.state.Partitioned()
 }
 
-// Heard records that something has arrived directly from the endpoint at address.
-func (d *Dialer) Heard(address string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.state.Heard(d.Clock.Now(), address)
-	d.wakeHeard()
-}
-
-// wakeHeard wakes the calls of awaitHeard. The caller must hold d.mu.
-func (d *Dialer) wakeHeard() {
-	if d.heard != nil {
-		close(d.heard)
-		d.heard = nil
-	}
-}
-
-// awaitHeard waits up to verdictWait for something to arrive directly from any endpoint
-// after t, and reports whether it has.
-func (d *Dialer) awaitHeard(ctx context.Context, t time.Time) bool {
-	d.mu.Lock()
-	if d.state.HeardSince(t) {
-		d.mu.Unlock()
-		return true
-	}
-	if d.heard == nil {
-		d.heard = make(chan struct{})
-	}
-	heard := d.heard
-	d.mu.Unlock()
-	select {
-	case <-heard:
-		return true
-	case <-d.Clock.After(verdictWait):
-	case <-ctx.Done():
-	}
-	return false
-}
-
 // PrefersDirect reports whether the next connection to the endpoint at address is dialed
 // directly first.
 func (d *Dialer) PrefersDirect(address string) bool {
@@ -153,34 +127,6 @@
 	return d.state.Direct(address)
 }
 
-// HeardSinceLoss is State.HeardSinceLoss.
-func (d *Dialer) HeardSinceLoss(address string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.state.HeardSinceLoss(address)
-}
-
-// DialDirect opens a direct connection for another daemon. The error wraps ErrNoPath if
-// this daemon's own path may be to blame.
-func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
-	d.mu.Lock()
-	lost := d.state.Lost(address) || d.state.Partitioned()
-	d.mu.Unlock()
-	if lost {
-		return nil, ErrNoPath
-	}
-	began := d.Clock.Now()
-	c, err := d.Direct(ctx, address)
-	if err == nil {
-		d.directConnected(address)
-		return c, nil
-	}
-	if !d.awaitHeard(ctx, began) {
-		return nil, fmt.Errorf("%w: %w", ErrNoPath, err)
-	}
-	return nil, err
-}
-
 // SetRelays replaces the daemons that may relay.
 func (d *Dialer) SetRelays(relays []Relay) {
 	d.mu.Lock()
@@ -198,6 +144,10 @@
 // Dial opens a connection to the endpoint at address. Nothing is sent to the endpoint
 // before it returns. The error wraps ErrNoPath if it says nothing about the endpoint.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if !d.begin() {
+		return nil, net.ErrClosed
+	}
+	defer d.wg.Done()
 	d.mu.Lock()
 	direct, relays := d.state.Direct(address), d.state.HasRelays()
 	d.mu.Unlock()
@@ -238,10 +188,10 @@
 		return nil, context.Cause(ctx)
 	}
 	relayed := make(chan result, 1)
-	go func() {
+	d.wg.Go(func() {
 		c, err := d.dialRelays(ctx, address)
 		relayed <- result{c, err}
-	}()
+	})
 	return d.firstOf(ctx, direct, relayed)
 }
 
@@ -254,7 +204,7 @@
 		select {
 		case r := <-direct:
 			if r.err == nil {
-				go closeLate(relayed)
+				d.wg.Go(func() { closeLate(relayed) })
 				return r.conn, nil
 			}
 			direct = nil
@@ -264,7 +214,7 @@
 			}
 			err, relayed = r.err, nil
 		case <-ctx.Done():
-			go closeLate(relayed)
+			d.wg.Go(func() { closeLate(relayed) })
 			return nil, context.Cause(ctx)
 		}
 	}
@@ -420,11 +370,12 @@
 			d.total.Trials++
 		}
 		d.mu.Unlock()
-		if !due {
+		if !due || !d.begin() {
 			continue
 		}
 		ctx, cancel := context.WithCancel(d.ctx)
 		cancel() // nobody waits for it
 		d.startDirect(ctx, address)
+		d.wg.Done()
 	}
 }
