brfleet: check the path when no endpoint answers

A quiet daemon with many idle connections sent its requests over them one after the other while its path was silent, and dialed nothing: at four requests a second it hadn't found the partition 3 s after it, when its callers are to be served again. It now checks the paths to two endpoints if nothing has arrived from any for 0.4 s and three owe an answer, once a second at most; the connections are kept.

--- a/brfleet/partition_test.go
+++ b/brfleet/partition_test.go
@@ -376,3 +376,26 @@
 		t.Errorf("%d requests arrive in the pause, want none", n)
 	}
 }
+
+// TestSilentPartitionIsFoundByQuietDaemon guards against a daemon with few requests and
+// many idle connections that sends its requests over them one after the other, for as long
+// as none is left, after its path has fallen silent.
+func TestSilentPartitionIsFoundByQuietDaemon(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.put(0, 1)
+	c.awaitInForce(1)
+	startEndpoints(t, c, 6, 100*time.Millisecond)
+	s := newCallers(t, &cluster{fleets: c.fleets[:1]}, 3*time.Millisecond)
+	s.run(500 * time.Millisecond)
+	c.networks[0].set(silentPartition, nil)
+	s.interval = 250 * time.Millisecond
+	s.run(contactTime)
+	if !c.fleets[0].paths.dialer.Partitioned() {
+		t.Errorf("daemon hasn't found the partition %v after it", contactTime)
+	}
+	s.count(true)
+	s.run(time.Second)
+	if _, got := s.total(0); got.rate() < 0.9 {
+		t.Errorf("%d of %d requests served, want 9 in 10", got.ok, got.sent)
+	}
+}
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -26,6 +26,14 @@
 	pathLifetime      = 12 * time.Second
 	pathRenewInterval = 5 * time.Second
 
+	// silenceAge is the time without anything from any endpoint after which the path is
+	// checked if minSilent of them owe an answer. While idle connections are left, no dial
+	// would show that the path is lost. silenceCheckInterval limits the checks, which cost
+	// new connections.
+	silenceAge           = 400 * time.Millisecond
+	minSilent            = 3
+	silenceCheckInterval = time.Second
+
 	// tunnelDialTimeout limits the dial of a daemon that relays. A running endpoint accepts
 	// within a few milliseconds, and the caller's daemon waits with a caller.
 	tunnelDialTimeout = 150 * time.Millisecond
@@ -139,20 +147,52 @@
 	})
 }
 
-// runPaths renews this daemon's record while it has no path.
+// runPaths renews this daemon's record while it has no path, and looks for silence of all
+// endpoints.
 func (f *Fleet) runPaths() {
+	var renewedAt, checkedAt time.Time
 	for {
 		select {
 		case <-f.stop:
 			return
-		case <-f.cfg.Clock.After(pathRenewInterval):
+		case <-f.cfg.Clock.After(silenceAge / 4):
 		}
+		now := f.cfg.Clock.Now()
 		if f.paths.dialer.Partitioned() {
-			f.publishPath()
+			if now.Sub(renewedAt) >= pathRenewInterval {
+				renewedAt = now
+				f.publishPath()
+			}
+			continue
+		}
+		if now.Sub(checkedAt) >= silenceCheckInterval && f.checkSilence(now) {
+			checkedAt = now
 		}
 	}
 }
 
+// checkSilence checks the paths to two endpoints, as many as it takes to find a partition,
+// if nothing has arrived from any endpoint for silenceAge though several owe an answer. It
+// reports whether it did.
+func (f *Fleet) checkSilence(now time.Time) bool {
+	if now.Sub(f.paths.dialer.SilentSince()) < silenceAge {
+		return false
+	}
+	silent := f.proxy.Unanswered(silenceAge)
+	if len(silent) < minSilent {
+		return false
+	}
+	for _, address := range silent[:2] {
+		f.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), silenceCheckInterval)
+			defer cancel()
+			works := f.pathWorks(ctx, address)
+			f.cfg.Log.Info().Str("address", address).Bool("works", works).Int("silent", len(silent)).Msg("path checked since no endpoint answers")
+		})
+	}
+	return true
+}
+
 // applyPathRecord applies what another daemon has published about its path.
 func (f *Fleet) applyPathRecord(r brgossip.Record) {
 	record, ok := decode[pathRecord](f, r)
--- a/brpath/heard.go
+++ b/brpath/heard.go
@@ -20,6 +20,14 @@
 	d.wakeHeard()
 }
 
+// SilentSince returns the time since which nothing has arrived directly from any endpoint;
+// zero if nothing ever has.
+func (d *Dialer) SilentSince() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.state.heardAt
+}
+
 // wakeHeard wakes the calls of awaitHeard. The caller must hold d.mu.
 func (d *Dialer) wakeHeard() {
 	if d.heard != nil {
--- a/brproxy/path.go
+++ b/brproxy/path.go
@@ -41,6 +41,14 @@
 	p.step(brplace.PathLost{})
 }
 
+// Unanswered returns the addresses of the endpoints that haven't begun to answer requests
+// of this daemon which are older than age.
+func (p *Proxy) Unanswered(age time.Duration) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.Unanswered(p.cfg.Clock.Now(), age)
+}
+
 // PathBack records that this daemon has its direct path to the endpoints again.
 func (p *Proxy) PathBack() {
 	p.mu.Lock()
