--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -45,6 +45,8 @@
 	// Fatal is called with an error after which the process must end, such as a
 	// failed sync. It is required.
 	Fatal func(error)
+	// DialEndpoint opens a direct connection to an endpoint; nil means net.Dialer.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 	// The listeners that are not nil replace those of the settings' addresses.
 	CallerListener, PeerListener, OperatorListener net.Listener
 }
@@ -115,7 +117,7 @@
 		return nil, fmt.Errorf("brdaemon: timeline: %w", err)
 	}
 	d.recorder = recorder
-	if err := d.startRoles(lis); err != nil {
+	if err := d.startRoles(lis, o.DialEndpoint); err != nil {
 		lis.close()
 		return nil, err
 	}
@@ -123,7 +125,7 @@
 	return d, nil
 }
 
-func (d *Daemon) startRoles(lis listeners) error {
+func (d *Daemon) startRoles(lis listeners, dialEndpoint dialFunc) error {
 	mux := &brpeer.Mux{OnPanic: brlogging.PanicHandler(d.log)}
 	d.stampMessages(mux)
 	d.links = newLinks(d.keys, mux, d.connected)
@@ -142,7 +144,7 @@
 		d.scheduler = newScheduler(d)
 	}
 	if d.hasRole(brwire.RoleEntry) {
-		d.entry = newEntry(d)
+		d.entry = newEntry(d, dialEndpoint)
 	}
 	d.register(mux)
 	d.registerOperator(mux)
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync/atomic"
 	"time"
 
@@ -35,9 +36,12 @@
 	table    atomic.Pointer[brconfig.Table]
 }
 
-func newEntry(d *Daemon) *entry {
+// dialFunc opens a connection.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+func newEntry(d *Daemon, dialEndpoint dialFunc) *entry {
 	settings := d.settings
-	client := &brdispatch.Client{Clock: d.clock, StallTimeout: settings.StallTimeout}
+	client := &brdispatch.Client{Clock: d.clock, StallTimeout: settings.StallTimeout, Dial: dialEndpoint}
 	e := &entry{daemon: d, Entry: brentry.New(brentry.Config{
 		EntryID: d.self.ID, Address: d.self.CallerAddress, Region: d.self.Region,
 		MaxBody: settings.MaxBodyBytes, MaxHeld: settings.EntryBufferRequests, MaxHeldBytes: settings.EntryBufferBytes,
