brdaemon: reach endpoints through other daemons if the own path is lost

An entry dialed engines and services itself and had no other way to them. It now dials through a brpath.Dialer, and every daemon relays for the others of its region over its peer listener (brtunnel). A relay connects only to addresses that the owner of a pool of the region knows as an endpoint: endpoints announce themselves to one daemon, so that the relay itself knows only some of them. Weighed: allowing what a grant names would make each daemon an open relay for the others; allowing only the owners to relay leaves none if the owner has lost its path too.

The dispatch boundary is unchanged: a dial that fails on any path precedes it.

An entry tells the scheduler of a failure for which its path may be to blame (Done.PathFailed): a dial without a verdict of brpath, the loss of a relay, or the end of a direct connection if the path is found lost afterwards. It counts neither for the health of the endpoint nor for the quarantine nor for a version. The check is that of brfleet, moved to brpath.

A planned stop waits for the tunnels of other daemons.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -68,6 +68,7 @@
 	peers   *brpeer.Server
 	servers []*http.Server
 
+	paths     *paths
 	entry     *entry     // nil without the role
 	scheduler *scheduler // nil without the role
 	control   *control   // nil without the role
@@ -140,11 +141,12 @@
 		d.control = c
 		c.replica.Register(mux)
 	}
+	d.paths = newPaths(d, dialEndpoint)
 	if d.hasRole(brwire.RoleScheduler) {
 		d.scheduler = newScheduler(d)
 	}
 	if d.hasRole(brwire.RoleEntry) {
-		d.entry = newEntry(d, dialEndpoint)
+		d.entry = newEntry(d)
 	}
 	d.register(mux)
 	d.registerOperator(mux)
@@ -154,6 +156,7 @@
 	d.peers = &brpeer.Server{Mux: mux, Keys: d.keys}
 	d.serve(lis)
 	d.session.start()
+	d.wg.Go(d.paths.run)
 	if d.entry != nil {
 		d.wg.Go(d.entry.maintainBindings)
 	}
@@ -206,6 +209,9 @@
 	if d.entry != nil {
 		err = d.entry.Drain(ctx)
 	}
+	if e := d.paths.drain(ctx); e != nil {
+		d.log.Warn().Err(e).Int("tunnels", d.paths.server.Stats().Open).Msg("tunnels of other daemons were still open")
+	}
 	if d.control != nil {
 		transferCtx, cancel := context.WithTimeout(ctx, shutdownStepTimeout)
 		if e := d.control.replica.TransferLeadership(transferCtx); e != nil {
@@ -267,6 +273,7 @@
 	if d.entry != nil {
 		d.entry.Close()
 	}
+	d.paths.close()
 	var err error
 	if d.control != nil {
 		err = d.control.close()
@@ -316,6 +323,7 @@
 	if d.control != nil {
 		d.recordOutcomes(old, v)
 	}
+	d.paths.viewChanged(v)
 	if d.entry != nil {
 		d.entry.viewChanged(old, v)
 	}
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"time"
 
@@ -36,12 +35,12 @@
 	table    atomic.Pointer[brconfig.Table]
 }
 
-// dialFunc opens a connection.
-type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
-
-func newEntry(d *Daemon, dialEndpoint dialFunc) *entry {
+func newEntry(d *Daemon) *entry {
 	settings := d.settings
-	client := &brdispatch.Client{Clock: d.clock, StallTimeout: settings.StallTimeout, Dial: dialEndpoint}
+	client := &brdispatch.Client{
+		Clock: d.clock, StallTimeout: settings.StallTimeout, DialTimeout: endpointDialTimeout,
+		Dial: d.paths.dialEndpoint, PathFailed: d.paths.failed,
+	}
 	e := &entry{daemon: d, Entry: brentry.New(brentry.Config{
 		EntryID: d.self.ID, Address: d.self.CallerAddress, Region: d.self.Region,
 		MaxBody: settings.MaxBodyBytes, MaxHeld: settings.EntryBufferRequests, MaxHeldBytes: settings.EntryBufferBytes,
--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -12,6 +12,7 @@
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
+	"bramleyroute/brtunnel"
 	"bramleyroute/brwire"
 )
 
@@ -86,6 +87,7 @@
 func (d *Daemon) serve(l listeners) {
 	peer := http.NewServeMux()
 	peer.Handle(brpeer.Path, d.peers)
+	peer.Handle(brtunnel.Path, d.paths.server)
 	peer.HandleFunc("POST "+brengine.PathAnnounce, d.serveAnnounce)
 	d.startServer(l.peer, peer)
 	if d.entry != nil && l.caller != nil {
--- a/brdaemon/path_test.go
+++ b/brdaemon/path_test.go
@@ -74,7 +74,7 @@
 			t.Logf("served: %+v", results)
 			blamed := map[string]int{}
 			for _, e := range c.events(brtimeline.EndpointHalfOpen, brtimeline.QuarantineBegun, brtimeline.RolloutTripped) {
-				blamed[fmt.Sprint(e.Kind, " in ", e.Pool)]++
+				blamed[fmt.Sprint(e.Kind, " in ", e.Pool, ": ", e.Reason)]++
 			}
 			if len(blamed) > 0 {
 				t.Errorf("events %v, want none", blamed)
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -94,6 +94,9 @@
 			d.scheduler.report(a.Message)
 		}
 	})
+	brpeer.HandleCall(m, nameEndpointKnown, func(_ context.Context, _ *brpeer.Conn, q endpointQuery) (endpointReply, error) {
+		return endpointReply{Known: d.scheduler != nil && d.scheduler.knows(q.Pool, q.Address)}, nil
+	})
 	brpeer.HandleCall(m, namePoolStatus, d.poolStatus)
 	brpeer.HandleCall(m, brwire.NameLocate, func(ctx context.Context, _ *brpeer.Conn, l brwire.Locate) (brwire.LocateReply, error) {
 		if d.scheduler == nil || d.scheduler.find(l.Pool) == nil {
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -66,7 +66,7 @@
 	defer func() { br.Reset(nil); connReaders.Put(br) }()
 	cn, resp, sent, err := c.dispatch(timeoutCtx, call.Address, timeout, boundary, req, br)
 	if !sent {
-		return Response{}, Result{}, err
+		return Response{}, Result{PathFailed: cn == nil && c.pathFailed(ctx, call.Address, nil, err)}, err
 	}
 	var response Response
 	if err == nil {
@@ -77,7 +77,9 @@
 	if err != nil {
 		res.FirstToken = 0
 		res.Lost = brevent.EndedByPeer(err)
+		cause := err
 		err = c.callError(ctx, timeoutCtx, res.Duration >= timeout, err)
+		res.PathFailed = !brerror.Is(err, brerror.Canceled) && c.pathFailed(ctx, call.Address, cn, cause)
 	}
 	return response, res, err
 }
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -29,6 +29,9 @@
 	DefaultStuckTimeout     = 60 * time.Second
 	DefaultMaxResponseBytes = 8 << 20 // bytes
 	cancelTimeout           = 2 * time.Second
+	// pathCheckTimeout limits the check whether the path to an endpoint works, for which
+	// the response to the caller waits.
+	pathCheckTimeout = time.Second
 )
 
 // Client sends requests to endpoints. Its zero value uses the defaults and the system
@@ -46,6 +49,12 @@
 	// Dial opens a connection; nil uses net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
+	// PathFailed reports whether this daemon's path to the endpoint at address may be to
+	// blame for err rather than the endpoint. err is that of a dial if c is nil, and
+	// otherwise that of an exchange on c, which was opened at the given time. nil means
+	// that the endpoint is always to blame.
+	PathFailed func(ctx context.Context, address string, c net.Conn, opened time.Time, err error) bool
+
 	pendingCancels sync.WaitGroup
 }
 
@@ -69,6 +78,7 @@
 // conn is a connection whose reads time out after idleTimeout without any byte.
 type conn struct {
 	net.Conn
+	opened      time.Time
 	idleTimeout time.Duration
 }
 
@@ -92,7 +102,21 @@
 		c.Counters.DialFailures.Add(1)
 		return nil, err
 	}
-	return &conn{Conn: nc, idleTimeout: idleTimeout}, nil
+	return &conn{Conn: nc, opened: c.clock().Now(), idleTimeout: idleTimeout}, nil
+}
+
+// pathFailed calls PathFailed for an error on cn, or of a dial if cn is nil. The check goes
+// on after the end of ctx.
+func (c *Client) pathFailed(ctx context.Context, address string, cn *conn, err error) bool {
+	if c.PathFailed == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pathCheckTimeout)
+	defer cancel()
+	if cn == nil {
+		return c.PathFailed(ctx, address, nil, time.Time{}, err)
+	}
+	return c.PathFailed(ctx, address, cn.Conn, cn.opened, err)
 }
 
 // exchange writes req once and reads the header of the response with br, whose source
@@ -156,7 +180,7 @@
 
 // dispatch opens a connection, calls boundary and performs the exchange. The returned
 // bool reports whether boundary returned nil, that is, whether the request may have
-// been sent.
+// been sent. The connection is nil only if the dial failed.
 func (c *Client) dispatch(ctx context.Context, address string, idleTimeout time.Duration, boundary func() error,
 	req *http.Request, br *bufio.Reader) (*conn, *http.Response, bool, error) {
 	cn, err := c.dial(ctx, address, idleTimeout)
@@ -165,11 +189,11 @@
 	}
 	if err := ctx.Err(); err != nil {
 		_ = cn.Close()
-		return nil, nil, false, brerror.New(brerror.EndpointUnavailable, "not sent to %s: %w", address, err)
+		return cn, nil, false, brerror.New(brerror.EndpointUnavailable, "not sent to %s: %w", address, err)
 	}
 	if err := boundary(); err != nil {
 		_ = cn.Close()
-		return nil, nil, false, fmt.Errorf("not sent to %s: %w", address, err)
+		return cn, nil, false, fmt.Errorf("not sent to %s: %w", address, err)
 	}
 	c.Counters.Dispatches.Add(1)
 	stop := context.AfterFunc(ctx, func() { _ = cn.Close() })
@@ -177,7 +201,7 @@
 	resp, err := exchange(cn, br, req)
 	if err != nil {
 		_ = cn.Close()
-		return nil, nil, true, err
+		return cn, nil, true, err
 	}
 	return cn, resp, true, nil
 }
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -53,6 +53,7 @@
 	NextOffset   int  // offset after the last forwarded token
 	Resumes      int
 	Lost         bool           // a service ended the connection before its response was complete
+	PathFailed   bool           // the path to the endpoint may be to blame for the error; see Client.PathFailed
 	Usage        brengine.Usage // set if Complete
 	Status       int            // HTTP status of a service's response
 	FinishReason string
@@ -67,6 +68,7 @@
 // stream is the state of one Complete or Resume.
 type stream struct {
 	client       *Client
+	conn         *conn // the latest; nil if its dial failed
 	ctx          context.Context
 	request      Request
 	result       Result
@@ -107,8 +109,9 @@
 		return nil
 	}
 	cn, resp, sent, err := c.dispatch(ctx, r.Address, cmp.Or(c.StallTimeout, DefaultStallTimeout), boundary, req, s.connReader)
-	s.result.Dispatched = sent
+	s.result.Dispatched, s.conn = sent, cn
 	if !sent {
+		s.result.PathFailed = cn == nil && c.pathFailed(ctx, r.Address, nil, err)
 		return s.result, err
 	}
 	if err == nil && resp.StatusCode != http.StatusOK {
@@ -189,6 +192,7 @@
 		err = brerror.New(brerror.Canceled, "canceled: %w", context.Cause(s.ctx))
 	}
 	if s.result.Dispatched {
+		s.result.PathFailed = brerror.Is(err, brerror.EndpointFailed) && c.pathFailed(s.ctx, s.request.Address, s.conn, err)
 		c.cancelInBackground(s.request.Address, s.request.RequestID)
 	}
 	return s.result, err
@@ -206,6 +210,7 @@
 	c.Counters.Resumes.Add(1)
 	s.result.Resumes++
 	cn, err := c.dial(s.ctx, s.request.Address, cmp.Or(c.StallTimeout, DefaultStallTimeout))
+	s.conn = cn
 	if err != nil {
 		return fmt.Errorf("%w: dial: %w", errBroken, err)
 	}
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -40,7 +40,7 @@
 		if h.submit.NonIdempotent {
 			stored, err := e.beginLedgerRecord(caller, h, g)
 			if stored != nil || err != nil {
-				e.returnGrant(h, g, err)
+				e.returnGrant(h, g, brdispatch.Result{}, err)
 				return stored, err
 			}
 		}
@@ -48,7 +48,7 @@
 		if res.Dispatched {
 			return nil, err
 		}
-		e.returnGrant(h, g, err)
+		e.returnGrant(h, g, res, err)
 		if submit, err = e.retryGrant(h, err); err != nil {
 			e.Withdraw(h.submit.Pool, brwire.Withdraw{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number})
 			return nil, err
@@ -164,9 +164,9 @@
 	return nil
 }
 
-// returnGrant returns the unused grant g to the scheduler. It does nothing if g isn't
-// the current grant of h.
-func (e *Entry) returnGrant(h *heldRequest, g brwire.Grant, err error) {
+// returnGrant returns the unused grant g to the scheduler, with the result of its failed
+// dispatch. It does nothing if g isn't the current grant of h.
+func (e *Entry) returnGrant(h *heldRequest, g brwire.Grant, res brdispatch.Result, err error) {
 	e.mu.Lock()
 	current := h.phase == granted && h.grant == g
 	if current {
@@ -182,7 +182,7 @@
 	}
 	e.Counters.ReturnedGrants.Add(1)
 	e.record(EventGrantReturned, h, g, err)
-	e.Done(h.submit.Pool, brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, Outcome: brerror.NotRun, Kind: kind})
+	e.Done(h.submit.Pool, brwire.Done{RequestID: h.submit.RequestID, Epoch: g.Epoch, Number: g.Number, Outcome: brerror.NotRun, Kind: kind, PathFailed: res.PathFailed})
 }
 
 // dispatch performs the exchange x. Its context is independent of caller's, so that
@@ -235,7 +235,8 @@
 	if err != nil {
 		be := brerror.From(err)
 		d.Kind, d.Outcome = be.Kind, be.Kind.Response().Outcome
-		d.EndpointLost = be.Kind == brerror.EndpointFailed && (res.Resumes > 0 || res.Lost)
+		d.PathFailed = res.PathFailed
+		d.EndpointLost = be.Kind == brerror.EndpointFailed && (res.Resumes > 0 || res.Lost) && !res.PathFailed
 		e.Counters.Failed.Add(1)
 		if be.Kind == brerror.Stuck {
 			e.Counters.Stuck.Add(1)
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -93,13 +93,11 @@
 // whether the endpoint is dead. It opens a connection to find out, which the next request
 // uses.
 func (f *Fleet) pathWorks(ctx context.Context, address string) bool {
-	c, err := f.paths.dialer.Dial(ctx, address)
-	if err != nil {
-		return errors.Is(err, brpath.ErrUnreachable)
+	works, c := f.paths.dialer.Works(ctx, address)
+	if c != nil {
+		f.pool.Put(address, c)
 	}
-	f.pool.Put(address, c)
-	r, ok := c.(interface{ Relayed() bool })
-	return !ok || !r.Relayed()
+	return works
 }
 
 // onPathChange applies a change of this daemon's paths to endpoints. Idle connections over
--- a/brpath/conn.go
+++ b/brpath/conn.go
@@ -6,6 +6,12 @@
 	"syscall"
 )
 
+// Relayed reports whether c leads through another daemon.
+func Relayed(c net.Conn) bool {
+	r, ok := c.(interface{ Relayed() bool })
+	return ok && r.Relayed()
+}
+
 // relayedConn is a connection through a relay. It is a syscall.Conn if the connection
 // below it is one.
 type relayedConn struct {
--- a/brpath/state.go
+++ b/brpath/state.go
@@ -50,6 +50,7 @@
 	paused    map[string]time.Time
 
 	partitioned   bool
+	backAt        time.Time // when a lost path last came back
 	trialAt       time.Time
 	trialInterval time.Duration
 }
@@ -126,6 +127,13 @@
 	return p != nil && p.lost
 }
 
+// LostSince reports whether the path to the endpoint at address is lost, or any path was
+// lost at some time after t. The end of a direct connection used since t says nothing
+// about the endpoint then.
+func (s *State) LostSince(address string, t time.Time) bool {
+	return s.Lost(address) || s.partitioned && !s.HeardSinceLoss(address) || t.Before(s.backAt)
+}
+
 // Heard records that something has arrived directly from an endpoint.
 func (s *State) Heard(now time.Time, address string) {
 	s.heard[address], s.heardAt = now, now
@@ -165,6 +173,9 @@
 	if wasLost {
 		s.trialAt, s.trialInterval = now, minTrialInterval
 	}
+	if wasLost || s.partitioned {
+		s.backAt = now
+	}
 	delete(s.endpoints, address)
 	clear(s.lost)
 	switch {
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -118,9 +118,9 @@
 }
 
 // returnGrant unbinds a grant that was returned unused. A failed dial counts as a
-// failure of the endpoint.
+// failure of the endpoint unless the path may have failed.
 func (p *Pool) returnGrant(now time.Time, r *request, m brwire.Done) {
-	p.noteChanges(now, p.table.Done(now, r.flight, brroute.Result{Outcome: m.Outcome, Kind: m.Kind}))
+	p.noteChanges(now, p.table.Done(now, r.flight, brroute.Result{Outcome: m.Outcome, Kind: m.Kind, PathFailed: m.PathFailed}))
 	p.clearFlight(now, r)
 	delete(p.requests, r.ID)
 }
@@ -132,7 +132,7 @@
 	p.observeDone(now, r, m)
 	p.observeLoss(now, r, m)
 	p.noteChanges(now, p.table.Done(now, f, brroute.Result{
-		OK: m.OK, Outcome: m.Outcome, Kind: m.Kind, PromptTokens: m.PromptTokens, CachedTokens: m.CachedTokens,
+		OK: m.OK, Outcome: m.Outcome, Kind: m.Kind, PathFailed: m.PathFailed, PromptTokens: m.PromptTokens, CachedTokens: m.CachedTokens,
 		OutputTokens: m.OutputTokens, FirstToken: m.FirstToken, Duration: m.Duration,
 	}))
 	if m.OK {
--- a/brpool/quarantine.go
+++ b/brpool/quarantine.go
@@ -59,10 +59,10 @@
 	switch {
 	case m.OK || m.OutputTokens >= minProgressTokens:
 		changes = p.quarantine.RunProgressed(now, r.identity)
-	case m.EndpointLost:
+	case m.EndpointLost && !m.PathFailed:
 		changes = p.quarantine.RunLost(now, r.identity, startOf(r.flight))
 	}
-	r.conclusive = m.OK || m.OutputTokens >= minProgressTokens || m.EndpointLost
+	r.conclusive = m.OK || m.OutputTokens >= minProgressTokens || m.EndpointLost && !m.PathFailed
 	refuse := false
 	for _, c := range changes {
 		if c.Quarantined || c.Released {
--- a/brpool/rollout.go
+++ b/brpool/rollout.go
@@ -102,10 +102,11 @@
 	p.trip(r.rollout, v, bad)
 }
 
-// observeDone passes the result of a request that was started to the breaker.
+// observeDone passes the result of a request that was started to the breaker. A failure
+// of the path is neither a failure nor a success of the version.
 func (p *Pool) observeDone(now time.Time, r *request, m brwire.Done) {
 	s := p.sampleOf(r)
-	if s == nil {
+	if s == nil || m.PathFailed {
 		return
 	}
 	if r.firstTokenAt.IsZero() && m.OK {
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -147,6 +147,7 @@
 	OK           bool
 	Outcome      brerror.Outcome
 	Kind         brerror.Kind // meaningful when OK is false
+	PathFailed   bool         // the entry's path to the endpoint may be to blame
 	PromptTokens int
 	CachedTokens int
 	OutputTokens int
@@ -155,9 +156,9 @@
 }
 
 // Failed reports whether the request failed because of the endpoint rather than
-// the caller or the scheduler.
+// the caller, the scheduler or the path of the entry.
 func (r Result) Failed() bool {
-	return !r.OK && (r.Kind == brerror.EndpointFailed || r.Kind == brerror.EndpointUnavailable || r.Kind == brerror.Stuck)
+	return !r.OK && !r.PathFailed && (r.Kind == brerror.EndpointFailed || r.Kind == brerror.EndpointUnavailable || r.Kind == brerror.Stuck)
 }
 
 // Done ends a flight and updates the learned speeds from its result.
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -115,6 +115,7 @@
 	CachedTokens int             `cbor:"cached_tokens"` // part of PromptTokens served from the prefix cache
 	OutputTokens int             `cbor:"output_tokens"`
 	EndpointLost bool            `cbor:"endpoint_lost,omitempty"` // the endpoint ended the connection and couldn't resume the response
+	PathFailed   bool            `cbor:"path_failed,omitempty"`   // the failure may be one of the entry's path to the endpoint and says nothing about the endpoint
 	FirstToken   time.Duration   `cbor:"first_token"`             // since the dispatch; 0 if none arrived
 	Duration     time.Duration   `cbor:"duration"`                // since the dispatch
 }
