brentry: tell the scheduler which requests are on a lost path

A request on a silent path makes no progress. The scheduler took this for a fault of the endpoint, made it half-open and counted the request as a failure of its version before the entry knew the outcome: the services' calls hang until their deadline. Once brpath finds a path lost, the entry names the requests in progress on it (path_lost). The scheduler then ignores their silence, their late first tokens and their ends for the endpoint's health and speed and for rollouts, and frees the trial slot.

Ruled out: ending these calls at once. The path may come back before the connection times out, and a non-idempotent call would end without its outcome.

--- a/brdaemon/cluster_test.go
+++ b/brdaemon/cluster_test.go
@@ -177,6 +177,14 @@
 	return nil
 }
 
+// address returns the address of an endpoint added by addEndpoints.
+func (c *cluster) address(model string, n int) string {
+	r := c.owner(model)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endpoints[fmt.Sprint(model, n)].Address
+}
+
 // rollOut sends a share of the requests to version v2 of a model.
 func (c *cluster) rollOut(model string, perMille int) {
 	target := brpool.Target{Route: "question", FirstToken: 500 * time.Millisecond}
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -51,6 +51,7 @@
 	e.Withdraw = func(pool string, w brwire.Withdraw) { _ = sendToOwner(e, pool, brwire.NameWithdraw, w) }
 	e.Started = func(pool string, s brwire.Started) { _ = sendToOwner(e, pool, brwire.NameStarted, s) }
 	e.FirstToken = func(pool string, f brwire.FirstToken) { _ = sendToOwner(e, pool, brwire.NameFirstToken, f) }
+	e.PathLost = func(pool string, p brwire.PathLost) { _ = sendToOwner(e, pool, brwire.NamePathLost, p) }
 	e.Done = func(pool string, m brwire.Done) { _ = sendToOwner(e, pool, brwire.NameDone, m) }
 	e.Locate = e.locate
 	e.SendAttach = e.attach
--- a/brdaemon/path.go
+++ b/brdaemon/path.go
@@ -159,7 +159,12 @@
 	return !works
 }
 
+// changed applies a change of this daemon's paths.
 func (p *paths) changed(c brpath.Change, address string) {
+	if e := p.daemon.entry; e != nil && (c == brpath.PathLost || c == brpath.Partitioned) {
+		now := p.daemon.clock.Now()
+		e.ReportLostPaths(func(a string) bool { return p.dialer.LostSince(a, now) })
+	}
 	p.daemon.log.Info().Str("address", address).Stringer("change", c).Msg("path to an endpoint changed")
 	switch c {
 	case brpath.Partitioned:
--- a/brdaemon/path_test.go
+++ b/brdaemon/path_test.go
@@ -1,12 +1,18 @@
 package brdaemon
 
 import (
+	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"bramleyroute/brfake"
+	"bramleyroute/brpeer"
+	"bramleyroute/brtest"
 	"bramleyroute/brtimeline"
+	"bramleyroute/brtunnel"
 	"bramleyroute/brwire"
 )
 
@@ -16,14 +22,15 @@
 )
 
 // TestLostPathToEndpoints guards against failing the callers of an entry that has lost its
-// own path to all endpoints, while the other daemons reach them.
+// own path to all endpoints, while the other daemons reach them. The entry is also the
+// owner of a pool, which must go on granting requests to the others.
 func TestLostPathToEndpoints(t *testing.T) {
 	for _, form := range partitions {
 		t.Run(string(form), func(t *testing.T) {
 			c := startCluster(t, 4)
 			c.addEndpoints(3, testEngine)
 			c.addEndpoints(2, testLookups)
-			const cut = 2
+			cut := slices.Index(c.daemons, c.owner(testModel).daemon)
 			c.load(500*time.Millisecond, 20*time.Millisecond, completeOrLookUp)
 			c.networks[cut].set(form)
 			c.load(time.Second, 20*time.Millisecond, completeOrLookUp)
@@ -87,3 +94,74 @@
 		})
 	}
 }
+
+// TestRelayConnectsOnlyToEndpoints guards against daemons that refuse to relay to an
+// endpoint that announces itself to another daemon, and against those that relay to any
+// address.
+func TestRelayConnectsOnlyToEndpoints(t *testing.T) {
+	c := startCluster(t, 4)
+	c.addEndpoints(1, testEngine)
+	c.addEndpoints(1, testLookups)
+	known := []string{c.address(testModel, 0), c.address(testService, 0)}
+	unknown := []string{c.daemons[0].self.CallerAddress, c.daemons[3].self.PeerAddress, "127.0.0.1:1", "localhost:80", ""}
+	client := brtunnel.Dialer{Keys: brpeer.Keys{testPeerKey}}
+	for _, d := range c.daemons {
+		for _, a := range known {
+			tunnel, err := client.Dial(t.Context(), d.self.PeerAddress, a)
+			if err != nil {
+				t.Errorf("%s: %v, want a tunnel to an endpoint", d.self.ID, err)
+				continue
+			}
+			tunnel.Close()
+		}
+		for _, a := range unknown {
+			_, err := client.Dial(t.Context(), d.self.PeerAddress, a)
+			var dialErr *brtunnel.DialError
+			if !errors.As(err, &dialErr) || dialErr.Cause != brtunnel.NotAllowed {
+				t.Errorf("%s: tunnel to %q: %v, want cause %s", d.self.ID, a, err, brtunnel.NotAllowed)
+			}
+		}
+		_, err := (&brtunnel.Dialer{}).Dial(t.Context(), d.self.PeerAddress, known[0])
+		var dialErr *brtunnel.DialError
+		if !errors.As(err, &dialErr) || dialErr.Cause != brtunnel.WrongKey {
+			t.Errorf("%s: tunnel without a key: %v, want cause %s", d.self.ID, err, brtunnel.WrongKey)
+		}
+	}
+}
+
+// TestPlannedStopOfRelay guards against a planned stop of a daemon that interrupts the
+// requests of other daemons for which it relays, or that takes new ones.
+func TestPlannedStopOfRelay(t *testing.T) {
+	c := startCluster(t, 4)
+	c.addEndpoints(1, testEngine)
+	relay, address := c.daemons[1], c.address(testModel, 0)
+	client := brtunnel.Dialer{Keys: brpeer.Keys{testPeerKey}}
+	tunnel, err := client.Dial(t.Context(), relay.self.PeerAddress, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- relay.Drain(context.Background()) }()
+	brtest.Await(t, testTimeout, "new tunnels are refused", func() bool {
+		c, err := client.Dial(t.Context(), relay.self.PeerAddress, address)
+		if err == nil {
+			c.Close()
+		}
+		var dialErr *brtunnel.DialError
+		return errors.As(err, &dialErr) && dialErr.Cause == brtunnel.Leaving
+	})
+	select {
+	case err := <-drained:
+		t.Errorf("daemon has stopped with %v while a tunnel is open, want it to wait", err)
+	case <-time.After(2 * tunnelPollInterval):
+	}
+	tunnel.Close()
+	select {
+	case err := <-drained:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(testTimeout):
+		t.Error("daemon doesn't stop after the end of the tunnel")
+	}
+}
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -83,6 +83,9 @@
 	registerPoolPush(m, d, brwire.NameStarted, func(entry string, s brwire.Started) brpool.Event {
 		return brpool.Started{EntryID: entry, Started: s}
 	})
+	registerPoolPush(m, d, brwire.NamePathLost, func(entry string, p brwire.PathLost) brpool.Event {
+		return brpool.PathLost{EntryID: entry, PathLost: p}
+	})
 	registerPoolPush(m, d, brwire.NameFirstToken, func(entry string, f brwire.FirstToken) brpool.Event {
 		return brpool.FirstToken{EntryID: entry, FirstToken: f}
 	})
--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -64,6 +64,7 @@
 	Withdraw   func(pool string, w brwire.Withdraw)
 	Started    func(pool string, s brwire.Started)
 	FirstToken func(pool string, f brwire.FirstToken)
+	PathLost   func(pool string, p brwire.PathLost) // called by ReportLostPaths; may be nil
 	Done       func(pool string, d brwire.Done)
 
 	// Locate returns the entry and the endpoint of a dispatched request. The pool of l
--- a/brentry/lost_test.go
+++ b/brentry/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -78,3 +79,42 @@
 		}
 	}
 }
+
+// TestLostPathIsReported guards against a scheduler that isn't told that the path of the
+// entry may be to blame for a failure rather than the endpoint, and against an endpoint that
+// is reported as lost all the same.
+func TestLostPathIsReported(t *testing.T) {
+	crash := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	for _, test := range []struct {
+		name       string
+		pathFailed bool
+		dialed     bool // whether connections to the endpoint can be opened
+	}{{"dial and path failed", true, false}, {"dial failed", false, false}, {"connection and path lost", true, true}, {"connection lost", false, true}} {
+		for _, path := range []string{brengine.PathCompletions, brengine.PathServices + "m/a"} {
+			endpoint := httptest.NewServer(http.HandlerFunc(crash))
+			t.Cleanup(endpoint.Close)
+			address := endpoint.Listener.Addr().String()
+			if !test.dialed {
+				endpoint.Close()
+			}
+			f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
+				f.Submit = func(_ context.Context, s brwire.Submit) error { return f.grant(s, 1, address) }
+				f.client.PathFailed = func(_ context.Context, a string, c net.Conn, _ time.Time, err error) bool {
+					if a != address || err == nil || (c != nil) != test.dialed {
+						t.Errorf("%s: PathFailed is called with %s, %v and %v", test.name, a, c, err)
+					}
+					return test.pathFailed
+				}
+			})
+			f.open(t, context.Background(), http.MethodPost, path, newID(0), streamBody)
+			select {
+			case d := <-f.dones:
+				if d.OK || d.PathFailed != test.pathFailed || d.EndpointLost != (test.dialed && !test.pathFailed) {
+					t.Errorf("%s: %s: %+v, want path failed %v, and the endpoint lost only if it was reached", test.name, path, d, test.pathFailed)
+				}
+			case <-time.After(10 * time.Second):
+				t.Errorf("%s: the end of the request wasn't reported", test.name)
+			}
+		}
+	}
+}
--- a/brentry/scheduler.go
+++ b/brentry/scheduler.go
@@ -112,6 +112,27 @@
 	return out
 }
 
+// ReportLostPaths reports the running requests to whose endpoints the path may be lost to
+// the schedulers, so that these don't take their lack of progress for a fault of the
+// endpoint. The function lost is called with the address of each endpoint.
+func (e *Entry) ReportLostPaths(lost func(address string) bool) {
+	if e.PathLost == nil {
+		return
+	}
+	type report struct{ pool, id string }
+	var reports []report
+	e.mu.Lock()
+	for id, h := range e.registry.held {
+		if h.phase == running && lost(h.grant.Address) {
+			reports = append(reports, report{h.submit.Pool, id})
+		}
+	}
+	e.mu.Unlock()
+	for _, r := range reports {
+		e.PathLost(r.pool, brwire.PathLost{RequestID: r.id})
+	}
+}
+
 // Attach adds or removes a reader on another connection of the response to a running
 // request. While there is a reader, the request isn't canceled when its first caller
 // disconnects.
--- a/brpath/state_test.go
+++ b/brpath/state_test.go
@@ -141,3 +141,31 @@
 		t.Errorf("relay %q after the pause of the near one, want near", r.Daemon)
 	}
 }
+
+// TestLostSince guards against blaming an endpoint for the end of a connection that was
+// lost together with the path, and against never blaming it again once the path is back.
+func TestLostSince(t *testing.T) {
+	s := newState(Relay{Daemon: "d", FailureDomain: "z1"})
+	lose := func(address string, at time.Time) {
+		s.DirectFailed(at, address)
+		s.RelayConnected(at, address)
+	}
+	at := func(seconds int) time.Time { return t0.Add(time.Duration(seconds) * time.Second) }
+	want := func(when, address string, since time.Time, want bool) {
+		t.Helper()
+		if got := s.LostSince(address, since); got != want {
+			t.Errorf("%s: LostSince(%s) = %v, want %v", when, address, got, want)
+		}
+	}
+	want("at first", "a", at(0), false)
+	lose("a", at(1))
+	want("path to a lost", "a", at(0), true)
+	want("path to a lost", "b", at(0), false)
+	lose("b", at(2))
+	want("partitioned", "c", at(0), true)
+	s.Heard(at(3), "c")
+	want("partitioned, c heard", "c", at(0), false)
+	s.DirectConnected(at(4), "a")
+	want("path back, connection opened before", "a", at(3), true)
+	want("path back, connection opened since", "a", at(5), false)
+}
--- a/brpool/event.go
+++ b/brpool/event.go
@@ -29,6 +29,12 @@
 	Started brwire.Started
 }
 
+// PathLost reports that an entry may have lost its path to the endpoint of a request.
+type PathLost struct {
+	EntryID  string
+	PathLost brwire.PathLost
+}
+
 // FirstToken reports the first token of a response.
 type FirstToken struct {
 	EntryID    string
@@ -129,6 +135,7 @@
 func (Submit) event()            {}
 func (Withdraw) event()          {}
 func (Started) event()           {}
+func (PathLost) event()          {}
 func (FirstToken) event()        {}
 func (Done) event()              {}
 func (EndpointReport) event()    {}
--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -101,6 +101,7 @@
 	orphanedUntil  time.Time // time until which the request of a lost entry counts as running; zero otherwise
 	overdueNoted   bool      // reported in the timeline
 	failureCounted bool      // counted as failed by the breaker
+	pathLost       bool      // its entry may have lost its path to the endpoint
 }
 
 type state uint8
@@ -142,6 +143,8 @@
 		p.withdraw(now, ev.EntryID, ev.Withdraw)
 	case Started:
 		p.start(now, ev.EntryID, ev.Started)
+	case PathLost:
+		p.pathLost(now, ev.EntryID, ev.PathLost)
 	case FirstToken:
 		p.firstToken(now, ev.EntryID, ev.FirstToken)
 	case Done:
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -69,6 +69,16 @@
 	}
 }
 
+func (p *Pool) pathLost(now time.Time, entry string, m brwire.PathLost) {
+	r := p.lookup(entry, m.RequestID)
+	if r == nil || r.state == queued {
+		return
+	}
+	p.markStarted(now, r)
+	r.pathLost = true
+	p.table.PathLost(now, r.flight)
+}
+
 func (p *Pool) firstToken(now time.Time, entry string, m brwire.FirstToken) {
 	r := p.lookup(entry, m.RequestID)
 	if r == nil || r.state == queued || !r.firstTokenAt.IsZero() {
--- a/brpool/rollout.go
+++ b/brpool/rollout.go
@@ -90,7 +90,7 @@
 // to the breaker. The argument elapsed is the time since the dispatch.
 func (p *Pool) observeFirstToken(now time.Time, r *request, elapsed time.Duration) {
 	s := p.sampleOf(r)
-	if s == nil {
+	if s == nil || r.pathLost {
 		return
 	}
 	target := r.rollout.target(r.submit.Route).FirstToken
@@ -102,11 +102,11 @@
 	p.trip(r.rollout, v, bad)
 }
 
-// observeDone passes the result of a request that was started to the breaker. A failure
-// of the path is neither a failure nor a success of the version.
+// observeDone passes the result of a request that was started to the breaker. A run
+// over a path that was lost is neither a failure nor a success of the version.
 func (p *Pool) observeDone(now time.Time, r *request, m brwire.Done) {
 	s := p.sampleOf(r)
-	if s == nil || m.PathFailed {
+	if s == nil || r.pathLost || m.PathFailed {
 		return
 	}
 	if r.firstTokenAt.IsZero() && m.OK {
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -44,6 +44,7 @@
 	stalled            bool          // reported in a Change
 	firstTokenLearned  bool          // whether the time to the first token was observed
 	trial              bool
+	pathLost           bool // its entry may have lost its path to the endpoint
 	ended              bool
 
 	granted, started, firstToken time.Time
@@ -132,7 +133,7 @@
 	}
 	f.firstToken = now
 	e.pending -= f.uncached
-	if f.maxCached == 0 && !f.granted.IsZero() {
+	if f.maxCached == 0 && !f.granted.IsZero() && !f.pathLost {
 		// Nothing was cached, so the number of prefilled tokens is known before Done.
 		t.learnFirst(e, f, f.uncached, elapsed)
 	}
@@ -142,6 +143,16 @@
 	return t.recordProgress(now, f)
 }
 
+// PathLost records that the entry of f may have lost its path to the endpoint. The progress
+// of f, or the lack of it, says nothing about the endpoint from then on.
+func (t *Table) PathLost(now time.Time, f *Flight) {
+	f.pathLost = true
+	if t.trial == f {
+		t.trial = nil
+		t.scheduleTrial(now, f.endpoint)
+	}
+}
+
 // Result is the result of a request.
 type Result struct {
 	OK           bool
@@ -249,7 +260,7 @@
 }
 
 func (t *Table) learn(e *endpoint, f *Flight, r Result) {
-	if f.granted.IsZero() {
+	if f.granted.IsZero() || f.pathLost {
 		return // adopted: the time of its grant is unknown
 	}
 	if t.opts.Kind == brwire.KindService {
--- a/brroute/health.go
+++ b/brroute/health.go
@@ -59,7 +59,7 @@
 	token := t.speedOf(e).tokenTime
 	for _, f := range e.flights {
 		late := now.Sub(f.progressDeadline(token))
-		if f.started.IsZero() || late <= 0 {
+		if f.started.IsZero() || late <= 0 || f.pathLost {
 			continue
 		}
 		e.overdue = max(e.overdue, late)
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -13,6 +13,7 @@
 	NameWithdraw   = "withdraw"
 	NameStarted    = "started"
 	NameFirstToken = "first_token"
+	NamePathLost   = "path_lost"
 	NameDone       = "done"
 	NameJoin       = "join"
 	NameIDBound    = "bound"
@@ -103,6 +104,12 @@
 	Elapsed   time.Duration `cbor:"elapsed"` // since the dispatch
 }
 
+// PathLost reports that the entry may have lost its path to the endpoint of a dispatched
+// request. How the request goes on says nothing about the endpoint.
+type PathLost struct {
+	RequestID string `cbor:"request_id"`
+}
+
 // Done ends a granted request. An Outcome of NotRun returns the grant unused.
 type Done struct {
 	RequestID    string          `cbor:"request_id"`
