brdaemon: send orders to endpoints through other daemons if needed

The control leader sent orders to endpoints through http.DefaultClient. A leader without a path to them could change no version, and a rollout waited until its end. The orders now dial like dispatches. Without keep-alive, http.Transport repeats no order on a reused connection.

Measured: state read and order sent in each of the three forms (TestOrdersOverLostPath).

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -133,6 +133,7 @@
 	d.session = newSession(d.clock, d.log, d.self, d.links, d.replicaAddresses())
 	d.session.onViewChanged, d.session.onStanding = d.viewChanged, d.standingChanged
 	d.session.onLeasesEnded, d.session.onLeasesExtended = d.leasesEnded, d.leasesExtended
+	d.paths = newPaths(d, dialEndpoint)
 	if d.hasRole(brwire.RoleControl) {
 		c, err := startControl(d)
 		if err != nil {
@@ -141,7 +142,6 @@
 		d.control = c
 		c.replica.Register(mux)
 	}
-	d.paths = newPaths(d, dialEndpoint)
 	if d.hasRole(brwire.RoleScheduler) {
 		d.scheduler = newScheduler(d)
 	}
--- a/brdaemon/order.go
+++ b/brdaemon/order.go
@@ -15,10 +15,10 @@
 // maxOrderResponse limits how much of an endpoint's response is read, in bytes.
 const maxOrderResponse = 64 << 10
 
-// postOrder sends an order to an endpoint. The error has the kind order_refused
+// postOrder sends an order to an endpoint through client. The error has the kind order_refused
 // if the endpoint responds with a 4xx status, which means that it will not
 // carry out the order.
-func postOrder(ctx context.Context, address string, o brengine.Order) error {
+func postOrder(ctx context.Context, client *http.Client, address string, o brengine.Order) error {
 	body, err := json.Marshal(o)
 	if err != nil {
 		return fmt.Errorf("brdaemon: encode order: %w", err)
@@ -28,7 +28,7 @@
 		return fmt.Errorf("brdaemon: order: %w", err)
 	}
 	r.Header.Set("Content-Type", "application/json")
-	res, err := http.DefaultClient.Do(r)
+	res, err := client.Do(r)
 	if err != nil {
 		return fmt.Errorf("brdaemon: order: %w", err)
 	}
@@ -43,14 +43,14 @@
 	return fmt.Errorf("brdaemon: order: endpoint responded with status %d: %.200s", res.StatusCode, responseBody)
 }
 
-// getState reads the state of an endpoint.
-func getState(ctx context.Context, address string) (brengine.State, error) {
+// getState reads the state of an endpoint through client.
+func getState(ctx context.Context, client *http.Client, address string) (brengine.State, error) {
 	var st brengine.State
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+brengine.PathState, nil)
 	if err != nil {
 		return st, fmt.Errorf("brdaemon: state: %w", err)
 	}
-	res, err := http.DefaultClient.Do(r)
+	res, err := client.Do(r)
 	if err != nil {
 		return st, fmt.Errorf("brdaemon: state: %w", err)
 	}
--- a/brdaemon/path.go
+++ b/brdaemon/path.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	dialer *brpath.Dialer
 	client brtunnel.Dialer
 	server *brtunnel.Server
+	http   *http.Client // for orders to endpoints
 
 	mu     sync.Mutex
 	known  map[string]time.Time // when an owner last knew an endpoint, by address
@@ -83,6 +85,8 @@
 		Keys: d.keys, Dial: p.dialForPeer, DialTimeout: tunnelDialTimeout, Clock: d.clock, Allow: p.knows,
 		Available: func() bool { return !p.dialer.Partitioned() },
 	}
+	// Each order dials, so that http.Transport repeats none on a reused connection.
+	p.http = &http.Client{Transport: &http.Transport{DialContext: p.dialEndpoint, DisableKeepAlives: true}}
 	return p
 }
 
@@ -109,7 +113,7 @@
 	return &directConn{Conn: c, dialer: p.dialer, address: address}, nil
 }
 
-// dialEndpoint opens a connection to an endpoint for this daemon's entry.
+// dialEndpoint opens a connection to an endpoint for this daemon itself.
 func (p *paths) dialEndpoint(ctx context.Context, _, address string) (net.Conn, error) {
 	p.mu.Lock()
 	p.dialed[address] = p.daemon.clock.Now()
--- a/brdaemon/path_test.go
+++ b/brdaemon/path_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"bramleyroute/brengine"
 	"bramleyroute/brfake"
 	"bramleyroute/brpeer"
 	"bramleyroute/brtest"
@@ -165,3 +166,26 @@
 		t.Error("daemon doesn't stop after the end of the tunnel")
 	}
 }
+
+// TestOrdersOverLostPath guards against rollouts that stall because the control leader,
+// which sends the orders, has lost its own path to the endpoints.
+func TestOrdersOverLostPath(t *testing.T) {
+	c := startCluster(t, 4)
+	c.addEndpoints(2, testEngine)
+	for _, form := range partitions {
+		c.networks[0].set(form)
+		for n := range 2 {
+			ctx, cancel := context.WithTimeout(t.Context(), orderTimeout)
+			defer cancel()
+			client, address := c.daemons[0].paths.http, c.address(testModel, n)
+			s, err := getState(ctx, client, address)
+			if err != nil || s.EndpointID != fmt.Sprint(testModel, n) {
+				t.Errorf("%s: state %+v, %v, want that of endpoint %d", form, s, err, n)
+			}
+			order := brengine.Order{Kind: brengine.OrderLoadVersion, OrderID: fmt.Sprint(form, n), Model: testModel, Version: "v3", FencingToken: 1}
+			if err := postOrder(ctx, client, address, order); err != nil {
+				t.Errorf("%s: order: %v", form, err)
+			}
+		}
+	}
+}
--- a/brdaemon/rollouts.go
+++ b/brdaemon/rollouts.go
@@ -191,7 +191,7 @@
 		err = o.checkLeadership()
 	}
 	if err == nil {
-		err = postOrder(ctx, target.Address, e.Order)
+		err = postOrder(ctx, o.leader.control.daemon.paths.http, target.Address, e.Order)
 	}
 	if err != nil {
 		result = brrollout.OrderUnreachable
@@ -224,7 +224,7 @@
 func (o *rollouts) readState(rolloutID, address string) {
 	ctx, cancel := context.WithTimeout(o.leader.ctx, orderTimeout)
 	defer cancel()
-	st, err := getState(ctx, address)
+	st, err := getState(ctx, o.leader.control.daemon.paths.http, address)
 	if err != nil {
 		return // the state machine requests the state again
 	}
