brdaemon: test dead endpoints, returning paths and repeated requests

A failure must not always be taken for one of the path: an endpoint that no daemon can connect to is suspended, and it alone. The tests of lost paths now check that no request reaches the endpoints twice and that connections are direct again once the path is back.

--- a/brdaemon/cluster_test.go
+++ b/brdaemon/cluster_test.go
@@ -44,6 +44,7 @@
 	daemons  []*Daemon
 	networks []*endpointNetwork
 	fakes    []*brfake.Endpoint
+	servers  []*httptest.Server // of fakes
 }
 
 // startCluster starts n daemons, three of them control replicas, and waits until all
@@ -152,7 +153,7 @@
 		server.Config.Handler, server.Config.ConnContext = f.Handler(), f.ConnContext
 		server.Start()
 		c.t.Cleanup(server.Close)
-		c.fakes = append(c.fakes, f)
+		c.fakes, c.servers = append(c.fakes, f), append(c.servers, server)
 	}
 	brtest.Await(c.t, testTimeout, "endpoints of "+config.Model+" are in use", func() bool {
 		r := c.owner(config.Model)
@@ -205,6 +206,22 @@
 	return found
 }
 
+// checkRuns fails the test if an endpoint or several have got a request twice.
+func (c *cluster) checkRuns() {
+	c.t.Helper()
+	runs := map[string]int{}
+	for _, f := range c.fakes {
+		for id, n := range f.Counts().Requests {
+			runs[id] += n
+		}
+	}
+	for id, n := range runs {
+		if n > 1 {
+			c.t.Errorf("request %s reached the endpoints %d times, want once", id, n)
+		}
+	}
+}
+
 // served counts the requests at an entry.
 type served struct{ sent, ok int }
 
--- a/brdaemon/path_test.go
+++ b/brdaemon/path_test.go
@@ -34,14 +34,23 @@
 			cut := slices.Index(c.daemons, c.owner(testModel).daemon)
 			c.load(500*time.Millisecond, 20*time.Millisecond, completeOrLookUp)
 			c.networks[cut].set(form)
-			c.load(time.Second, 20*time.Millisecond, completeOrLookUp)
+			first := c.load(time.Second, 20*time.Millisecond, completeOrLookUp)
 			results := c.load(2*time.Second, 20*time.Millisecond, completeOrLookUp)
-			t.Logf("served at the daemon without a path: %+v, at all: %+v", results[cut], results)
+			t.Logf("served at the daemon without a path: %+v, before that in the first second: %+v, at all: %+v", results[cut], first[cut], results)
 			for i, r := range results {
 				if r.rate() < 0.95 {
 					t.Errorf("daemon %d serves %d of %d requests, want 95 in 100", i, r.ok, r.sent)
 				}
 			}
+			c.checkRuns()
+			p := c.daemons[cut].paths
+			if p.dialer.Stats().Relayed == 0 {
+				t.Error("no connection was relayed")
+			}
+			c.networks[cut].set(connected)
+			brtest.Await(t, testTimeout, "direct connections", func() bool {
+				return p.dialer.PrefersDirect(c.address(testModel, 0)) && p.dialer.PrefersDirect(c.address(testService, 0))
+			})
 		})
 	}
 }
@@ -92,10 +101,40 @@
 					t.Errorf("daemon %d serves %d of %d requests, want 95 in 100", i, r.ok, r.sent)
 				}
 			}
+			c.checkRuns()
 		})
 	}
 }
 
+// TestDeadEndpointIsBlamed guards against taking each failure for one of the path: an
+// endpoint that no daemon can connect to must be suspended, although it announces itself.
+func TestDeadEndpointIsBlamed(t *testing.T) {
+	c := startCluster(t, 4)
+	c.addEndpoints(3, testEngine)
+	c.load(500*time.Millisecond, 20*time.Millisecond, complete)
+	c.servers[0].CloseClientConnections()
+	c.servers[0].Close()
+	results := c.load(2*time.Second, 20*time.Millisecond, complete)
+	t.Logf("served: %+v", results)
+	half := c.events(brtimeline.EndpointHalfOpen)
+	if len(half) == 0 {
+		t.Error("dead endpoint isn't suspended")
+	}
+	for _, e := range half {
+		if e.EndpointID != testModel+"0" {
+			t.Errorf("endpoint %s is suspended for %q, want only the dead one", e.EndpointID, e.Reason)
+		}
+	}
+	for i, r := range results {
+		if r.rate() < 0.95 {
+			t.Errorf("daemon %d serves %d of %d requests, want 95 in 100", i, r.ok, r.sent)
+		}
+		if c.daemons[i].paths.dialer.Partitioned() {
+			t.Errorf("daemon %d counts as partitioned, want not", i)
+		}
+	}
+}
+
 // TestRelayConnectsOnlyToEndpoints guards against daemons that refuse to relay to an
 // endpoint that announces itself to another daemon, and against those that relay to any
 // address.
