brdaemon: wait for the link to an owner when asked to relay

TestPlannedStopOfRelay failed in one race run: the daemon refused the tunnel as not-allowed. Two causes are possible and both are removed: the first query to an owner only began to dial the link, and the test didn't wait until each daemon knew the owner.

--- a/brdaemon/cluster_test.go
+++ b/brdaemon/cluster_test.go
@@ -137,7 +137,7 @@
 }
 
 // addEndpoints starts n endpoints that announce themselves to one daemon, and waits until
-// their pool has an owner that knows them. The last one serves version v2, the others v1.
+// their pool has an owner that knows them and that all daemons know. The last one serves version v2, the others v1.
 func (c *cluster) addEndpoints(n int, config brfake.Config) {
 	c.t.Helper()
 	config.Region, config.FailureDomain, config.CapacityTokens = "local", "a", 65536
@@ -161,7 +161,11 @@
 			return false
 		}
 		s, ok := r.status()
-		return ok && len(s.Endpoints) == n
+		known := func(d *Daemon) bool {
+			o, _ := d.session.currentView().Owner(r.name)
+			return o.Holder == r.daemon.self.ID
+		}
+		return ok && len(s.Endpoints) == n && !slices.ContainsFunc(c.daemons, func(d *Daemon) bool { return !known(d) })
 	})
 }
 
--- a/brdaemon/path.go
+++ b/brdaemon/path.go
@@ -239,8 +239,16 @@
 	if o.Holder == d.self.ID {
 		return d.scheduler != nil && d.scheduler.knows(o.Pool, address)
 	}
-	c := d.connTo(o.Holder)
-	if c == nil {
+	row, ok := d.session.currentView().Daemon(o.Holder)
+	if !ok {
+		return false
+	}
+	l := d.links.get(row.PeerAddress)
+	if l == nil {
+		return false
+	}
+	c, err := l.Wait(ctx) // the first query to an owner dials the link
+	if err != nil {
 		return false
 	}
 	reply, err := brpeer.Call[endpointQuery, endpointReply](ctx, c, nameEndpointKnown, endpointQuery{Pool: o.Pool, Address: address})
