--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -45,6 +45,8 @@
 	// Fatal is called with an error after which the process must end, such as a
 	// failed sync. It is required.
 	Fatal func(error)
+	// DialEndpoint opens a direct connection to an endpoint; nil means net.Dialer.
+	DialEndpoint func(ctx context.Context, network, address string) (net.Conn, error)
 	// The listeners that are not nil replace those of the settings' addresses.
 	CallerListener, PeerListener, OperatorListener net.Listener
 }
@@ -66,6 +68,7 @@
 	peers   *brpeer.Server
 	servers []*http.Server
 
+	paths     *paths
 	entry     *entry     // nil without the role
 	scheduler *scheduler // nil without the role
 	control   *control   // nil without the role
@@ -115,7 +118,7 @@
 		return nil, fmt.Errorf("brdaemon: timeline: %w", err)
 	}
 	d.recorder = recorder
-	if err := d.startRoles(lis); err != nil {
+	if err := d.startRoles(lis, o.DialEndpoint); err != nil {
 		lis.close()
 		return nil, err
 	}
@@ -123,13 +126,14 @@
 	return d, nil
 }
 
-func (d *Daemon) startRoles(lis listeners) error {
+func (d *Daemon) startRoles(lis listeners, dialEndpoint dialFunc) error {
 	mux := &brpeer.Mux{OnPanic: brlogging.PanicHandler(d.log)}
 	d.stampMessages(mux)
 	d.links = newLinks(d.keys, mux, d.connected)
 	d.session = newSession(d.clock, d.log, d.self, d.links, d.replicaAddresses())
 	d.session.onViewChanged, d.session.onStanding = d.viewChanged, d.standingChanged
 	d.session.onLeasesEnded, d.session.onLeasesExtended = d.leasesEnded, d.leasesExtended
+	d.paths = newPaths(d, dialEndpoint)
 	if d.hasRole(brwire.RoleControl) {
 		c, err := startControl(d)
 		if err != nil {
@@ -152,6 +156,7 @@
 	d.peers = &brpeer.Server{Mux: mux, Keys: d.keys}
 	d.serve(lis)
 	d.session.start()
+	d.wg.Go(d.paths.run)
 	if d.entry != nil {
 		d.wg.Go(d.entry.maintainBindings)
 	}
@@ -204,6 +209,9 @@
 	if d.entry != nil {
 		err = d.entry.Drain(ctx)
 	}
+	if e := d.paths.drain(ctx); e != nil {
+		d.log.Warn().Err(e).Int("tunnels", d.paths.server.Stats().Open).Msg("tunnels of other daemons were still open")
+	}
 	if d.control != nil {
 		transferCtx, cancel := context.WithTimeout(ctx, shutdownStepTimeout)
 		if e := d.control.replica.TransferLeadership(transferCtx); e != nil {
@@ -265,6 +273,7 @@
 	if d.entry != nil {
 		d.entry.Close()
 	}
+	d.paths.close()
 	var err error
 	if d.control != nil {
 		err = d.control.close()
@@ -314,6 +323,7 @@
 	if d.control != nil {
 		d.recordOutcomes(old, v)
 	}
+	d.paths.viewChanged(v)
 	if d.entry != nil {
 		d.entry.viewChanged(old, v)
 	}
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -37,7 +37,10 @@
 
 func newEntry(d *Daemon) *entry {
 	settings := d.settings
-	client := &brdispatch.Client{Clock: d.clock, StallTimeout: settings.StallTimeout}
+	client := &brdispatch.Client{
+		Clock: d.clock, StallTimeout: settings.StallTimeout, DialTimeout: endpointDialTimeout,
+		Dial: d.paths.dialEndpoint, PathFailed: d.paths.failed,
+	}
 	e := &entry{daemon: d, Entry: brentry.New(brentry.Config{
 		EntryID: d.self.ID, Address: d.self.CallerAddress, Region: d.self.Region,
 		MaxBody: settings.MaxBodyBytes, MaxHeld: settings.EntryBufferRequests, MaxHeldBytes: settings.EntryBufferBytes,
@@ -48,6 +51,7 @@
 	e.Withdraw = func(pool string, w brwire.Withdraw) { _ = sendToOwner(e, pool, brwire.NameWithdraw, w) }
 	e.Started = func(pool string, s brwire.Started) { _ = sendToOwner(e, pool, brwire.NameStarted, s) }
 	e.FirstToken = func(pool string, f brwire.FirstToken) { _ = sendToOwner(e, pool, brwire.NameFirstToken, f) }
+	e.PathLost = func(pool string, p brwire.PathLost) { _ = sendToOwner(e, pool, brwire.NamePathLost, p) }
 	e.Done = func(pool string, m brwire.Done) { _ = sendToOwner(e, pool, brwire.NameDone, m) }
 	e.Locate = e.locate
 	e.SendAttach = e.attach
--- a/brdaemon/register.go
+++ b/brdaemon/register.go
@@ -83,6 +83,9 @@
 	registerPoolPush(m, d, brwire.NameStarted, func(entry string, s brwire.Started) brpool.Event {
 		return brpool.Started{EntryID: entry, Started: s}
 	})
+	registerPoolPush(m, d, brwire.NamePathLost, func(entry string, p brwire.PathLost) brpool.Event {
+		return brpool.PathLost{EntryID: entry, PathLost: p}
+	})
 	registerPoolPush(m, d, brwire.NameFirstToken, func(entry string, f brwire.FirstToken) brpool.Event {
 		return brpool.FirstToken{EntryID: entry, FirstToken: f}
 	})
@@ -94,6 +97,9 @@
 			d.scheduler.report(a.Message)
 		}
 	})
+	brpeer.HandleCall(m, nameEndpointKnown, func(_ context.Context, _ *brpeer.Conn, q endpointQuery) (endpointReply, error) {
+		return endpointReply{Known: d.scheduler != nil && d.scheduler.knows(q.Pool, q.Address)}, nil
+	})
 	brpeer.HandleCall(m, namePoolStatus, d.poolStatus)
 	brpeer.HandleCall(m, brwire.NameLocate, func(ctx context.Context, _ *brpeer.Conn, l brwire.Locate) (brwire.LocateReply, error) {
 		if d.scheduler == nil || d.scheduler.find(l.Pool) == nil {
--- a/brpool/progress.go
+++ b/brpool/progress.go
@@ -69,6 +69,16 @@
 	}
 }
 
+func (p *Pool) pathLost(now time.Time, entry string, m brwire.PathLost) {
+	r := p.lookup(entry, m.RequestID)
+	if r == nil || r.state == queued {
+		return
+	}
+	p.markStarted(now, r)
+	r.pathLost = true
+	p.table.PathLost(now, r.flight)
+}
+
 func (p *Pool) firstToken(now time.Time, entry string, m brwire.FirstToken) {
 	r := p.lookup(entry, m.RequestID)
 	if r == nil || r.state == queued || !r.firstTokenAt.IsZero() {
@@ -118,9 +128,9 @@
 }
 
 // returnGrant unbinds a grant that was returned unused. A failed dial counts as a
-// failure of the endpoint.
+// failure of the endpoint unless the path may have failed.
 func (p *Pool) returnGrant(now time.Time, r *request, m brwire.Done) {
-	p.noteChanges(now, p.table.Done(now, r.flight, brroute.Result{Outcome: m.Outcome, Kind: m.Kind}))
+	p.noteChanges(now, p.table.Done(now, r.flight, brroute.Result{Outcome: m.Outcome, Kind: m.Kind, PathFailed: m.PathFailed}))
 	p.clearFlight(now, r)
 	delete(p.requests, r.ID)
 }
@@ -132,7 +142,7 @@
 	p.observeDone(now, r, m)
 	p.observeLoss(now, r, m)
 	p.noteChanges(now, p.table.Done(now, f, brroute.Result{
-		OK: m.OK, Outcome: m.Outcome, Kind: m.Kind, PromptTokens: m.PromptTokens, CachedTokens: m.CachedTokens,
+		OK: m.OK, Outcome: m.Outcome, Kind: m.Kind, PathFailed: m.PathFailed, PromptTokens: m.PromptTokens, CachedTokens: m.CachedTokens,
 		OutputTokens: m.OutputTokens, FirstToken: m.FirstToken, Duration: m.Duration,
 	}))
 	if m.OK {
--- a/brroute/flight.go
+++ b/brroute/flight.go
@@ -44,6 +44,7 @@
 	stalled            bool          // reported in a Change
 	firstTokenLearned  bool          // whether the time to the first token was observed
 	trial              bool
+	pathLost           bool // its entry may have lost its path to the endpoint
 	ended              bool
 
 	granted, started, firstToken time.Time
@@ -132,7 +133,7 @@
 	}
 	f.firstToken = now
 	e.pending -= f.uncached
-	if f.maxCached == 0 && !f.granted.IsZero() {
+	if f.maxCached == 0 && !f.granted.IsZero() && !f.pathLost {
 		// Nothing was cached, so the number of prefilled tokens is known before Done.
 		t.learnFirst(e, f, f.uncached, elapsed)
 	}
@@ -142,11 +143,22 @@
 	return t.recordProgress(now, f)
 }
 
+// PathLost records that the entry of f may have lost its path to the endpoint. The progress
+// of f, or the lack of it, says nothing about the endpoint from then on.
+func (t *Table) PathLost(now time.Time, f *Flight) {
+	f.pathLost = true
+	if t.trial == f {
+		t.trial = nil
+		t.scheduleTrial(now, f.endpoint)
+	}
+}
+
 // Result is the result of a request.
 type Result struct {
 	OK           bool
 	Outcome      brerror.Outcome
 	Kind         brerror.Kind // meaningful when OK is false
+	PathFailed   bool         // the entry's path to the endpoint may be to blame
 	PromptTokens int
 	CachedTokens int
 	OutputTokens int
@@ -155,9 +167,9 @@
 }
 
 // Failed reports whether the request failed because of the endpoint rather than
-// the caller or the scheduler.
+// the caller, the scheduler or the path of the entry.
 func (r Result) Failed() bool {
-	return !r.OK && (r.Kind == brerror.EndpointFailed || r.Kind == brerror.EndpointUnavailable || r.Kind == brerror.Stuck)
+	return !r.OK && !r.PathFailed && (r.Kind == brerror.EndpointFailed || r.Kind == brerror.EndpointUnavailable || r.Kind == brerror.Stuck)
 }
 
 // Done ends a flight and updates the learned speeds from its result.
@@ -248,7 +260,7 @@
 }
 
 func (t *Table) learn(e *endpoint, f *Flight, r Result) {
-	if f.granted.IsZero() {
+	if f.granted.IsZero() || f.pathLost {
 		return // adopted: the time of its grant is unknown
 	}
 	if t.opts.Kind == brwire.KindService {
--- a/brwire/request.go
+++ b/brwire/request.go
@@ -13,6 +13,7 @@
 	NameWithdraw   = "withdraw"
 	NameStarted    = "started"
 	NameFirstToken = "first_token"
+	NamePathLost   = "path_lost"
 	NameDone       = "done"
 	NameJoin       = "join"
 	NameIDBound    = "bound"
@@ -103,6 +104,12 @@
 	Elapsed   time.Duration `cbor:"elapsed"` // since the dispatch
 }
 
+// PathLost reports that the entry may have lost its path to the endpoint of a dispatched
+// request. How the request goes on says nothing about the endpoint.
+type PathLost struct {
+	RequestID string `cbor:"request_id"`
+}
+
 // Done ends a granted request. An Outcome of NotRun returns the grant unused.
 type Done struct {
 	RequestID    string          `cbor:"request_id"`
@@ -115,6 +122,7 @@
 	CachedTokens int             `cbor:"cached_tokens"` // part of PromptTokens served from the prefix cache
 	OutputTokens int             `cbor:"output_tokens"`
 	EndpointLost bool            `cbor:"endpoint_lost,omitempty"` // the endpoint ended the connection and couldn't resume the response
+	PathFailed   bool            `cbor:"path_failed,omitempty"`   // the failure may be one of the entry's path to the endpoint and says nothing about the endpoint
 	FirstToken   time.Duration   `cbor:"first_token"`             // since the dispatch; 0 if none arrived
 	Duration     time.Duration   `cbor:"duration"`                // since the dispatch
 }
