brproxy: keep the successor of a run that fails meanwhile

Callers lost a request whose stalled run failed in the up to 200 ms in which its successor had been sent and hadn't responded yet: the failure ended the search, and with it the successor. Its send counted, so that a route with two attempts had none left, and the caller got a status 502 or a broken-off stream with most of its time left.

A successor that was sent is awaited when the stalled run fails, until it is accepted or rejected, for at most the rest of the 200 ms. Data of the stalled run, its end and the end of the request still end it at once.

TestSuccessorOutlivesFailedRun failed in three of three cases before.

--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -206,10 +206,15 @@
 	return finished
 }
 
-// hasSuccessor ends the search for a successor of a, and reports whether one is to be sent.
-// It counts in the retry budget already.
+// hasSuccessor ends the search for a successor of the attempt a, which has failed, and
+// reports whether the request goes on there.
 func (p *Proxy) hasSuccessor(ctx context.Context, q *request, a *attempt, reason string) bool {
-	next := a.stall.stop()
+	return p.useSuccessor(ctx, q, a.stall.stopFailed(), reason)
+}
+
+// useSuccessor makes next the next dispatch of q and reports whether it is: next may be nil,
+// and is ended if ctx has ended. It counts in the retry budget already.
+func (p *Proxy) useSuccessor(ctx context.Context, q *request, next *attempt, reason string) bool {
 	switch {
 	case next == nil:
 		return false
--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -36,3 +37,41 @@
 		})
 	}
 }
+
+// TestSuccessorOutlivesFailedRun guards against giving up a successor that was sent, because
+// the stalled run fails before the successor has responded.
+func TestSuccessorOutlivesFailedRun(t *testing.T) {
+	for _, test := range []struct{ name, path, first, second string }{
+		{"stream that has begun", "/resume/", event(1), event(2)},
+		{"no header yet", "/resume/", "", event(1)},
+		{"route for other responses", "/safe/", "", "ok"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			sent := make(chan struct{})
+			s := newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+				if test.first != "" {
+					send(w, test.first)
+				}
+				select {
+				case <-sent:
+				case <-r.Context().Done():
+				}
+				panic(http.ErrAbortHandler)
+			}, func(w http.ResponseWriter, r *http.Request) {
+				close(sent)
+				if pause(r, 100*time.Millisecond) {
+					send(w, test.second)
+				}
+			})
+			s.preferFirst()
+			status, body, complete := s.do(t, "POST", test.path, nil)
+			if diff := cmp.Diff(test.first+test.second, body); diff != "" || status != http.StatusOK || !complete {
+				t.Errorf("status %d, complete %v, want 200 and true; body (-want +got): %s", status, complete, diff)
+			}
+			if n := s.proxy.Stats().Retries.Load(); n != 1 {
+				t.Errorf("%d retries were taken from the budget, want 1", n)
+			}
+		})
+	}
+}
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -56,7 +56,7 @@
 			return retryElsewhere
 		}
 	}
-	if len(body) == maxBufferedBody && p.hasSuccessor(ctx, q, a, "response stalled") {
+	if len(body) == maxBufferedBody && p.useSuccessor(ctx, q, a.stall.stop(), "response stalled") {
 		return retryElsewhere
 	}
 	a.stall.close()
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -58,6 +58,7 @@
 	endSearch context.CancelFunc // nil if no successor is sought
 	failed    []string           // IDs of endpoints that were to be successors
 	sends     int                // number of requests sent to them
+	sending   bool               // a request was sent to the successor that is sought
 	attempts  int                // number of further sends that the route allows
 	next      *attempt           // set when the dispatch was canceled with errStalled
 
@@ -130,6 +131,26 @@
 	w.stopped = true
 	w.pause()
 	w.mu.Unlock()
+	return w.finish()
+}
+
+// stopFailed is stop for a dispatch that has failed: a successor that was sent is awaited
+// until it is accepted or rejected, or for the rest of maxOverlap. Ending it would lose a
+// send, and perhaps the last one that the route allows.
+func (w *stallWatch) stopFailed() *attempt {
+	w.mu.Lock()
+	if !w.sending {
+		w.mu.Unlock()
+		return w.stop()
+	}
+	w.stopped, w.waiting = true, false
+	w.mu.Unlock()
+	return w.finish()
+}
+
+// finish waits for the end of a search after the watch was stopped, and returns the
+// successor.
+func (w *stallWatch) finish() *attempt {
 	w.searches.Wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -228,6 +249,7 @@
 	defer w.mu.Unlock()
 	w.failed = append(w.failed, a.endpoint.ID)
 	w.sends += sends
+	w.sending = false
 }
 
 // send sends the successor a and reports whether it has replaced the dispatch: its endpoint
@@ -259,7 +281,7 @@
 	if ctx.Err() != nil || !w.proxy.takeRetry(w.request) || !w.proxy.beginTrial(w.request, a) {
 		return brconn.Request{}, false
 	}
-	a.continues = w.request.headSent
+	w.sending, a.continues = true, w.request.headSent
 	return w.proxy.outgoing(w.request, a), true
 }
 
@@ -271,7 +293,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	w.next, w.endSearch = a, nil
+	w.next, w.endSearch, w.sending = a, nil, false
 	w.cancel(errStalled)
 	return true
 }
