brproxy: keep a successor when a part of its prompt is quarantined

Callers lost a stream whose stalled run had just been ended in favor of a successor, if a part of its prompt was quarantined between the two steps, or if the successor was itself the trial of a quarantined part: the check before each dispatch, meant for requests that aren't sent yet, ended the successor too.

A successor goes on as any other run does: only a quarantine of the request itself ends it, and a trial goes on.

TestQuarantineKeepsSuccessor failed in these two of three cases before; in the third, the request is quarantined and still ends.

--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"bramleyroute/brquarantine"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -75,3 +77,45 @@
 		})
 	}
 }
+
+// TestQuarantineKeepsSuccessor guards against ending a successor because a part of its
+// prompt is quarantined after it was sent, or because it is itself the trial of a part.
+// Other runs with that part go on too. A request that is quarantined itself doesn't go on.
+func TestQuarantineKeepsSuccessor(t *testing.T) {
+	request := brquarantine.Subject{Kind: brquarantine.KindRequest, ID: brquarantine.Fingerprint(nil, "POST", "h", "/resume/", "c")}
+	none := func(*Proxy) {}
+	for _, test := range []struct {
+		name          string
+		first, second func(p *Proxy) // called while the endpoint runs the request
+		complete      bool
+	}{
+		{"part", none, func(p *Proxy) { p.PeerEvidence(part("p"), threeLost, 0) }, true},
+		{"trial of a part", func(p *Proxy) { p.PeerEvidence(part("p"), threeLost, time.Minute) }, none, true},
+		{"request", none, func(p *Proxy) { p.PeerEvidence(request, threeLost, 0) }, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var s *testSystem
+			s = newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+				send(w, event(1))
+				test.first(s.proxy)
+				<-r.Context().Done()
+			}, func(w http.ResponseWriter, r *http.Request) {
+				test.second(s.proxy)
+				send(w, event(2))
+			})
+			s.preferFirst()
+			_, body, complete := s.do(t, "POST", "/resume/", map[string]string{"Part": "p"})
+			want := event(1)
+			if test.complete {
+				want = events(2)
+			}
+			if diff := cmp.Diff(want, body); diff != "" || complete != test.complete {
+				t.Errorf("complete %v, want %v; body (-want +got): %s", complete, test.complete, diff)
+			}
+			if n := s.endpoints[1].arrivals(); n != 1 {
+				t.Errorf("%d arrivals at the successor, want 1", n)
+			}
+		})
+	}
+}
--- a/brproxy/quarantine.go
+++ b/brproxy/quarantine.go
@@ -75,6 +75,18 @@
 	return pause, held
 }
 
+// mustEndSuccessor reports whether the successor a of q, which was sent already, must not go
+// on, and for how long q is held back: it ends for the same reasons as a run in cancelRuns.
+func (p *Proxy) mustEndSuccessor(q *request, a *attempt) (time.Duration, bool) {
+	if len(a.trials) > 0 {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, pause, held := p.quarantine.Check(p.cfg.Clock.Now(), brquarantine.Request{ID: q.identity.ID})
+	return pause, held
+}
+
 // quarantineBegins returns a channel that is closed when something is quarantined.
 func (p *Proxy) quarantineBegins() <-chan struct{} {
 	p.mu.Lock()
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -229,22 +229,22 @@
 // run dispatches the request until it has a response or must not be sent again.
 func (p *Proxy) run(ctx context.Context, q *request) {
 	for {
-		next := q.next
-		q.next = nil
-		if pause, held := p.checkQuarantine(q); held {
-			if next != nil {
+		if next := q.next; next != nil {
+			q.next = nil
+			if pause, held := p.mustEndSuccessor(q, next); held {
 				p.dropSuccessor(q, next)
+				p.endQuarantined(ctx, q, pause)
+				return
 			}
-			p.stats.Quarantined.Add(1)
-			p.endUndispatched(ctx, q, quarantineReason, pause)
-			return
-		}
-		if next != nil {
 			if p.dispatch(ctx, q, next) == finished {
 				return
 			}
 			continue
 		}
+		if pause, held := p.checkQuarantine(q); held {
+			p.endQuarantined(ctx, q, pause)
+			return
+		}
 		id, decision := p.awaitPlacement(ctx, q, p.placementRequest(q))
 		switch e := decision.(type) {
 		case brplace.Dispatch:
@@ -265,6 +265,12 @@
 	}
 }
 
+// endQuarantined ends a request that the quarantine holds back for the time pause.
+func (p *Proxy) endQuarantined(ctx context.Context, q *request, pause time.Duration) {
+	p.stats.Quarantined.Add(1)
+	p.endUndispatched(ctx, q, quarantineReason, pause)
+}
+
 // awaitPlacement submits r, which is the request q, to the placement and waits for the
 // decision. It returns the placement ID, and a nil effect if ctx ends or the quarantine
 // holds the request back first.
