brproxy: survive a panic in the search for another endpoint

A panic while a successor is sought or sent ended the process, and with it all requests in progress: the search runs in the goroutine of a timer and in others of its own, which net/http and recoverPanic don't cover, unlike the same code in the goroutine of a request.

The panic is logged, the successor and its placement are released, and the stalled run goes on without a further search.

TestPanicInSearchEndsNoDaemon ended the test process in four of four cases before.

--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"bramleyroute/brconn"
 	"bramleyroute/brquarantine"
+	"bramleyroute/brtest"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -119,3 +122,73 @@
 		})
 	}
 }
+
+// TestPanicInSearchEndsNoDaemon guards against a panic outside the goroutine of a request,
+// which would end the process with all requests in progress.
+func TestPanicInSearchEndsNoDaemon(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		call int32 // number of the call that panics: the first of the search
+		arm  func(c *Config, panics func() bool)
+	}{
+		{"placement", 2, func(c *Config, panics func() bool) {
+			c.SelectVersion = func(string, string) (string, string) {
+				if panics() {
+					panic("select")
+				}
+				return "", ""
+			}
+		}},
+		{"header to the endpoint", 2, func(c *Config, panics func() bool) {
+			c.Dialect.EncodeHeader = func(h http.Header, d DispatchParams) http.Header {
+				if panics() {
+					panic("encode")
+				}
+				return testDialect.EncodeHeader(h, d)
+			}
+		}},
+		{"response of the successor", 1, func(c *Config, panics func() bool) {
+			c.Pool.Matches = func(string, *brconn.Response) bool {
+				if panics() {
+					panic("matches")
+				}
+				return true
+			}
+		}},
+		{"rejection", 1, func(c *Config, panics func() bool) {
+			c.Dialect.NotRun = func(*brconn.Response) bool {
+				if panics() {
+					panic("not run")
+				}
+				return false
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newSilentSystem(t, silentBetween(silence, "", event(1)), respond(200, "", event(1)))
+			s.preferFirst()
+			var calls atomic.Int32
+			test.arm(&s.proxy.cfg, func() bool { return calls.Add(1) == test.call })
+			if status, body, complete := s.do(t, "POST", "/resume/", nil); status != http.StatusOK || body != event(1) || !complete {
+				t.Errorf("status %d, body %q, complete %v, want 200, the event and true", status, body, complete)
+			}
+			if n := len(s.log.entries(t, "panic while seeking another endpoint")); n != 1 {
+				t.Errorf("%d log entries, want 1", n)
+			}
+			s.awaitNoRuns(t)
+		})
+	}
+}
+
+// awaitNoRuns waits until no request is counted at an endpoint or waits for one.
+func (s *testSystem) awaitNoRuns(t *testing.T) {
+	t.Helper()
+	brtest.Await(t, time.Second, "no request is counted at an endpoint", func() bool {
+		for _, u := range s.proxy.PlacementReport(time.Minute) {
+			if u.Active != 0 {
+				return false
+			}
+		}
+		return s.proxy.Waiting() == 0
+	})
+}
--- a/brproxy/panic.go
+++ b/brproxy/panic.go
@@ -16,10 +16,23 @@
 		panic(v)
 	}
 	p.stats.Failed.Add(1)
-	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
+	p.logPanic(q, v, "panic while serving a request")
 	if q.headSent {
 		panic(http.ErrAbortHandler)
 	}
 	q.out.Header().Del("Content-Length")
 	http.Error(q.out, "internal_error", http.StatusInternalServerError)
 }
+
+// recoverSearch logs a panic in a goroutine that seeks a successor for q. Nothing else would
+// recover it there, and the process would end with all requests in progress. It must be
+// deferred.
+func (p *Proxy) recoverSearch(q *request) {
+	if v := recover(); v != nil {
+		p.logPanic(q, v, "panic while seeking another endpoint")
+	}
+}
+
+func (p *Proxy) logPanic(q *request, v any, message string) {
+	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg(message)
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -177,6 +177,7 @@
 
 // check begins a search if the endpoint has stalled, and otherwise waits until it may have.
 func (w *stallWatch) check() {
+	defer w.proxy.recoverSearch(w.request)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.waiting || w.endSearch != nil || w.next != nil {
@@ -209,6 +210,7 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.endSearch = cancel
 	w.searches.Go(func() {
+		defer w.proxy.recoverSearch(w.request)
 		if w.search(ctx, r) {
 			return // the successor uses ctx
 		}
@@ -230,11 +232,11 @@
 		if a == nil {
 			return false
 		}
-		if err == nil && w.send(ctx, a) {
-			return true
+		if err == nil {
+			return w.try(ctx, a)
 		}
 		w.proxy.endAttempt(w.request, a)
-		if err == nil || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return false
 		}
 		r.ExcludedEndpoints = append(r.ExcludedEndpoints, a.endpoint.ID)
@@ -243,6 +245,24 @@
 	return false
 }
 
+// try sends the successor a and reports whether it has replaced the dispatch. If not, it ends
+// the attempt, also after a panic.
+func (w *stallWatch) try(ctx context.Context, a *attempt) (replaced bool) {
+	defer func() {
+		switch {
+		case replaced:
+			return
+		case a.sent != nil:
+			a.sent.drop()
+			w.addFailed(a, 1)
+		default:
+			a.conn.Release()
+		}
+		w.proxy.endAttempt(w.request, a)
+	}()
+	return w.send(ctx, a)
+}
+
 // addFailed records an attempt that didn't replace the dispatch, with the number of sends.
 func (w *stallWatch) addFailed(a *attempt, sends int) {
 	w.mu.Lock()
@@ -257,20 +277,14 @@
 func (w *stallWatch) send(ctx context.Context, a *attempt) bool {
 	r, ok := w.prepare(ctx, a)
 	if !ok {
-		a.conn.Release()
 		return false
 	}
-	w.proxy.sendAhead(ctx, a, r)
+	w.proxy.sendAhead(ctx, w.request, a, r)
 	select {
 	case <-a.sent.done:
 	case <-w.proxy.cfg.Clock.After(maxOverlap):
 	}
-	if !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a) {
-		return true
-	}
-	a.sent.drop()
-	w.addFailed(a, 1)
-	return false
+	return !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a)
 }
 
 // prepare returns the request to be sent to the successor a, and whether it may be sent:
@@ -281,8 +295,9 @@
 	if ctx.Err() != nil || !w.proxy.takeRetry(w.request) || !w.proxy.beginTrial(w.request, a) {
 		return brconn.Request{}, false
 	}
+	r := w.proxy.outgoing(w.request, a)
 	w.sending, a.continues = true, w.request.headSent
-	return w.proxy.outgoing(w.request, a), true
+	return r, true
 }
 
 // replace ends the dispatch in favor of a, unless the search has ended, and reports whether
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 
 	"bramleyroute/brconn"
 	"bramleyroute/brplace"
 )
 
+// errSendPanicked is the error of a request whose sending has panicked.
+var errSendPanicked = &brconn.SendError{MaybeSent: true, Err: errors.New("brproxy: panic while sending a request")}
+
 // sentRequest is a request that was sent to a successor while the dispatch before it went
 // on.
 type sentRequest struct {
@@ -47,14 +51,16 @@
 	}
 }
 
-// sendAhead sends the request r for the attempt a and doesn't wait for the response.
-func (p *Proxy) sendAhead(ctx context.Context, a *attempt, r brconn.Request) {
+// sendAhead sends r, which is the request q, for the attempt a and doesn't wait for the response.
+func (p *Proxy) sendAhead(ctx context.Context, q *request, a *attempt, r brconn.Request) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	s := &sentRequest{end: cancel, done: make(chan struct{})}
 	a.sent, a.sentAt = s, p.cfg.Clock.Now()
 	p.stats.Dispatches.Add(1)
 	go func() {
 		defer close(s.done)
+		defer p.recoverSearch(q)
+		s.err = errSendPanicked // unless Send returns
 		s.exchange, s.err = p.cfg.Pool.Send(ctx, a.endpoint.Address, r)
 	}()
 }
