brproxy: count a dropped successor as a run

A caller was told that its request hadn't run (503), and its quota was refunded, when a successor had been sent the request and was lost or ended, and the stalled endpoint then rejected it after all. Only the dispatch recorded that an endpoint may have run the request. The search records it now, unless the successor states otherwise.

TestRunningSuccessorIsNoRefusal failed before (status 503).

--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -36,6 +36,7 @@
 	stall       *stallWatch
 	conn        *brconn.Conn // open connection to the endpoint; nil means one of the pool
 	sent        *sentRequest // the request, if it was sent while the dispatch before went on
+	notRun      bool         // the response to sent states that the request didn't run
 	continues   bool         // the caller had received a part of the response when sent was sent
 }
 
--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -192,3 +192,22 @@
 		return s.proxy.Waiting() == 0
 	})
 }
+
+// TestRunningSuccessorIsNoRefusal guards against telling a caller that its request hasn't run,
+// and refunding its quota, when the stalled endpoint rejects it after all and a successor
+// has run it.
+func TestRunningSuccessorIsNoRefusal(t *testing.T) {
+	s := newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		if pause(r, silence) {
+			respond(http.StatusServiceUnavailable, "Not-Run", "full")(w, r)
+		}
+	}, truncate(""))
+	s.preferFirst()
+	status, _, _ := s.do(t, "POST", "/resume/", nil)
+	if status != http.StatusBadGateway {
+		t.Errorf("status %d, want 502: the successor may have run the request", status)
+	}
+	if n := s.endpoints[1].arrivals(); n != 1 {
+		t.Errorf("%d arrivals at the successor, want 1", n)
+	}
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -59,6 +59,7 @@
 	failed    []string           // IDs of endpoints that were to be successors
 	sends     int                // number of requests sent to them
 	sending   bool               // a request was sent to the successor that is sought
+	ran       bool               // one of those endpoints may have run the request
 	attempts  int                // number of further sends that the route allows
 	next      *attempt           // set when the dispatch was canceled with errStalled
 
@@ -158,7 +159,8 @@
 	w.next = nil
 	w.request.tried = append(w.request.tried, w.failed...)
 	w.request.sends += w.sends
-	w.failed, w.sends = nil, 0
+	w.request.mayHaveRun = w.request.mayHaveRun || w.ran
+	w.failed, w.sends, w.ran = nil, 0, false
 	return next
 }
 
@@ -255,6 +257,9 @@
 		case a.sent != nil:
 			a.sent.drop()
 			w.addFailed(a, 1)
+			w.mu.Lock()
+			w.ran = w.ran || !a.notRun
+			w.mu.Unlock()
 		default:
 			a.conn.Release()
 		}
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -84,8 +84,9 @@
 	res := &a.sent.exchange.Response
 	switch {
 	case p.cfg.Dialect.Misdirected(res):
-		a.result = brplace.WrongAddress
+		a.result, a.notRun = brplace.WrongAddress, true
 	case p.cfg.Dialect.NotRun(res):
+		a.notRun = true
 	case res.Status >= http.StatusInternalServerError:
 		a.result = brplace.Failed
 	case a.continues && !isStream(q.route, res):
