brproxy: watch a stream whose first event has no ID

A stream whose first event is a comment or has no ID wasn't watched for a stall any more, although it could go on elsewhere from its later events. With an endpoint that was gone, its caller waited until the deadline. Such a stream isn't watched only until it has an ID.

TestStreamBeginsWithoutID failed before (broken off at the deadline).

--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -211,3 +211,21 @@
 		t.Errorf("%d arrivals at the successor, want 1", n)
 	}
 }
+
+// TestStreamBeginsWithoutID guards against a stream that is never resumed since its first
+// event has no ID, although a later one has.
+func TestStreamBeginsWithoutID(t *testing.T) {
+	const comment = ": begin\n\n"
+	s := newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		send(w, comment)
+		if pause(r, 50*time.Millisecond) {
+			send(w, event(1))
+		}
+		<-r.Context().Done()
+	}, respond(http.StatusOK, "", event(2)))
+	s.preferFirst()
+	status, body, complete := s.do(t, "POST", "/resume/", nil)
+	if diff := cmp.Diff(comment+events(2), body); diff != "" || status != http.StatusOK || !complete {
+		t.Errorf("status %d, complete %v, want 200 and true; body (-want +got): %s", status, complete, diff)
+	}
+}
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -110,10 +110,9 @@
 	events := brconn.NewEventReader(x)
 	control := http.NewResponseController(q.out)
 	for {
-		if q.headSent && !q.resumable() {
-			a.stall.close()
+		if !q.headSent || q.resumable() {
+			a.stall.await()
 		}
-		a.stall.await()
 		b, err := events.Next()
 		if err != nil {
 			q.partialEvent = events.Partial()
