brproxy: keep one search for a successor at a time

A search that data had ended, and that was slow to end, took a later search for itself: it allowed a third one beside that. Two successors were sent then, and one of them kept its slot and its run, with nobody to end it. The searches' own calls end within milliseconds in general, so that this needs a stall timeout of the same order or a connection attempt that ignores its context.

TestSlowEndOfSearch failed before: two retries were taken from the budget, and a request stayed counted at its endpoint. TestCallerLeavesDuringSearch passed when written: runs end with their caller and at the deadline during a search.

--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -1,12 +1,15 @@
 package brproxy
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brpolicy"
 	"bramleyroute/brquarantine"
 	"bramleyroute/brtest"
 
@@ -229,3 +232,101 @@
 		t.Errorf("status %d, complete %v, want 200 and true; body (-want +got): %s", status, complete, diff)
 	}
 }
+
+// TestCallerLeavesDuringSearch guards against runs that go on after their caller has left or
+// its deadline has passed while a successor is sought or has just been sent.
+func TestCallerLeavesDuringSearch(t *testing.T) {
+	const maxWork = 500 * time.Millisecond // after the caller has left
+	for _, test := range []struct {
+		name     string
+		full     bool // the other endpoint has no room
+		deadline bool
+	}{
+		{"search", true, false}, {"overlap", false, false}, {"search, deadline", true, true}, {"overlap, deadline", false, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			var runs atomic.Int32
+			began := make(chan struct{}, 1)
+			hang := func(first bool) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					runs.Add(1)
+					defer runs.Add(-1)
+					if first {
+						send(w, event(1))
+					} else {
+						began <- struct{}{}
+					}
+					<-r.Context().Done()
+				}
+			}
+			s := newSilentSystem(t, hang(true), hang(false))
+			s.preferFirst()
+			if test.full {
+				s.occupy("e1", 10)
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			r, err := http.NewRequestWithContext(ctx, "POST", s.front.URL+"/resume/", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Host = "h"
+			r.Header = http.Header{"Id": {"1"}, "Key": {"k"}}
+			if test.deadline {
+				r.Header.Set("Deadline", "1400") // the search begins after half of it
+			}
+			sent := time.Now()
+			a, err := http.DefaultTransport.RoundTrip(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Body.Close()
+			if test.full {
+				brtest.Await(t, 3*time.Second, "search", func() bool { return s.proxy.Waiting() == 1 })
+			} else {
+				<-began
+			}
+			if test.deadline {
+				time.Sleep(time.Until(sent.Add(1400 * time.Millisecond)))
+			} else {
+				cancel()
+			}
+			brtest.Await(t, maxWork, "end of all runs", func() bool { return runs.Load() == 0 })
+			s.awaitNoRuns(t)
+		})
+	}
+}
+
+// TestSlowEndOfSearch guards against two searches at the same time, and a successor that is
+// overwritten and never ended, if a search is slow to end after data has arrived.
+func TestSlowEndOfSearch(t *testing.T) {
+	const dialTime = 600 * time.Millisecond
+	s := newSilentSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		send(w, event(1))
+		if pause(r, 300*time.Millisecond) { // the first search dials
+			send(w, event(2))
+		}
+		<-r.Context().Done()
+	}, respond(http.StatusOK, "", event(3)), respond(http.StatusOK, "", event(3)), respond(http.StatusOK, "", event(3)))
+	policy := testPolicy()
+	for i := range policy.Routes {
+		policy.Routes[i].CallerTimeout, policy.Routes[i].MaxAttempts = 200*time.Millisecond, 4
+	}
+	s.proxy.SetPolicy(brpolicy.Compile(policy))
+	s.preferFirst()
+	first := s.endpoints[0].address
+	s.proxy.cfg.Pool.Dial = func(_ context.Context, address string) (net.Conn, error) {
+		if address != first {
+			time.Sleep(dialTime)
+		}
+		return net.Dial("tcp", address)
+	}
+	if _, body, complete := s.do(t, "POST", "/resume/", nil); body != events(3) || !complete {
+		t.Errorf("body %q, complete %v, want three events and true", body, complete)
+	}
+	if n := s.proxy.Stats().Retries.Load(); n != 1 {
+		t.Errorf("%d retries were taken from the budget, want 1", n)
+	}
+	s.awaitNoRuns(t)
+}
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -216,10 +216,10 @@
 		if w.search(ctx, r) {
 			return // the successor uses ctx
 		}
-		cancel()
+		defer cancel()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.waiting {
+		if w.waiting && ctx.Err() == nil { // otherwise endSearch may be that of a later search
 			w.endSearch = nil
 			w.timer.Reset(searchInterval)
 		}
