--- a/brproxy/panic.go
+++ b/brproxy/panic.go
@@ -16,7 +16,7 @@
 		panic(v)
 	}
 	p.stats.Failed.Add(1)
-	p.reportPanic(q, v)
+	p.logPanic(q, v, "panic while serving a request")
 	if q.headSent {
 		panic(http.ErrAbortHandler)
 	}
@@ -24,14 +24,15 @@
 	http.Error(q.out, "internal_error", http.StatusInternalServerError)
 }
 
-// logPanic recovers from a panic in a search for a successor of q, which would end the
-// process. The request goes on at its endpoint. It must be deferred.
-func (p *Proxy) logPanic(q *request) {
+// recoverSearch logs a panic in a goroutine that seeks a successor for q. Nothing else would
+// recover it there, and the process would end with all requests in progress. It must be
+// deferred.
+func (p *Proxy) recoverSearch(q *request) {
 	if v := recover(); v != nil {
-		p.reportPanic(q, v)
+		p.logPanic(q, v, "panic while seeking another endpoint")
 	}
 }
 
-func (p *Proxy) reportPanic(q *request, v any) {
-	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg("panic while serving a request")
+func (p *Proxy) logPanic(q *request, v any, message string) {
+	p.cfg.Log.Error().Str("id", q.call.ID).Interface("panic", v).Bytes("stack", debug.Stack()).Msg(message)
 }
--- a/brproxy/panic_test.go
+++ b/brproxy/panic_test.go
@@ -110,7 +110,7 @@
 			if status != http.StatusOK || body != event(1) || !complete {
 				t.Errorf("status %d, body %q, complete %v, want 200, the event and true", status, body, complete)
 			}
-			if n := len(s.log.entries(t, "panic while serving a request")); n == 0 {
+			if n := len(s.log.entries(t, "panic while seeking another endpoint")); n == 0 {
 				t.Error("no log entry, want one")
 			}
 			for id, u := range s.proxy.PlacementReport(time.Minute) {
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -56,7 +56,7 @@
 			return retryElsewhere
 		}
 	}
-	if len(body) == maxBufferedBody && p.hasSuccessor(ctx, q, a, "response stalled") {
+	if len(body) == maxBufferedBody && p.useSuccessor(ctx, q, a.stall.stop(), "response stalled") {
 		return retryElsewhere
 	}
 	a.stall.close()
@@ -114,10 +114,9 @@
 	}
 	resume := q.resumePoint()
 	for {
-		if q.headSent && !q.resumable() {
-			a.stall.close()
+		if !q.headSent || q.resumable() {
+			a.stall.await()
 		}
-		a.stall.await()
 		b, err := events.Next()
 		if err != nil {
 			q.partialEvent = events.Partial()
--- a/brproxy/stall.go
+++ b/brproxy/stall.go
@@ -58,6 +58,8 @@
 	endSearch context.CancelFunc // nil if no successor is sought
 	failed    []string           // IDs of endpoints that were to be successors
 	sends     int                // number of requests sent to them
+	sending   bool               // a request was sent to the successor that is sought
+	ran       bool               // one of those endpoints may have run the request
 	attempts  int                // number of further sends that the route allows
 	next      *attempt           // set when the dispatch was canceled with errStalled
 
@@ -133,6 +135,26 @@
 	w.stopped = true
 	w.pause()
 	w.mu.Unlock()
+	return w.finish()
+}
+
+// stopFailed is stop for a dispatch that has failed: a successor that was sent is awaited
+// until it is accepted or rejected, or for the rest of maxOverlap. Ending it would lose a
+// send, and perhaps the last one that the route allows.
+func (w *stallWatch) stopFailed() *attempt {
+	w.mu.Lock()
+	if !w.sending {
+		w.mu.Unlock()
+		return w.stop()
+	}
+	w.stopped, w.waiting = true, false
+	w.mu.Unlock()
+	return w.finish()
+}
+
+// finish waits for the end of a search after the watch was stopped, and returns the
+// successor.
+func (w *stallWatch) finish() *attempt {
 	w.searches.Wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -140,7 +162,8 @@
 	w.next = nil
 	w.request.tried = append(w.request.tried, w.failed...)
 	w.request.sends += w.sends
-	w.failed, w.sends = nil, 0
+	w.request.mayHaveRun = w.request.mayHaveRun || w.ran
+	w.failed, w.sends, w.ran = nil, 0, false
 	return next
 }
 
@@ -159,7 +182,7 @@
 
 // check begins a search if the endpoint has stalled, and otherwise waits until it may have.
 func (w *stallWatch) check() {
-	defer w.proxy.logPanic(w.request)
+	defer w.proxy.recoverSearch(w.request)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.waiting || w.endSearch != nil || w.next != nil {
@@ -192,32 +215,33 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	w.endSearch = cancel
 	w.searches.Go(func() {
+		defer w.proxy.recoverSearch(w.request)
 		if w.search(ctx, r) {
 			return // the successor uses ctx
 		}
+		defer cancel()
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if ctx.Err() == nil { // otherwise another search may have begun
+		if w.waiting && ctx.Err() == nil { // otherwise endSearch may be that of a later search
 			w.endSearch = nil
 			w.timer.Reset(searchInterval)
 		}
-		cancel()
 	})
 }
 
 // search seeks a successor for the request r and reports whether one has replaced the
 // dispatch.
 func (w *stallWatch) search(ctx context.Context, r brplace.Request) bool {
-	defer w.proxy.logPanic(w.request)
 	for len(r.ExcludedEndpoints) < maxEndpointsTried && w.proxy.retryAvailable(w.request) {
 		a, err := w.proxy.findSuccessor(ctx, w.request, r)
 		if a == nil {
 			return false
 		}
-		if err == nil && w.send(ctx, a) {
-			return true
+		if err == nil {
+			return w.try(ctx, a)
 		}
-		if err == nil || ctx.Err() != nil {
+		w.proxy.endAttempt(w.request, a)
+		if ctx.Err() != nil {
 			return false
 		}
 		r.ExcludedEndpoints = append(r.ExcludedEndpoints, a.endpoint.ID)
@@ -226,27 +250,44 @@
 	return false
 }
 
+// try sends the successor a and reports whether it has replaced the dispatch. If not, it ends
+// the attempt, also after a panic.
+func (w *stallWatch) try(ctx context.Context, a *attempt) (replaced bool) {
+	defer func() {
+		switch {
+		case replaced:
+			return
+		case a.sent != nil:
+			a.sent.drop()
+			w.addFailed(a, 1)
+			w.mu.Lock()
+			w.ran = w.ran || !a.notRun
+			w.mu.Unlock()
+		default:
+			a.conn.Release()
+		}
+		w.proxy.endAttempt(w.request, a)
+	}()
+	return w.send(ctx, a)
+}
+
 // addFailed records an attempt that didn't replace the dispatch, with the number of sends.
 func (w *stallWatch) addFailed(a *attempt, sends int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.failed = append(w.failed, a.endpoint.ID)
 	w.sends += sends
+	w.sending = false
 }
 
 // send sends the successor a and reports whether it has replaced the dispatch: its endpoint
 // has accepted the request, or has neither rejected it nor failed within maxOverlap.
-func (w *stallWatch) send(ctx context.Context, a *attempt) (replaced bool) {
-	defer func() {
-		if !replaced {
-			w.drop(a)
-		}
-	}()
+func (w *stallWatch) send(ctx context.Context, a *attempt) bool {
 	r, ok := w.prepare(ctx, a)
 	if !ok {
 		return false
 	}
-	w.proxy.sendAhead(ctx, a, r)
+	w.proxy.sendAhead(ctx, w.request, a, r)
 	select {
 	case <-a.sent.done:
 	case <-w.proxy.cfg.Clock.After(maxOverlap):
@@ -254,17 +295,6 @@
 	return !w.proxy.rejected(ctx, w.request, a) && w.replace(ctx, a)
 }
 
-// drop ends a successor that hasn't replaced the dispatch.
-func (w *stallWatch) drop(a *attempt) {
-	if a.sent == nil {
-		a.conn.Release()
-		w.proxy.endAttempt(w.request, a)
-		return
-	}
-	w.proxy.dropSuccessor(w.request, a)
-	w.addFailed(a, 1)
-}
-
 // prepare returns the request to be sent to the successor a, and whether it may be sent:
 // the search hasn't ended, and the retry budget has a retry.
 func (w *stallWatch) prepare(ctx context.Context, a *attempt) (brconn.Request, bool) {
@@ -273,8 +303,9 @@
 	if ctx.Err() != nil || !w.proxy.takeRetry(w.request) || !w.proxy.beginTrial(w.request, a) {
 		return brconn.Request{}, false
 	}
-	a.continues = w.request.headSent
-	return w.proxy.outgoing(w.request, a), true
+	r := w.proxy.outgoing(w.request, a)
+	w.sending, a.continues = true, w.request.headSent
+	return r, true
 }
 
 // replace ends the dispatch in favor of a, unless the search has ended, and reports whether
@@ -285,7 +316,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	w.next, w.endSearch = a, nil
+	w.next, w.endSearch, w.sending = a, nil, false
 	w.cancel(errStalled)
 	return true
 }
