brpath: end a partition although the endpoints that showed it are gone

While a daemon is partitioned it dials through relays, and only lost paths are tried directly. TestPartitionOutlastsEndpoints failed before.

--- a/brpath/state.go
+++ b/brpath/state.go
@@ -198,9 +198,15 @@
 	p.triedAt = now
 }
 
-// RelayConnected records that a relay has reached an endpoint.
+// RelayConnected records that a relay has reached an endpoint. Its path counts as lost if a
+// direct dial has failed before or the daemon is partitioned.
 func (s *State) RelayConnected(now time.Time, address string) Change {
 	p := s.endpoints[address]
+	if p == nil && s.partitioned {
+		// There must be a path to try even if the endpoints whose dials have failed are gone.
+		p = &path{}
+		s.endpoints[address] = p
+	}
 	if p == nil || p.lost {
 		return NoChange
 	}
--- a/brpath/state_test.go
+++ b/brpath/state_test.go
@@ -169,3 +169,20 @@
 	want("path back, connection opened before", "a", at(3), true)
 	want("path back, connection opened since", "a", at(5), false)
 }
+
+// TestPartitionOutlastsEndpoints guards against a daemon that stays partitioned for ever
+// because the endpoints whose paths were lost are gone, so that none is dialed directly.
+func TestPartitionOutlastsEndpoints(t *testing.T) {
+	s := newState(Relay{Daemon: "r"})
+	lose(s, t0, "a")
+	lose(s, t0, "b")
+	s.Forget("a")
+	s.Forget("b")
+	s.RelayConnected(t0, "c")
+	if a, due := s.NextTrial(t0.Add(time.Second)); !due || a != "c" {
+		t.Errorf("trial of %q due: %v, want one of c", a, due)
+	}
+	if c := s.DirectConnected(t0, "c"); c != Rejoined || s.Partitioned() {
+		t.Errorf("change %v, partitioned %v after a direct connection, want rejoined and false", c, s.Partitioned())
+	}
+}
