brproxy: resume a stream elsewhere after a refused resume

A stream whose endpoint had failed was broken off with most of its time left if the next endpoint answered the resume with an error, even if the route and the retry budget allowed another one. It is retried now as a rejection is, and broken off only if no attempt is left.

TestRefusedResumeGoesOnElsewhere failed in both cases before.

--- a/brproxy/handover_test.go
+++ b/brproxy/handover_test.go
@@ -330,3 +330,22 @@
 	}
 	s.awaitNoRuns(t)
 }
+
+// TestRefusedResumeGoesOnElsewhere guards against breaking a stream off because the endpoint
+// that is to go on with it answers with an error, while the route allows another one.
+func TestRefusedResumeGoesOnElsewhere(t *testing.T) {
+	for _, status := range []int{http.StatusInternalServerError, http.StatusNotFound} {
+		s := newSystem(t, truncate(event(1)), respond(status, "", "failed"), respond(http.StatusOK, "", event(2)))
+		policy := testPolicy()
+		for i := range policy.Routes {
+			policy.Routes[i].MaxAttempts = 3
+		}
+		s.proxy.SetPolicy(brpolicy.Compile(policy))
+		s.preferFirst()
+		s.occupy("e2", 1) // the second is chosen first
+		got, body, complete := s.do(t, "POST", "/resume/", nil)
+		if diff := cmp.Diff(events(2), body); diff != "" || got != http.StatusOK || !complete {
+			t.Errorf("resume refused with status %d: status %d, complete %v, want 200 and true; body (-want +got): %s", status, got, complete, diff)
+		}
+	}
+}
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -47,6 +47,11 @@
 	}
 	if x.Response.Status >= http.StatusInternalServerError {
 		a.result = brplace.Failed
+	}
+	if q.headSent {
+		return p.retry(ctx, q, a, "resume refused with status "+strconv.Itoa(x.Response.Status), http.StatusBadGateway)
+	}
+	if x.Response.Status >= http.StatusInternalServerError {
 		if p.hasSuccessor(ctx, q, a, "status "+strconv.Itoa(x.Response.Status)) {
 			return retryElsewhere
 		}
@@ -60,9 +65,6 @@
 		return retryElsewhere
 	}
 	a.stall.close()
-	if q.headSent {
-		p.abort(q, "resume refused with status "+strconv.Itoa(x.Response.Status))
-	}
 	p.relayHead(q, x, int64(len(body)))
 	if len(body) == maxBufferedBody {
 		p.relayRest(q, x, body)
