brserver: an HTTP server that closes only connections on which nothing has arrived

The life of a caller's connection has four owners today: the header timeout and the read deadline of net/http, the limits at the accept, the closing of idle connections from another goroutine, and the handler. State is one reducer for all of it, without I/O; the goroutine that reads the connection carries out its verdicts, after a last read that doesn't block.

Tested alone here: 20,000 random schedules of arrival, slow reads, limits that grow and a stop (TestSchedules). Five changes of the reducer that bring back one of the faults each (an idle limit that is cut, a timeout that counts from the accept, a stop that closes within a header, limits that shrink under a request, a header that counts as idle) are found by TestSchedules or TestState.

--- /dev/null
+++ b/brserver/conn.go
@@ -0,0 +1,305 @@
+package brserver
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// lingerTime is the time for which a connection is read on after a rejection, so that the
+// caller gets the response: data that is unread at the close would reset the connection.
+const lingerTime = 500 * time.Millisecond
+
+// conn is a connection of a caller. Its Read is called by one goroutine of net/http at a
+// time, and closes the connection if State decides so.
+type conn struct {
+	*net.TCPConn
+	server *Server
+
+	accepted time.Time
+
+	mu       sync.Mutex
+	state    State
+	requests int // number of requests passed to the handler
+	handling bool
+	reason   closeReason // empty until it is known
+	endPhase Phase       // phase at the time of reason
+	closed   bool
+}
+
+// closeReason is the reason for the close of a connection, for the log.
+type closeReason string
+
+const (
+	reasonCaller    closeReason = "caller"     // closed by the caller
+	reasonError     closeReason = "read error" // broken
+	reasonIdle      closeReason = "idle timeout"
+	reasonStop      closeReason = "stop"
+	reasonTimeout   closeReason = "header timeout"
+	reasonTooLarge  closeReason = "header too large"
+	reasonResponse  closeReason = "response"  // by the handler, or announced in the response
+	reasonMalformed closeReason = "malformed" // net/http rejects the request
+)
+
+// Read reads from the connection. Between two requests it returns io.EOF once the
+// connection is to be closed and nothing has arrived.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		wait, reading := c.beginRead()
+		if !reading {
+			n, err := c.TCPConn.Read(b)
+			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http interrupts reads by a deadline
+				c.setReason(readReason(err))
+			}
+			return n, err
+		}
+		start := c.server.cfg.Clock.Now()
+		n, err := 0, os.ErrDeadlineExceeded
+		if wait > 0 {
+			n, err = c.TCPConn.Read(b)
+		}
+		waited := c.server.cfg.Clock.Now().Sub(start)
+		verdict := Continue
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			verdict = c.onSilence(waited)
+			n, err = c.poll(b, verdict == CloseIdle)
+		}
+		if n > 0 {
+			verdict = c.onData(n, waited)
+		}
+		switch {
+		case n > 0 && verdict == Continue:
+			return n, nil
+		case n > 0 || errors.Is(err, syscall.EAGAIN):
+			if verdict != Continue {
+				c.end(verdict)
+				return 0, io.EOF
+			}
+		default:
+			c.setReason(readReason(err))
+			return n, err
+		}
+	}
+}
+
+// beginRead sets the read deadline by the state and returns the time until then. It
+// returns false while a request is in progress: then net/http sets the deadlines.
+func (c *conn) beginRead() (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Phase() == InProgress {
+		return 0, false
+	}
+	wait := c.state.Wait(c.server.cfg.Clock.Now(), c.server.limits())
+	// An error means that the connection is closed, which the read reports.
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(wait))
+	return wait, true
+}
+
+// beginRequest records that the header of a request was read completely.
+func (c *conn) beginRequest(now time.Time, l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state = c.state.WithRequest(now, l)
+	// The deadline of the header, or of an interrupt, doesn't apply to the body.
+	_ = c.TCPConn.SetReadDeadline(time.Time{})
+}
+
+// beginHandler records that a request is passed to the handler.
+func (c *conn) beginHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.requests++
+	c.handling = true
+}
+
+// endRequest records that a response was written completely and the connection is kept.
+func (c *conn) endRequest(now time.Time, l Limits) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = false
+	c.state = c.state.WithResponse(now, l)
+}
+
+func (c *conn) onData(n int, waited time.Duration) (v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, v = c.state.WithData(c.server.cfg.Clock.Now(), c.server.limits(), n, waited)
+	return v
+}
+
+func (c *conn) onSilence(waited time.Duration) (v Verdict) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, v = c.state.WithSilence(c.server.cfg.Clock.Now(), c.server.limits(), waited)
+	return v
+}
+
+// poll reads what has arrived. If nothing has, it returns syscall.EAGAIN, and with end set
+// it closes the connection for writing before anything else can run in this goroutine, so
+// that the time in which a request can cross the close is as short as possible.
+func (c *conn) poll(b []byte, end bool) (int, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n := 0
+	var readErr error
+	err = raw.Control(func(fd uintptr) {
+		n, readErr = receive(fd, b, 0)
+		if end && errors.Is(readErr, syscall.EAGAIN) {
+			// An error means that the connection is broken, and it is closed next.
+			_ = syscall.Shutdown(int(fd), syscall.SHUT_WR)
+		}
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case readErr != nil:
+		return 0, readErr
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// interrupt makes a Read that waits between two requests look at the state again.
+func (c *conn) interrupt() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state.Phase() != InProgress {
+		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // see beginRead
+	}
+}
+
+// requestClose has the connection closed as soon as no request has arrived.
+func (c *conn) requestClose() {
+	c.mu.Lock()
+	c.state = c.state.WithClosing()
+	c.mu.Unlock()
+	c.interrupt()
+}
+
+// end carries out a verdict.
+func (c *conn) end(v Verdict) {
+	switch v {
+	case CloseIdle:
+		reason := reasonIdle
+		if c.current().Closing() {
+			reason = reasonStop
+		}
+		c.setReason(reason)
+	case RejectTimeout:
+		c.reject(reasonTimeout, http.StatusRequestTimeout)
+	case RejectTooLarge:
+		c.reject(reasonTooLarge, http.StatusRequestHeaderFieldsTooLarge)
+	}
+}
+
+// reject responds to a request whose header wasn't read completely.
+func (c *conn) reject(reason closeReason, status int) {
+	c.setReason(reason)
+	text := http.StatusText(status)
+	// An error means that the caller has gone.
+	_, _ = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
+		status, text, len(text), text)
+	if c.TCPConn.CloseWrite() != nil {
+		return
+	}
+	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.TCPConn)
+}
+
+func (c *conn) current() State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
+// setReason sets the reason of the close, unless there is one.
+func (c *conn) setReason(r closeReason) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.reason == "" {
+		c.reason, c.endPhase = r, c.state.Phase()
+	}
+}
+
+func readReason(err error) closeReason {
+	if errors.Is(err, io.EOF) {
+		return reasonCaller
+	}
+	return reasonError
+}
+
+// Close closes the connection and logs why.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	first := !c.closed
+	c.closed = true
+	c.mu.Unlock()
+	if first {
+		c.logClose()
+	}
+	return c.TCPConn.Close()
+}
+
+// logClose logs the close of the connection. Bytes that are unread tell a request that got
+// neither a response nor a refusal.
+func (c *conn) logClose() {
+	unread := c.unread()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reason, phase := c.reason, c.endPhase
+	switch {
+	case reason != "":
+	case c.state.Phase() == InProgress && !c.handling:
+		reason, phase = reasonMalformed, Reading
+	default:
+		reason, phase = reasonResponse, c.state.Phase()
+	}
+	now := c.server.cfg.Clock.Now()
+	e := c.server.cfg.Log.Info()
+	if unread > 0 {
+		e = c.server.cfg.Log.Warn()
+	}
+	e.Str("caller", c.RemoteAddr().String()).Str("reason", string(reason)).Stringer("phase", phase).
+		Int64("phase_ms", now.Sub(c.state.since).Milliseconds()).Int64("age_ms", now.Sub(c.accepted).Milliseconds()).
+		Int("requests", c.requests).Int("unread_bytes", unread).Msg("connection closed")
+}
+
+// maxUnreadBytes limits the number of unread bytes that are counted for the log.
+const maxUnreadBytes = 512
+
+// unread returns the number of bytes that wait to be read, at most maxUnreadBytes.
+func (c *conn) unread() int {
+	raw, err := c.TCPConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	// An error means that the connection is closed.
+	_ = raw.Control(func(fd uintptr) {
+		var b [maxUnreadBytes]byte
+		if got, err := receive(fd, b[:], syscall.MSG_PEEK); err == nil {
+			n = got
+		}
+	})
+	return n
+}
+
+// receive reads from a socket without blocking.
+func receive(fd uintptr, b []byte, flags int) (int, error) {
+	for {
+		n, _, err := syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
+}
