brfleet, platform: a planned stop waits for the requests of other daemons

Cause: a daemon that relays closes all tunnels as soon as its own callers are served. brdaemon waited for them (TestPlannedStopOfRelay), brfleet did not. And the other daemons went on using the tunnels that they kept, after the relay had refused new ones.

Now Fleet.Drain waits for the tunnels too, by brtunnel.Server.Drain, which brdaemon uses as well; and a daemon closes its idle connections through one that is leaving or gone. The class of fault is a stop that knows only of the work of its own callers.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -88,13 +88,17 @@
 	}
 }
 
-// relayed reports whether c leads through another daemon. Such a connection says so by a
-// method.
-func (c *conn) relayed() bool {
-	r, ok := c.net.(interface{ Relayed() bool })
-	return ok && r.Relayed()
+// relay returns the ID of the daemon through which c leads, or "" if it leads directly to
+// the endpoint. A relayed connection says so by a method.
+func (c *conn) relay() string {
+	if r, ok := c.net.(interface{ Relay() string }); ok {
+		return r.Relay()
+	}
+	return ""
 }
 
+func (c *conn) relayed() bool { return c.relay() != "" }
+
 // Exchange is a request whose response header has been read. It implements
 // io.Reader for the response body. The caller must call Close.
 type Exchange struct {
--- a/brconn/idle_test.go
+++ b/brconn/idle_test.go
@@ -10,7 +10,7 @@
 // relayedPipe is a connection through another daemon.
 type relayedPipe struct{ net.Conn }
 
-func (relayedPipe) Relayed() bool { return true }
+func (relayedPipe) Relay() string { return "r" }
 
 // TestCloseIdle guards against connections that stay in use although their path is lost,
 // or a better one is back.
@@ -28,8 +28,8 @@
 		put(address, false)
 		put(address, true)
 	}
-	p.CloseIdle(func(address string, relayed bool) bool { return address == "a" && !relayed })
-	p.CloseIdle(func(address string, relayed bool) bool { return address == "b" && relayed })
+	p.CloseIdle(func(address, relay string) bool { return address == "a" && relay == "" })
+	p.CloseIdle(func(address, relay string) bool { return address == "b" && relay == "r" })
 	got := map[string]bool{}
 	for _, address := range []string{"a", "b"} {
 		c := p.popIdle(address)
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -87,9 +87,10 @@
 	p.closeIdle(func(c *conn) bool { return !now.Before(c.expires) })
 }
 
-// CloseIdle closes the idle connections for which match returns true.
-func (p *Pool) CloseIdle(match func(address string, relayed bool) bool) {
-	p.closeIdle(func(c *conn) bool { return match(c.address, c.relayed()) })
+// CloseIdle closes the idle connections for which match returns true. The relay is the ID of
+// the daemon through which a connection leads, or "".
+func (p *Pool) CloseIdle(match func(address, relay string) bool) {
+	p.closeIdle(func(c *conn) bool { return match(c.address, c.relay()) })
 }
 
 func (p *Pool) closeIdle(match func(*conn) bool) {
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -209,7 +209,7 @@
 	if d.entry != nil {
 		err = d.entry.Drain(ctx)
 	}
-	if e := d.paths.drain(ctx); e != nil {
+	if e := d.paths.server.Drain(ctx); e != nil {
 		d.log.Warn().Err(e).Int("tunnels", d.paths.server.Stats().Open).Msg("tunnels of other daemons were still open")
 	}
 	if d.control != nil {
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -175,6 +175,16 @@
 	}
 }
 
+// Drain waits until no request of a caller is in progress here, and then until the tunnels
+// have ended over which other daemons reach endpoints. Leave is called before. If ctx ends
+// first, Drain returns its error.
+func (f *Fleet) Drain(ctx context.Context) error {
+	if err := f.proxy.Drain(ctx); err != nil {
+		return err
+	}
+	return f.paths.server.Drain(ctx)
+}
+
 // Close stops the daemon and waits until it has stopped.
 func (f *Fleet) Close() {
 	f.core.Close()
@@ -247,7 +257,7 @@
 		domain := 0
 		var active []string
 		daemons := f.node.Daemons()
-		f.paths.dialer.SetRelays(f.relays(daemons))
+		f.setRelays(f.relays(daemons))
 		for _, d := range daemons {
 			if d.Leaving {
 				continue
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,18 +116,18 @@
 	f.cfg.Log.Info().Str("address", address).Stringer("change", c).Msg("path to an endpoint changed")
 	switch c {
 	case brpath.PathLost:
-		f.pool.CloseIdle(func(a string, relayed bool) bool {
-			return a == address && !relayed && !f.paths.dialer.HeardSinceLoss(a)
+		f.pool.CloseIdle(func(a, relay string) bool {
+			return a == address && relay == "" && !f.paths.dialer.HeardSinceLoss(a)
 		})
 	case brpath.Partitioned:
-		f.pool.CloseIdle(func(a string, relayed bool) bool { return !relayed && !f.paths.dialer.HeardSinceLoss(a) })
+		f.pool.CloseIdle(func(a, relay string) bool { return relay == "" && !f.paths.dialer.HeardSinceLoss(a) })
 		f.cfg.Log.Warn().Msg("direct path to the endpoints lost; connecting through other daemons")
 		f.proxy.PathLost()
 		f.publishPath()
 	case brpath.PathBack:
-		f.pool.CloseIdle(func(a string, relayed bool) bool { return a == address && relayed })
+		f.pool.CloseIdle(func(a, relay string) bool { return a == address && relay != "" })
 	case brpath.Rejoined:
-		f.pool.CloseIdle(func(a string, relayed bool) bool { return relayed && f.paths.dialer.PrefersDirect(a) })
+		f.pool.CloseIdle(func(a, relay string) bool { return relay != "" && f.paths.dialer.PrefersDirect(a) })
 		f.cfg.Log.Warn().Msg("direct path to the endpoints is back")
 		f.proxy.PathBack()
 		f.publishPath()
@@ -214,6 +215,16 @@
 	f.cfg.Log.Info().Str("peer", incarnation).Bool("partitioned", r.Partitioned).Msg("path of a daemon to the endpoints changed")
 }
 
+// setRelays replaces the daemons that can relay. Idle connections through the others are
+// closed: the next request on one could be ended by the stop of its relay, and a relay that
+// stops waits until its tunnels are closed.
+func (f *Fleet) setRelays(relays []brpath.Relay) {
+	f.paths.dialer.SetRelays(relays)
+	f.pool.CloseIdle(func(_, relay string) bool {
+		return relay != "" && !slices.ContainsFunc(relays, func(r brpath.Relay) bool { return r.Daemon == relay })
+	})
+}
+
 // relays returns those of the given daemons that can relay: all but this one, those that
 // are leaving or have lost their own path, and in a small fleet those without a link.
 func (f *Fleet) relays(daemons []brgossip.Daemon) []brpath.Relay {
--- a/brpath/conn.go
+++ b/brpath/conn.go
@@ -8,14 +8,15 @@
 
 // Relayed reports whether c leads through another daemon.
 func Relayed(c net.Conn) bool {
-	r, ok := c.(interface{ Relayed() bool })
-	return ok && r.Relayed()
+	r, ok := c.(interface{ Relay() string })
+	return ok && r.Relay() != ""
 }
 
 // relayedConn is a connection through a relay. It is a syscall.Conn if the connection
 // below it is one.
 type relayedConn struct {
 	net.Conn
+	relay string // ID of the daemon
 	once  sync.Once
 	close func()
 }
@@ -26,8 +27,8 @@
 	return c.Conn.Close()
 }
 
-// Relayed reports that the connection leads through another daemon.
-func (c *relayedConn) Relayed() bool { return true }
+// Relay returns the ID of the daemon through which the connection leads.
+func (c *relayedConn) Relay() string { return c.relay }
 
 // SyscallConn returns the raw connection to the relay.
 func (c *relayedConn) SyscallConn() (syscall.RawConn, error) {
--- a/brpath/dialer.go
+++ b/brpath/dialer.go
@@ -327,7 +327,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &relayedConn{Conn: c, close: func() { d.tunnelClosed(r.Daemon) }}, nil
+	return &relayedConn{Conn: c, relay: r.Daemon, close: func() { d.tunnelClosed(r.Daemon) }}, nil
 }
 
 func (d *Dialer) tunnelClosed(daemon string) {
