--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -18,6 +17,7 @@
 	"bramleyroute/brlogging"
 	"bramleyroute/brmember"
 	"bramleyroute/brpeer"
+	"bramleyroute/brserver"
 	"bramleyroute/brsetting"
 	"bramleyroute/brstate"
 	"bramleyroute/brtimeline"
@@ -66,7 +66,7 @@
 	links   *links
 	session *session
 	peers   *brpeer.Server
-	servers []*http.Server
+	servers []*brserver.Server
 
 	paths     *paths
 	entry     *entry     // nil without the role
--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,16 +11,21 @@
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
+	"bramleyroute/brserver"
 	"bramleyroute/brtunnel"
 	"bramleyroute/brwire"
+
+	"github.com/rs/zerolog"
 )
 
 const (
 	// maxAnnounceBytes limits the body of an endpoint's announcement.
 	maxAnnounceBytes = 1 << 20
-	// readHeaderTimeout closes connections on which no request header arrives
-	// in time.
-	readHeaderTimeout = 10 * time.Second
+	// headerTimeout limits the time from the first byte of a request header to its end.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is the time after which a connection without a request may be closed.
+	// Responses state it.
+	idleTimeout = 2 * time.Minute
 )
 
 // listeners are the open listeners of a daemon; caller and operator may be nil.
@@ -89,24 +93,28 @@
 	peer.Handle(brpeer.Path, d.peers)
 	peer.Handle(brtunnel.Path, d.paths.server)
 	peer.HandleFunc("POST "+brengine.PathAnnounce, d.serveAnnounce)
-	d.startServer(l.peer, peer)
+	others := d.log.Level(zerolog.WarnLevel) // closes of connections are logged for callers only
+	d.startServer(l.peer, peer, others)
 	if d.entry != nil && l.caller != nil {
 		mux := http.NewServeMux()
 		mux.Handle("/", d.entry.Handler())
 		mux.Handle("GET /healthz", d.entry.HealthHandler())
 		mux.Handle("GET /readyz", d.entry.ReadinessHandler())
-		d.startServer(l.caller, mux)
+		d.startServer(l.caller, mux, d.log)
 	}
 	if l.operator != nil {
-		d.startServer(l.operator, d.operatorHandler())
+		d.startServer(l.operator, d.operatorHandler(), others)
 	}
 }
 
-func (d *Daemon) startServer(l net.Listener, h http.Handler) {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+func (d *Daemon) startServer(l net.Listener, h http.Handler, log zerolog.Logger) {
+	limits := brserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s := brserver.New(brserver.Config{
+		Handler: h, Limits: func() brserver.Limits { return limits }, StateKeepAlive: true, Log: log, Clock: d.clock,
+	})
 	d.servers = append(d.servers, s)
 	d.wg.Go(func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(l); err != nil {
 			d.log.Error().Err(err).Str("address", l.Addr().String()).Msg("listener failed")
 		}
 	})
--- a/brproxy/server.go
+++ b/brproxy/server.go
@@ -17,9 +17,8 @@
 	return brserver.Limits{HeaderBytes: l.HeaderBytes, HeaderTimeout: l.HeaderTimeout, IdleTimeout: l.IdleTimeout}
 }
 
-// Serve accepts connections of callers from l, which must be a *net.TCPListener, until l is
-// closed or Shutdown is called. The limits of the policy in force apply to each request,
-// also on connections that are older.
+// Serve accepts connections of callers from l until l is closed or Shutdown is called. The
+// limits of the policy in force apply to each request, also on connections that are older.
 func (p *Proxy) Serve(l net.Listener) error { return p.server.Serve(l) }
 
 // CloseIdle closes the connections on which no request has arrived, and the others as soon
--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -19,7 +19,7 @@
 // conn is a connection of a caller. Its Read is called by one goroutine of net/http at a
 // time, and closes the connection if State decides so.
 type conn struct {
-	*net.TCPConn
+	net.Conn
 	server *Server
 
 	accepted time.Time
@@ -53,7 +53,7 @@
 	for {
 		wait, reading := c.beginRead()
 		if !reading {
-			n, err := c.TCPConn.Read(b)
+			n, err := c.Conn.Read(b)
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http interrupts reads by a deadline
 				c.setReason(readReason(err))
 			}
@@ -62,7 +62,7 @@
 		start := c.server.cfg.Clock.Now()
 		n, err := 0, os.ErrDeadlineExceeded
 		if wait > 0 {
-			n, err = c.TCPConn.Read(b)
+			n, err = c.Conn.Read(b)
 		}
 		waited := c.server.cfg.Clock.Now().Sub(start)
 		verdict := Continue
@@ -98,7 +98,7 @@
 	}
 	wait := c.state.Wait(c.server.cfg.Clock.Now(), c.server.limits())
 	// An error means that the connection is closed, which the read reports.
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(wait))
+	_ = c.Conn.SetReadDeadline(time.Now().Add(wait))
 	return wait, true
 }
 
@@ -108,7 +108,7 @@
 	defer c.mu.Unlock()
 	c.state = c.state.WithRequest(now, l)
 	// The deadline of the header, or of an interrupt, doesn't apply to the body.
-	_ = c.TCPConn.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(time.Time{})
 }
 
 // beginHandler records that a request is passed to the handler.
@@ -141,15 +141,28 @@
 	return v
 }
 
+// pollTime is the time for which a connection without a socket is read to find out whether
+// something has arrived.
+const pollTime = time.Millisecond
+
 // poll reads what has arrived. If nothing has, it returns syscall.EAGAIN, and with end set
 // it closes the connection for writing before anything else can run in this goroutine, so
 // that the time in which a request can cross the close is as short as possible.
 func (c *conn) poll(b []byte, end bool) (int, error) {
-	raw, err := c.TCPConn.SyscallConn()
+	n := 0
+	raw, err := c.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		if err = c.Conn.SetReadDeadline(time.Now().Add(pollTime)); err == nil {
+			n, err = c.Conn.Read(b)
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = syscall.EAGAIN
+		}
+		return n, err
+	}
 	if err != nil {
 		return 0, err
 	}
-	n := 0
 	var readErr error
 	err = raw.Control(func(fd uintptr) {
 		n, readErr = receive(fd, b, 0)
@@ -174,7 +187,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.Phase() != InProgress {
-		_ = c.TCPConn.SetReadDeadline(time.Unix(1, 0)) // see beginRead
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // see beginRead
 	}
 }
 
@@ -207,13 +220,13 @@
 	c.setReason(reason)
 	text := http.StatusText(status)
 	// An error means that the caller has gone.
-	_, _ = fmt.Fprintf(c.TCPConn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		status, text, len(text), text)
-	if c.TCPConn.CloseWrite() != nil {
+	if c.CloseWrite() != nil {
 		return
 	}
-	_ = c.TCPConn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.TCPConn)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 func (c *conn) current() State {
@@ -238,6 +251,35 @@
 	return reasonError
 }
 
+// SetLinger sets the behaviour of Close with unsent data, as net.TCPConn.SetLinger does.
+func (c *conn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(seconds)
+}
+
+// CloseWrite closes the connection for writing. net/http uses it to deliver a response before
+// a close with unread data.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
+// SyscallConn returns the socket of the connection. The error wraps errors.ErrUnsupported if
+// it has none.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, fmt.Errorf("brserver: connection of type %T: %w", c.Conn, errors.ErrUnsupported)
+	}
+	return s.SyscallConn()
+}
+
 // Close closes the connection and logs why.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -247,7 +289,7 @@
 	if first {
 		c.logClose()
 	}
-	return c.TCPConn.Close()
+	return c.Conn.Close()
 }
 
 // logClose logs the close of the connection. Bytes that are unread tell a request that got
@@ -279,7 +321,7 @@
 
 // unread returns the number of bytes that wait to be read, at most maxUnreadBytes.
 func (c *conn) unread() int {
-	raw, err := c.TCPConn.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return 0
 	}
--- a/brserver/server.go
+++ b/brserver/server.go
@@ -44,7 +44,7 @@
 	stopping atomic.Bool // responses announce the close of their connections
 
 	mu        sync.Mutex
-	listeners map[*net.TCPListener]struct{}
+	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
 	closing   bool          // connections are closed as soon as no request has arrived
 	changed   chan struct{} // closed and replaced when a connection or a listener is removed
@@ -59,7 +59,7 @@
 		cfg.Clock = brclock.System{}
 	}
 	s := &Server{
-		cfg: cfg, listeners: map[*net.TCPListener]struct{}{}, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
+		cfg: cfg, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
 	}
 	// Both limits of the header are enforced by conn.
 	s.http = http.Server{
@@ -144,22 +144,17 @@
 	s.changed = make(chan struct{})
 }
 
-// Serve accepts connections from l, which must be a *net.TCPListener, until l or s is
-// closed. It returns nil then.
+// Serve accepts connections from l until l or s is closed. It returns nil then.
 func (s *Server) Serve(l net.Listener) error {
-	t, ok := l.(*net.TCPListener)
-	if !ok {
-		return errors.New("brserver: not a TCP listener")
-	}
 	s.mu.Lock()
-	s.listeners[t] = struct{}{}
+	s.listeners[l] = struct{}{}
 	if s.closing {
-		_ = t.SetDeadline(time.Now().Add(acceptTime)) // see Shutdown
+		stopAccepting(l)
 	}
 	s.mu.Unlock()
-	err := s.http.Serve(listener{t, s})
+	err := s.http.Serve(listener{l, s})
 	s.mu.Lock()
-	delete(s.listeners, t)
+	delete(s.listeners, l)
 	s.notify()
 	s.mu.Unlock()
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, http.ErrServerClosed) {
@@ -170,13 +165,13 @@
 
 // listener wraps the accepted connections.
 type listener struct {
-	*net.TCPListener
+	net.Listener
 	server *Server
 }
 
 // Accept returns the next connection, as a *conn.
 func (l listener) Accept() (net.Conn, error) {
-	t, err := l.TCPListener.AcceptTCP()
+	n, err := l.Listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, net.ErrClosed // net/http would try again; Shutdown sets the deadline
 	}
@@ -184,7 +179,7 @@
 		return nil, err
 	}
 	now := l.server.cfg.Clock.Now()
-	c := &conn{TCPConn: t, server: l.server, accepted: now, state: NewState(now, l.server.limits())}
+	c := &conn{Conn: n, server: l.server, accepted: now, state: NewState(now, l.server.limits())}
 	l.server.add(c)
 	return c, nil
 }
@@ -207,6 +202,14 @@
 	}
 }
 
+// stopAccepting closes l after acceptTime, or at once if it has no deadlines.
+func stopAccepting(l net.Listener) {
+	d, ok := l.(interface{ SetDeadline(time.Time) error })
+	if !ok || d.SetDeadline(time.Now().Add(acceptTime)) != nil {
+		l.Close()
+	}
+}
+
 // acceptTime is the time for which Shutdown still accepts connections, so that those that
 // wait in the accept queue aren't reset.
 const acceptTime = 50 * time.Millisecond
@@ -220,8 +223,7 @@
 	s.mu.Lock()
 	s.closing = true
 	for l := range s.listeners {
-		// An error means that the listener is closed.
-		_ = l.SetDeadline(time.Now().Add(acceptTime))
+		stopAccepting(l)
 	}
 	s.mu.Unlock()
 	s.CloseIdle()
