brproxy, platform: answer or refuse each request of a planned stop

Callers whose requests came during a planned stop got neither an answer nor a refusal: - Requests in progress at the end of the grace period were cut with the process, among them requests that may not be repeated. - From 2.3 s on the listener was closed and new connections were refused or reset; idle connections were closed at the same moment. - Requests were accepted however little time was left for them.

Now Proxy.Drain stops by a brdrain.Plan. Connections and requests are accepted until no request is in progress after 2.3 s, or until the end. A request that doesn't fit is refused at once, before it is charged or placed. 0.7 s before the end of the grace period the requests in progress are canceled and answered: 503 if they weren't dispatched (also while their body is read), 504 if they may have run, and a response that has begun is aborted. Drain then waits up to 0.35 s until the connections are closed. Such an end is no evidence against the endpoint or its version. The log lines of refused and ended requests have the reason "stopping" and stop_left_ms.

Evidence: TestStopAnswersEachRequest sends 336 requests, of four kinds, to four endpoints (fast, slow, silent, stalled stream), on kept, new and early opened connections, at seven moments of a stop with a grace period of 4 s. Now: 60 answered, 234 refused, 30 with 504, and 12 streams whose response had begun aborted. TestDrainEndsRequests and TestDrainAdmitsByExperience need the new API. A stop without requests lasts as long as before (TestStopWithoutRequests passes on both).

TestDrainWithConcurrentRequests passes the plan that Drain now needs. It is as strict: Drain returned when no request was in progress, and now when the connections are closed too.

Ruled out: checking the time before the body is read, since the caller may send it slowly. A read deadline that ends the body makes net/http cancel the context of the request, so that it looked as if the caller had gone and got no answer (TestDrainEndsRequests, first version); the error of the read tells both apart.

--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -178,7 +178,7 @@
 	p.cfg.Log.Warn().Str("id", q.call.ID).Str("request", q.identity.ID).Str("endpoint", a.endpoint.ID).Str("address", a.endpoint.Address).
 		Bool("sent", err.MaybeSent).Bool("relayed", err.Relayed).Err(err).Msg("endpoint gave no answer")
 	switch {
-	case q.in.Context().Err() != nil:
+	case q.in.Context().Err() != nil || stopped(ctx):
 		return brplace.Inconclusive
 	case ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget:
 		return brplace.Inconclusive // too little time remained when the request was sent
@@ -211,21 +211,16 @@
 		}
 		reason = "retry_budget"
 	}
-	switch {
-	case q.in.Context().Err() != nil:
+	if q.in.Context().Err() != nil {
 		p.stats.Disconnected.Add(1)
 		p.log(q, "caller disconnected", 0, reason)
 		panic(http.ErrAbortHandler)
-	case q.headSent:
-		p.abort(q, reason)
-	case !q.mayHaveRun:
-		p.refund(q)
-		p.refuse(q, http.StatusServiceUnavailable, reason, notRunRetryAfter)
-	case ctx.Err() != nil:
-		p.fail(q, http.StatusGatewayTimeout, reason)
-	default:
-		p.fail(q, http.StatusBadGateway, reason)
 	}
+	failed := http.StatusBadGateway
+	if ctx.Err() != nil {
+		failed = http.StatusGatewayTimeout
+	}
+	p.end(q, failed, stopReason(ctx, reason), notRunRetryAfter)
 	return finished
 }
 
--- a/brproxy/end.go
+++ b/brproxy/end.go
@@ -6,21 +6,33 @@
 	"strconv"
 	"time"
 
+	"bramleyroute/brdrain"
+
 	"github.com/rs/zerolog"
 )
 
 // endUndispatched ends a request that got no further dispatch.
 func (p *Proxy) endUndispatched(ctx context.Context, q *request, reason string, retryAfter time.Duration) {
-	switch {
-	case q.in.Context().Err() != nil:
+	if q.in.Context().Err() != nil {
 		p.refund(q)
 		p.stats.Disconnected.Add(1)
 		p.log(q, "caller disconnected while waiting", 0, reason)
 		panic(http.ErrAbortHandler)
-	case q.headSent:
+	}
+	if stopped(ctx) {
+		reason, retryAfter = reasonStopping, stoppingRetryAfter
+	}
+	p.end(q, http.StatusBadGateway, reason, retryAfter)
+}
+
+// end ends a request without a response of an endpoint. The status is that of the response
+// if the request may have run.
+func (p *Proxy) end(q *request, status int, reason string, retryAfter time.Duration) {
+	switch brdrain.EndingOf(q.mayHaveRun, q.headSent) {
+	case brdrain.Abort:
 		p.abort(q, reason)
-	case q.mayHaveRun:
-		p.fail(q, http.StatusBadGateway, reason)
+	case brdrain.Fail:
+		p.fail(q, status, reason)
 	default:
 		p.refund(q)
 		p.refuse(q, http.StatusServiceUnavailable, reason, retryAfter)
@@ -107,6 +119,9 @@
 	if !q.deadline.IsZero() {
 		e = e.Int64("deadline_ms", q.deadline.Sub(q.arrived).Milliseconds()).Int64("left_ms", q.deadline.Sub(p.cfg.Clock.Now()).Milliseconds())
 	}
+	if plan := p.drain.schedule(); plan != nil {
+		e = e.Int64("stop_left_ms", plan.End.Sub(p.cfg.Clock.Now()).Milliseconds())
+	}
 	if status != 0 {
 		e = e.Int("status", status)
 	}
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -9,6 +9,7 @@
 
 	"bramleyroute/brclock"
 	"bramleyroute/brconn"
+	"bramleyroute/brdrain"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 	"bramleyroute/brquarantine"
@@ -82,7 +83,7 @@
 	table     atomic.Pointer[brpolicy.Table]
 	policySet chan struct{} // closed when the first policy is set
 	stats     Stats
-	drain     drainState
+	drain     *drainState
 
 	server *brserver.Server
 
@@ -95,6 +96,7 @@
 	runs            map[*attempt]run
 	quarantined     chan struct{} // closed and replaced when a part is quarantined
 	path            pathState
+	durations       brdrain.Durations
 
 	stop chan struct{}
 	wg   sync.WaitGroup
@@ -120,6 +122,7 @@
 		limiter:   brquota.NewLimiter(cfg.Quota),
 		waiting:   map[uint64]chan brplace.Effect{},
 		policySet: make(chan struct{}),
+		drain:     newDrainState(),
 
 		quarantine:  brquarantine.New(cfg.Daemon),
 		runs:        map[*attempt]run{},
--- a/brproxy/proxy_test.go
+++ b/brproxy/proxy_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brdrain"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
 
@@ -177,7 +178,8 @@
 		ready.Wait()
 		s.proxy.DisableKeepAlives()
 		s.proxy.CloseIdle()
-		if err := s.proxy.Drain(context.Background()); err != nil {
+		now := time.Now()
+		if err := s.proxy.Drain(context.Background(), brdrain.Plan{Steered: now, End: now.Add(time.Minute)}); err != nil {
 			t.Fatal(err)
 		}
 		closed := 0
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -33,7 +33,7 @@
 func (p *Proxy) relayResponse(ctx context.Context, q *request, a *attempt, x *brconn.Exchange) outcome {
 	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
 	if err != nil {
-		if ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget {
+		if stopped(ctx) || ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget {
 			return p.retry(ctx, q, a, "deadline", http.StatusGatewayTimeout)
 		}
 		a.result = brplace.Failed
@@ -67,7 +67,7 @@
 	a.stall.close()
 	p.relayHead(q, x, int64(len(body)))
 	if len(body) == maxBufferedBody {
-		p.relayRest(q, x, body)
+		p.relayRest(ctx, q, x, body)
 	} else if _, err := q.out.Write(body); err != nil {
 		p.log(q, "caller disconnected before the response", x.Response.Status, err.Error())
 		return finished
@@ -78,12 +78,12 @@
 
 // relayRest relays the buffered part and the rest of a body that is longer than
 // maxBufferedBody.
-func (p *Proxy) relayRest(q *request, x *brconn.Exchange, body []byte) {
+func (p *Proxy) relayRest(ctx context.Context, q *request, x *brconn.Exchange, body []byte) {
 	if _, err := q.out.Write(body); err != nil {
 		p.abort(q, err.Error())
 	}
 	if _, err := io.Copy(q.out, x); err != nil {
-		p.abort(q, err.Error())
+		p.abort(q, stopReason(ctx, err.Error()))
 	}
 }
 
@@ -178,7 +178,7 @@
 		a.result = brplace.Failed
 		p.recordLost(q, a, err)
 	}
-	reason := "stream failed: " + err.Error()
+	reason := stopReason(ctx, "stream failed: "+err.Error())
 	if q.headSent && !q.resumable() {
 		p.abort(q, reason)
 	}
@@ -220,6 +220,10 @@
 // recordCompletion counts and logs a complete response.
 func (p *Proxy) recordCompletion(q *request, a *attempt, status int) {
 	p.stats.Answered.Add(1)
+	now := p.cfg.Clock.Now()
+	p.mu.Lock()
+	p.durations.Add(now, q.route.Name, now.Sub(q.arrived))
+	p.mu.Unlock()
 	first := a.firstByteAt.Sub(q.arrived)
 	if p.cfg.OnFirstByte != nil {
 		p.cfg.OnFirstByte(first)
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -70,23 +71,21 @@
 	q := &request{in: r, out: w, arrived: p.cfg.Clock.Now()}
 	q.relayedAt = q.arrived
 	defer p.recoverPanic(q)
-	if !p.drain.begin(w) {
-		w.Header().Set("Connection", "close")
-		p.refuse(q, http.StatusServiceUnavailable, "stopping", stoppingRetryAfter)
-		return
-	}
-	defer p.drain.end()
+	p.drain.add(1)
+	defer p.drain.add(-1)
 	table := p.awaitPolicy(q)
 	if table == nil {
 		p.refuse(q, http.StatusServiceUnavailable, "no_policy", noPolicyRetryAfter)
 		return
 	}
-	if !p.resolve(q, table) || !p.readBody(q, table) {
+	if !p.resolve(q, table) || !p.readBody(q, table) || !p.admit(q) {
 		return
 	}
 	q.identify()
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
+	ctx, release := p.drain.bind(ctx)
+	defer release()
 	if !p.chargeQuota(q) {
 		return
 	}
@@ -108,6 +107,7 @@
 	select {
 	case <-p.policySet:
 	case <-q.in.Context().Done():
+	case <-p.drain.ended.Done():
 	case <-p.cfg.Clock.After(wait):
 	}
 	return p.table.Load()
@@ -161,6 +161,8 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
+	done := p.interruptBody(q)
+	defer done()
 	var err error
 	q.body, err = io.ReadAll(http.MaxBytesReader(q.out, q.in.Body, limit))
 	var tooLarge *http.MaxBytesError
@@ -168,6 +170,9 @@
 	case errors.As(err, &tooLarge):
 		p.deny(q, http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
+	case errors.Is(err, os.ErrDeadlineExceeded): // see interruptBody
+		p.refuse(q, http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
+		return false
 	case err != nil:
 		p.stats.Disconnected.Add(1)
 		p.log(q, "caller disconnected while sending the request", 0, "")
