--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -16,6 +16,7 @@
 	"bramleyroute/brconn"
 	"bramleyroute/brcontrol"
 	"bramleyroute/brcore"
+	"bramleyroute/brdrain"
 	"bramleyroute/brgossip"
 	"bramleyroute/brlogging"
 	"bramleyroute/brpeer"
@@ -175,11 +176,11 @@
 	}
 }
 
-// Drain waits until no request of a caller is in progress here, and then until the tunnels
-// have ended over which other daemons reach endpoints. Leave is called before. If ctx ends
-// first, Drain returns its error.
-func (f *Fleet) Drain(ctx context.Context) error {
-	if err := f.proxy.Drain(ctx); err != nil {
+// Drain stops serving callers by plan, and then waits until the tunnels have ended over which
+// other daemons reach endpoints. Leave is called before. If ctx ends first, Drain returns its
+// error.
+func (f *Fleet) Drain(ctx context.Context, plan brdrain.Plan) error {
+	if err := f.proxy.Drain(ctx, plan); err != nil {
 		return err
 	}
 	return f.paths.server.Drain(ctx)
--- a/brfleet/relay_stop_test.go
+++ b/brfleet/relay_stop_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"bramleyroute/brdrain"
 )
 
 // TestPlannedStopOfRelayEndsNoRequest guards against a planned stop that ends the requests
@@ -27,7 +29,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), 7*time.Second)
 		defer cancel()
 		c.fleets[0].Leave(ctx)
-		if err := c.fleets[0].Drain(ctx); err != nil {
+		if err := c.fleets[0].Drain(ctx, brdrain.Plan{Steered: time.Now(), End: time.Now().Add(6 * time.Second)}); err != nil {
 			t.Errorf("Drain: %v", err)
 		}
 		c.stop(0)
