--- a/brtest/endless.go
+++ b/brtest/endless.go
@@ -20,7 +20,7 @@
 // EndlessHandler returns a handler that sends head, which begins with the status line,
 // and then part until the caller closes the connection.
 func EndlessHandler(t testing.TB, head, part string) http.HandlerFunc {
-	return hijack(t, func(c *net.TCPConn) {
+	return RawConnHandler(t, func(c *net.TCPConn) {
 		if _, err := io.WriteString(c, head); err == nil {
 			WriteForever(c, part)
 		}
--- a/brtest/raw.go
+++ b/brtest/raw.go
@@ -10,7 +10,7 @@
 // RawHandler returns a handler that sends response, which begins with the status line,
 // unchanged, and closes the connection.
 func RawHandler(t testing.TB, response string) http.HandlerFunc {
-	return hijack(t, func(c *net.TCPConn) {
+	return RawConnHandler(t, func(c *net.TCPConn) {
 		if _, err := io.WriteString(c, response); err != nil {
 			t.Logf("send a response: %v", err)
 		}
@@ -19,7 +19,7 @@
 
 // RawResetHandler is RawHandler with a connection that is reset instead of closed.
 func RawResetHandler(t testing.TB, response string) http.HandlerFunc {
-	return hijack(t, func(c *net.TCPConn) {
+	return RawConnHandler(t, func(c *net.TCPConn) {
 		if _, err := io.WriteString(c, response); err != nil {
 			t.Logf("send a response: %v", err)
 		}
@@ -29,8 +29,9 @@
 	})
 }
 
-// hijack returns a handler that runs respond on the connection and closes it.
-func hijack(t testing.TB, respond func(c *net.TCPConn)) http.HandlerFunc {
+// RawConnHandler returns a handler that runs respond on the connection of its first request
+// and closes it.
+func RawConnHandler(t testing.TB, respond func(c *net.TCPConn)) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		c, _, err := http.NewResponseController(w).Hijack()
 		if err != nil {
