brheader: tell a reset from the end of a body

A body that broke off in its trailer was reported as malformed, so that the endpoint wasn't known to have ended the connection and the path wasn't checked.

Cause: the kernel reports a reset, or the timeout of unacknowledged data, only once. If the write of the request gets it, the read returns io.EOF, which is the end of such a body. brtunnel takes this into account; brconn and brdispatch didn't. The parser of trailers replaces each error by one of its own.

Now the bodies of brheader.Limiter.ReadResponse ask for the error of the write at an end that only the connection marks; brconn interrupts the write for that. Other errors are replaced by that of the connection. brtunnel takes each error of the kernel but EPIPE for a failure: after an ICMP message a timeout is EHOSTUNREACH.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -128,6 +128,7 @@
 		Relayed: c.relayed(), pool: p, conn: c, writeResult: make(chan error, 1),
 		cause: func() error { return context.Cause(ctx) },
 	}
+	c.limiter.WriteError = x.writeError
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
 	if len(r.Body) <= bufferBytes {
 		x.writeResult <- c.write(r)
@@ -166,6 +167,18 @@
 	return c.writer.Flush()
 }
 
+// past is a deadline that interrupts a write in progress.
+var past = time.Unix(1, 0)
+
+// writeError returns the error of writing the request, whose rest isn't sent any more.
+func (x *Exchange) writeError() error {
+	// An error means that the connection is closed, which ends the write as well.
+	_ = x.conn.net.SetWriteDeadline(past)
+	err := <-x.writeResult
+	x.writeResult <- err
+	return err
+}
+
 // readHead reads response headers until one matches the request. It returns
 // ErrResponseMismatch after more than maxMismatches mismatches, after one whose body is
 // longer than maxMismatchBytes or of unknown length, after a refusal that may be a copy
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -80,6 +80,15 @@
 	net.Conn
 	opened      time.Time
 	idleTimeout time.Duration
+	writeErr    error // latest error of Write, which http.Request.Write doesn't wrap
+}
+
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err != nil {
+		c.writeErr = err
+	}
+	return n, err
 }
 
 func (c *conn) Read(b []byte) (int, error) {
@@ -129,6 +138,7 @@
 	}
 	writeErr := req.Write(cn)
 	limiter := brheader.NewLimiter(cn)
+	limiter.WriteError = func() error { return cn.writeErr }
 	br.Reset(limiter)
 	resp, err := limiter.ReadResponse(br, req)
 	if err != nil {
--- a/brheader/limiter.go
+++ b/brheader/limiter.go
@@ -27,6 +27,11 @@
 // of the line, if it arrived later, would be parsed as the next one, and that of a status
 // line would end the header.
 type Limiter struct {
+	// WriteError returns the error of writing the request to the connection. It is called
+	// at the end of a body that the end of the connection marks; nil means that there was
+	// no such error.
+	WriteError func() error
+
 	reader io.Reader
 	// remaining is the number of bytes that may still be read; negative means no limit.
 	remaining int
@@ -80,6 +85,7 @@
 			return nil, l.Cause(err)
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+			l.limitBody(response)
 			return response, nil
 		}
 	}
--- a/brheader/limiter_test.go
+++ b/brheader/limiter_test.go
@@ -50,3 +50,38 @@
 		}
 	}
 }
+
+// TestErrorInBody guards against an error within a body that reads as a malformed one, and
+// against a reset that reads as the end of the body.
+func TestErrorInBody(t *testing.T) {
+	const (
+		chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		closed = "HTTP/1.1 200 OK\r\n\r\n"
+	)
+	for _, test := range []struct {
+		name, response    string
+		read, write, want error
+	}{
+		{"in a chunk's size", chunks + "1", syscall.ECONNRESET, nil, syscall.ECONNRESET},
+		{"in a chunk", chunks + "5\r\nab", io.EOF, nil, io.ErrUnexpectedEOF},
+		{"before the trailer", chunks + "0\r\n", syscall.ECONNRESET, nil, syscall.ECONNRESET},
+		{"in the trailer", chunks + "0\r\nX-End", io.EOF, nil, io.ErrUnexpectedEOF},
+		{"in the last line end", chunks + "0\r\n\r", io.EOF, nil, io.ErrUnexpectedEOF},
+		{"closed", closed + "body", io.EOF, nil, nil},
+		{"closed, request not read", closed + "body", io.EOF, syscall.EPIPE, nil},
+		{"closed, write interrupted", closed + "body", io.EOF, os.ErrDeadlineExceeded, nil},
+		{"reset while writing", closed + "body", io.EOF, syscall.ECONNRESET, syscall.ECONNRESET},
+		{"timeout while writing", closed + "body", io.EOF, syscall.ETIMEDOUT, syscall.ETIMEDOUT},
+		{"reset after a whole chunked body", chunks + "0\r\n\r\n", io.EOF, syscall.ECONNRESET, nil},
+	} {
+		l := NewLimiter(&pausedReader{first: test.response, err: test.read})
+		l.WriteError = func() error { return test.write }
+		r, err := l.ReadResponse(bufio.NewReader(l), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); !errors.Is(err, test.want) {
+			t.Errorf("%s: error %v, want %v", test.name, err, test.want)
+		}
+	}
+}
--- a/brtunnel/end_test.go
+++ b/brtunnel/end_test.go
@@ -31,6 +31,7 @@
 		{io.EOF, os.ErrDeadlineExceeded, endClosed}, // the write was interrupted by tunnel.end
 		{io.EOF, syscall.ECONNRESET, endReset},
 		{io.EOF, syscall.ETIMEDOUT, endSilent},
+		{io.EOF, syscall.EHOSTUNREACH, endSilent}, // a timeout after an ICMP message
 		{syscall.ECONNRESET, nil, endReset},
 		{syscall.ECONNRESET, syscall.EPIPE, endReset},
 		{syscall.ETIMEDOUT, nil, endSilent},
--- a/brtunnel/tunnel.go
+++ b/brtunnel/tunnel.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bramleyroute/brconn"
+	"bramleyroute/brheader"
 )
 
 const (
@@ -160,8 +161,8 @@
 // endOf returns the end for the errors of reading from and writing to the endpoint. It
 // returns false if this side has closed the connection.
 //
-// The kernel reports a reset only once. If the write got it, the read returns io.EOF.
-// After the endpoint has closed properly, the error of a write is EPIPE instead.
+// If the write got the reset or the timeout, the read returns io.EOF; see
+// brheader.EndOnWrite.
 func endOf(read, write error) (end, bool) {
 	switch {
 	case errors.Is(read, net.ErrClosed):
@@ -172,7 +173,7 @@
 		return endSilent, true
 	case errors.Is(write, syscall.ECONNRESET):
 		return endReset, true
-	case errors.Is(write, syscall.ETIMEDOUT):
+	case brheader.EndOnWrite(write) != nil:
 		return endSilent, true
 	}
 	return endClosed, true
