brheader: an empty success that only a close ends is broken off

A plain response with neither a length nor chunks whose connection closed right after the header reached the caller as 200 with "Content-Length: 0". Nothing tells it from one whose endpoint crashed before its first byte; streams were judged like that already (brevent.CheckEnd).

Now such a success fails: it is retried where the route allows it, and is a 502 otherwise, or EndpointFailed of a lost service on the interface of the product. A service that means an empty response sends "Content-Length: 0" or 204. 205 and failures are unchanged, and so is a body of at least one byte, which RFC 9112 (6.3) has as complete.

TestCutResponse cuts plain responses, retried ones, streams and resumed streams in four framings at each byte of the head and the body, by a close, a reset and silence, towards callers of HTTP/1.1 and 1.0 and through another daemon, and works out the expected result from the framing.

--- a/brconn/cut_test.go
+++ b/brconn/cut_test.go
@@ -24,7 +24,7 @@
 	for _, response := range brtest.SoundResponses("", "whole content") {
 		for sent := range len(response.String()) {
 			for _, ending := range []brtest.Ending{brtest.Closed, brtest.Reset} {
-				if response.Close && ending == brtest.Closed && sent >= len(response.Head) {
+				if response.Close && ending == brtest.Closed && sent > len(response.Head) {
 					continue // whole as the framing says
 				}
 				part := response.String()[:sent]
--- a/brdispatch/cut_test.go
+++ b/brdispatch/cut_test.go
@@ -36,7 +36,7 @@
 			for _, ending := range []brtest.Ending{brtest.Closed, brtest.Reset} {
 				part := r.String()[:sent]
 				want, whole := content, sent == len(r.String())
-				if r.Close && ending == brtest.Closed && sent >= len(r.Head) {
+				if r.Close && ending == brtest.Closed && sent > len(r.Head) {
 					want, whole = part[len(r.Head):], true // as the framing says
 				}
 				response, result, err := callCut(t, part, ending)
--- a/brheader/limiter_test.go
+++ b/brheader/limiter_test.go
@@ -67,6 +67,8 @@
 		{"before the trailer", chunks + "0\r\n", syscall.ECONNRESET, nil, syscall.ECONNRESET},
 		{"in the trailer", chunks + "0\r\nX-End", io.EOF, nil, io.ErrUnexpectedEOF},
 		{"in the last line end", chunks + "0\r\n\r", io.EOF, nil, io.ErrUnexpectedEOF},
+		{"closed at once", closed, io.EOF, nil, io.ErrUnexpectedEOF},
+		{"failure, closed at once", "HTTP/1.1 500 Failed\r\n\r\n", io.EOF, nil, nil},
 		{"closed", closed + "body", io.EOF, nil, nil},
 		{"closed, request not read", closed + "body", io.EOF, syscall.EPIPE, nil},
 		{"closed, write interrupted", closed + "body", io.EOF, os.ErrDeadlineExceeded, nil},
