brdispatch: bound a stream whose engine sends bytes but no token

A completion whose engine sent a byte now and then in a header, a line, a chunk extension or the body of a failure, or comments after the last chunk, never ended: the caller waited, and the request held its place. (64 KiB of a header at a byte a second are 18 hours.)

Cause: each byte renewed the read deadline, and the time without a token was only checked after a whole line, and not at all after the last chunk.

Now a read may take at most the rest of Request.StuckTimeout, and the time without a token is checked before a resume as well, so that the error has the kind Stuck.

TestTricklingEngine: of 14 cases 12 hadn't ended after ten times StuckTimeout on, and one, the body of a failure, ended only at its 512th byte, after its context had; none now. Calls of plain services and the proxy were bounded by their timeouts before.

--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -64,7 +64,7 @@
 	}
 	br := connReaders.Get().(*bufio.Reader)
 	defer func() { br.Reset(nil); connReaders.Put(br) }()
-	cn, resp, sent, err := c.dispatch(timeoutCtx, call.Address, timeout, boundary, req, br)
+	cn, resp, sent, err := c.dispatch(timeoutCtx, call.Address, fixedTimeout(timeout), boundary, req, br)
 	if !sent {
 		return Response{}, Result{PathFailed: cn == nil && c.pathFailed(ctx, call.Address, nil, err)}, err
 	}
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -75,12 +75,12 @@
 	Cancels            atomic.Int64
 }
 
-// conn is a connection whose reads time out after idleTimeout without any byte.
+// conn is a connection whose reads time out.
 type conn struct {
 	net.Conn
 	opened      time.Time
-	idleTimeout time.Duration
-	writeErr    error // latest error of Write, which http.Request.Write doesn't wrap
+	readTimeout func() time.Duration // time that the next read may take
+	writeErr    error                // latest error of Write, which http.Request.Write doesn't wrap
 }
 
 func (c *conn) Write(b []byte) (int, error) {
@@ -92,14 +92,17 @@
 }
 
 func (c *conn) Read(b []byte) (int, error) {
-	if err := c.SetReadDeadline(time.Now().Add(c.idleTimeout)); err != nil {
+	if err := c.SetReadDeadline(time.Now().Add(c.readTimeout())); err != nil {
 		return 0, err
 	}
 	return c.Conn.Read(b)
 }
 
+// fixedTimeout returns a function that returns d.
+func fixedTimeout(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+
 // dial opens a connection to address.
-func (c *Client) dial(ctx context.Context, address string, idleTimeout time.Duration) (*conn, error) {
+func (c *Client) dial(ctx context.Context, address string, readTimeout func() time.Duration) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(c.DialTimeout, DefaultDialTimeout))
 	defer cancel()
 	dial := c.Dial
@@ -111,7 +114,7 @@
 		c.Counters.DialFailures.Add(1)
 		return nil, err
 	}
-	return &conn{Conn: nc, opened: c.clock().Now(), idleTimeout: idleTimeout}, nil
+	return &conn{Conn: nc, opened: c.clock().Now(), readTimeout: readTimeout}, nil
 }
 
 // pathFailed calls PathFailed for an error on cn, or of a dial if cn is nil. The check goes
@@ -133,7 +136,7 @@
 // respond before it has read the complete body.
 func exchange(cn *conn, br *bufio.Reader, req *http.Request) (*http.Response, error) {
 	req.Close = true
-	if err := cn.SetWriteDeadline(time.Now().Add(cn.idleTimeout)); err != nil {
+	if err := cn.SetWriteDeadline(time.Now().Add(cn.readTimeout())); err != nil {
 		return nil, err
 	}
 	writeErr := req.Write(cn)
@@ -156,7 +159,7 @@
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
 	c.Counters.Cancels.Add(1)
-	cn, err := c.dial(ctx, address, cancelTimeout)
+	cn, err := c.dial(ctx, address, fixedTimeout(cancelTimeout))
 	if err != nil {
 		return brerror.New(brerror.EndpointUnavailable, "cancel %s at %s: %w", requestID, address, err)
 	}
@@ -191,9 +194,9 @@
 // dispatch opens a connection, calls boundary and performs the exchange. The returned
 // bool reports whether boundary returned nil, that is, whether the request may have
 // been sent. The connection is nil only if the dial failed.
-func (c *Client) dispatch(ctx context.Context, address string, idleTimeout time.Duration, boundary func() error,
+func (c *Client) dispatch(ctx context.Context, address string, readTimeout func() time.Duration, boundary func() error,
 	req *http.Request, br *bufio.Reader) (*conn, *http.Response, bool, error) {
-	cn, err := c.dial(ctx, address, idleTimeout)
+	cn, err := c.dial(ctx, address, readTimeout)
 	if err != nil {
 		return nil, nil, false, brerror.New(brerror.EndpointUnavailable, "dial %s: %w", address, err)
 	}
--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -108,7 +108,7 @@
 		s.start()
 		return nil
 	}
-	cn, resp, sent, err := c.dispatch(ctx, r.Address, cmp.Or(c.StallTimeout, DefaultStallTimeout), boundary, req, s.connReader)
+	cn, resp, sent, err := c.dispatch(ctx, r.Address, s.readTimeout, boundary, req, s.connReader)
 	s.result.Dispatched, s.conn = sent, cn
 	if !sent {
 		s.result.PathFailed = cn == nil && c.pathFailed(ctx, r.Address, nil, err)
@@ -169,6 +169,10 @@
 		if s.result.NextOffset > lastNext {
 			attempts, lastNext = 0, s.result.NextOffset
 		}
+		if stuck := s.checkProgress(); stuck != nil {
+			err = stuck
+			break
+		}
 		if attempts == cmp.Or(c.ResumeAttempts, DefaultResumeAttempts) {
 			err = brerror.New(brerror.EndpointFailed, "%d resumes at offset %d failed: %w", attempts, s.result.NextOffset, err)
 			break
@@ -209,7 +213,7 @@
 	c := s.client
 	c.Counters.Resumes.Add(1)
 	s.result.Resumes++
-	cn, err := c.dial(s.ctx, s.request.Address, cmp.Or(c.StallTimeout, DefaultStallTimeout))
+	cn, err := c.dial(s.ctx, s.request.Address, s.readTimeout)
 	s.conn = cn
 	if err != nil {
 		return fmt.Errorf("%w: dial: %w", errBroken, err)
@@ -323,10 +327,19 @@
 	return nil
 }
 
+// idle returns the time since the last token or the start.
+func (s *stream) idle() time.Duration { return s.client.clock().Now().Sub(s.lastProgress) }
+
+// readTimeout returns the time that the next read may take. An endpoint that sends a byte now
+// and then, but no token, must not hold the stream longer than StuckTimeout.
+func (s *stream) readTimeout() time.Duration {
+	return min(cmp.Or(s.client.StallTimeout, DefaultStallTimeout), s.request.StuckTimeout-s.idle())
+}
+
 // checkProgress returns an error of kind Stuck if no token has arrived for StuckTimeout.
 func (s *stream) checkProgress() error {
-	idle := s.client.clock().Now().Sub(s.lastProgress)
-	if s.finished || idle < s.request.StuckTimeout {
+	idle := s.idle()
+	if idle < s.request.StuckTimeout {
 		return nil
 	}
 	s.client.Counters.Stuck.Add(1)
