brwal: a log is initialized in one step

Callers: if the disk of the replica that bootstraps the group fills up (or the process is killed) between the first record and the membership, the replica has an ID, but no membership. After each restart it counts as a member of no group, asks the other replicas for a leader that none of them has, and none of them bootstraps a group in its place: every change is refused from then on.

Cause: Initialize created the segment with the replica's ID, synced it, and wrote the membership with a second write and sync.

After an error the log is either empty, and initialized again, or complete.

The file operations of a Log are fields of Options, so that tests can fail them.

--- a/brwal/load.go
+++ b/brwal/load.go
@@ -82,7 +82,7 @@
 		return nil, nil
 	}
 	last := l.segments[len(l.segments)-1].path
-	if l.file, err = os.OpenFile(last, os.O_WRONLY|os.O_APPEND, 0); err != nil {
+	if l.file, err = l.opts.OpenFile(last, os.O_WRONLY|os.O_APPEND, 0); err != nil {
 		return nil, fmt.Errorf("brwal: %w", err)
 	}
 	info, err := l.file.Stat()
@@ -150,7 +150,7 @@
 
 // dropSegment removes a segment whose creation was interrupted by a crash.
 func (l *Log) dropSegment(path string) error {
-	if err := os.Remove(path); err != nil {
+	if err := l.opts.Remove(path); err != nil {
 		return fmt.Errorf("brwal: %w", err)
 	}
 	return l.syncDir(l.opts.Dir)
@@ -161,13 +161,10 @@
 // file again is not sufficient: after a failed sync, the kernel may mark pages as
 // clean that were never written to the disk.
 func (l *Log) rewriteSegment(path string, b []byte) error {
-	if err := l.writeFile(path+temporarySuffix, b); err != nil {
+	if err := l.replaceFile(path, b); err != nil {
 		return fmt.Errorf("brwal: %w", err)
 	}
-	if err := os.Rename(path+temporarySuffix, path); err != nil {
-		return fmt.Errorf("brwal: %w", err)
-	}
-	return l.syncDir(l.opts.Dir)
+	return nil
 }
 
 func (ld *loader) apply(seg *segment, r record) error {
--- a/brwal/log.go
+++ b/brwal/log.go
@@ -21,13 +21,39 @@
 // ErrLocked is returned by Open if the data directory is in use by another process.
 var ErrLocked = errors.New("brwal: data directory is in use")
 
-// Options are the options of a Log. Sync and Write allow tests to inject faults. If
-// nil, (*os.File).Sync and (*os.File).Write are used.
+// Options are the options of a Log. The functions allow tests to inject faults. If nil,
+// (*os.File).Sync, (*os.File).Write, os.OpenFile, os.Rename and os.Remove are used.
 type Options struct {
 	Dir          string
 	SegmentBytes int64 // 0 means DefaultSegmentBytes
 	Sync         func(*os.File) error
 	Write        func(*os.File, []byte) (int, error)
+	OpenFile     func(path string, flag int, mode os.FileMode) (*os.File, error)
+	Rename       func(from, to string) error
+	Remove       func(path string) error
+}
+
+// withDefaults returns o with the defaults in place of zero values.
+func (o Options) withDefaults() Options {
+	if o.SegmentBytes == 0 {
+		o.SegmentBytes = DefaultSegmentBytes
+	}
+	if o.Sync == nil {
+		o.Sync = (*os.File).Sync
+	}
+	if o.Write == nil {
+		o.Write = (*os.File).Write
+	}
+	if o.OpenFile == nil {
+		o.OpenFile = os.OpenFile
+	}
+	if o.Rename == nil {
+		o.Rename = os.Rename
+	}
+	if o.Remove == nil {
+		o.Remove = os.Remove
+	}
+	return o
 }
 
 // Log is the open write-ahead log of one replica. It is not safe for concurrent use.
@@ -57,16 +83,7 @@
 // returns a CorruptionError for other corruption, and ErrLocked if another process has
 // the directory open.
 func Open(o Options) (*Log, brlog.StoredState, error) {
-	if o.SegmentBytes == 0 {
-		o.SegmentBytes = DefaultSegmentBytes
-	}
-	if o.Sync == nil {
-		o.Sync = (*os.File).Sync
-	}
-	if o.Write == nil {
-		o.Write = (*os.File).Write
-	}
-	l := &Log{opts: o, nextSeq: 1}
+	l := &Log{opts: o.withDefaults(), nextSeq: 1}
 	st, err := l.open()
 	if err != nil {
 		l.Close()
@@ -82,7 +99,7 @@
 	if err := l.syncDir(filepath.Dir(l.opts.Dir)); err != nil {
 		return brlog.StoredState{}, err
 	}
-	lock, err := os.OpenFile(filepath.Join(l.opts.Dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
+	lock, err := l.opts.OpenFile(filepath.Join(l.opts.Dir, "lock"), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return brlog.StoredState{}, fmt.Errorf("brwal: %w", err)
 	}
@@ -122,13 +139,31 @@
 }
 
 // Initialize writes st as the initial content of an empty log. It panics if the log
-// is not empty, or if st has a snapshot or no ID.
+// is not empty, or if st has a snapshot or no ID. After an error or a crash, the log
+// is either still empty or has all of st: a replica with an ID but without the
+// membership could neither elect a leader nor join a group.
 func (l *Log) Initialize(st brlog.StoredState) error {
 	if l.id != "" || st.ID == "" || st.Snapshot.Index != 0 {
 		panic("brwal: Initialize requires an empty log, a replica ID and no snapshot")
 	}
-	l.id = st.ID
-	return l.Append(brlog.Write{HardState: st.HardState, Entries: st.Entries})
+	if l.failed != nil {
+		return l.failed
+	}
+	l.id, l.hardState = st.ID, st.HardState
+	path := l.nextSegmentPath()
+	b := l.segmentHeader()
+	l.segments = append(l.segments, segment{path: path})
+	l.encode([]brlog.Write{{HardState: st.HardState, Entries: st.Entries}})
+	b = append(b, l.buf...)
+	if err := l.replaceFile(path, b); err != nil {
+		return l.fail(err)
+	}
+	f, err := l.opts.OpenFile(path, os.O_WRONLY|os.O_APPEND, 0)
+	if err != nil {
+		return l.fail(err)
+	}
+	l.file, l.size = f, int64(len(b))
+	return nil
 }
 
 // Append writes writes in order and makes them durable with one sync. Errors wrap
@@ -186,11 +221,24 @@
 	}
 }
 
-// startSegment creates the next segment. The first record is the current state, so
-// that earlier segments can be removed.
+func (l *Log) nextSegmentPath() string {
+	return filepath.Join(l.opts.Dir, fmt.Sprintf("%s%016x", segmentPrefix, l.nextSeq))
+}
+
+// segmentHeader returns the start of the next segment: the magic number and the first
+// record, which is the current state, so that earlier segments can be removed.
+func (l *Log) segmentHeader() []byte {
+	b := appendRecord([]byte(segmentMagic), l.nextSeq, l.nextSeq, recordState, func(b []byte) []byte {
+		return appendState(b, l.id, l.hardState)
+	})
+	l.nextSeq++
+	return b
+}
+
+// startSegment creates the next segment.
 func (l *Log) startSegment() error {
-	path := filepath.Join(l.opts.Dir, fmt.Sprintf("%s%016x", segmentPrefix, l.nextSeq))
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	path := l.nextSegmentPath()
+	f, err := l.opts.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -198,16 +246,13 @@
 		l.file.Close() // already synced by the last Append
 	}
 	l.file = f
-	b := appendRecord([]byte(segmentMagic), l.nextSeq, l.nextSeq, recordState, func(b []byte) []byte {
-		return appendState(b, l.id, l.hardState)
-	})
+	b := l.segmentHeader()
 	if err := l.write(f, b); err != nil {
 		return err
 	}
 	if err := l.opts.Sync(f); err != nil {
 		return fmt.Errorf("sync %s: %w", path, err)
 	}
-	l.nextSeq++
 	l.size = int64(len(b))
 	l.segments = append(l.segments, segment{path: path})
 	return l.syncDir(l.opts.Dir)
@@ -225,7 +270,7 @@
 	}
 	removed := false
 	for len(l.segments) > 1 && l.segments[0].maxIndex < index {
-		if err := os.Remove(l.segments[0].path); err != nil {
+		if err := l.opts.Remove(l.segments[0].path); err != nil {
 			return l.fail(err)
 		}
 		l.segments = l.segments[1:]
--- a/brwal/snapshot.go
+++ b/brwal/snapshot.go
@@ -49,25 +49,31 @@
 		return err
 	}
 	path := filepath.Join(l.opts.Dir, fmt.Sprintf("%s%016x", snapshotPrefix, s.Index))
-	if err := l.writeFile(path+temporarySuffix, b); err != nil {
-		return err
-	}
-	if err := os.Rename(path+temporarySuffix, path); err != nil {
-		return err
-	}
-	if err := l.syncDir(l.opts.Dir); err != nil {
+	if err := l.replaceFile(path, b); err != nil {
 		return err
 	}
 	for _, p := range old {
-		if err := os.Remove(p); err != nil {
+		if err := l.opts.Remove(p); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// replaceFile durably creates or replaces the file at path. After an error or a crash,
+// it has either the old or the new content.
+func (l *Log) replaceFile(path string, b []byte) error {
+	if err := l.writeFile(path+temporarySuffix, b); err != nil {
+		return err
+	}
+	if err := l.opts.Rename(path+temporarySuffix, path); err != nil {
+		return err
+	}
+	return l.syncDir(l.opts.Dir)
+}
+
 func (l *Log) writeFile(path string, b []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	f, err := l.opts.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -88,7 +94,7 @@
 		return brlog.Snapshot{}, fmt.Errorf("brwal: %w", err)
 	}
 	for _, p := range unfinished {
-		if err := os.Remove(p); err != nil {
+		if err := l.opts.Remove(p); err != nil {
 			return brlog.Snapshot{}, fmt.Errorf("brwal: %w", err)
 		}
 	}
