brlog: a removed replica is told so also when all others have new IDs

Callers: a replica that was without power while the others lost their disks one after another (each replaced under a new ID, as it has to be) stays a candidate for good. The group has one voter less than the operator believes, and with the next two failures no change is accepted.

Cause: a removed replica learns of its removal from the answer to its vote requests. They name the members that it knew, and a replica drops a message for an ID that isn't its own, although the request arrives at its address.

A vote request of a replica whose removal is committed is now answered whatever ID it is addressed to. The answer holds for good, since a removed ID is never added again, so it needs no check of the receiver's ID.

--- a/brlog/election.go
+++ b/brlog/election.go
@@ -6,6 +6,12 @@
 )
 
 func (s *State) receive(m Message) {
+	if m.isVoteRequest() && s.membership.IsRemoved(m.From) && s.membershipIndex <= s.commit {
+		// The candidate may know this replica under an ID that it had before it lost its
+		// disk. If no other replica told it, it would remain a candidate for good.
+		s.send(Message{Kind: MessageRemoved, To: m.From, Term: s.hardState.Term})
+		return
+	}
 	if m.To != s.id {
 		return
 	}
@@ -15,10 +21,6 @@
 	}
 	switch m.Kind {
 	case MessagePreVote, MessageVote:
-		if s.membership.IsRemoved(m.From) && s.membershipIndex <= s.commit {
-			s.send(Message{Kind: MessageRemoved, To: m.From, Term: s.hardState.Term})
-			return
-		}
 		s.onVoteRequest(m)
 		return
 	case MessagePreVoteReply:
--- a/brlog/message.go
+++ b/brlog/message.go
@@ -69,3 +69,6 @@
 	}
 	return false
 }
+
+// isVoteRequest reports whether m is sent by a replica that wants to lead.
+func (m Message) isVoteRequest() bool { return m.Kind == MessagePreVote || m.Kind == MessageVote }
--- a/brlog/sim_test.go
+++ b/brlog/sim_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -23,6 +24,10 @@
 	dropRate     float64
 	faultsEnded  bool
 	idleUntil    time.Duration
+	// byAddress delivers messages for the former ID of a replica to its successor at
+	// the same address. onHalt, if not nil, is called when a replica halts.
+	byAddress bool
+	onHalt    func(*node)
 
 	leaders      map[uint64]ID
 	committed    map[uint64]uint64 // hash of all entries up to an index, by index
@@ -40,6 +45,8 @@
 type node struct {
 	slot, diskLosses         int
 	id, replaces             ID
+	formerIDs                []ID
+	full, poweredOff         bool // the disk has no room; the process can't be started
 	state                    *State
 	generation               int // process number; events of earlier processes are ignored
 	up                       bool
@@ -87,14 +94,18 @@
 }
 
 func newSim(seed uint64, m mutation) *sim {
-	s := &sim{
-		rng: rand.New(rand.NewPCG(seed, 1)), mutate: m, blockedLinks: map[[2]int]bool{},
-		leaders: map[uint64]ID{}, committed: map[uint64]uint64{},
-	}
 	n := 3
 	if seed%8 == 0 {
 		n = 5
 	}
+	return newSimOf(n, seed, m)
+}
+
+func newSimOf(n int, seed uint64, m mutation) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 1)), mutate: m, blockedLinks: map[[2]int]bool{},
+		leaders: map[uint64]ID{}, committed: map[uint64]uint64{},
+	}
 	s.dropRate = []float64{0, 0.02, 0.2}[s.rng.IntN(3)]
 	var members []Member
 	for i := range n {
@@ -187,6 +198,10 @@
 				s.leaders[e.Term] = n.id
 			}
 		case Halt:
+			if s.onHalt != nil && n.state.removed() {
+				s.onHalt(n)
+				return nil
+			}
 			if !n.state.membership.IsRemoved(n.id) && s.isMember(n.id) {
 				s.fail("%s halted: %s", n.id, e.Reason)
 			}
@@ -257,7 +272,8 @@
 		s.fail("%s sends a message that others drop: %v", n.id, err)
 	}
 	for _, x := range s.nodes {
-		if x.id != e.Message.To || s.blockedLinks[[2]int{n.slot, x.slot}] {
+		former := s.byAddress && slices.Contains(x.formerIDs, e.Message.To)
+		if x.id != e.Message.To && !former || s.blockedLinks[[2]int{n.slot, x.slot}] {
 			continue
 		}
 		copies := 1
@@ -289,6 +305,10 @@
 // reports their completion.
 func (s *sim) scheduleSync(n *node) {
 	s.after(n.syncLatency+time.Microsecond, s.guard(n, func() {
+		if n.full {
+			s.stop(n)
+			return
+		}
 		done := n.queue
 		n.queue = nil
 		for _, e := range done {
