brfleet: test of disks that are full one after another

It doesn't show here with 3, 4 and 6 daemons: each disk is full for 3 s, 0.2 s or 1 s, no file can be created, writes end halfway, and the policy changes each 0.1 s. A full replica stops, is started again each 0.5 s, and removed after 2.5 s if enough voters are left; with room it catches up, or empties its disk and joins again under a new ID.

File operations of the replica can be replaced in brfleet.Config, as in brcore.

--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -31,6 +31,7 @@
 	// the daemon runs.
 	networks []*endpointNetwork
 	logs     []*logCounter // by daemon
+	disks    []*testDisk   // by daemon
 }
 
 // logCounter counts the log entries of a daemon by their message.
@@ -70,6 +71,7 @@
 		c.dirs = append(c.dirs, dir)
 		c.networks = append(c.networks, &endpointNetwork{})
 		c.logs = append(c.logs, &logCounter{messages: map[string]int{}})
+		c.disks = append(c.disks, &testDisk{})
 	}
 	for i := range daemons {
 		c.start(i, true)
@@ -109,6 +111,7 @@
 			return p, err
 		},
 		Log: zerolog.New(c.logs[i]),
+		WAL: c.disks[i].options(),
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- /dev/null
+++ b/brfleet/disk_test.go
@@ -0,0 +1,123 @@
+package brfleet
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"bramleyroute/brlog"
+	"bramleyroute/brwal"
+)
+
+// testDisk is the disk of a daemon. While full is set, no file is created and a write
+// ends halfway.
+type testDisk struct{ full atomic.Bool }
+
+func (d *testDisk) options() brwal.Options {
+	return brwal.Options{
+		Write: func(f *os.File, b []byte) (int, error) {
+			if !d.full.Load() {
+				return f.Write(b)
+			}
+			n, err := f.Write(b[:len(b)/2])
+			if err == nil {
+				err = syscall.ENOSPC
+			}
+			return n, err
+		},
+		OpenFile: func(path string, flag int, mode os.FileMode) (*os.File, error) {
+			if d.full.Load() && flag&(os.O_CREATE|os.O_TRUNC) != 0 {
+				return nil, syscall.ENOSPC
+			}
+			return os.OpenFile(path, flag, mode)
+		},
+	}
+}
+
+// operator changes the policy each interval through one daemon after another.
+type operator struct {
+	version, acknowledged uint64
+	longestGap            time.Duration // between two acknowledgements
+}
+
+func (o *operator) run(ctx context.Context, c *cluster, interval time.Duration) {
+	last := time.Now()
+	for ; ctx.Err() == nil; o.version++ {
+		callCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
+		if c.fleets[o.version%uint64(len(c.fleets))].PutPolicy(callCtx, testPolicy(c.t, o.version)) == nil {
+			o.acknowledged = o.version
+			o.longestGap = max(o.longestGap, time.Since(last))
+			last = time.Now()
+		}
+		cancel()
+		select {
+		case <-time.After(interval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// TestDisksFullInTurn guards against changes that are refused, changes that are lost and
+// replicas that stay out of the group after the disks were full one after another: for
+// less than an election, for longer, and for so long that the replica is removed.
+func TestDisksFullInTurn(t *testing.T) {
+	for _, replicas := range []int{3, 4, 6} {
+		t.Run(fmt.Sprint(replicas), func(t *testing.T) {
+			t.Parallel()
+			testDisksFullInTurn(t, replicas)
+		})
+	}
+}
+
+func testDisksFullInTurn(t *testing.T, replicas int) {
+	c := newCluster(t, replicas, replicas)
+	c.put(0, 1)
+	c.await("all replicas are voters", c.allVoters)
+	o := operator{version: 2}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.run(ctx, c, 100*time.Millisecond)
+	}()
+	for i, d := range c.disks {
+		d.full.Store(true)
+		time.Sleep([]time.Duration{3 * time.Second, 200 * time.Millisecond, time.Second}[i%3])
+		d.full.Store(false)
+	}
+	cancel()
+	<-done
+	t.Logf("%d changes, longest time without an acknowledgement %v", o.version, o.longestGap)
+	c.await("the last acknowledged change is read", func() bool { return c.read(0) >= o.acknowledged })
+	start := time.Now()
+	c.put(0, o.version+1)
+	if d := time.Since(start); d > 3*time.Second {
+		t.Errorf("a change was acknowledged %v after the last disk had room, want 3 s at most", d)
+	}
+	c.awaitInForce(o.version + 1)
+	c.await("all replicas are voters again", c.allVoters)
+	for i := range c.fleets {
+		if got := c.read(i); got != o.version+1 {
+			t.Errorf("daemon %d reads version %d, want %d", i, got, o.version+1)
+		}
+	}
+}
+
+// allVoters reports whether all daemons have a replica that is a voter, and know of no
+// other replicas.
+func (c *cluster) allVoters() bool {
+	members := map[brlog.ID]bool{}
+	for _, f := range c.fleets {
+		st, ok := f.core.Status()
+		if !ok || !st.Membership.IsVoter(st.ID) || len(st.Membership.Members) != len(c.fleets) || st.Leader == "" {
+			return false
+		}
+		members[st.ID] = true
+	}
+	return len(members) == len(c.fleets)
+}
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -24,6 +24,7 @@
 	"bramleyroute/brproxy"
 	"bramleyroute/brquota"
 	"bramleyroute/brtunnel"
+	"bramleyroute/brwal"
 
 	"github.com/rs/zerolog"
 )
@@ -49,6 +50,7 @@
 	DecodePolicy func(body []byte) (brpolicy.Policy, error)
 	Log          zerolog.Logger
 	Clock        brclock.Clock // nil means the system clock
+	WAL          brwal.Options // replaces file operations in tests; Dir is ignored
 }
 
 // Fleet is one daemon of the fleet. It is safe for concurrent use.
@@ -132,7 +134,7 @@
 	f.core = brcore.Start(brcore.Config{
 		Dir: cfg.Dir, Self: brcontrol.Peer{ID: cfg.ID, Address: cfg.Address}, Tolerance: cfg.Tolerance,
 		Keys: cfg.Keys, Mux: f.mux, Replicas: f.replicas, Conn: f.node.Conn, MayBootstrap: f.mayBootstrap,
-		OnDocument: f.publishDocument, OnRollouts: f.onRollouts, Log: cfg.Log, Clock: cfg.Clock,
+		OnDocument: f.publishDocument, OnRollouts: f.onRollouts, Log: cfg.Log, Clock: cfg.Clock, WAL: cfg.WAL,
 	})
 	f.node.Run()
 	f.links = &brpeer.Server{Mux: f.mux, Keys: cfg.Keys}
