brcore: a removed replica forms no second group

Callers: the first seed's disk is full for over 2.5 s, so that its replica is removed from the group. When it has room, the replica is told so, empties its disk and looks for a group to join. If no other replica responds within a second (they are stopped, or the daemon is cut off), it bootstraps a group of its own: it stays out of the real one for good, confirms reads of version 0, and replicas that look for a group may join it.

Cause: the setting that allows the bootstrap holds for the lifetime of the process, and an empty disk counted as a first start.

A daemon whose replica was removed waits for the group instead.

TestRemovedReplicaFormsNoGroup failed before: "all replicas are voters again: not within 20s". It passes now (7.2 s, also with -race).

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -63,6 +63,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	replica atomic.Pointer[brcontrol.Replica]
+	removed atomic.Bool // this daemon's replica was once removed from the group
 
 	mu             sync.Mutex
 	state          State
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -37,6 +37,7 @@
 		}
 		c.cfg.Log.Error().Err(err).Msg("replica stopped; restarting it")
 		if errors.Is(err, brcontrol.ErrRemoved) {
+			c.removed.Store(true)
 			c.clearDir()
 		}
 		select {
@@ -54,7 +55,7 @@
 	c.mu.Unlock()
 	r, err := brcontrol.Start(brcontrol.Config{
 		Dir: c.cfg.Dir, Self: c.cfg.Self, Keys: c.cfg.Keys,
-		Discover: c.cfg.Replicas, MayBootstrap: c.cfg.MayBootstrap,
+		Discover: c.cfg.Replicas, MayBootstrap: c.mayBootstrap,
 		StateMachine: brcontrol.StateMachine{Apply: c.apply, Snapshot: c.snapshot, Restore: c.restore},
 		Fatal: func(err error) {
 			select {
@@ -79,6 +80,11 @@
 	return err
 }
 
+// mayBootstrap reports whether this daemon's replica may bootstrap a new group. One that
+// was removed has an empty disk, but knows that a group exists, whether or not a replica
+// of it responds at present.
+func (c *Core) mayBootstrap() bool { return !c.removed.Load() && c.cfg.MayBootstrap() }
+
 // maintain publishes the state, and removes lost voters while this replica leads.
 // It returns when the replica fails or the core is closed.
 func (c *Core) maintain(r *brcontrol.Replica, failed <-chan error) error {
--- a/brfleet/disk_test.go
+++ b/brfleet/disk_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -121,3 +122,43 @@
 	}
 	return len(members) == len(c.fleets)
 }
+
+// TestRemovedReplicaFormsNoGroup guards against the replica of the first seed that was
+// removed while its disk was full, and that forms a second group because the other
+// daemons don't run when it starts again.
+func TestRemovedReplicaFormsNoGroup(t *testing.T) {
+	c := newCluster(t, 4, 4)
+	c.put(0, 1)
+	c.await("all replicas are voters", c.allVoters)
+	o := operator{version: 2}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.run(ctx, c, 100*time.Millisecond)
+	}()
+	c.disks[0].full.Store(true)
+	c.await("the replica is removed", func() bool {
+		st, ok := c.fleets[1].core.Status()
+		return ok && st.Membership.Voters() == 3 && st.Membership.IsRemoved("d0")
+	})
+	cancel()
+	<-done
+	c.disks[0].full.Store(false)
+	c.await("its disk is emptied", func() bool {
+		segments, err := filepath.Glob(filepath.Join(c.dirs[0], "segment-*"))
+		return err == nil && len(segments) == 0
+	})
+	for i := range 3 {
+		c.stop(i + 1)
+	}
+	time.Sleep(2 * time.Second) // the replica starts after 0.5 s and asks the others for 1 s at most
+	for i := range 3 {
+		c.start(i+1, false)
+	}
+	c.put(1, o.version+1)
+	c.await("all replicas are voters again", c.allVoters)
+	if got := c.read(0); got != o.version+1 {
+		t.Errorf("daemon 0 reads version %d, want %d", got, o.version+1)
+	}
+}
