brlog, brwal: the files of a replica leave room on a small disk

Callers: with large documents, replicas whose disks were full for a moment, one after another, don't start again although the disks have room again. Each change is refused from then on, while all daemons run.

Cause: to start, a replica needs room for a copy of its last segment, since the content of a file whose sync may have failed isn't trusted (brwal). Nothing is removed before the replica has started.

The limits are sums of bytes, so that they hold for documents of each size up to the largest proposal (1 MB).

--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -71,7 +71,7 @@
 		c.dirs = append(c.dirs, dir)
 		c.networks = append(c.networks, &endpointNetwork{})
 		c.logs = append(c.logs, &logCounter{messages: map[string]int{}})
-		c.disks = append(c.disks, &testDisk{})
+		c.disks = append(c.disks, &testDisk{dir: dir})
 	}
 	for i := range daemons {
 		c.start(i, true)
@@ -144,9 +144,15 @@
 // put sends a policy to daemon i and retries until it is acknowledged, as an
 // operator does.
 func (c *cluster) put(i int, version uint64) {
+	c.t.Helper()
+	c.putBody(i, version, testPolicy(c.t, version))
+}
+
+// putBody is as put, with the given body of the policy.
+func (c *cluster) putBody(i int, version uint64, body []byte) {
 	c.t.Helper()
 	c.await(fmt.Sprintf("policy %d acknowledged", version), func() bool {
-		err := c.fleets[i].PutPolicy(context.Background(), testPolicy(c.t, version))
+		err := c.fleets[i].PutPolicy(context.Background(), body)
 		if err != nil && !errors.Is(err, brcore.ErrUnavailable) {
 			c.t.Fatal(err)
 		}
--- a/brfleet/disk_test.go
+++ b/brfleet/disk_test.go
@@ -1,6 +1,7 @@
 package brfleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -14,14 +15,31 @@
 	"bramleyroute/brwal"
 )
 
+// diskBytes is the size of the disk of a daemon.
+const diskBytes = 64 << 20
+
 // testDisk is the disk of a daemon. While full is set, no file is created and a write
-// ends halfway.
-type testDisk struct{ full atomic.Bool }
+// ends halfway. Otherwise it takes diskBytes.
+type testDisk struct {
+	dir  string
+	full atomic.Bool
+}
+
+// used returns the number of bytes of all files.
+func (d *testDisk) used() (n int64) {
+	paths, _ := filepath.Glob(filepath.Join(d.dir, "*"))
+	for _, path := range paths {
+		if info, err := os.Stat(path); err == nil { // nil unless the file was removed meanwhile
+			n += info.Size()
+		}
+	}
+	return n
+}
 
 func (d *testDisk) options() brwal.Options {
 	return brwal.Options{
 		Write: func(f *os.File, b []byte) (int, error) {
-			if !d.full.Load() {
+			if !d.full.Load() && d.used()+int64(len(b)) <= diskBytes {
 				return f.Write(b)
 			}
 			n, err := f.Write(b[:len(b)/2])
@@ -162,3 +180,38 @@
 		t.Errorf("daemon 0 reads version %d, want %d", got, o.version+1)
 	}
 }
+
+// TestSmallDisks guards against replicas that can't start again after their disks were
+// full, because they need more room than a small disk has besides a log of large
+// documents.
+func TestSmallDisks(t *testing.T) {
+	const (
+		documents     = 160
+		documentBytes = 900 << 10
+		nearlyFull    = diskBytes - 5<<20 // in bytes
+	)
+	c := newCluster(t, 3, 3)
+	c.put(0, 1)
+	c.await("all replicas are voters", c.allVoters)
+	padding := bytes.Repeat([]byte{' '}, documentBytes) // at the end of a document
+	version, most := uint64(1), int64(0)
+	for most < nearlyFull && version < documents {
+		version++
+		c.putBody(0, version, append(testPolicy(t, version), padding...))
+		for _, d := range c.disks {
+			most = max(most, d.used())
+		}
+	}
+	t.Logf("%d bytes of the disk are used at most", most)
+	for _, d := range c.disks {
+		d.full.Store(true)
+		version++
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		c.fleets[0].PutPolicy(ctx, testPolicy(t, version)) // stops the replica
+		cancel()
+		time.Sleep(200 * time.Millisecond)
+		d.full.Store(false)
+	}
+	c.put(0, version+1)
+	c.await("all replicas are voters again", c.allVoters)
+}
--- a/brlog/state.go
+++ b/brlog/state.go
@@ -19,9 +19,10 @@
 
 	// maxLogBytes is the size of the entries in memory above which a snapshot is
 	// taken early. trailingBytes limits the entries retained before a snapshot.
-	// Together they keep a replica well below the 256 MB limit of a daemon.
-	maxLogBytes   = 48 << 20
-	trailingBytes = 8 << 20
+	// Together they keep a replica well below the 256 MB limit of a daemon, and its
+	// files below half of a disk of 64 MB: to start again, it needs room for a copy.
+	maxLogBytes   = 16 << 20
+	trailingBytes = 4 << 20
 
 	// MaxClockDrift is the maximum relative rate difference of two clocks.
 	MaxClockDrift = 0.01
--- a/brwal/log.go
+++ b/brwal/log.go
@@ -12,8 +12,9 @@
 )
 
 // DefaultSegmentBytes is the default segment size in bytes above which a new segment
-// is started.
-const DefaultSegmentBytes = 16 << 20
+// is started. Open needs room for a copy of the last segment, and a segment is kept
+// until its last entry isn't needed anymore.
+const DefaultSegmentBytes = 4 << 20
 
 // ErrFailed is wrapped by all errors of a failed write or sync, and of later writes.
 var ErrFailed = errors.New("brwal: log has failed")
