brlog: schedules of full disks with learners that catch up

A replica that lost its disk joins under a new ID as a learner; in a quarter of the steps of TestFullDisks its new disk is then full as well, and in some a second time.

--- a/brlog/full_test.go
+++ b/brlog/full_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -99,11 +100,19 @@
 		s.runUntil(s.now+10*time.Second, func() bool { return s.isRemoved(off.id) })
 	}
 	for _, i := range order {
+		n := s.nodes[i]
 		if off != nil {
-			s.replace(s.nodes[i])
+			s.replace(n)
 			continue
 		}
-		s.fillDisk(s.nodes[i])
+		if s.rng.IntN(4) == 0 && s.allReturned() {
+			s.emptyDisk(n) // its new disk is full while it catches up as a learner
+		}
+		s.fillDisk(n)
+		if n.diskLosses > 0 && s.rng.IntN(2) == 0 {
+			s.runFor(s.ms(400, 1000))
+			s.fillDisk(n)
+		}
 	}
 	if off != nil {
 		off.poweredOff = false
@@ -123,12 +132,16 @@
 	s.runFor(s.ms(0, 300))
 }
 
-// replace empties the disk of n and waits until n has returned under a new ID.
-func (s *sim) replace(n *node) {
+func (s *sim) emptyDisk(n *node) {
 	old := n.id
 	s.kill(n)
 	s.rejoin(n)
 	n.replaces = old
+}
+
+// replace empties the disk of n and waits until n has returned under a new ID.
+func (s *sim) replace(n *node) {
+	s.emptyDisk(n)
 	s.runUntil(s.now+10*time.Second, func() bool { return s.returned(n) })
 	if !s.returned(n) {
 		s.fail("%s with an empty disk isn't a voter again; status: %+v", n.id, s.statuses())
@@ -141,6 +154,10 @@
 	return ok && n.up && m.IsVoter(n.id)
 }
 
+func (s *sim) allReturned() bool {
+	return !slices.ContainsFunc(s.nodes, func(n *node) bool { return !s.returned(n) })
+}
+
 func (s *sim) isRemoved(id ID) bool {
 	m, ok := s.committedMembership()
 	return ok && m.IsRemoved(id)
