--- a/brfleet/cluster_test.go
+++ b/brfleet/cluster_test.go
@@ -31,6 +31,7 @@
 	// the daemon runs.
 	networks []*endpointNetwork
 	logs     []*logCounter // by daemon
+	disks    []*testDisk   // by daemon
 }
 
 // logCounter counts the log entries of a daemon by their message.
@@ -70,6 +71,7 @@
 		c.dirs = append(c.dirs, dir)
 		c.networks = append(c.networks, &endpointNetwork{})
 		c.logs = append(c.logs, &logCounter{messages: map[string]int{}})
+		c.disks = append(c.disks, &testDisk{dir: dir})
 	}
 	for i := range daemons {
 		c.start(i, true)
@@ -109,6 +111,7 @@
 			return p, err
 		},
 		Log: zerolog.New(c.logs[i]),
+		WAL: c.disks[i].options(),
 	})
 	if err != nil {
 		c.t.Fatal(err)
@@ -141,9 +144,15 @@
 // put sends a policy to daemon i and retries until it is acknowledged, as an
 // operator does.
 func (c *cluster) put(i int, version uint64) {
+	c.t.Helper()
+	c.putBody(i, version, testPolicy(c.t, version))
+}
+
+// putBody is as put, with the given body of the policy.
+func (c *cluster) putBody(i int, version uint64, body []byte) {
 	c.t.Helper()
 	c.await(fmt.Sprintf("policy %d acknowledged", version), func() bool {
-		err := c.fleets[i].PutPolicy(context.Background(), testPolicy(c.t, version))
+		err := c.fleets[i].PutPolicy(context.Background(), body)
 		if err != nil && !errors.Is(err, brcore.ErrUnavailable) {
 			c.t.Fatal(err)
 		}
