brpeer: drop messages of other builds instead of closing the link

A push without a handler, a push whose body this build can't decode and a frame of unknown kind closed the link. While builds run side by side the other one sends the same message again after each reconnection, so that the link never stays open and everything else on it is lost as well.

Websocket messages have boundaries, so that one message can be left out. Bytes that are no frame at all, and pushes whose handler panics, still close the link.

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -127,7 +127,7 @@
 }
 
 func (d *Daemon) startRoles(lis listeners, dialEndpoint dialFunc) error {
-	mux := &brpeer.Mux{OnPanic: brlogging.PanicHandler(d.log)}
+	mux := &brpeer.Mux{OnPanic: brlogging.PanicHandler(d.log), OnDropped: brlogging.DroppedHandler(d.log)}
 	d.stampMessages(mux)
 	d.links = newLinks(d.keys, mux, d.connected)
 	d.session = newSession(d.clock, d.log, d.self, d.links, d.replicaAddresses())
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -107,7 +107,7 @@
 	}
 	f.incarnation = fmt.Sprintf("%s.%x", cfg.ID, f.epoch)
 	f.policies.changed = make(chan struct{}, 1)
-	f.mux.OnPanic = brlogging.PanicHandler(cfg.Log)
+	f.mux.OnPanic, f.mux.OnDropped = brlogging.PanicHandler(cfg.Log), brlogging.DroppedHandler(cfg.Log)
 	f.metrics = newMetrics()
 	f.paths = f.newPaths()
 	f.pool = &brconn.Pool{
--- a/brpeer/conn.go
+++ b/brpeer/conn.go
@@ -257,6 +257,7 @@
 	}
 }
 
+// handleFrame handles one frame. An error closes the connection.
 func (c *Conn) handleFrame(f frame) error {
 	if c.mux.ReceiveStamp != nil && f.Wall != 0 {
 		c.mux.ReceiveStamp(brtimeline.Stamp{Wall: f.Wall, Logical: f.Logical})
@@ -267,7 +268,8 @@
 	case framePush:
 		h, ok := c.mux.pushes[f.Name]
 		if !ok {
-			return fmt.Errorf("brpeer: no handler for push %q", f.Name)
+			c.mux.drop(f.Name, errors.New("brpeer: push has no handler"))
+			return nil
 		}
 		return h(c, f.Body)
 	case frameCall:
@@ -284,7 +286,8 @@
 		}
 		return nil
 	}
-	return fmt.Errorf("brpeer: unknown frame kind %d", f.Kind)
+	c.mux.drop(f.Name, fmt.Errorf("brpeer: unknown frame kind %d", f.Kind))
+	return nil
 }
 
 // serveCall runs the handler of a call and sends its reply.
--- a/brpeer/mux.go
+++ b/brpeer/mux.go
@@ -26,6 +26,12 @@
 	// doesn't end the process. It may be nil.
 	OnPanic func(name string, value any, stack []byte)
 
+	// OnDropped is called for a push or a frame of unknown kind that this build can't
+	// handle: name has no handler, or its message can't be decoded. Another build sent it
+	// and would send it again over a new connection, so that the connection stays open. It
+	// may be nil, runs in the goroutine of the reader and must not block.
+	OnDropped func(name string, err error)
+
 	calls  map[string]func(context.Context, *Conn, brwire.RawMessage) ([]byte, error)
 	pushes map[string]func(*Conn, brwire.RawMessage) error
 }
@@ -67,9 +73,17 @@
 	*err = fmt.Errorf("brpeer: handler of %s panicked: %v", name, value)
 }
 
+// drop reports a frame that isn't handled.
+func (m *Mux) drop(name string, err error) {
+	if m.OnDropped != nil {
+		m.OnDropped(name, err)
+	}
+}
+
 // HandlePush registers f as the handler of pushes of name. Pushes of one connection
 // are handled one at a time in the order of their arrival. f must not block, because
-// nothing else is read from the connection meanwhile. HandlePush panics if name already
+// nothing else is read from the connection meanwhile. A push that can't be decoded is
+// dropped. HandlePush panics if name already
 // has a push handler.
 func HandlePush[T any](m *Mux, name string, f func(c *Conn, msg T)) {
 	if _, ok := m.pushes[name]; ok {
@@ -82,7 +96,8 @@
 		defer m.recoverHandler(name, &err)
 		msg, err := brwire.Decode[T](body)
 		if err != nil {
-			return fmt.Errorf("brpeer: decode push %s: %w", name, err)
+			m.drop(name, fmt.Errorf("brpeer: decode push %s: %w", name, err))
+			return nil
 		}
 		f(c, msg)
 		return nil
