brwal, brformat: refuse files of a later build instead of truncating them

The way back from an upgrade starts an earlier build on the files of a later one. A last segment with a later magic number, or a last batch with a record of unknown kind, was taken for a torn tail: Open removed or truncated the file and returned no error, so that a replica would have gone on without the votes and entries that it had acknowledged. An entry of unknown kind was loaded and would never have been applied.

Open now tells them from torn tails: the magic number differs only in its version byte, or the record has a valid checksum. What is written is unchanged.

--- a/brwal/load.go
+++ b/brwal/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 
+	"bramleyroute/brformat"
 	"bramleyroute/brlog"
 )
 
@@ -18,7 +20,8 @@
 	temporarySuffix = ".tmp"
 )
 
-// CorruptionError reports corruption of a file other than a torn tail.
+// CorruptionError reports corruption of a file other than a torn tail, or a file of a
+// later build, for which it wraps a *brformat.UnsupportedError.
 type CorruptionError struct {
 	File   string
 	Offset int64 // in bytes
@@ -27,7 +30,7 @@
 
 // Error returns a message with the file, the offset and the reason.
 func (e *CorruptionError) Error() string {
-	return fmt.Sprintf("brwal: %s is damaged at offset %d: %v", e.File, e.Offset, e.Reason)
+	return fmt.Sprintf("brwal: %s can't be read at offset %d: %v", e.File, e.Offset, e.Reason)
 }
 
 // Unwrap returns the reason.
@@ -103,10 +106,10 @@
 	seg := segment{path: path}
 	first := l.nextSeq
 	offset := 0
-	if strings.HasPrefix(string(b), segmentMagic) {
+	if err = checkMagic(b, segmentMagic, brformat.LogSegment); err == nil {
 		offset = len(segmentMagic)
-	} else {
-		err = fmt.Errorf("invalid segment header")
+	} else if unsupported := (*brformat.UnsupportedError)(nil); errors.As(err, &unsupported) {
+		return &CorruptionError{path, 0, err} // not a torn tail: its records may have another form
 	}
 	for err == nil && offset < len(b) {
 		var r record
@@ -192,8 +195,13 @@
 		if !ok {
 			return fmt.Errorf("invalid entry record")
 		}
+		if e.Kind > brlog.EntryMembership {
+			return brformat.LogEntry.Check(uint64(e.Kind))
+		}
 		seg.maxIndex = max(seg.maxIndex, e.Index)
 		return ld.put(e)
+	default:
+		return brformat.LogRecord.Check(uint64(r.kind))
 	}
 	return nil
 }
--- a/brwal/record.go
+++ b/brwal/record.go
@@ -5,6 +5,7 @@
 	"errors"
 	"hash/crc32"
 
+	"bramleyroute/brformat"
 	"bramleyroute/brlog"
 )
 
@@ -17,6 +18,7 @@
 )
 
 const (
+	// The last byte of a magic number is the version.
 	segmentMagic  = "brwal\x00\x00\x01"
 	snapshotMagic = "brsnap\x00\x01"
 
@@ -58,7 +60,7 @@
 }
 
 // parseRecord decodes the record at the start of b. The sequence number must be in
-// [minSeq, minSeq+seqRange).
+// [minSeq, minSeq+seqRange). The kind may be one that only a later build knows.
 func parseRecord(b []byte, minSeq, seqRange uint64) (record, error) {
 	if len(b) < headerBytes+payloadHeaderBytes {
 		return record{}, errShort
@@ -75,7 +77,7 @@
 		seq: binary.LittleEndian.Uint64(p), batch: binary.LittleEndian.Uint64(p[8:]),
 		kind: recordKind(p[16]), body: p[payloadHeaderBytes:], size: headerBytes + int(length),
 	}
-	if r.seq-minSeq >= seqRange || r.batch > r.seq || r.kind < recordState || r.kind > recordReset {
+	if r.seq-minSeq >= seqRange || r.batch > r.seq || r.kind < recordState {
 		return record{}, errHeader
 	}
 	if crc32.Checksum(p, castagnoli) != binary.LittleEndian.Uint32(b[4:]) {
@@ -84,6 +86,21 @@
 	return r, nil
 }
 
+// checkMagic returns an error unless b starts with magic, and a *brformat.UnsupportedError
+// if it starts with the magic number of a later version.
+func checkMagic(b []byte, magic string, f brformat.Format) error {
+	name := magic[:len(magic)-1]
+	if len(b) < len(magic) || string(b[:len(name)]) != name {
+		return errHeader
+	}
+	if version := b[len(name)]; version > magic[len(name)] {
+		return f.Check(uint64(version))
+	} else if version != magic[len(name)] {
+		return errHeader
+	}
+	return nil
+}
+
 func appendText(b []byte, s string) []byte {
 	b = binary.LittleEndian.AppendUint32(b, uint32(len(s)))
 	return append(b, s...)
--- a/brwal/snapshot.go
+++ b/brwal/snapshot.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 
+	"bramleyroute/brformat"
 	"bramleyroute/brlog"
 	"bramleyroute/brwire"
 )
@@ -112,7 +113,10 @@
 }
 
 func parseSnapshot(b []byte) (brlog.Snapshot, error) {
-	if len(b) < snapshotHeader || string(b[:len(snapshotMagic)]) != snapshotMagic {
+	if err := checkMagic(b, snapshotMagic, brformat.SnapshotFile); err != nil {
+		return brlog.Snapshot{}, err
+	}
+	if len(b) < snapshotHeader {
 		return brlog.Snapshot{}, errHeader
 	}
 	header, payload := b[len(snapshotMagic):snapshotHeader], b[snapshotHeader:]
