--- a/brcore/core.go
+++ b/brcore/core.go
@@ -213,7 +213,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.document, nil
+	return c.state.document, c.state.Err()
 }
 
 func (c *Core) localRollout(ctx context.Context, service string) (Rollout, error) {
@@ -222,7 +222,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state.rollouts[service], nil
+	return c.state.rollouts[service], c.state.Err()
 }
 
 func (c *Core) barrier(ctx context.Context) error {
@@ -237,7 +237,11 @@
 // group has fewer voters than the tolerance requires, because a smaller group
 // could lose an acknowledged command with a single disk.
 func (c *Core) localPropose(ctx context.Context, data []byte) (Verdict, error) {
-	if _, err := brwire.Decode[Command](data); err != nil {
+	cmd, err := brwire.Decode[Command](data)
+	if err == nil {
+		err = cmd.checkFormat()
+	}
+	if err != nil {
 		return 0, brerror.New(brerror.InvalidRequest, "command can't be decoded: %w", err)
 	}
 	r := c.replica.Load()
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -80,7 +80,8 @@
 }
 
 // maintain publishes the state, and removes lost voters while this replica leads.
-// It returns when the replica fails or the core is closed.
+// It returns when the replica fails, the log has a command of a later build or the core
+// is closed.
 func (c *Core) maintain(r *brcontrol.Replica, failed <-chan error) error {
 	var leadership leadership
 	for {
@@ -91,6 +92,9 @@
 			return c.ctx.Err()
 		case <-c.cfg.Clock.After(c.maintainDelay()):
 		}
+		if err := c.stateErr(); err != nil {
+			return err
+		}
 		c.publish()
 		st := r.Status()
 		leadership = c.logLeadership(leadership, st)
@@ -143,6 +147,12 @@
 	return c.state.Apply(index, data)
 }
 
+func (c *Core) stateErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Err()
+}
+
 func (c *Core) snapshot() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -173,7 +183,7 @@
 	st := r.Status()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !ok || st.MachineApplied < newest || c.appliedIndex <= c.publishedIndex {
+	if !ok || st.MachineApplied < newest || c.appliedIndex <= c.publishedIndex || c.state.Err() != nil {
 		return
 	}
 	c.publishedIndex = c.appliedIndex
--- a/brcore/state.go
+++ b/brcore/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"bramleyroute/brformat"
 	"bramleyroute/brwire"
 )
 
@@ -34,8 +35,11 @@
 	Index    uint64        `cbor:"index"` // index of the log entry that began it
 }
 
-// Command is a proposal to the log. Exactly one field is set.
+// Command is a proposal to the log. Exactly one of its pointers is set.
 type Command struct {
+	// Format is the version of the command; 0 means 1. A command that an earlier build
+	// would apply otherwise than this one needs a greater one.
+	Format   uint64    `cbor:"format,omitempty"`
 	Document *Document `cbor:"document,omitempty"`
 	Begin    *Rollout  `cbor:"begin,omitempty"`
 	Progress *Rollout  `cbor:"progress,omitempty"`
@@ -56,19 +60,36 @@
 type State struct {
 	document Document
 	rollouts map[string]Rollout
+	err      error // set by a command of a later build
 }
 
 // Apply applies a committed command and returns the encoded verdict. A command that
 // can't be decoded changes nothing: an error would end every replica that applies it,
-// again after each restart.
+// again after each restart. A command of a later format is an error for this replica
+// only, see Err; Apply then returns nil and changes nothing anymore.
 func (s *State) Apply(index uint64, data []byte) []byte {
+	if s.err != nil {
+		return nil
+	}
 	c, err := brwire.Decode[Command](data)
 	if err != nil {
 		return []byte{byte(NoChange)}
 	}
+	if err := c.checkFormat(); err != nil {
+		s.err = fmt.Errorf("brcore: log entry %d: %w", index, err)
+		return nil
+	}
 	return []byte{byte(s.apply(index, c))}
 }
 
+// checkFormat returns a *brformat.UnsupportedError for a command of a later build.
+func (c Command) checkFormat() error { return brformat.Command.Check(max(c.Format, 1)) }
+
+// Err returns an error that wraps a *brformat.UnsupportedError if a command of a later
+// build has been committed. The replicas that run that build have applied it, so that
+// this state isn't the replicated one anymore and must not be used.
+func (s *State) Err() error { return s.err }
+
 func (s *State) apply(index uint64, c Command) Verdict {
 	switch {
 	case c.Document != nil:
@@ -114,22 +135,29 @@
 }
 
 type snapshot struct {
+	Format   uint64             `cbor:"format,omitempty"` // 0 means 1
 	Document Document           `cbor:"document"`
 	Rollouts map[string]Rollout `cbor:"rollouts"`
 }
 
-// Snapshot returns the encoded state.
+// Snapshot returns the encoded state. Its error is that of Err.
 func (s *State) Snapshot() ([]byte, error) {
-	return brwire.Encode(snapshot{s.document, s.rollouts})
+	if s.err != nil {
+		return nil, s.err
+	}
+	return brwire.Encode(snapshot{Document: s.document, Rollouts: s.rollouts})
 }
 
 // Restore replaces the state by an encoded one. It leaves the state unchanged if
-// it returns an error.
+// it returns an error, which wraps a *brformat.UnsupportedError for one of a later build.
 func (s *State) Restore(data []byte) error {
 	n, err := brwire.Decode[snapshot](data)
 	if err != nil {
 		return fmt.Errorf("brcore: decode snapshot: %w", err)
 	}
-	s.document, s.rollouts = n.Document, n.Rollouts
+	if err := brformat.State.Check(max(n.Format, 1)); err != nil {
+		return fmt.Errorf("brcore: snapshot: %w", err)
+	}
+	s.document, s.rollouts, s.err = n.Document, n.Rollouts, nil
 	return nil
 }
--- a/brcore/state_test.go
+++ b/brcore/state_test.go
@@ -1,9 +1,12 @@
 package brcore
 
 import (
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
+	"bramleyroute/brformat"
 	"bramleyroute/brgossip"
 	"bramleyroute/brlog"
 	"bramleyroute/brwire"
@@ -89,6 +92,44 @@
 	}
 }
 
+// TestStateOfNewerBuild guards against a replica that goes on with a state that isn't the
+// replicated one, after a command that only a later build can apply or a snapshot that
+// only a later build can read, and passes it on in snapshots of its own.
+func TestStateOfNewerBuild(t *testing.T) {
+	var s State
+	apply(t, &s, 1, document(5, "five"))
+	before, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	newer := func(format uint64, v any) []byte {
+		b, err := brwire.Encode(map[string]any{"format": format, "document": v, "newer": 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	unsupported := new(brformat.UnsupportedError)
+	if err := s.Restore(newer(2, Document{Version: 6})); !errors.As(err, &unsupported) {
+		t.Errorf("Restore of a later format: error %v", err)
+	}
+	if v := s.Apply(2, newer(1, Document{Version: 7})); !slices.Equal(v, []byte{byte(Done)}) {
+		t.Errorf("command with a new field: verdict %v, want Done", v)
+	}
+	if v := s.Apply(3, newer(2, Document{Version: 8})); v != nil || !errors.As(s.Err(), &unsupported) {
+		t.Errorf("command of a later format: verdict %v, error %v", v, s.Err())
+	}
+	if v := s.Apply(4, newer(1, Document{Version: 9})); v != nil || s.document.Version != 7 {
+		t.Errorf("command after one of a later format: verdict %v, document %d", v, s.document.Version)
+	}
+	if _, err := s.Snapshot(); !errors.As(err, &unsupported) {
+		t.Errorf("Snapshot after a command of a later format: error %v", err)
+	}
+	if err := s.Restore(before); err != nil || s.Err() != nil || s.document.Version != 5 {
+		t.Errorf("Restore: error %v, then %v, document %d", err, s.Err(), s.document.Version)
+	}
+}
+
 // TestShouldBootstrap guards against a first start at which two replicas, or none,
 // bootstrap the group.
 func TestShouldBootstrap(t *testing.T) {
