brtest: golden files of the formats of earlier builds

Nothing guarded the formats that cross builds. brtest.CheckFormats compares each one with the bytes that the builds wrote and that the present code writes. The values of messages depend only on the names of the encoded fields, so that a field that is added, removed, renamed or changed shows; go-cmp compares what was written with what the present code has read, and what an earlier build reads of what the present code writes. A change of the present bytes shows as a diff of testdata/formats/present.txt.

A field added to a map changes present.txt only.

--- /dev/null
+++ b/brgossip/formats_test.go
@@ -0,0 +1,18 @@
+package brgossip
+
+import (
+	"testing"
+
+	"bramleyroute/brtest"
+)
+
+// TestFormats guards against records that a daemon of another build misreads.
+func TestFormats(t *testing.T) {
+	brtest.CheckFormats(t,
+		brtest.Value("names", []string{KindDaemon, pushHello, pushRecord, pushSubscribe}),
+		brtest.Message[helloMessage]("hello"),
+		brtest.Message[batch]("records").NotShared("294156b"),
+		brtest.Message[subscribeMessage]("subscribe"),
+		brtest.Message[Daemon]("daemon"),
+	)
+}
