brfleet: read the entries of an evidence file one by one

The file with what is quarantined was decoded as a whole: one entry that only a later build can decode took all others with it, and after the way back from an upgrade endpoints would be lost again to learn what was known. Entries are now decoded one by one; those that can't be read are logged and left out, and the next write replaces the file, so that they are lost. Daemons of the later build that are still running publish them again.

TestEvidenceFileOfNewerBuild: the case "entry of a later" failed with the decoding of before (no entries read).

--- a/brfleet/evidence_file.go
+++ b/brfleet/evidence_file.go
@@ -42,11 +42,10 @@
 	}
 	var all []subjectEvidence
 	if err == nil {
-		all, err = brwire.Decode[[]subjectEvidence](b)
+		all, err = decodeEvidenceFile(b)
 	}
 	if err != nil {
-		f.cfg.Log.Warn().Err(err).Msg("quarantine of the process before can't be read")
-		return nil
+		f.cfg.Log.Warn().Err(err).Int("entries", len(all)).Msg("quarantine of the process before can't be read as a whole")
 	}
 	for _, entry := range all {
 		if subject, known := brquarantine.ParseSubject(entry.Subject); known {
@@ -56,6 +55,27 @@
 	return b
 }
 
+// decodeEvidenceFile returns the entries of an evidence file that can be decoded, and an
+// error if there are others. One that only a later build can decode doesn't take the
+// others with it.
+func decodeEvidenceFile(b []byte) ([]subjectEvidence, error) {
+	raw, err := brwire.Decode[[]brwire.RawMessage](b)
+	if err != nil {
+		return nil, err
+	}
+	var all []subjectEvidence
+	var errs []error
+	for _, r := range raw {
+		entry, err := brwire.Decode[subjectEvidence](r)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		all = append(all, entry)
+	}
+	return all, errors.Join(errs...)
+}
+
 // runEvidenceFile writes the evidence file after each change of the quarantine
 // until the fleet is closed. saved is the content of the file.
 func (f *Fleet) runEvidenceFile(saved []byte) {
--- a/brfleet/evidence_file_test.go
+++ b/brfleet/evidence_file_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"bramleyroute/brquarantine"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // TestQuarantineOutlivesRestartOfAll guards against a fleet that forgets, when all its
@@ -43,3 +45,25 @@
 	}
 	c.awaitInForce(1)
 }
+
+// TestEvidenceFileOfNewerBuild guards against a daemon that forgets all evidence since it
+// can't read one entry of a later build.
+func TestEvidenceFileOfNewerBuild(t *testing.T) {
+	sound := subjectEvidence{Subject: "request/x", Evidence: brquarantine.Evidence{Lost: []string{"a"}}}
+	newField := map[string]any{"subject": "request/x", "evidence": sound.Evidence, "newer": 1}
+	for name, c := range map[string]struct {
+		file any
+		want []subjectEvidence
+		err  bool
+	}{
+		"all":              {[]any{sound, sound}, []subjectEvidence{sound, sound}, false},
+		"new field":        {[]any{newField}, []subjectEvidence{sound}, false},
+		"entry of a later": {[]any{map[string]any{"subject": 1}, sound, "x"}, []subjectEvidence{sound}, true},
+		"file of a later":  {map[string]any{"format": 2}, nil, true},
+	} {
+		got, err := decodeEvidenceFile(encode(c.file))
+		if diff := cmp.Diff(c.want, got); diff != "" || (err != nil) != c.err {
+			t.Errorf("%s: error %v, entries (-want +got):\n%s", name, err, diff)
+		}
+	}
+}
