brtunnel: one piece for the tunnels of brfleet and brdaemon

dialRelayed, the dial for other daemons, its timeout and the check whether this daemon has a path stood in brfleet/path.go and brdaemon/path.go. brtunnel.Connect joins a brpath.Dialer with a Server for both; brdaemon adds that it records the dialed endpoint. No change of behaviour. go test -race ./brtunnel, go test ./brdaemon and the tests of paths, partitions, relays and tunnels of brfleet pass.

--- a/brdaemon/path.go
+++ b/brdaemon/path.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -27,9 +26,6 @@
 	// that isn't answered (100 ms) and for three relays (some 215 ms each), so that a dead
 	// endpoint is told from a lost path.
 	endpointDialTimeout = 800 * time.Millisecond
-	// tunnelDialTimeout limits the dial of a daemon that relays. A running endpoint accepts
-	// within a few milliseconds, and the other daemon waits with a caller.
-	tunnelDialTimeout = 150 * time.Millisecond
 	// knownTimeout limits the queries to the owners of the pools, which are a round trip of
 	// a few milliseconds away.
 	knownTimeout = 100 * time.Millisecond
@@ -59,7 +55,6 @@
 type paths struct {
 	daemon *Daemon
 	dialer *brpath.Dialer
-	client brtunnel.Dialer
 	server *brtunnel.Server
 	http   *http.Client // for orders to endpoints
 
@@ -76,15 +71,12 @@
 	}
 	p := &paths{
 		daemon: d, dialer: brpath.NewDialer(brpath.Config{FailureDomain: d.self.FailureDomain, Random: rand.Float64}),
-		client: brtunnel.Dialer{Keys: d.keys}, known: map[string]time.Time{}, dialed: map[string]time.Time{},
+		known: map[string]time.Time{}, dialed: map[string]time.Time{},
 	}
 	p.dialer.Clock, p.dialer.Log = d.clock, d.log
 	p.dialer.Direct = func(ctx context.Context, address string) (net.Conn, error) { return p.dialDirect(ctx, dial, address) }
-	p.dialer.Relayed, p.dialer.OnChange = p.dialRelayed, p.changed
-	p.server = &brtunnel.Server{
-		Keys: d.keys, Dial: p.dialForPeer, DialTimeout: tunnelDialTimeout, Clock: d.clock, Allow: p.knows,
-		Available: func() bool { return !p.dialer.Partitioned() },
-	}
+	p.dialer.OnChange = p.changed
+	p.serveTunnels()
 	// Each order dials, so that http.Transport repeats none on a reused connection.
 	p.http = &http.Client{Transport: &http.Transport{DialContext: p.dialEndpoint, DisableKeepAlives: true}}
 	return p
@@ -115,32 +107,26 @@
 
 // dialEndpoint opens a connection to an endpoint for this daemon itself.
 func (p *paths) dialEndpoint(ctx context.Context, _, address string) (net.Conn, error) {
-	p.mu.Lock()
-	p.dialed[address] = p.daemon.clock.Now()
-	p.mu.Unlock()
+	p.recordDial(address)
 	return p.dialer.Dial(ctx, address)
 }
 
-// dialRelayed opens a connection to an endpoint through another daemon.
-func (p *paths) dialRelayed(ctx context.Context, r brpath.Relay, address string) (net.Conn, error) {
-	c, err := p.client.Dial(ctx, r.Address, address)
-	var dialErr *brtunnel.DialError
-	if errors.As(err, &dialErr) && dialErr.Cause.ConcernsEndpoint() {
-		return nil, fmt.Errorf("%w: %w", brpath.ErrUnreachable, err)
+// serveTunnels makes this daemon use the paths of others, and relay for them.
+func (p *paths) serveTunnels() {
+	p.server = &brtunnel.Server{Keys: p.daemon.keys, Clock: p.daemon.clock, Allow: p.knows}
+	brtunnel.Connect(p.dialer, p.server)
+	dial := p.server.Dial
+	p.server.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+		p.recordDial(address)
+		return dial(ctx, address)
 	}
-	return c, err
 }
 
-// dialForPeer opens a direct connection to an endpoint for another daemon.
-func (p *paths) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
+// recordDial records that an endpoint is in use.
+func (p *paths) recordDial(address string) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.dialed[address] = p.daemon.clock.Now()
-	p.mu.Unlock()
-	c, err := p.dialer.DialDirect(ctx, address)
-	if errors.Is(err, brpath.ErrNoPath) {
-		return nil, fmt.Errorf("%w: %w", brtunnel.ErrNoPath, err)
-	}
-	return c, err
 }
 
 // failed implements brdispatch.Client.PathFailed.
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -33,10 +30,6 @@
 	silenceAge           = 400 * time.Millisecond
 	minSilent            = 3
 	silenceCheckInterval = time.Second
-
-	// tunnelDialTimeout limits the dial of a daemon that relays. A running endpoint accepts
-	// within a few milliseconds, and the caller's daemon waits with a caller.
-	tunnelDialTimeout = 150 * time.Millisecond
 )
 
 // pathRecord is what a daemon publishes about its direct path to the endpoints.
@@ -49,7 +42,6 @@
 // for them.
 type paths struct {
 	dialer *brpath.Dialer
-	client brtunnel.Dialer
 	server *brtunnel.Server
 
 	mu          sync.Mutex
@@ -65,38 +57,15 @@
 	}
 	p := &paths{
 		dialer:      brpath.NewDialer(brpath.Config{FailureDomain: f.cfg.FailureDomain, Random: rand.Float64}),
-		client:      brtunnel.Dialer{Keys: f.cfg.Keys},
 		partitioned: map[string]string{},
 	}
 	p.dialer.Clock, p.dialer.Log = f.cfg.Clock, f.cfg.Log
-	p.dialer.Direct, p.dialer.Relayed = direct, p.dialRelayed
-	p.server = &brtunnel.Server{
-		Keys: f.cfg.Keys, Dial: p.dialForPeer, DialTimeout: tunnelDialTimeout, Clock: f.cfg.Clock,
-		Allow:     f.endpoints.knows,
-		Available: func() bool { return !p.dialer.Partitioned() },
-	}
+	p.dialer.Direct = direct
+	p.server = &brtunnel.Server{Keys: f.cfg.Keys, Clock: f.cfg.Clock, Allow: f.endpoints.knows}
+	brtunnel.Connect(p.dialer, p.server)
 	return p
 }
 
-// dialRelayed opens a connection to an endpoint through another daemon.
-func (p *paths) dialRelayed(ctx context.Context, r brpath.Relay, address string) (net.Conn, error) {
-	c, err := p.client.Dial(ctx, r.Address, address)
-	var dialErr *brtunnel.DialError
-	if errors.As(err, &dialErr) && dialErr.Cause.ConcernsEndpoint() {
-		return nil, fmt.Errorf("%w: %w", brpath.ErrUnreachable, err)
-	}
-	return c, err
-}
-
-// dialForPeer opens a direct connection to an endpoint for another daemon.
-func (p *paths) dialForPeer(ctx context.Context, address string) (net.Conn, error) {
-	c, err := p.dialer.DialDirect(ctx, address)
-	if errors.Is(err, brpath.ErrNoPath) {
-		return nil, fmt.Errorf("%w: %w", brtunnel.ErrNoPath, err)
-	}
-	return c, err
-}
-
 // pathWorks reports whether this daemon has a direct path to the endpoint at address, or
 // whether the endpoint is dead. It opens a connection to find out, which the next request
 // uses.
