brrollout: let a fault at full traffic outweigh no more than its own evidence

At 36 requests/s four minutes without a fault bring the log likelihood ratios of this test far below zero, since nothing keeps them from falling, and a block of 5 s adds 4 at most. A version that begins to fail half of its requests then was still at or below -3.1 57 s later, when the circuit breaker tripped by chance. 1,050 of its 2,100 requests had failed by then; five blocks are enough to tell.

The statistic is now a mean, with weights set beforehand, over the block with which the fault begins. It stays a supermartingale, so that the probability to judge a good version worse keeps its limit: a half of the weight is on the first block, as before for all of it, and of the rest each block gets 1/128. It can't fall below the weight of the blocks to come.

Ruled out: that blocks aren't closed (they are, every 5 s).

--- a/brrollout/evidence.go
+++ b/brrollout/evidence.go
@@ -52,13 +52,24 @@
 		p := r.referenceRate(m)
 		x, n := float64(c.Bad[m]), float64(c.Requests)
 		e := &into[m]
+		e.AfterBlocks++
+		rest := unstartedWeight(e.AfterBlocks)
 		for i, f := range afterRatios {
 			alt := min(p*f, (1+p)/2)
-			e.After[i] += min(x*math.Log(alt/p)+(n-x)*math.Log((1-alt)/(1-p)), blockCap)
+			logRatio := min(x*math.Log(alt/p)+(n-x)*math.Log((1-alt)/(1-p)), blockCap)
+			after := max(e.After[i], math.Log(rest))
+			unstarted := rest * math.Exp(-after) // part of the mean that this block doesn't change
+			e.After[i] = after + math.Log((1-unstarted)*math.Exp(logRatio)+unstarted)
 		}
 	}
 }
 
+// unstartedWeight returns the weight of the faults that begin after the first n blocks,
+// where n is at least 1.
+func unstartedWeight(n int) float64 {
+	return (1 - firstStartWeight) * math.Pow(1-laterStartWeight, float64(n-1))
+}
+
 // referenceRate returns the accepted rate of bad requests of the new version while
 // the old one has little or no traffic. It is between 0.01 and 0.8.
 func (r *RouteCounts) referenceRate(m Metric) float64 {
--- a/brrollout/judge.go
+++ b/brrollout/judge.go
@@ -64,6 +64,11 @@
 	// referenceWindow is the number of requests of the old version over which one
 	// reference rate is computed.
 	referenceWindow = 200
+	// firstStartWeight is the weight of a fault that begins with the first block without
+	// enough old traffic. Of the remaining weight each later block gets the fraction
+	// laterStartWeight, since that phase has some 100 blocks in the standard stages.
+	firstStartWeight = 0.5
+	laterStartWeight = 1.0 / 128
 )
 
 // Rate ratios over which the likelihood ratios are mixed with equal weights. The
@@ -95,6 +100,8 @@
 	Worse  [len(worseRatios)]float64  `cbor:"worse"`
 	Better [len(betterRatios)]float64 `cbor:"better"`
 	After  [len(afterRatios)]float64  `cbor:"after"`
+	// AfterBlocks is the number of blocks in After.
+	AfterBlocks int `cbor:"after_blocks,omitempty"`
 }
 
 // RouteCounts holds the counts of one route over the whole rollout.
@@ -150,7 +157,11 @@
 // then the mean over afterRatios f of the binomial likelihood
 // ratio of the rate f p against p. Here p is 1.5 times the highest rate of the old
 // version in any window of referenceWindow requests of this rollout, plus one
-// percent. The statistic is a supermartingale for every rate up to p.
+// percent. The statistic is a supermartingale for every rate up to p. The fault may
+// begin in any block of this phase, so the statistic is also a mean, with weights set
+// beforehand, over the block from which on the ratios are multiplied. Without that,
+// minutes without a fault would have to be outweighed before one that begins at full
+// traffic shows.
 //
 // The evidence of all routes together is, for each ratio, the product of the
 // evidence of the routes, which is also a supermartingale. It detects a fault that
--- a/brrollout/parts_test.go
+++ b/brrollout/parts_test.go
@@ -250,3 +250,26 @@
 		}
 	}
 }
+
+// TestJudgeFindsFaultAtFullTraffic guards against good requests at full traffic that
+// hide a fault which begins after them: at 12 requests/s, of which a half fail after four
+// minutes with 1%, the version must be found worse within half a minute, not before.
+func TestJudgeFindsFaultAtFullTraffic(t *testing.T) {
+	j := Judge{OldVersion: "v1", NewVersion: "v2"}.Add(simStart, brwire.Samples{Route: "r", Version: "v1", Requests: 200, Errors: 1})
+	j = j.Flush().WithTraffic(true, 1000)
+	const onset = 240
+	for i := 1; i <= onset+30; i++ {
+		now := simStart.Add(time.Duration(i) * time.Second)
+		s := brwire.Samples{Route: "r", Version: "v2", Requests: 12, Errors: 6}
+		if i <= onset {
+			s.Errors = i % 8 / 7
+		}
+		if j = j.Add(now, s).Close(now); j.Verdict().Worse {
+			if i <= onset {
+				t.Errorf("worse %d s before the fault: %+v", onset-i, j.Verdict())
+			}
+			return
+		}
+	}
+	t.Errorf("30 s after the fault the verdict is %+v, want worse", j.Verdict())
+}
--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -141,9 +141,9 @@
 // required while the fleet had little load, a suspect version lost the load that
 // shows its fault, the share grew while loads and orders failed, the versions were
 // compared concurrently while the old one had too little traffic for that, blocks of
-// evidence were shorter than one request of the new version takes to come, or the
-// traffic that the early stages may have was spent before the share was high enough to
-// load the new version's endpoints.
+// evidence were shorter than one request of the new version takes to come, the traffic
+// that the early stages may have was spent before the share was high enough to load the
+// new version's endpoints, or good requests at full traffic hid a fault after them.
 func TestExposureOnSeenSeeds(t *testing.T) {
 	checkExposure(t, []knownCase{
 		{"slow only under load", 2008}, {"slow only under load", 11023}, {"slow only under load", 11030},
@@ -151,7 +151,7 @@
 		{"refuses orders", 22015}, {"fails to load", 23012},
 		{"fails at the end", 22008}, {"fails at the end", 31068}, {"fails at the end", 32003},
 		{"slow only under load", 33040}, {"slow only under load", 33068}, {"slow only under load", 33084},
-		{"slow only under load", 50002}, {"bad on one route", 60038},
+		{"slow only under load", 50002}, {"bad on one route", 60038}, {"fails at the end", 72003},
 	})
 }
 
@@ -177,7 +177,7 @@
 func TestExposureOnOpenSeeds(t *testing.T) {
 	checkExposure(t, []knownCase{
 		{"slow only under load", 23031}, {"slow only under load", 72066}, {"slow only under load", 73044},
-		{"bad on one route", 20088}, {"fails at the end", 72003},
+		{"bad on one route", 20088},
 	})
 }
 
