brentry, brdaemon: answer the requests that a stop ends

On the product's own interface, a stop whose shutdown_timeout ran out, or a second signal, cut the requests in progress off with neither an answer nor a refusal: Drain returned, and Close closed the servers with their connections after one second.

Entry.EndRequests ends them, and Close calls it first: requests that weren't dispatched are refused as shutting_down (not run), the others end as deadline_exceeded with an unknown outcome, as a response, or as the error event of a stream that has begun, without its end marker. Waits for a scheduler and for the ledger before the dispatch end as well. Close then waits for the responses as before. deadline_exceeded counts as late in the pool, not as a fault of the endpoint, as endpoint_failed would.

Drain itself goes on as before: it refuses new requests at once and lets the ones in progress run. A later Close may still find some of them, so that Drain is not the place to end them (TestDrain relies on that).

--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -30,8 +30,8 @@
 	// maxClockAhead is how far a peer's stamp may be ahead of this VM's clock.
 	// The timeline ignores stamps that are further ahead.
 	maxClockAhead = time.Minute
-	// httpCloseTimeout limits the wait of Close for HTTP requests in progress,
-	// with or without a preceding Drain.
+	// httpCloseTimeout limits the wait of Close for the responses to the requests that
+	// it ends, with or without a preceding Drain.
 	httpCloseTimeout = time.Second
 	// shutdownStepTimeout limits the leadership transfer and the deregistration
 	// of a stopping daemon, each.
@@ -252,11 +252,14 @@
 	}
 }
 
-// Close stops the daemon at once and waits for its goroutines. For a planned
-// stop, Drain is called first.
+// Close stops the daemon at once and waits for its goroutines. Requests in progress are
+// ended with a response. For a planned stop, Drain is called first.
 func (d *Daemon) Close() error {
 	d.draining.Store(true)
 	d.cancel()
+	if d.entry != nil {
+		d.entry.EndRequests()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), httpCloseTimeout)
 	defer cancel()
 	for _, s := range d.servers {
--- a/brentry/drain.go
+++ b/brentry/drain.go
@@ -41,6 +41,37 @@
 	}
 }
 
+// EndRequests refuses new requests and ends those in progress, each with a response:
+// requests that weren't dispatched with kind shutting_down, and the others with kind
+// deadline_exceeded, whose outcome is unknown. It doesn't wait for the responses.
+func (e *Entry) EndRequests() {
+	e.mu.Lock()
+	e.draining = true
+	e.mu.Unlock()
+	e.end()
+}
+
+// errUndispatchedEnd is the error of a request that EndRequests ended before its dispatch.
+var errUndispatchedEnd = brerror.New(brerror.ShuttingDown, "entry is shutting down")
+
+// cancelAtEnd cancels a dispatch or a resumed response if EndRequests is called before the
+// returned function.
+func (e *Entry) cancelAtEnd(cancel context.CancelCauseFunc) (stop func() bool) {
+	return context.AfterFunc(e.ended, func() {
+		cancel(brerror.New(brerror.DeadlineExceeded, "entry was stopped before the response was complete"))
+	})
+}
+
+// ledgerContext returns a context for an access to the ledger before a dispatch.
+func (e *Entry) ledgerContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	stop := context.AfterFunc(e.ended, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // cancelStuck cancels stuck requests and returns the number of callers that are
 // still being served. It doesn't cancel non-idempotent requests.
 func (e *Entry) cancelStuck() int {
--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -93,6 +93,8 @@
 	client     *brdispatch.Client
 	background sync.WaitGroup // ledger commits that run in the background
 	stop       chan struct{}
+	ended      context.Context // canceled by EndRequests
+	end        context.CancelFunc
 
 	mu              sync.Mutex
 	draining        bool
@@ -122,7 +124,9 @@
 	c.GrantAttempts = cmp.Or(c.GrantAttempts, 3)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 30*time.Second)
 	c.DrainStuckTimeout = cmp.Or(c.DrainStuckTimeout, 15*time.Second)
-	return &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry(), startedAt: clock.Now()}
+	e := &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry(), startedAt: clock.Now()}
+	e.ended, e.end = context.WithCancel(context.Background())
+	return e
 }
 
 // Handler returns the HTTP handler for callers. It panics if Resolve, Submit,
--- a/brentry/ledger.go
+++ b/brentry/ledger.go
@@ -69,7 +69,7 @@
 	if !h.submit.NonIdempotent || h.submit.GeneratedID || e.LedgerLookup == nil {
 		return nil, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	ctx, cancel := e.ledgerContext(ctx)
 	defer cancel()
 	s, err := e.LedgerLookup(ctx, h.submit.RequestID)
 	if err != nil {
@@ -89,7 +89,7 @@
 	}
 	r := LedgerRecord{RequestID: h.submit.RequestID, Customer: h.admission.Customer, EntryID: e.config.EntryID,
 		EndpointID: g.EndpointID, Attempt: uuid.NewString()}
-	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	ctx, cancel := e.ledgerContext(ctx)
 	defer cancel()
 	s, err := e.LedgerBegin(ctx, r)
 	if err != nil {
--- a/brentry/resume.go
+++ b/brentry/resume.go
@@ -40,6 +40,7 @@
 	}()
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
+	defer e.cancelAtEnd(cancel)()
 	o := e.newOutput(w, id, brengine.Completion{Stream: true}, 0)
 	o.offset = offset
 	o.onDisconnect = func() { cancel(brerror.New(brerror.Canceled, "caller disconnected")) }
@@ -48,6 +49,9 @@
 	res, err := e.client.Resume(ctx, brdispatch.Request{RequestID: id, Address: located.Address,
 		Chunk: o.writeChunk, Flush: o.flush, KeepAlive: o.keepAlive}, offset)
 	if err != nil {
+		if e.ended.Err() != nil {
+			err = context.Cause(ctx)
+		}
 		o.finishWithError(err)
 		return
 	}
--- a/brentry/run.go
+++ b/brentry/run.go
@@ -79,6 +79,9 @@
 	deadline := e.clock.After(h.deadline.Sub(e.clock.Now()))
 	var retry <-chan time.Time
 	for {
+		if e.ended.Err() != nil {
+			return e.withdrawRequest(h, errUndispatchedEnd)
+		}
 		if submit {
 			err := e.submit(caller, h)
 			if err != nil && !noSchedulerReached(err) {
@@ -103,6 +106,8 @@
 			submit, retry = true, nil
 		case <-deadline:
 			return e.withdrawRequest(h, brerror.New(brerror.QueueTimeout, "no dispatch within the deadline of %v", h.submit.Deadline))
+		case <-e.ended.Done():
+			return e.withdrawRequest(h, errUndispatchedEnd)
 		case <-caller.Done():
 			e.Counters.CallerDisconnects.Add(1)
 			return e.withdrawRequest(h, brerror.New(brerror.Canceled, "caller disconnected before the dispatch"))
@@ -150,6 +155,8 @@
 	defer e.mu.Unlock()
 	now := e.clock.Now()
 	switch {
+	case e.ended.Err() != nil:
+		return errUndispatchedEnd
 	case h.phase != granted || h.grant != g || g.Epoch < e.registry.epochs[h.submit.Pool]:
 		return errStale
 	case now.After(h.grantExpires):
@@ -190,6 +197,7 @@
 func (e *Entry) dispatch(caller context.Context, h *heldRequest, g brwire.Grant, x exchange) (brdispatch.Result, error) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(caller))
 	defer cancel(nil)
+	defer e.cancelAtEnd(cancel)()
 	done := make(chan struct{})
 	boundary := func() error {
 		if caller.Err() != nil {
