brentry: test refused connections at an address that stays free

TestEndpointFailures/refused_connections failed once, at a load average of 27 beside tests that open many listeners: "started first_token done:unknown" instead of "done:not_run". The port that the test had closed was the next ephemeral one of somebody else, so that the connection was accepted. It now takes an address of brtest.FreeAddress, which nothing else listens on; what is checked is the same.

--- a/brentry/entry_test.go
+++ b/brentry/entry_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	"bramleyroute/brentry"
 	"bramleyroute/brerror"
 	"bramleyroute/brfake"
+	"bramleyroute/brtest"
 	"bramleyroute/brwire"
 	"go.uber.org/goleak"
 )
@@ -120,12 +120,7 @@
 // Guards against a second dispatch, a wrong outcome and an incomplete response after
 // each kind of endpoint or scheduler failure.
 func TestEndpointFailures(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = ln.Close()
-	closedAddress := ln.Addr().String()
+	closedAddress := brtest.FreeAddress(t)
 	for _, tt := range []struct {
 		name    string
 		fake    brfake.Config
