brdispatch: end the body of a failure with its context

A completion whose engine fell silent in the body of a failure went on after its context had ended, for as long as a read may take: nothing closed the connection between the header and the body. Now the end of the context does.

TestCanceledDuringFailure: ended 10 s (the stall timeout of the test) after a deadline of 200 ms before, passes now.

--- a/brdispatch/stream.go
+++ b/brdispatch/stream.go
@@ -115,7 +115,7 @@
 		return s.result, err
 	}
 	if err == nil && resp.StatusCode != http.StatusOK {
-		err = statusError(cn, resp)
+		err = statusError(ctx, cn, resp)
 		s.result.Duration = c.clock().Now().Sub(s.started)
 		return s.result, err
 	}
@@ -227,7 +227,7 @@
 		return fmt.Errorf("%w: %w", errBroken, err)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%w: %w", errBroken, statusError(cn, resp))
+		return fmt.Errorf("%w: %w", errBroken, statusError(s.ctx, cn, resp))
 	}
 	return s.read(cn, resp)
 }
@@ -395,9 +395,10 @@
 }
 
 // statusError returns an error for a response with a status other than 200 and closes
-// the connection.
-func statusError(cn *conn, resp *http.Response) error {
+// the connection. It reads the body, or what has arrived at the end of ctx.
+func statusError(ctx context.Context, cn *conn, resp *http.Response) error {
 	defer cn.Close()
+	defer context.AfterFunc(ctx, func() { _ = cn.Close() })()
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorLength))
 	return brerror.New(brerror.EndpointFailed, "endpoint responded with status %d: %s", resp.StatusCode, bytes.TrimSpace(b))
 }
--- a/brdispatch/trickle_test.go
+++ b/brdispatch/trickle_test.go
@@ -58,3 +58,17 @@
 		}
 	}
 }
+
+// TestCanceledDuringFailure guards against a completion that goes on after the end of its
+// context while the engine sends the body of a failure.
+func TestCanceledDuringFailure(t *testing.T) {
+	address := startServer(t, brtest.CutHandler(t, "HTTP/1.1 500 Failed\r\nContent-Length: 9\r\n\r\npart", brtest.Silent))
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	c := &brdispatch.Client{DialTimeout: patience, StallTimeout: patience}
+	defer c.Close()
+	began := time.Now()
+	if _, err := c.Complete(ctx, brdispatch.Request{RequestID: id, Address: address}); time.Since(began) > patience/2 {
+		t.Errorf("ended with %v after %v, want within 200 ms and a margin", err, time.Since(began))
+	}
+}
