brproxy: test endless chunk sizes, chunks and trailers

Adds the parts of a response that TestEndlessResponse left out: the line of a chunk's size, a chunk, a trailer (also of a stream) and bytes after the body.

--- a/brproxy/endless_test.go
+++ b/brproxy/endless_test.go
@@ -47,10 +47,16 @@
 // process, that is relayed beyond the deadline of the request, or that reaches the
 // caller as a complete one.
 func TestEndlessResponse(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	part := strings.Repeat("x", 1000)
 	for _, test := range []struct{ name, path, head string }{
 		{"header", "/never/", "HTTP/1.1 200 OK\r\nX-Fill: "},
 		{"body", "/never/", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"line of a chunk's size", "/never/", chunked + "1;"},
+		{"chunk", "/never/", chunked + "ffffffffff\r\n"},
+		{"trailer", "/never/", chunked + "4\r\nbody\r\n0\r\nX-Fill: "},
+		{"trailer of a stream", "/stream/", chunked + "9\r\ndata: a\n\n\r\n0\r\nX-Fill: "},
+		{"after the body", "/never/", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"},
 		{"body of a stream", "/stream/", "HTTP/1.1 200 OK\r\n\r\ndata: "},
 		{"body of a failure", "/safe/", "HTTP/1.1 500 Failed\r\n\r\n"},
 		{"body of a rejection", "/never/", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n\r\n"},
