--- a/brconn/fuzz_test.go
+++ b/brconn/fuzz_test.go
@@ -10,6 +10,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"bramleyroute/brtest"
 )
 
 // FuzzResponse guards against bytes of an endpoint that end the process, block a request,
@@ -29,39 +31,25 @@
 	}
 	var mu sync.Mutex
 	var response []byte
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		f.Fatal(err)
-	}
-	f.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
+	address := brtest.ServeConns(f, func(c net.Conn) {
+		r := bufio.NewReader(c)
+		for first := true; ; first = false {
+			q, err := http.ReadRequest(r)
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				r := bufio.NewReader(c)
-				for first := true; ; first = false {
-					q, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					if !first || q.Header.Get("Id") != "1" {
-						respond(c, q.Header.Get("Id"), "sound")
-						continue
-					}
-					mu.Lock()
-					b := response
-					mu.Unlock()
-					if _, err := c.Write(b); err != nil || q.Header.Get("Close") != "" {
-						return
-					}
-				}
-			}()
+			if !first || q.Header.Get("Id") != "1" {
+				respond(c, q.Header.Get("Id"), "sound")
+				continue
+			}
+			mu.Lock()
+			b := response
+			mu.Unlock()
+			if _, err := c.Write(b); err != nil || q.Header.Get("Close") != "" {
+				return
+			}
 		}
-	}()
+	})
 	f.Fuzz(func(t *testing.T, data []byte) {
 		mu.Lock()
 		response = data
@@ -81,7 +69,7 @@
 			if closing != "" {
 				header.Set("Close", closing)
 			}
-			x, err := p.Send(ctx, l.Addr().String(), Request{ID: "1", Method: "POST", URI: "/", Host: "h", Header: header})
+			x, err := p.Send(ctx, address, Request{ID: "1", Method: "POST", URI: "/", Host: "h", Header: header})
 			var sent *SendError
 			switch {
 			case err == nil && x.Response.Header.Get("Id") != "1" && x.Response.Header.Get("Not-Run") == "":
@@ -95,7 +83,7 @@
 			}
 			cancel()
 		}
-		if body, err := send(p, l.Addr().String(), "2", "POST"); err == nil && body != "sound" {
+		if body, err := send(p, address, "2", "POST"); err == nil && body != "sound" {
 			t.Errorf("after %q: the next request got %q", data, body)
 		}
 	})
--- a/brsoak/proxy_test.go
+++ b/brsoak/proxy_test.go
@@ -8,30 +8,17 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"bramleyroute/brtest"
 )
 
 // startEcho starts an echo server and a proxy to it.
 func startEcho(t *testing.T) *Proxy {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				// Copy returns when the other side closes.
-				_, _ = io.Copy(c, c)
-			}()
-		}
-	}()
-	p, err := NewProxy("127.0.0.1:0", l.Addr().String())
+	address := brtest.ServeConns(t, func(c net.Conn) {
+		_, _ = io.Copy(c, c) // ends when the other side closes
+	})
+	p, err := NewProxy("127.0.0.1:0", address)
 	if err != nil {
 		t.Fatal(err)
 	}
