brwal: a file that can't be written in full is removed

Callers: while a replica whose disk is full is started again each 0.5 s, the unfinished copy of its last segment takes all the room that is left, up to the size of a segment, also between the attempts. Other files on the disk (the quarantine) can't be written, and the operator sees a full disk whatever they remove, up to that size.

The temporary file is removed when its write, sync or rename fails, if the disk allows that.

--- a/brwal/full_test.go
+++ b/brwal/full_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"slices"
 	"syscall"
 	"testing"
@@ -26,6 +27,7 @@
 type fullDisk struct {
 	rng       *rand.Rand
 	countdown int
+	removes   bool // files can be removed from the full disk
 }
 
 func (d *fullDisk) err() error {
@@ -59,7 +61,7 @@
 			return os.Rename(from, to)
 		},
 		Remove: func(path string) error {
-			if err := d.err(); err != nil {
+			if err := d.err(); err != nil && !d.removes {
 				return err
 			}
 			return os.Remove(path)
@@ -73,7 +75,7 @@
 func runFullDisk(dir string, seed uint64) error {
 	const room = 1 << 30 // operations
 	rng := rand.New(rand.NewPCG(seed, 0))
-	d := &fullDisk{rng: rng, countdown: room}
+	d := &fullDisk{rng: rng, countdown: room, removes: seed%2 == 0}
 	members := []brlog.Member{{ID: "a"}, {ID: "b"}}
 	want := brlog.StoredState{} // what has been reported as durable
 	for range 8 {
@@ -86,6 +88,9 @@
 			l, got, err = Open(d.options(dir))
 		}
 		if err != nil {
+			if left, _ := filepath.Glob(filepath.Join(dir, "*"+temporarySuffix)); len(left) > 0 && d.removes {
+				return fmt.Errorf("%v takes room after Open failed", left)
+			}
 			d.countdown = room
 			if l, got, err = Open(d.options(dir)); err != nil {
 				return fmt.Errorf("open with room: %w", err)
--- a/brwal/snapshot.go
+++ b/brwal/snapshot.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 
@@ -61,12 +63,18 @@
 }
 
 // replaceFile durably creates or replaces the file at path. After an error or a crash,
-// it has either the old or the new content.
+// it has either the old or the new content. After an error, the temporary file is
+// removed, so that it doesn't take the last room of a full disk.
 func (l *Log) replaceFile(path string, b []byte) error {
-	if err := l.writeFile(path+temporarySuffix, b); err != nil {
-		return err
+	temporary := path + temporarySuffix
+	err := l.writeFile(temporary, b)
+	if err == nil {
+		err = l.opts.Rename(temporary, path)
 	}
-	if err := l.opts.Rename(path+temporarySuffix, path); err != nil {
+	if err != nil {
+		if removeErr := l.opts.Remove(temporary); !errors.Is(removeErr, fs.ErrNotExist) {
+			err = errors.Join(err, removeErr)
+		}
 		return err
 	}
 	return l.syncDir(l.opts.Dir)
