brlog: a lost disk leaves one member at its address

Callers: the disk of a replica is lost, and lost again before its successor is a voter. The second successor replaces the first one, and the voter whose disk was lost first remains a member for good: three live replicas of four voters, so that the loss of one more refuses all changes. (The fleet's supervisor removes a silent voter after 2.5 s; nothing does in the control group of the product.)

Cause: the new learner names one member to replace, the last one that is known at its address.

The leader now removes learners at the address of a new learner in the same change, which leaves the voters as they are, and the new learner replaces the voter there.

TestDiskLostTwice, 20 schedules, failed before: "members are [r0 r1 r1.2 r2], want 3 with r1.2 as a voter".

Tried first: a learner that has caught up removes all others at its address. An earlier learner that is still counted as live could then remove its successor.

--- a/brlog/full_test.go
+++ b/brlog/full_test.go
@@ -203,3 +203,36 @@
 		}
 	}
 }
+
+// TestDiskLostTwice guards against a member that remains in the group after the disk of
+// its successor was lost as well, before that had become a voter.
+func TestDiskLostTwice(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSimOf(3, seed, mutation{})
+		s.dropRate, s.faultsEnded, s.byAddress = 0, true, true
+		s.onHalt = func(n *node) { s.rejoin(n) }
+		s.scheduleWork()
+		s.runUntil(5*time.Second, func() bool { return s.leaderID() != "" })
+		n := s.nodes[0]
+		if n.id == s.leaderID() {
+			n = s.nodes[1]
+		}
+		s.emptyDisk(n)
+		learner := func() bool {
+			m, ok := s.committedMembership()
+			_, known := m.Find(n.id)
+			return ok && known && !m.IsVoter(n.id)
+		}
+		s.runFor(fullRestartDelay)
+		s.runUntil(s.now+time.Second, learner)
+		if !learner() {
+			t.Fatalf("seed %d: %s isn't a learner", seed, n.id)
+		}
+		s.emptyDisk(n)
+		s.runFor(5 * time.Second)
+		m, _ := s.committedMembership()
+		if len(m.Members) != 3 || !m.IsVoter(n.id) {
+			t.Fatalf("seed %d: members are %v, want 3 with %s as a voter", seed, m.Members, n.id)
+		}
+	}
+}
--- a/brlog/membership.go
+++ b/brlog/membership.go
@@ -50,10 +50,27 @@
 		return
 	}
 	m.Learner = true
-	s.appendMembership(s.membership.With(m))
+	s.appendMembership(s.withLearner(m))
 	s.emitAccepted(1)
 }
 
+// withLearner returns the membership with the learner m. If the disk at its address was
+// lost again before an earlier learner became a voter, m takes the place of that one
+// too; it can't vote, so both changes are made at once.
+func (s *State) withLearner(m Member) Membership {
+	next := s.membership
+	for _, x := range s.membership.Members {
+		switch {
+		case x.Address != m.Address || m.Address == "" || x.ID == s.id:
+		case x.Learner:
+			next = next.Without(x.ID)
+		default:
+			m.Replaces = x.ID
+		}
+	}
+	return next.With(m)
+}
+
 func (s *State) removeMember(id ID) {
 	m, ok := s.membership.Find(id)
 	if !ok {
