brcontrol: tests use addresses that stay free

A run beside load (load average about 20) failed once with "replica_test.go:113: listen tcp 127.0.0.1:51587: bind: address already in use": a replica was started again at a port that the system had given to an outgoing connection meanwhile. The tests take their addresses from brtest.FreeAddress, whose ports are outside of that range, as the tests of brfleet do. No check changes.

--- a/brcontrol/group_test.go
+++ b/brcontrol/group_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bramleyroute/brpeer"
+	"bramleyroute/brtest"
 )
 
 // listMachine is a state machine that records all applied entries in order.
@@ -71,7 +72,7 @@
 	var peers []Peer
 	var listeners []net.Listener
 	for i := range size {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", brtest.FreeAddress(t))
 		if err != nil {
 			t.Fatal(err)
 		}
