brcontrol: a repair counts once it is committed, also in the test

TestLostDisks failed once with -race beside load: "timed out waiting for: leader". The status shows voters c0.46 and c2, the learner c1.9aa, and c2 with an empty disk: the promotion of c1.9aa was in the log of the leader c2 only when the test took c2's disk away. With that, two of three disks were lost before the first was repaired, which no group of three survives.

The test read the membership as the leader shows it, committed or not. The failure was seen in 1 of 4 runs of the package, and wasn't reproduced.

--- a/brcontrol/group_test.go
+++ b/brcontrol/group_test.go
@@ -220,7 +220,10 @@
 	g.start(n, nil)
 }
 
+// repaired reports whether the leader's membership is committed, has n as a voter and no
+// other members than the nodes. A change that isn't committed is lost with the leader's
+// disk.
 func (g *group) repaired(n *node) bool {
 	st := g.leader().Status()
-	return st.Membership.IsVoter(n.Status().ID) && st.Membership.Voters() == len(g.nodes) && len(st.Membership.Members) == len(g.nodes)
+	return st.Commit == st.Last && st.Membership.IsVoter(n.Status().ID) && st.Membership.Voters() == len(g.nodes) && len(st.Membership.Members) == len(g.nodes)
 }
