brcontrol: a replica without a leader asks whether it was removed

Callers: a replica that is off while all members that it knew are replaced at other addresses stays a candidate for good, since its vote requests go to addresses at which nothing listens. The answer to vote requests helps only as long as a member is left at its address.

A member without a leader now asks the configured or discovered replicas, every 2 s, as one does that isn't a member yet. Their reply lists the removed IDs, if no change of the membership is uncommitted.

--- a/brcontrol/group_test.go
+++ b/brcontrol/group_test.go
@@ -95,6 +95,21 @@
 	return g
 }
 
+// add starts a node with an empty data directory that knows all running ones.
+func (g *group) add(id string) *node {
+	g.t.Helper()
+	n := &node{cfg: g.nodes[0].cfg}
+	n.cfg.Self = Peer{ID: id, Address: brtest.FreeAddress(g.t)}
+	n.cfg.Dir = filepath.Join(g.t.TempDir(), id)
+	n.cfg.Peers = []Peer{n.cfg.Self}
+	for _, x := range g.running() {
+		n.cfg.Peers = append(n.cfg.Peers, x.cfg.Self)
+	}
+	g.nodes = append(g.nodes, n)
+	g.start(n, nil)
+	return n
+}
+
 // start starts n on ln, or on a new listener at its address if ln is nil.
 func (g *group) start(n *node, ln net.Listener) {
 	g.t.Helper()
--- a/brcontrol/peers.go
+++ b/brcontrol/peers.go
@@ -52,6 +52,7 @@
 	Established   bool           `cbor:"established"` // the group has had a leader
 	Members       []brlog.Member `cbor:"members,omitempty"`
 	LeaderAddress string         `cbor:"leader_address,omitempty"`
+	Removed       []brlog.ID     `cbor:"removed,omitempty"` // IDs that can't be used again
 }
 
 func (r *Replica) name(base string) string { return groupName(base, r.cfg.Group) }
@@ -245,7 +246,7 @@
 	return helloReply{
 		// A bootstrapped replica is in term 1 until the first election.
 		Established: st.Term != 1,
-		Members:     st.Membership.Members, LeaderAddress: st.LeaderAddress,
+		Members:     st.Membership.Members, LeaderAddress: st.LeaderAddress, Removed: r.state.RemovedIDs(),
 	}
 }
 
@@ -335,19 +336,28 @@
 
 // joinGroup asks the leader to add this replica as long as it is not a member. It
 // keeps checking after the replica was added, because a new leader may discard
-// an addition that was not committed.
+// an addition that was not committed. A member without a leader asks whether it was
+// removed: it may know none of the present members, nor their addresses.
 func (r *Replica) joinGroup() {
 	for r.ctx.Err() == nil {
 		st := r.Status()
-		if _, ok := st.Membership.Find(st.ID); ok {
+		_, member := st.Membership.Find(st.ID)
+		if member {
 			r.sleep(memberCheckInterval)
-			continue
+			if address, self := r.leader(); address != "" || self {
+				continue
+			}
 		}
-		if st.Removed {
+		replies := r.queryPeers()
+		reported := func(h helloReply) bool { return slices.Contains(h.Removed, st.ID) }
+		if st.Removed || slices.ContainsFunc(replies, reported) {
 			r.fatal(ErrRemoved)
 			return
 		}
-		for _, h := range r.queryPeers() {
+		if member {
+			continue
+		}
+		for _, h := range replies {
 			if h.LeaderAddress != "" && r.requestJoin(h, st.ID) {
 				break
 			}
--- a/brcontrol/replica_test.go
+++ b/brcontrol/replica_test.go
@@ -260,3 +260,41 @@
 		})
 	}
 }
+
+// TestRemovedReplicaOfMovedGroup guards against a replica that stays out of the group for
+// good, because it was off while all members that it knew were replaced at other
+// addresses.
+func TestRemovedReplicaOfMovedGroup(t *testing.T) {
+	t.Parallel()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	g := newGroup(t, 3, 0)
+	g.propose(g.nodes[0], "before")
+	off := g.nodes[2]
+	id := off.Status().ID
+	g.stop(off)
+	if err := g.leader().RemoveReplica(ctx, id); err != nil {
+		t.Fatal(err)
+	}
+	for i, old := range g.nodes[:2] {
+		n := g.add(fmt.Sprint("new", i))
+		g.wait("the new replica is a voter", func() bool {
+			m := n.Status()
+			return m.Commit == m.Last && m.Membership.IsVoter(m.ID)
+		})
+		if err := g.leader().RemoveReplica(ctx, old.Status().ID); err != nil {
+			t.Fatal(err)
+		}
+		g.stop(old)
+	}
+	off.cfg.Peers = []Peer{off.cfg.Self, g.nodes[3].cfg.Self, g.nodes[4].cfg.Self}
+	g.start(off, nil)
+	select {
+	case err := <-off.fatal:
+		if !errors.Is(err, ErrRemoved) {
+			t.Errorf("replica reported %v, want ErrRemoved", err)
+		}
+	case <-ctx.Done():
+		t.Errorf("replica that was removed isn't told; its status is %+v", off.Status())
+	}
+}
--- a/brlog/election.go
+++ b/brlog/election.go
@@ -2,11 +2,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
 func (s *State) receive(m Message) {
-	if m.isVoteRequest() && s.membership.IsRemoved(m.From) && s.membershipIndex <= s.commit {
+	if m.isVoteRequest() && slices.Contains(s.RemovedIDs(), m.From) {
 		// The candidate may know this replica under an ID that it had before it lost its
 		// disk. If no other replica told it, it would remain a candidate for good.
 		s.send(Message{Kind: MessageRemoved, To: m.From, Term: s.hardState.Term})
--- a/brlog/status.go
+++ b/brlog/status.go
@@ -1,6 +1,9 @@
 package brlog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Status is the status of a replica.
 type Status struct {
@@ -53,7 +56,16 @@
 // removed reports whether this replica was removed from the group, either by a
 // committed membership entry or by notification from another replica.
 func (s *State) removed() bool {
-	return s.removalReported || s.membership.IsRemoved(s.id) && s.membershipIndex <= s.commit
+	return s.removalReported || slices.Contains(s.RemovedIDs(), s.id)
+}
+
+// RemovedIDs returns the IDs that were permanently removed from the group. It returns
+// nil while a change of the membership isn't committed.
+func (s *State) RemovedIDs() []ID {
+	if s.membershipIndex > s.commit {
+		return nil
+	}
+	return s.membership.Removed
 }
 
 // Leader returns the ID and the address of the current leader and reports whether
