brwal, brcore: the log of a removed replica is removed as a whole

Callers: a replica that was removed from the group (its disk was full for over 2.5 s) empties its disk to join again. The daemon's quarantine, a file in the same directory, was removed too, and written again only after its next change.

brwal.Remove marks the log first. Open removes the rest of a marked log before it reads anything. Files that aren't part of the log remain.

TestRemove fails each of the operations of Remove in turn; the log is empty after each.

--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -3,11 +3,10 @@
 import (
 	"context"
 	"errors"
-	"os"
-	"path/filepath"
 	"time"
 
 	"bramleyroute/brcontrol"
+	"bramleyroute/brwal"
 )
 
 const (
@@ -38,7 +37,7 @@
 		c.cfg.Log.Error().Err(err).Msg("replica stopped; restarting it")
 		if errors.Is(err, brcontrol.ErrRemoved) {
 			c.removed.Store(true)
-			c.clearDir()
+			c.removeLog()
 		}
 		select {
 		case <-c.cfg.Clock.After(restartDelay):
@@ -195,17 +194,12 @@
 	}
 }
 
-// clearDir empties the data directory of a removed replica, so that it can join
-// the group again under a new ID.
-func (c *Core) clearDir() {
-	entries, err := os.ReadDir(c.cfg.Dir)
-	if err != nil {
-		c.cfg.Log.Error().Err(err).Msg("reading the data directory failed")
-		return
-	}
-	for _, e := range entries {
-		if err := os.RemoveAll(filepath.Join(c.cfg.Dir, e.Name())); err != nil {
-			c.cfg.Log.Error().Err(err).Msg("emptying the data directory failed")
-		}
+// removeLog removes the log of a removed replica, so that it can join the group again
+// under a new ID. Other files of the daemon remain.
+func (c *Core) removeLog() {
+	o := c.cfg.WAL
+	o.Dir = c.cfg.Dir
+	if err := brwal.Remove(o); err != nil {
+		c.cfg.Log.Error().Err(err).Msg("removing the log failed")
 	}
 }
--- a/brwal/log.go
+++ b/brwal/log.go
@@ -112,6 +112,9 @@
 	if err := l.syncDir(l.opts.Dir); err != nil {
 		return brlog.StoredState{}, err
 	}
+	if err := l.finishRemoval(); err != nil {
+		return brlog.StoredState{}, err
+	}
 	snap, err := l.loadSnapshot()
 	if err != nil {
 		return brlog.StoredState{}, err
