--- a/brcontrol/group_test.go
+++ b/brcontrol/group_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bramleyroute/brpeer"
+	"bramleyroute/brtest"
 )
 
 // listMachine is a state machine that records all applied entries in order.
@@ -71,7 +72,7 @@
 	var peers []Peer
 	var listeners []net.Listener
 	for i := range size {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", brtest.FreeAddress(t))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -94,6 +95,21 @@
 	return g
 }
 
+// add starts a node with an empty data directory that knows all running ones.
+func (g *group) add(id string) *node {
+	g.t.Helper()
+	n := &node{cfg: g.nodes[0].cfg}
+	n.cfg.Self = Peer{ID: id, Address: brtest.FreeAddress(g.t)}
+	n.cfg.Dir = filepath.Join(g.t.TempDir(), id)
+	n.cfg.Peers = []Peer{n.cfg.Self}
+	for _, x := range g.running() {
+		n.cfg.Peers = append(n.cfg.Peers, x.cfg.Self)
+	}
+	g.nodes = append(g.nodes, n)
+	g.start(n, nil)
+	return n
+}
+
 // start starts n on ln, or on a new listener at its address if ln is nil.
 func (g *group) start(n *node, ln net.Listener) {
 	g.t.Helper()
@@ -219,7 +235,10 @@
 	g.start(n, nil)
 }
 
+// repaired reports whether the leader's membership is committed, has n as a voter and no
+// other members than the nodes. A change that isn't committed is lost with the leader's
+// disk.
 func (g *group) repaired(n *node) bool {
 	st := g.leader().Status()
-	return st.Membership.IsVoter(n.Status().ID) && st.Membership.Voters() == len(g.nodes) && len(st.Membership.Members) == len(g.nodes)
+	return st.Commit == st.Last && st.Membership.IsVoter(n.Status().ID) && st.Membership.Voters() == len(g.nodes) && len(st.Membership.Members) == len(g.nodes)
 }
