--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"bramleyroute/brclock"
-	"bramleyroute/brconfig"
 	"bramleyroute/brerror"
 	"bramleyroute/brlogging"
 	"bramleyroute/brmember"
@@ -381,22 +380,3 @@
 	}
 	return append(list[start:len(list):len(list)], list[:start]...)
 }
-
-func modelOf(pool string) string {
-	model, _, _ := strings.Cut(pool, "@")
-	return model
-}
-
-func regionOf(pool string) string {
-	_, region, _ := strings.Cut(pool, "@")
-	return region
-}
-
-func poolKind(doc brconfig.Document, model string) brwire.EndpointKind {
-	for _, m := range doc.Models {
-		if m.Name == model && m.Kind == string(brwire.KindService) {
-			return brwire.KindService
-		}
-	}
-	return brwire.KindEngine
-}
