brcontrol: refuse a stored membership that can't be decoded

An entry on the disk with a membership in a form that this build can't decode ended the process with a panic, again after each start. From the network, Message.Check keeps such entries away; on the disk an earlier build meets them after the way back. Start checks the stored entries in the same way and returns an error, so that brcore logs it and the rest of the daemon serves.

--- a/brcontrol/replica.go
+++ b/brcontrol/replica.go
@@ -119,7 +119,7 @@
 }
 
 // Start opens the data directory and starts a replica. It returns the errors of
-// brwal.Open and of StateMachine.Restore. Start panics if Fatal, Self or a function
+// brwal.Open, of the check of the stored state and of StateMachine.Restore. Start panics if Fatal, Self or a function
 // of StateMachine is missing.
 func Start(cfg Config) (*Replica, error) {
 	m := cfg.StateMachine
@@ -138,6 +138,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := stored.Check(); err != nil {
+		wal.Close()
+		return nil, fmt.Errorf("brcontrol: %s: %w", cfg.Dir, err)
+	}
 	if stored.Snapshot.Index > 0 {
 		if err := m.Restore(stored.Snapshot.Data); err != nil {
 			wal.Close()
--- a/brlog/check.go
+++ b/brlog/check.go
@@ -32,6 +32,17 @@
 	return nil
 }
 
+// Check returns an error if s has entries that aren't consecutive or that this build can't
+// use, for example a membership in the form of a later one. A State must not start with it.
+func (s StoredState) Check() error {
+	for i, e := range s.Entries {
+		if err := e.check(s.Entries[0].Index + uint64(i)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // check returns an error unless e is a valid entry with the given index.
 func (e Entry) check(index uint64) error {
 	if e.Index != index {
