--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -41,18 +41,19 @@
 	// throttledShare, and below exposureResume they raise it again. The distance
 	// between exposureLimit and exposureTarget leaves room for the requests in
 	// progress at detection. exposureLimit and exposureResume are far apart because
-	// the samples within settleTime of each increase are not used as evidence.
+	// the samples within settleTime of each increase are weaker evidence.
 	exposureTarget = 0.02
 	exposureLimit  = 0.016
 	exposureResume = 0.012
 	// throttledShare is the share in per mille of the early stages after the first
-	// while the fleet isn't loaded or the exposure is at its limit. The traffic
+	// while the exposure is at its limit or State.savesTraffic holds. The traffic
 	// saved then is used under load, where more faults show.
 	throttledShare = 2
 	// suspectShare is the share in per mille to which the later stages fall back
-	// while the Judge holds growth, as far as the old version's endpoints can carry
-	// the rest. The last stage keeps its share, because its evidence doesn't add to
-	// that gathered while the old version had traffic.
+	// in State.lateStageCap, as far as the old version's endpoints can carry the
+	// rest. A bad request is worth more evidence at a low share than at a high one.
+	// The last stage keeps its share, because its evidence doesn't add to that
+	// gathered while the old version had traffic.
 	suspectShare = 50
 
 	// earlyStageRequests and stageRequests are the numbers of requests that the new
@@ -79,9 +80,9 @@
 	assumedPeakFraction = 0.65
 	assumedPeakUntil    = 0.5
 
-	// settleTime is the time for which samples are not used as evidence after the
-	// share was raised by more than the factor settleRatio. Of the requests started
-	// then, those that fail or are short end first.
+	// settleTime is the time for which the Judge compares with the share after it was
+	// raised by more than the factor settleRatio; see Judge.WithSettling. Of the
+	// requests started then, those that fail or are short end first.
 	settleTime  = 10 * time.Second
 	settleRatio = 1.25
 
@@ -152,6 +153,17 @@
 	return max(min(d, minScaledTime), time.Duration(scale*float64(d)))
 }
 
+// settlingShare returns the share in per mille for Judge.WithSettling.
+func (s *State) settlingShare(now time.Time) int {
+	switch {
+	case !now.Before(s.SettledAt):
+		return 0
+	case now.Before(s.FormerShareEnd):
+		return max(s.Share, s.FormerShare)
+	}
+	return s.Share
+}
+
 func (s *State) duration() time.Duration { return s.FinishBy.Sub(s.StartedAt) }
 
 // timeAt maps a fraction of the plan to a time. If loading the fleet takes longer
@@ -235,8 +247,7 @@
 		return 0
 	}
 	share := stages[s.Stage].PerMille
-	belowEqual := share*s.presentEndpoints() < 1000*ready
-	if 0 < s.Stage && s.Stage < earlyStages && (s.Throttled || !s.loaded() && !belowEqual) {
+	if 0 < s.Stage && s.Stage < earlyStages && (s.Throttled || s.savesTraffic(ready)) {
 		share = throttledShare
 	}
 	if s.Stage < earlyStages && s.duration() < shortDuration {
@@ -251,15 +262,26 @@
 	return share
 }
 
-// lateStageCap returns the maximum share in per mille in the later stages. It is
-// 1000 unless loads or orders fail, or the Judge holds growth while the exposure is
-// above exposureLimit. It is lowest while loads or orders fail, because more traffic
-// yields no evidence about these.
+// savesTraffic reports whether the traffic that this early stage could have is better
+// used later: while the fleet isn't loaded, or, if the ready endpoints of the new version
+// can't be loaded at the stage's share, once the stage has the requests that it requires.
+func (s *State) savesTraffic(ready int) bool {
+	if stages[s.Stage].PerMille*s.presentEndpoints() < 1000*ready {
+		return s.StageLoaded >= s.requiredRequests()
+	}
+	return !s.loaded()
+}
+
+// lateStageCap returns the maximum share in per mille in the later stages but the last.
+// It is 1000 unless loads or orders fail, or, while the exposure is above exposureLimit,
+// the Judge holds growth or its evidence isn't clear. The latter holds the share up to the
+// next stage's Latest only, since it is to be expected of some good versions. The share is
+// lowest while loads or orders fail, because more traffic yields no evidence about these.
 func (s *State) lateStageCap() int {
 	switch {
 	case !s.loadsReliable():
 		return max(throttledShare, s.minShare())
-	case s.Suspect && s.Exposure() > exposureLimit:
+	case (s.Suspect || s.Unclear && s.TickedAt.Before(s.timeAt(stages[s.Stage+1].Latest))) && s.Exposure() > exposureLimit:
 		return max(suspectShare, s.minShare())
 	}
 	return 1000
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -132,10 +132,7 @@
 		t.rollBack(fmt.Sprintf("breaker of pool %s: route %s", e.Pool, e.Route))
 		return
 	}
-	t.Judge = t.Judge.Add(t.now, e.Samples)
-	if t.now.Before(t.SettledAt) {
-		t.Judge = t.Judge.Discard()
-	}
+	t.Judge = t.Judge.WithSettling(t.settlingShare(t.now)).Add(t.now, e.Samples)
 	if isNew && t.countsAsEvidence() {
 		t.StageLoaded += e.Requests
 	}
@@ -186,7 +183,7 @@
 func (t *transition) decide() {
 	t.Judge = t.Judge.Close(t.now).WithTraffic(t.loaded(), t.Share)
 	v := t.policy.Verdict(t.Judge)
-	t.Suspect = !v.MayGrow
+	t.Suspect, t.Unclear = !v.MayGrow, v.Unclear
 	if v.Doubtful {
 		t.DoubtReason = v.Reason
 	}
@@ -245,6 +242,10 @@
 	if settleRatio*float64(share) < float64(t.Share) {
 		// The requests of one block are comparable only at the same share.
 		t.Judge = t.Judge.Flush()
+		if !t.now.Before(t.FormerShareEnd) {
+			t.FormerShare = 0
+		}
+		t.FormerShare, t.FormerShareEnd = max(t.FormerShare, t.Share), t.now.Add(t.scaled(settleTime))
 	}
 	if share != t.Share {
 		t.Share = share
@@ -256,8 +257,8 @@
 }
 
 // shareReached reports whether the stage's share is set, or is kept lower for a
-// reason that doesn't hold growth. In the early stages the reason is that the fleet
-// isn't loaded or the exposure is at its limit. In later stages it is that loads or
+// reason that doesn't hold growth. In the early stages the reason is that the exposure
+// is at its limit or that traffic is saved for later. In later stages it is that loads or
 // orders fail, which only further attempts can resolve.
 func (t *transition) shareReached() bool {
 	return t.Share == stages[t.Stage].PerMille || t.Stage < earlyStages || !t.loadsReliable()
