brdrain: refuse fewer callers during a planned stop

Cause: the longest recent duration of a route is many times the usual one, so that all streams that may not run twice were refused from the signal on. And callers with a kept connection, whom no load balancer steers elsewhere, were refused until the end.

Now Durations keeps the distribution: in the first phase such a request is accepted if at most one in twenty takes longer than the time left. Connections on which nothing has arrived are closed at the start of the second phase; their callers open others without the cost of a refusal.

--- a/brdrain/doc.go
+++ b/brdrain/doc.go
@@ -8,6 +8,7 @@
 // that, since its caller can do nothing if it is ended.
 //
 // In the second phase no load balancer sends any more, and a refused caller comes back to
-// another daemon. Only requests whose deadline lies in the stop are accepted then: none of
+// another daemon. Idle connections are closed at its start, which costs their callers less
+// than a refusal. Only requests whose deadline lies in the stop are accepted then: none of
 // them is ended early.
 package brdrain
--- a/brdrain/durations.go
+++ b/brdrain/durations.go
@@ -8,39 +8,61 @@
 	durationWindow = time.Minute
 	// minDurations is the number of durations of a route that count as experience.
 	minDurations = 20
-	// expectedFactor is the ratio of the expected duration to the longest recent one.
-	expectedFactor = 1.5
+	// bucketWidth is the resolution of durations, and buckets their number. Longer ones
+	// are in the last bucket.
+	bucketWidth = 250 * time.Millisecond
+	buckets     = 64
 )
 
 // Durations estimates the durations of requests by route from those of recent ones. It is
 // not safe for concurrent use. The zero value is ready to use.
 type Durations struct {
 	since             time.Time // start of current
-	current, previous map[string]longest
+	current, previous map[string]*histogram
 }
 
-// longest is the longest of a number of durations.
-type longest struct {
-	duration time.Duration
-	count    int
+// histogram is the number of durations by bucket.
+type histogram [buckets]int
+
+// atLeast returns the number of durations, and of those in the given bucket or a later one.
+// h may be nil.
+func (h *histogram) atLeast(bucket int) (all, long int) {
+	if h == nil {
+		return 0, 0
+	}
+	for i, n := range h {
+		all += n
+		if i >= bucket {
+			long += n
+		}
+	}
+	return all, long
 }
 
+func bucketOf(d time.Duration) int { return int(max(0, min(d/bucketWidth, buckets-1))) }
+
 // Add adds the duration of a request that was answered at now.
 func (d *Durations) Add(now time.Time, route string, duration time.Duration) {
 	d.rotate(now)
-	l := d.current[route]
-	d.current[route] = longest{max(l.duration, duration), l.count + 1}
+	h := d.current[route]
+	if h == nil {
+		h = &histogram{}
+		d.current[route] = h
+	}
+	h[bucketOf(duration)]++
 }
 
-// Expected returns the time in which a request of the route ends, or 0 if there were too few
-// recent ones.
-func (d *Durations) Expected(now time.Time, route string) time.Duration {
+// ShareOver returns the share of the recent requests of the route that took longer than
+// limit, with a resolution of bucketWidth. It is 1 if there were too few requests.
+func (d *Durations) ShareOver(now time.Time, route string, limit time.Duration) float64 {
 	d.rotate(now)
-	a, b := d.current[route], d.previous[route]
-	if a.count+b.count < minDurations {
-		return 0
+	bucket := bucketOf(limit)
+	n, long := d.current[route].atLeast(bucket)
+	m, longBefore := d.previous[route].atLeast(bucket)
+	if n+m < minDurations {
+		return 1
 	}
-	return time.Duration(expectedFactor * float64(max(a.duration, b.duration)))
+	return float64(long+longBefore) / float64(n+m)
 }
 
 // rotate drops the durations that are too old.
@@ -53,5 +75,5 @@
 	if age < 2*durationWindow {
 		d.previous = d.current
 	}
-	d.current, d.since = map[string]longest{}, now
+	d.current, d.since = map[string]*histogram{}, now
 }
--- a/brdrain/plan.go
+++ b/brdrain/plan.go
@@ -12,10 +12,15 @@
 type Request struct {
 	Repeatable bool      // may be sent again after it has run
 	Deadline   time.Time // at which it ends at the latest
-	// Expected is the time in which such requests end, by experience; 0 if there is none.
-	Expected time.Duration
+	// Late is the share of such requests that take longer than until the end of the stop,
+	// by experience; 1 if there is none.
+	Late float64
 }
 
+// maxLate is the largest share of requests that must not run twice which a stop may end: a
+// refusal costs each of their callers a retry and some time, an end costs one its request.
+const maxLate = 0.05
+
 // Admits reports whether a request is accepted at now. Otherwise it is refused at once.
 func (p Plan) Admits(now time.Time, r Request) bool {
 	switch {
@@ -26,7 +31,7 @@
 	case !now.Before(p.Steered):
 		return false
 	default:
-		return r.Repeatable || r.Expected > 0 && !now.Add(r.Expected).After(p.End)
+		return r.Repeatable || r.Late <= maxLate
 	}
 }
 
--- a/brproxy/drain.go
+++ b/brproxy/drain.go
@@ -104,9 +104,9 @@
 	}
 	now := p.cfg.Clock.Now()
 	p.mu.Lock()
-	expected := p.durations.Expected(now, q.route.Name)
+	late := p.durations.ShareOver(now, q.route.Name, plan.End.Sub(now))
 	p.mu.Unlock()
-	r := brdrain.Request{Repeatable: q.route.RetryMode != brpolicy.NeverRetry, Deadline: q.deadline, Expected: expected}
+	r := brdrain.Request{Repeatable: q.route.RetryMode != brpolicy.NeverRetry, Deadline: q.deadline, Late: late}
 	if p.drain.ended.Err() == nil && plan.Admits(now, r) {
 		return true
 	}
@@ -131,7 +131,7 @@
 
 // Drain stops serving callers by plan: connections and requests are accepted until no request
 // is in progress after plan.Steered, or until plan.End, when the requests in progress are
-// ended. Then it closes the connections and returns when their responses are written, or
+// ended. Connections that are idle at plan.Steered are closed. Then it closes the connections and returns when their responses are written, or
 // with an error when ctx ends.
 func (p *Proxy) Drain(ctx context.Context, plan brdrain.Plan) error {
 	p.server.DisableKeepAlives()
@@ -156,6 +156,9 @@
 	case <-p.cfg.Clock.After(plan.Steered.Sub(p.cfg.Clock.Now())):
 	case <-ctx.Done():
 	}
+	// Idle connections lead here although load balancers don't. Their callers learn now that
+	// they have to open others, and need no refusal for it.
+	p.server.CloseIdle()
 	select {
 	case <-p.drain.whenIdle():
 	case <-p.drain.ended.Done():
