brdrain: accept by probability in both phases of a planned stop

The probability that a request outlasts the stop is now estimated from the durations of its route by the rule of succession, and may be one in ten in the first phase, the price of a refusal, and one in a hundred in the second one.

--- a/brdrain/doc.go
+++ b/brdrain/doc.go
@@ -9,6 +9,6 @@
 //
 // In the second phase no load balancer sends any more, and a refused caller comes back to
 // another daemon. Idle connections are closed at its start, which costs their callers less
-// than a refusal. Only requests whose deadline lies in the stop are accepted then: none of
-// them is ended early.
+// than a refusal. Requests are accepted then whose deadline lies in the stop, and those that
+// end in time almost certainly.
 package brdrain
--- a/brdrain/durations.go
+++ b/brdrain/durations.go
@@ -6,8 +6,6 @@
 	// durationWindow is the time after which older durations are dropped. They are kept
 	// for at most twice as long.
 	durationWindow = time.Minute
-	// minDurations is the number of durations of a route that count as experience.
-	minDurations = 20
 	// bucketWidth is the resolution of durations, and buckets their number. Longer ones
 	// are in the last bucket.
 	bucketWidth = 250 * time.Millisecond
@@ -52,17 +50,15 @@
 	h[bucketOf(duration)]++
 }
 
-// ShareOver returns the share of the recent requests of the route that took longer than
-// limit, with a resolution of bucketWidth. It is 1 if there were too few requests.
+// ShareOver estimates the probability that a request of the route takes longer than limit,
+// with a resolution of bucketWidth. It is 0.5 without recent requests, and never 0: n of them
+// that were all shorter leave 1/(n+2), by the rule of succession.
 func (d *Durations) ShareOver(now time.Time, route string, limit time.Duration) float64 {
 	d.rotate(now)
 	bucket := bucketOf(limit)
 	n, long := d.current[route].atLeast(bucket)
 	m, longBefore := d.previous[route].atLeast(bucket)
-	if n+m < minDurations {
-		return 1
-	}
-	return float64(long+longBefore) / float64(n+m)
+	return float64(long+longBefore+1) / float64(n+m+2)
 }
 
 // rotate drops the durations that are too old.
--- a/brdrain/plan.go
+++ b/brdrain/plan.go
@@ -12,14 +12,20 @@
 type Request struct {
 	Repeatable bool      // may be sent again after it has run
 	Deadline   time.Time // at which it ends at the latest
-	// Late is the share of such requests that take longer than until the end of the stop,
-	// by experience; 1 if there is none.
+	// Late is the probability that it takes longer than until the end of the stop, by
+	// experience.
 	Late float64
 }
 
-// maxLate is the largest share of requests that must not run twice which a stop may end: a
-// refusal costs each of their callers a retry and some time, an end costs one its request.
-const maxLate = 0.05
+const (
+	// maxLate is the largest probability with which a stop may end a request that must not
+	// run twice and comes in the first phase. A refusal costs its caller a retry, and about
+	// one in ten of those who are refused find no daemon that serves them.
+	maxLate = 0.1
+	// maxLateSteered is that of the second phase, for every request. Then fewer callers come,
+	// and their requests began late enough for them to blame the stop.
+	maxLateSteered = 0.01
+)
 
 // Admits reports whether a request is accepted at now. Otherwise it is refused at once.
 func (p Plan) Admits(now time.Time, r Request) bool {
@@ -29,7 +35,7 @@
 	case !r.Deadline.After(p.End):
 		return true
 	case !now.Before(p.Steered):
-		return false
+		return r.Late <= maxLateSteered
 	default:
 		return r.Repeatable || r.Late <= maxLate
 	}
