--- a/brdaemon/path.go
+++ b/brdaemon/path.go
@@ -294,20 +294,9 @@
 // drain refuses new tunnels and waits until the open ones have ended, so that a planned
 // stop interrupts no request of another daemon.
 func (p *paths) drain(ctx context.Context) error {
-	p.server.Leave()
-	for p.server.Stats().Open > 0 {
-		select {
-		case <-p.daemon.clock.After(tunnelPollInterval):
-		case <-ctx.Done():
-			return context.Cause(ctx)
-		}
-	}
-	return nil
+	return p.server.Drain(ctx)
 }
 
-// tunnelPollInterval is the time between two checks whether all tunnels have ended.
-const tunnelPollInterval = 100 * time.Millisecond
-
 func (p *paths) close() {
 	p.dialer.Close()
 	p.server.Close()
--- a/brdaemon/path_test.go
+++ b/brdaemon/path_test.go
@@ -193,7 +193,7 @@
 	select {
 	case err := <-drained:
 		t.Errorf("daemon has stopped with %v while a tunnel is open, want it to wait", err)
-	case <-time.After(2 * tunnelPollInterval):
+	case <-time.After(200 * time.Millisecond):
 	}
 	tunnel.Close()
 	select {
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -175,6 +175,10 @@
 	}
 }
 
+// DrainTunnels waits until no other daemon has a connection to an endpoint through this
+// one, after Leave. If ctx ends first, it returns its cause.
+func (f *Fleet) DrainTunnels(ctx context.Context) error { return f.paths.server.Drain(ctx) }
+
 // Close stops the daemon and waits until it has stopped.
 func (f *Fleet) Close() {
 	f.core.Close()
--- a/brtunnel/server.go
+++ b/brtunnel/server.go
@@ -202,6 +202,23 @@
 	s.leaving = true
 }
 
+// Drain makes s refuse new tunnels and waits until the open ones have ended. If ctx ends
+// first, it returns its cause.
+func (s *Server) Drain(ctx context.Context) error {
+	s.Leave()
+	for s.Stats().Open > 0 {
+		select {
+		case <-s.clock().After(drainInterval):
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+	return nil
+}
+
+// drainInterval is the time between two checks of Drain.
+const drainInterval = 100 * time.Millisecond
+
 // Close refuses new tunnels, ends the open ones without an end frame, since their
 // endpoints haven't ended, and waits for them.
 func (s *Server) Close() {
