brserver: close no connection on which a request is probably on its way

Suspected cause: callers open connections while the daemon stops, and send their first request one round trip after the accept. A connection of that age was closed as idle, under a request on its way.

A connection is now closed for a stop only after 100 ms without a request, counted from its accept or its latest response.

--- a/brserver/server.go
+++ b/brserver/server.go
@@ -188,8 +188,8 @@
 // connections stay open; see Shutdown.
 func (s *Server) DisableKeepAlives() { s.stopping.Store(true) }
 
-// CloseIdle closes the connections on which no request has arrived, and the others as soon
-// as their request has ended. It doesn't wait.
+// CloseIdle closes the connections on which no request has arrived, unless they are idle for
+// closeDelay only, and the others after their request. It doesn't wait.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	conns := make([]*conn, 0, len(s.conns))
--- a/brserver/state.go
+++ b/brserver/state.go
@@ -50,7 +50,7 @@
 type State struct {
 	phase   Phase
 	since   time.Time // start of the phase
-	closing bool      // to be closed as soon as no request has arrived
+	closing bool      // to be closed as soon as it is idle for closeDelay
 	// limits are the most generous ones that were in force since the latest request began.
 	// The caller may go by any of them.
 	limits      Limits
@@ -67,8 +67,8 @@
 // Closing reports whether the connection is to be closed.
 func (s State) Closing() bool { return s.closing }
 
-// WithClosing returns the state of a connection that is to be closed as soon as no request
-// has arrived.
+// WithClosing returns the state of a connection that is to be closed as soon as it is idle
+// for closeDelay.
 func (s State) WithClosing() State {
 	s.closing = true
 	return s
@@ -118,7 +118,7 @@
 	case s.phase == Reading:
 		return max(0, m.HeaderTimeout-s.headerWait)
 	case s.closing:
-		return 0
+		return max(0, s.since.Add(closeDelay).Sub(now))
 	default:
 		return max(0, s.since.Add(m.IdleTimeout+IdleGrace).Sub(now))
 	}
@@ -141,6 +141,10 @@
 	}
 }
 
+// closeDelay is the time from the accept, or the latest response, in which a request is
+// probably on its way.
+const closeDelay = 100 * time.Millisecond
+
 // IdleGrace is added to the idle timeout. A caller may know a policy with a longer one
 // before this daemon does, and may send a request at the very end of it.
 const IdleGrace = time.Second
