brserver: Shutdown accepts what waits in the queue of a slow server

Callers saw a reset connection without an answer if the server had no processor time while Shutdown waited for connections. Shutdown ends Accept by a deadline of 50 ms (acceptTime); net reports a deadline that has passed before it looks at the accept queue, so that connections which waited there were reset by the close of the listener, with their requests.

After the deadline, Accept now takes connections without blocking until the queue is empty.

TestShutdownEmptiesAcceptQueue (a server that needs 50 ms for each accept, 4 connections with a request each): before, 3 of 4 were reset; now all 4 are answered. The window between the empty queue and the close of the listener remains; it has no I/O in it.

--- a/brserver/server.go
+++ b/brserver/server.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"bramleyroute/brclock"
@@ -172,8 +173,8 @@
 // Accept returns the next connection, as a *conn.
 func (l listener) Accept() (net.Conn, error) {
 	n, err := l.Listener.Accept()
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, net.ErrClosed // net/http would try again; Shutdown sets the deadline
+	if errors.Is(err, os.ErrDeadlineExceeded) { // set by Shutdown
+		n, err = acceptQueued(l.Listener)
 	}
 	if err != nil {
 		return nil, err
@@ -184,6 +185,37 @@
 	return c, nil
 }
 
+// acceptQueued returns a connection that waits in the accept queue of l. A server that had no
+// processor time may have reached the deadline of l with connections left there, and closing
+// l resets them. The error is net.ErrClosed if there is none, since net/http would try again
+// after a timeout.
+func acceptQueued(l net.Listener) (net.Conn, error) {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return nil, net.ErrClosed
+	}
+	var socket int
+	var acceptErr error
+	err = raw.Control(func(fd uintptr) {
+		for {
+			socket, _, acceptErr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
+				return
+			}
+		}
+	})
+	if err != nil || acceptErr != nil {
+		return nil, net.ErrClosed
+	}
+	f := os.NewFile(uintptr(socket), "accepted connection")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
 // DisableKeepAlives adds the header Connection: close to all further responses. Idle
 // connections stay open; see Shutdown.
 func (s *Server) DisableKeepAlives() { s.stopping.Store(true) }
@@ -210,8 +242,8 @@
 	}
 }
 
-// acceptTime is the time for which Shutdown still accepts connections, so that those that
-// wait in the accept queue aren't reset.
+// acceptTime is the time for which Shutdown still waits for connections, so that those that
+// are being opened aren't reset. Those that wait in the accept queue then are accepted too.
 const acceptTime = 50 * time.Millisecond
 
 // Shutdown stops accepting connections, closes each connection once no request has arrived
--- a/brserver/server_test.go
+++ b/brserver/server_test.go
@@ -279,3 +279,32 @@
 		t.Errorf("Connection: %q, want close", got)
 	}
 }
+
+// TestShutdownEmptiesAcceptQueue guards against a stop that resets the connections which a
+// slow server hasn't taken from the accept queue after acceptTime.
+func TestShutdownEmptiesAcceptQueue(t *testing.T) {
+	var slow atomic.Bool
+	s := start(t, func() Limits {
+		if slow.Load() {
+			time.Sleep(acceptTime) // at each accept
+		}
+		return Limits{}
+	})
+	slow.Store(true)
+	var clients []*client
+	for range 4 {
+		c := s.dial(t)
+		c.send("x")
+		clients = append(clients, c)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	for i, c := range clients {
+		if status, _, err := c.receive(); status != http.StatusOK {
+			t.Errorf("connection %d: status %d, error %v, want 200", i, status, err)
+		}
+	}
+}
