brproxy: a stop that ends before load balancers know of it closes its connections

With a grace period below steeringDelay + shutdownMargin (3 s), Drain waited for Plan.Steered beyond Plan.End, until its context ended. Shutdown then returned at once, and the exit of the process cut the connections of callers and reset those in the accept queue.

Drain now goes on at Plan.End if that comes first. TestDrainEndsBeforeSteering: before, "connections of callers are still open: context deadline exceeded"; now no error.

--- a/brproxy/drain.go
+++ b/brproxy/drain.go
@@ -154,7 +154,7 @@
 	}()
 	select {
 	case <-p.cfg.Clock.After(plan.Steered.Sub(p.cfg.Clock.Now())):
-	case <-ctx.Done():
+	case <-p.drain.ended.Done(): // a short stop ends before that
 	}
 	// Idle connections lead here although load balancers don't. Their callers learn now that
 	// they have to open others, and need no refusal for it.
--- a/brproxy/drain_test.go
+++ b/brproxy/drain_test.go
@@ -94,3 +94,18 @@
 		t.Error(err)
 	}
 }
+
+// TestDrainEndsBeforeSteering guards against a stop whose grace period is shorter than the
+// time in which load balancers learn of it, and that waits for them until nothing is left of
+// the period: then connections are cut.
+func TestDrainEndsBeforeSteering(t *testing.T) {
+	s := newSystem(t, respond(200, "", ""))
+	s.dial(t, s.front.Address())
+	now := time.Now()
+	plan := brdrain.Plan{Steered: now.Add(time.Minute), End: now.Add(200 * time.Millisecond)}
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End.Add(2*time.Second))
+	defer cancel()
+	if err := s.proxy.Drain(ctx, plan); err != nil {
+		t.Error(err)
+	}
+}
