--- a/brserver/listener.go
+++ b/brserver/listener.go
@@ -8,7 +8,8 @@
 	"time"
 )
 
-// acceptTime is the time for which a listener still accepts connections when it is closed.
+// acceptTime is the time for which Shutdown still waits for connections, so that those that
+// are being opened aren't reset.
 const acceptTime = 50 * time.Millisecond
 
 // stopAccepting closes l after acceptTime, or at once if it has no deadlines.
@@ -23,14 +24,15 @@
 type listener struct {
 	net.Listener
 	server *Server
-	queued []net.Conn // accepted at the end, to be returned before the end
-	ended  bool
 }
 
 // Accept returns the next connection, as a *conn. After the deadline of stopAccepting it
 // returns the connections that wait in the accept queue, and then net.ErrClosed.
-func (l *listener) Accept() (net.Conn, error) {
-	n, err := l.next()
+func (l listener) Accept() (net.Conn, error) {
+	n, err := l.Listener.Accept()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = acceptQueued(l.Listener)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -40,51 +42,32 @@
 	return c, nil
 }
 
-func (l *listener) next() (net.Conn, error) {
-	if !l.ended {
-		n, err := l.Listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return n, err
-		}
-		l.queued, l.ended = acceptQueued(l.Listener), true
-		l.Close()
-	}
-	if len(l.queued) == 0 {
-		return nil, net.ErrClosed
-	}
-	n := l.queued[0]
-	l.queued = l.queued[1:]
-	return n, nil
-}
-
-// acceptQueued accepts the connections that wait in the accept queue of l, which a close
-// would reset. Accept doesn't return them after a deadline.
-func acceptQueued(l net.Listener) []net.Conn {
+// acceptQueued returns a connection that waits in the accept queue of l: Accept returns none
+// after its deadline, and the close of l resets them. The error is net.ErrClosed if there is
+// none, since net/http would try again after a timeout.
+func acceptQueued(l net.Listener) (net.Conn, error) {
 	s, ok := l.(syscall.Conn)
 	if !ok {
-		return nil
+		return nil, net.ErrClosed
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return nil
+		return nil, net.ErrClosed
 	}
-	var conns []net.Conn
-	// An error means that l is closed.
-	_ = raw.Control(func(listener uintptr) {
+	var socket int
+	var acceptErr error
+	err = raw.Control(func(fd uintptr) {
 		for {
-			fd, _, err := syscall.Accept4(int(listener), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
-			if errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ECONNABORTED) {
-				continue
-			}
-			if err != nil {
+			socket, _, acceptErr = syscall.Accept4(int(fd), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if !errors.Is(acceptErr, syscall.EINTR) && !errors.Is(acceptErr, syscall.ECONNABORTED) {
 				return
 			}
-			f := os.NewFile(uintptr(fd), "")
-			if c, err := net.FileConn(f); err == nil {
-				conns = append(conns, c)
-			}
-			f.Close()
 		}
 	})
-	return conns
+	if err != nil || acceptErr != nil {
+		return nil, net.ErrClosed
+	}
+	f := os.NewFile(uintptr(socket), "accepted connection")
+	defer f.Close()
+	return net.FileConn(f)
 }
--- a/brserver/server.go
+++ b/brserver/server.go
@@ -151,7 +151,7 @@
 		stopAccepting(l)
 	}
 	s.mu.Unlock()
-	err := s.http.Serve(&listener{Listener: l, server: s})
+	err := s.http.Serve(listener{l, s})
 	s.mu.Lock()
 	delete(s.listeners, l)
 	s.notify()
