brrollout: save no traffic while the judge holds growth

Cause, from a trace of ("slow only under load", 60 endpoints, 36 requests/s, 2.33% of the traffic): a stage that has the requests that it requires falls to 0.2%, since "save traffic in stages in which a fault under load can't show". Here the judge held growth at that moment, with a log likelihood ratio of 7.8 of the 10.8 needed, and the stage stayed at 0.2% for 33 min, in which the evidence got older and no clearer. The exposure was 0.3% of the 1.6% allowed.

--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -265,9 +265,10 @@
 // savesTraffic reports whether the traffic that this early stage could have is better
 // used later: while the fleet isn't loaded, or, if the ready endpoints of the new version
 // can't be loaded at the stage's share, once the stage has the requests that it requires.
+// While the Judge holds growth, more evidence is needed at once.
 func (s *State) savesTraffic(ready int) bool {
 	if stages[s.Stage].PerMille*s.presentEndpoints() < 1000*ready {
-		return s.StageLoaded >= s.requiredRequests()
+		return !s.Suspect && s.StageLoaded >= s.requiredRequests()
 	}
 	return !s.loaded()
 }
--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -144,8 +144,9 @@
 // evidence were shorter than one request of the new version takes to come, the traffic
 // that the early stages may have was spent before the share was high enough to load the
 // new version's endpoints, good requests at full traffic hid a fault after them, the
-// first 10 s of evidence after each growth of the share were left out, or the later stages
-// kept a large share although the evidence wasn't clear.
+// first 10 s of evidence after each growth of the share were left out, the later stages
+// kept a large share although the evidence wasn't clear, or a stage saved traffic while
+// growth was held for more evidence.
 func TestExposureOnSeenSeeds(t *testing.T) {
 	checkExposure(t, []knownCase{
 		{"slow only under load", 2008}, {"slow only under load", 11023}, {"slow only under load", 11030},
@@ -155,7 +156,7 @@
 		{"slow only under load", 33040}, {"slow only under load", 33068}, {"slow only under load", 33084},
 		{"slow only under load", 50002}, {"bad on one route", 60038}, {"fails at the end", 72003},
 		{"slow only under load", 23031}, {"slow only under load", 72066}, {"slow only under load", 73044},
-		{"bad on one route", 20088}, {"bad on one route", 40004},
+		{"bad on one route", 20088}, {"bad on one route", 40004}, {"slow only under load", 501564},
 	})
 }
 
