brrollout: don't delay the last stages by evidence that isn't clear

A stage counts from the time when its share was first reached, so that the held stage then still had to grow and to last its minimum time, and so had the next one. The last stage came too late for its own minimum time, and the version was rolled back at finish_by.

A share that is kept low for this reason now counts as reached, as it does while loads fail, so that each stage starts at its latest time at the latest.

--- a/brrollout/plan.go
+++ b/brrollout/plan.go
@@ -275,19 +275,25 @@
 
 // lateStageCap returns the maximum share in per mille in the later stages but the last.
 // It is 1000 unless loads or orders fail, or, while the exposure is above exposureLimit,
-// the Judge holds growth or its evidence isn't clear. The latter holds the share up to the
-// next stage's Latest only, since it is to be expected of some good versions. The share is
-// lowest while loads or orders fail, because more traffic yields no evidence about these.
+// the Judge holds growth or its evidence isn't clear. The share is lowest while loads or
+// orders fail, because more traffic yields no evidence about these.
 func (s *State) lateStageCap() int {
 	switch {
 	case !s.loadsReliable():
 		return max(throttledShare, s.minShare())
-	case (s.Suspect || s.Unclear && s.TickedAt.Before(s.timeAt(stages[s.Stage+1].Latest))) && s.Exposure() > exposureLimit:
+	case s.Suspect && s.Exposure() > exposureLimit || s.awaitsClarity():
 		return max(suspectShare, s.minShare())
 	}
 	return 1000
 }
 
+// awaitsClarity reports whether a later stage but the last keeps its share low, up to the
+// Latest of the next one, because the evidence isn't clear.
+func (s *State) awaitsClarity() bool {
+	return earlyStages <= s.Stage && s.Stage < len(stages)-1 && s.Unclear &&
+		s.Exposure() > exposureLimit && s.TickedAt.Before(s.timeAt(stages[s.Stage+1].Latest))
+}
+
 // loadsReliable reports whether loads of the new version, and orders to load it,
 // succeed often enough to raise its share.
 func (s *State) loadsReliable() bool {
--- a/brrollout/rollout_test.go
+++ b/brrollout/rollout_test.go
@@ -161,12 +161,14 @@
 }
 
 // TestGoodVersionsOnSeenSeeds guards against good versions that are rolled back on the
-// seeds on which this was observed: two of their first loads or orders failed, or the
-// evidence at full traffic stayed at the level that holds growth.
+// seeds on which this was observed: two of their first loads or orders failed, the
+// evidence at full traffic stayed at the level that holds growth, or evidence that wasn't
+// clear delayed the last stages.
 func TestGoodVersionsOnSeenSeeds(t *testing.T) {
 	for _, c := range []knownCase{
 		{"good, endpoints flaky", 33048}, {"good, endpoints flaky", 33053},
 		{"good, endpoints flaky", 50060}, {"good, endpoints flaky", 50069},
+		{"good, endpoints flaky", 72030},
 	} {
 		if r := newSim(c.find(t), c.seed, Policy{}).result(); r.outcome != Finished {
 			t.Errorf("%s, seed %d: outcome %s (%s), want finished", c.kind, c.seed, r.outcome, r.reason)
--- a/brrollout/step.go
+++ b/brrollout/step.go
@@ -259,9 +259,10 @@
 // shareReached reports whether the stage's share is set, or is kept lower for a
 // reason that doesn't hold growth. In the early stages the reason is that the exposure
 // is at its limit or that traffic is saved for later. In later stages it is that loads or
-// orders fail, which only further attempts can resolve.
+// orders fail, which only further attempts can resolve, or that the evidence isn't clear,
+// which some good versions have by chance: the next stage must not start after its Latest.
 func (t *transition) shareReached() bool {
-	return t.Share == stages[t.Stage].PerMille || t.Stage < earlyStages || !t.loadsReliable()
+	return t.Share == stages[t.Stage].PerMille || t.Stage < earlyStages || !t.loadsReliable() || t.awaitsClarity()
 }
 
 func (t *transition) finish() {
