brserver: a stop leaves opened connections time for their first request

A connection that was opened just before or during a stop was closed as soon as its reader found nothing, often between the caller's connect and its first bytes: the request crossed the close, and the caller got neither an answer nor a refusal. Shutdown made this likely by accepting connections for 50 ms, each of which it closed at once unless its request had come along with it.

Before its first request, a connection that is to be closed now stays open for 50 ms from its accept (firstRequestTime). Connections after a response are closed at once, as before.

--- a/brserver/state.go
+++ b/brserver/state.go
@@ -51,6 +51,7 @@
 	phase   Phase
 	since   time.Time // start of the phase
 	closing bool      // to be closed as soon as no request has arrived
+	opened  bool      // no request was read so far
 	// limits are the most generous ones that were in force since the latest request began.
 	// The caller may go by any of them.
 	limits      Limits
@@ -59,7 +60,9 @@
 }
 
 // NewState returns the state of a connection accepted at now.
-func NewState(now time.Time, l Limits) State { return State{since: now, limits: l} }
+func NewState(now time.Time, l Limits) State {
+	return State{since: now, opened: true, limits: l}
+}
 
 // Phase returns the phase of the connection.
 func (s State) Phase() Phase { return s.phase }
@@ -77,7 +80,7 @@
 // WithRequest returns the state after the header of a request was read completely. Limits l
 // are in force.
 func (s State) WithRequest(now time.Time, l Limits) State {
-	s.phase, s.since, s.limits = InProgress, now, l
+	s.phase, s.since, s.limits, s.opened = InProgress, now, l, false
 	s.headerBytes, s.headerWait = 0, 0
 	return s
 }
@@ -117,6 +120,8 @@
 	switch {
 	case s.phase == Reading:
 		return max(0, m.HeaderTimeout-s.headerWait)
+	case s.closing && s.opened:
+		return max(0, s.since.Add(firstRequestTime).Sub(now))
 	case s.closing:
 		return 0
 	default:
@@ -141,6 +146,11 @@
 	}
 }
 
+// firstRequestTime is the time from the accept for which a connection that is to be closed
+// waits for its first request. Callers open most connections to send a request at once, which
+// a close would cross.
+const firstRequestTime = 50 * time.Millisecond
+
 // IdleGrace is added to the idle timeout. A caller may know a policy with a longer one
 // before this daemon does, and may send a request at the very end of it.
 const IdleGrace = time.Second
--- a/brserver/state_test.go
+++ b/brserver/state_test.go
@@ -177,6 +177,8 @@
 		{"limit grows while idle", []func(State) (State, Verdict){silent(large, 6*time.Second, time.Second), silent(large, 16*time.Second, time.Second)}, []Verdict{Continue, CloseIdle}},
 		{"limit shrinks while idle", []func(State) (State, Verdict){serve(large, 0, 0), silent(small, 7*time.Second, time.Second), silent(small, 16*time.Second, time.Second)}, []Verdict{Continue, Continue, CloseIdle}},
 		{"stop while idle", []func(State) (State, Verdict){stop, silent(small, time.Second, 0)}, []Verdict{Continue, CloseIdle}},
+		{"stop before the first request can arrive", []func(State) (State, Verdict){stop, silent(small, 10*time.Millisecond, 0), silent(small, firstRequestTime, 0)}, []Verdict{Continue, Continue, CloseIdle}},
+		{"stop after a response", []func(State) (State, Verdict){serve(small, 0, 0), stop, silent(small, 10*time.Millisecond, 0)}, []Verdict{Continue, Continue, CloseIdle}},
 		{"stop while reading", []func(State) (State, Verdict){read(small, 10, 0), stop, silent(small, 0, 0), silent(small, time.Second, time.Second)}, []Verdict{Continue, Continue, Continue, RejectTimeout}},
 		{"silence within a header", []func(State) (State, Verdict){read(small, 10, 0), read(small, 10, 900*time.Millisecond), silent(small, time.Second, 100*time.Millisecond)}, []Verdict{Continue, Continue, RejectTimeout}},
 		{"header timeout grows within a header", []func(State) (State, Verdict){read(small, 10, 0), silent(large, time.Second, time.Second)}, []Verdict{Continue, Continue}},
