--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -51,7 +51,7 @@
 // connection is to be closed and nothing has arrived.
 func (c *conn) Read(b []byte) (int, error) {
 	for {
-		wait, reading := c.beginRead(len(b))
+		wait, reading := c.beginRead()
 		if !reading {
 			n, err := c.Conn.Read(b)
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http interrupts reads by a deadline
@@ -90,20 +90,13 @@
 
 // beginRead sets the read deadline by the state and returns the time until then. It
 // returns false while a request is in progress: then net/http sets the deadlines.
-//
-// space is the length of the buffer to read into. It is what is left of readAhead, so that a
-// smaller one holds the start of a request that was read together with the previous one.
-func (c *conn) beginRead(space int) (time.Duration, bool) {
+func (c *conn) beginRead() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now, limits := c.server.cfg.Clock.Now(), c.server.limits()
-	switch buffered := readAhead - space; {
-	case c.state.Phase() == InProgress:
+	if c.state.Phase() == InProgress {
 		return 0, false
-	case c.state.Phase() == Idle && buffered > 0:
-		c.state, _ = c.state.WithData(now, limits, buffered, 0) // at most readAhead bytes aren't too many
 	}
-	wait := c.state.Wait(now, limits)
+	wait := c.state.Wait(c.server.cfg.Clock.Now(), c.server.limits())
 	// An error means that the connection is closed, which the read reports.
 	_ = c.Conn.SetReadDeadline(time.Now().Add(wait))
 	return wait, true
