brgossip, brfleet, platform: a planned stop sends what it has acknowledged

An endpoint's withdrawal or heartbeat that was acknowledged right before the exit of a stopping daemon was lost: records are sent every 25 ms (more in a large fleet), and Close drops what is pending. A withdrawal isn't repeated, so that the other daemons went on to use the endpoint until its record expired, up to 15 s later.

The stop now waits, once the control listener is closed, until nothing is pending or queued, for at most 250 ms. Close itself is unchanged; it also plays crashes in tests. The wait is a best effort: the peers don't acknowledge records, and it ends with the grace period.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -188,6 +188,18 @@
 	return f.paths.server.Drain(ctx)
 }
 
+// Flush sends what endpoints have announced to the other daemons, so that a planned stop
+// loses none of it. It is called between the last announcement and Close, and waits until
+// flushTimeout has passed or ctx ends at the latest.
+func (f *Fleet) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	f.node.Flush(ctx)
+}
+
+// flushTimeout limits the wait for daemons that read slowly or publish all the time.
+const flushTimeout = 250 * time.Millisecond
+
 // Close stops the daemon and waits until it has stopped.
 func (f *Fleet) Close() {
 	f.core.Close()
--- a/brgossip/flush.go
+++ b/brgossip/flush.go
@@ -1,6 +1,7 @@
 package brgossip
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -69,6 +70,33 @@
 	return interval, max(interval, fullInterval)
 }
 
+// Flush waits until the records published so far were sent to the peers, or until ctx ends.
+// A node that is closed without it may lose those of the latest flush interval.
+func (n *Node) Flush(ctx context.Context) {
+	for sent := false; !sent; {
+		sent = n.sentAll()
+		select { // also after the last check, since a message leaves its queue before it is written
+		case <-n.cfg.Clock.After(n.cfg.FlushInterval):
+		case <-n.stop:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sentAll reports whether no record is pending and no message is queued.
+func (n *Node) sentAll() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, p := range n.peers {
+		if len(p.pending) > 0 || len(p.domain) > 0 || p.queued() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // delivery is a set of records and the peers that receive it.
 type delivery struct {
 	keys   map[string]struct{}
