brserver: count the wait before an interrupt once

If data arrived just when a stop interrupted the read of a header, conn counted the wait before it twice, as silence and with the data. A caller that had used more than half of the header timeout could so get 408 for a header that kept it.

TestWaitCountsOnce: before, "wait of 100ms counts as 200.457402ms"; now it passes. Found by reading; not seen in a run of the daemon.

--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -68,6 +68,7 @@
 		verdict := Continue
 		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 			verdict = c.onSilence(waited)
+			waited = 0 // it is counted
 			n, err = c.poll(b, verdict == CloseIdle)
 		}
 		if n > 0 {
