--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -220,6 +220,8 @@
 func (c *conn) reject(reason closeReason, status int) {
 	c.setReason(reason)
 	text := http.StatusText(status)
+	// A caller that doesn't read must not hold the goroutine.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
 	// An error means that the caller has gone.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		status, text, len(text), text)
