--- a/review/standin/truncated.go
+++ b/review/standin/truncated.go
@@ -58,32 +58,32 @@
 	if err != nil {
 		return false, err
 	}
-	if w.cuts {
+	if w.first {
 		w.log("network: %s is cut off from all other machines", leader.name)
 		c.set(leader)
 	}
 	// Eight orders at once, which the operator then sends to other machines.
 	var orders sync.WaitGroup
 	errs := make(chan error, 8)
-	first := version + 1
+	firstOrder := version + 1
 	version += 8
 	for k := range 8 {
 		orders.Go(func() {
 			time.Sleep(time.Duration(10*k) * time.Millisecond)
-			body := largeConfiguration(first + k)
+			body := largeConfiguration(firstOrder + k)
 			status := putConfig(leader, body)
-			w.log("operator: version %d sent to %s: status %d", first+k, leader.name, status)
+			w.log("operator: version %d sent to %s: status %d", firstOrder+k, leader.name, status)
 			time.Sleep(time.Duration(1000+150*k) * time.Millisecond)
 			if status == http.StatusOK {
 				return
 			}
-			if err := w.acknowledgeBody(first+k, body, 15*time.Second, rest...); err != nil {
+			if err := w.acknowledgeBody(firstOrder+k, body, 15*time.Second, rest...); err != nil {
 				errs <- err
 			}
 		})
 	}
 	time.Sleep(4 * time.Second)
-	if w.cuts {
+	if w.first {
 		w.log("network: %s is connected again", leader.name)
 		c.set(nil)
 	}
@@ -96,7 +96,7 @@
 		return false, err
 	}
 	time.Sleep(2 * time.Second)
-	if w.final {
+	if w.second {
 		if err := w.finalFault(core, leader, rest[0]); err != nil {
 			return false, err
 		}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -27,9 +27,9 @@
 // world is everything that a case has started.
 type world struct {
 	trouble bool // false with TROUBLE=0
-	cuts    bool // false with TROUBLE=0 or TROUBLE=final
-	final   bool // false with TROUBLE=0 or TROUBLE=cut
-	keep    bool // keeps the logs and data of the daemons, with KEEP=1
+	// A case with two disruptions plays one of them with TROUBLE=first or TROUBLE=second.
+	first, second bool
+	keep          bool // keeps the logs and data of the daemons, with KEEP=1
 	// beforeStart is called before the first start of a machine; it may be nil.
 	beforeStart func(*daemon) error
 	command     []string
@@ -48,7 +48,7 @@
 func newWorld(command []string, path string) (*world, error) {
 	trouble := os.Getenv("TROUBLE")
 	w := &world{
-		trouble: trouble != "0", cuts: trouble != "0" && trouble != "final", final: trouble != "0" && trouble != "cut",
+		trouble: trouble != "0", first: trouble != "0" && trouble != "second", second: trouble != "0" && trouble != "first",
 		keep: os.Getenv("KEEP") == "1", command: command, start: time.Now(), lastIP: 10,
 	}
 	var err error
