--- a/review/standin/drained.go
+++ b/review/standin/drained.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// playDrained withdraws a worker at a machine without a disk, which is killed right after
-// its acknowledgement, and looks for requests that reach the worker later than
+// playDrained withdraws two workers at a machine without a disk, which is killed right after
+// its second acknowledgement, and looks for requests that reach them later than
 // drain_timeout_ms after it.
 func playDrained(w *world) (bool, error) {
 	const drainTimeout = 2 * time.Second
@@ -22,13 +22,13 @@
 	}
 	front := others[0]
 	var orders []*worker
-	for i := range 3 {
-		x, err := w.startWorker(fmt.Sprintf("i-2b41c7d%d", i), ordersApp, core[i].zone, core...)
+	for i := range 4 {
+		x, err := w.startWorker(fmt.Sprintf("i-2b41c7d%d", i), ordersApp, core[i%3].zone, core...)
 		if err != nil {
 			return false, err
 		}
 		orders = append(orders, x)
-		if _, err := w.startWorker(fmt.Sprintf("i-7f3a91c%d", i), lmService, core[i].zone, core...); err != nil {
+		if _, err := w.startWorker(fmt.Sprintf("i-7f3a91c%d", i), lmService, core[i%3].zone, core...); err != nil {
 			return false, err
 		}
 	}
@@ -57,23 +57,27 @@
 	defer stop.Store(true)
 	time.Sleep(4 * time.Second) // contact_ms and 1 s more
 
-	leaving := orders[0]
-	leaving.silent.Store(true)
-	status := leaving.withdraw(front)
+	// Two workers leave, one right after the other.
+	leaving := orders[:2]
+	for _, x := range leaving {
+		x.silent.Store(true)
+		if status := x.withdraw(front); status != http.StatusOK {
+			return false, fmt.Errorf("withdrawal not acknowledged: status %d", status)
+		}
+	}
 	acknowledged := time.Now()
 	if w.trouble {
 		front.signal(syscall.SIGKILL)
 	}
-	w.log("worker %s: DELETE sent to %s: status %d; the machine is killed: %v", leaving.id, front.name, status, w.trouble)
-	if status != http.StatusOK {
-		return false, fmt.Errorf("withdrawal not acknowledged: status %d", status)
-	}
-	leaving.leaving.Store(true)
+	w.log("workers %s and %s: DELETE acknowledged by %s; the machine is killed: %v", leaving[0].id, leaving[1].id, front.name, w.trouble)
 	var late atomic.Int64
-	leaving.onRun = func(id string) {
-		if after := time.Since(acknowledged); after > drainTimeout {
-			late.Add(1)
-			w.log("worker %s: request %s reaches it %v after the acknowledgement", leaving.id, id, after.Round(time.Millisecond))
+	for _, x := range leaving {
+		x.leaving.Store(true)
+		x.onRun = func(id string) {
+			if after := time.Since(acknowledged); after > drainTimeout {
+				late.Add(1)
+				w.log("worker %s: request %s reaches it %v after the acknowledgement", x.id, id, after.Round(time.Millisecond))
+			}
 		}
 	}
 	time.Sleep(drainTimeout + 300*time.Millisecond)
