--- a/review/standin/truncated.go
+++ b/review/standin/truncated.go
@@ -47,6 +47,7 @@
 			if err := w.acknowledgeBody(version, largeConfiguration(version), 6*time.Second, daemons...); err != nil {
 				return err
 			}
+			time.Sleep(100 * time.Millisecond)
 		}
 		return nil
 	}
