--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -57,6 +57,11 @@
 	}
 	done := make(chan result, 1)
 	go func() {
+		defer func() { // a panic must not leave processes behind
+			if v := recover(); v != nil {
+				done <- result{err: fmt.Errorf("panic: %v", v)}
+			}
+		}()
 		b, err := f(w)
 		done <- result{b, err}
 	}()
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -39,6 +39,9 @@
 
 	start time.Time
 
+	life   sync.Mutex // held while a process is started
+	closed bool       // no process may be started any more; guarded by life
+
 	mu      sync.Mutex
 	record  *os.File
 	daemons []*daemon
@@ -80,12 +83,15 @@
 
 // close ends everything that was started.
 func (w *world) close() {
-	for _, d := range w.daemons {
-		d.kill()
-	}
+	w.life.Lock()
+	w.closed = true
+	w.life.Unlock()
 	w.mu.Lock()
-	closers := w.closers
+	daemons, closers := w.daemons, w.closers
 	w.mu.Unlock()
+	for _, d := range daemons {
+		d.kill()
+	}
 	for _, f := range closers {
 		f()
 	}
@@ -227,6 +233,12 @@
 	cmd.Env = append(cmd.Env, d.env...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	d.world.life.Lock()
+	defer d.world.life.Unlock()
+	if d.world.closed {
+		out.Close()
+		return errors.New("the case is ending")
+	}
 	if err := cmd.Start(); err != nil {
 		out.Close()
 		return err
