brwal: open a log that begins with replaced entries

Cause: an entry record replaces the entries from its index on. Open took that record for a gap. The rule belongs to the reader, which must also open logs of earlier builds; Compact is right to remove the segment. Ruled out: a wrong write by brlog (the records on the disk are those of its Write effects), and a torn tail.

A first entry beyond that is corruption, since entries are missing; brwal accepted it before, and only brlog refused it.

--- a/brwal/doc.go
+++ b/brwal/doc.go
@@ -13,6 +13,13 @@
 // distinguish a torn tail from other corruption. Open truncates torn tails.
 // Corruption within the last synced batch can't be distinguished from a torn tail.
 //
+// An entry record replaces the entries at its index and after it, which may be in earlier
+// segments. Compact removes the oldest segments while all their entries are before an index
+// that the snapshot has. The remaining records may therefore begin with entries that later
+// ones replace from a lower index on, and Open accepts an entry before those that it has read
+// up to the one just after the snapshot. An entry beyond that which doesn't continue the log
+// is corruption: entries are missing.
+//
 // A failed write or sync is permanent: the content of the disk is unknown
 // afterwards, and the Log rejects all further writes. The process must exit.
 package brwal
--- a/brwal/load.go
+++ b/brwal/load.go
@@ -61,7 +61,7 @@
 type loader struct {
 	log     *Log
 	entries []brlog.Entry
-	reset   uint64 // index after which the log restarts; 0 if it may start at any index
+	reset   uint64 // index after which the log restarts; 0 if it starts at any index that the snapshot has, or just after it
 }
 
 func (l *Log) loadSegments() ([]brlog.Entry, error) {
@@ -204,21 +204,24 @@
 }
 
 // put appends an entry. It replaces existing entries at its index and after it.
+//
+// Compact removes records in the order in which they were written, so the first remaining
+// entries may be ones that a later record replaces from a lower index on, which was in a
+// removed segment. The snapshot has everything up to that index.
 func (ld *loader) put(e brlog.Entry) error {
-	next := ld.reset + 1
-	if n := len(ld.entries); n > 0 {
-		first := ld.entries[0].Index
-		next = first + uint64(n)
-		if e.Index >= first && e.Index < next {
-			ld.entries = ld.entries[:e.Index-first]
-			next = e.Index
-		}
-	} else if ld.reset == 0 {
-		next = e.Index // earlier segments were removed by Compact
-	}
-	if e.Index != next {
-		return fmt.Errorf("entry %d does not continue the log after entry %d", e.Index, next-1)
+	n := uint64(len(ld.entries))
+	switch {
+	case n > 0 && e.Index >= ld.entries[0].Index && e.Index <= ld.entries[0].Index+n:
+		ld.entries = append(ld.entries[:e.Index-ld.entries[0].Index], e)
+		return nil
+	case n == 0 && ld.reset != 0 && e.Index == ld.reset+1:
+	case ld.reset == 0 && (n == 0 || e.Index < ld.entries[0].Index) && e.Index <= ld.log.snapshotIndex+1:
+	case n > 0:
+		return fmt.Errorf("entry %d does not continue the log of entries %d to %d after the snapshot at entry %d",
+			e.Index, ld.entries[0].Index, ld.entries[0].Index+n-1, ld.log.snapshotIndex)
+	default:
+		return fmt.Errorf("entry %d does not continue the log after entry %d", e.Index, max(ld.reset, ld.log.snapshotIndex))
 	}
-	ld.entries = append(ld.entries, e)
+	ld.entries = append(ld.entries[:0], e)
 	return nil
 }
