brdrain: accept late requests by their deadline alone

Cause: from the moment on at which load balancers send no more, a request was accepted if at most 1 in 100 recent ones of its route took longer than the rest of the stop. 250 short requests say nothing about one that states 510 tokens of output. Ruled out as bounds: the stated tokens at the pace of the endpoint, which may turn slow or silent afterwards, and any share of earlier durations. The deadline, which the route's timeout limits, is certain.

Now only requests whose deadline lies in the stop are accepted then; others get 503 with Retry-After at once. Before that moment nothing changes.

TestAdmits stated the former decisions in two rows; they expect a refusal now, which is stricter.

--- a/brdrain/doc.go
+++ b/brdrain/doc.go
@@ -9,6 +9,7 @@
 //
 // In the second phase no load balancer sends any more, and a refused caller comes back to
 // another daemon. Idle connections are closed at its start, which costs their callers less
-// than a refusal. Requests are accepted then whose deadline lies in the stop, and those that
-// end in time almost certainly.
+// than a refusal. Only requests whose deadline lies in the stop are accepted then. Nothing else
+// bounds their end: the durations of earlier requests say little about a long one, and an
+// endpoint may turn slow or silent after it has accepted a request.
 package brdrain
--- a/brdrain/plan.go
+++ b/brdrain/plan.go
@@ -13,19 +13,14 @@
 	Repeatable bool      // may be sent again after it has run
 	Deadline   time.Time // at which it ends at the latest
 	// Late is the probability that it takes longer than until the end of the stop, by
-	// experience.
+	// experience. It decides in the first phase only.
 	Late float64
 }
 
-const (
-	// maxLate is the largest probability with which a stop may end a request that must not
-	// run twice and comes in the first phase. A refusal costs its caller a retry, and about
-	// one in ten of those who are refused find no daemon that serves them.
-	maxLate = 0.1
-	// maxLateSteered is that of the second phase, for every request. Then fewer callers come,
-	// and their requests began late enough for them to blame the stop.
-	maxLateSteered = 0.01
-)
+// maxLate is the largest probability with which a stop may end a request that must not run
+// twice and comes in the first phase. A refusal costs its caller a retry, and about one in ten
+// of those who are refused find no daemon that serves them.
+const maxLate = 0.1
 
 // Admits reports whether a request is accepted at now. Otherwise it is refused at once.
 func (p Plan) Admits(now time.Time, r Request) bool {
@@ -35,7 +30,7 @@
 	case !r.Deadline.After(p.End):
 		return true
 	case !now.Before(p.Steered):
-		return r.Late <= maxLateSteered
+		return false
 	default:
 		return r.Repeatable || r.Late <= maxLate
 	}
--- a/brdrain/plan_test.go
+++ b/brdrain/plan_test.go
@@ -20,9 +20,9 @@
 not repeatable, deadline after 1s        a   a   a   a   a   -   -   -
 stream, resumable, no experience         a   a   -   -   -   -   -   -
 stream, resumable, all take 10s          a   a   -   -   -   -   -   -
-stream, resumable, all take 1s           a   a   a   a   -   -   -   -
+stream, resumable, all take 1s           a   a   -   -   -   -   -   -
 stream, not repeatable, no experience    -   -   -   -   -   -   -   -
-stream, not repeatable, all take 0.1s    a   a   a   a   a   a   -   -
+stream, not repeatable, all take 0.1s    a   a   -   -   -   -   -   -
 stream, not repeatable, few take 0.1s    a   a   -   -   -   -   -   -
 stream, not repeatable, all take 6s      a   -   -   -   -   -   -   -
 stream, not repeatable, all take 10s     -   -   -   -   -   -   -   -
@@ -88,6 +88,27 @@
 	return append(slices.Repeat([]time.Duration{usual}, n), slices.Repeat([]time.Duration{long}, 100-n)...)
 }
 
+// TestAdmittedEndInTime guards against a request that is accepted in the second phase and may
+// outlast the stop, whatever experience says: one of a route whose requests were all short may
+// state a long output, or its endpoint may turn slow.
+func TestAdmittedEndInTime(t *testing.T) {
+	start := time.Unix(0, 0)
+	for _, grace := range []time.Duration{3 * time.Second, 8 * time.Second, time.Minute} {
+		p := Plan{Steered: start.Add(2 * time.Second), End: start.Add(grace)}
+		for at := 2 * time.Second; at < grace; at += 100 * time.Millisecond {
+			for deadline := time.Duration(0); deadline < 2*grace; deadline += 100 * time.Millisecond {
+				now := start.Add(at)
+				for _, repeatable := range []bool{false, true} {
+					r := Request{Repeatable: repeatable, Deadline: now.Add(deadline), Late: 0}
+					if got, want := p.Admits(now, r), at+deadline <= grace; got != want {
+						t.Fatalf("request at %v of a stop of %v, deadline after %v: accepted %v, want %v", at, grace, deadline, got, want)
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestEndings guards against a request that is reported as not run and may have run, and
 // against an incomplete response that is followed by another one.
 func TestEndings(t *testing.T) {
--- a/brproxy/drain_test.go
+++ b/brproxy/drain_test.go
@@ -95,6 +95,54 @@
 	}
 }
 
+// TestDrainRefusesWithoutBound guards against a stop that accepts a request when load balancers
+// send no more, because those before it were short, and then cuts its response. The caller
+// holds its connection by a stream that was in progress at the start of the stop.
+func TestDrainRefusesWithoutBound(t *testing.T) {
+	release := make(chan struct{})
+	s := newSystem(t, func(w http.ResponseWriter, r *http.Request) {
+		respond(200, "", event(1))(w, r)
+		if r.Header.Get("Id") != "short" {
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}
+	})
+	const stream = "POST /stream/ HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: k\r\nContent-Length: 0\r\n\r\n"
+	send := func(c *caller, id string) int {
+		fmt.Fprintf(c, stream, id)
+		status, _ := c.receive()
+		return status
+	}
+	for range 120 {
+		if status := send(s.dial(t, s.front.Address()), "short"); status != http.StatusOK {
+			t.Fatalf("status %d before the stop, want 200", status)
+		}
+	}
+	kept := s.dial(t, s.front.Address())
+	fmt.Fprintf(kept, stream, "held")
+	brtest.Await(t, 5*time.Second, "stream is in progress", func() bool { return s.arrivals() == 121 })
+	now := time.Now()
+	plan := brdrain.Plan{Steered: now.Add(50 * time.Millisecond), End: now.Add(2 * time.Second)} // the deadline is 3 s
+	drained := make(chan error, 1)
+	go func() { drained <- s.proxy.Drain(context.Background(), plan) }()
+	time.Sleep(time.Until(plan.Steered.Add(50 * time.Millisecond)))
+	close(release)
+	held, _ := kept.receive()
+	late := send(kept, "late")
+	if diff := cmp.Diff([]int{http.StatusOK, http.StatusServiceUnavailable}, []int{held, late}); diff != "" {
+		t.Errorf("statuses (-want +got):\n%s", diff)
+	}
+	if n := s.arrivals(); n != 121 {
+		t.Errorf("%d requests reached an endpoint, want 121 without the late one", n)
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestDrainEndsBeforeSteering guards against a stop whose grace period is shorter than the
 // time in which load balancers learn of it, and that waits for them until nothing is left of
 // the period: then connections are cut.
