brlog: keep the number of voters odd, and yield votes at a stop

Cause: the successor became a fourth voter, so that a majority needed three, and the machine that had gone stayed a voter until it had been silent for 2.5 s. A loss in that time left two of four. Ruled out: a shorter timeout (it would remove replicas that only restart), and a removal by the stopping replica itself (one that is restarted has to come back with its log).

Now a group has as many voters as its tolerance needs; further replicas are learners that take the vote of a voter that is silent or that yields it. A stopping replica yields its vote before its process ends, if a learner can take it, and is a learner with its log if it comes back. The stop waits for that within the grace period. The request has a name of its own (log_yield); a leader of an earlier build refuses it, and the replica keeps its vote as before.

--- a/brcontrol/formats_test.go
+++ b/brcontrol/formats_test.go
@@ -11,6 +11,7 @@
 func TestFormats(t *testing.T) {
 	brtest.CheckFormats(t,
 		brtest.Value("names", []string{callPropose, callRead, callChange, callHello}),
+		brtest.Value("names/yield", callYield),
 		brtest.Value("message_kinds", []brlog.MessageKind{
 			brlog.MessagePreVote, brlog.MessagePreVoteReply, brlog.MessageVote, brlog.MessageVoteReply,
 			brlog.MessageHeartbeat, brlog.MessageHeartbeatReply, brlog.MessageAppend, brlog.MessageAppendReply,
@@ -23,6 +24,7 @@
 		brtest.Message[proposeReply]("propose_reply"),
 		brtest.Message[indexReply]("index_reply"),
 		brtest.Message[changeRequest]("change"),
+		brtest.Message[yieldRequest]("yield"),
 		brtest.Message[helloReply]("hello_reply"),
 	)
 }
--- a/brcontrol/peers.go
+++ b/brcontrol/peers.go
@@ -20,6 +20,7 @@
 	callRead    = "log_read"
 	callChange  = "log_change"
 	callHello   = "log_hello"
+	callYield   = "log_yield"
 )
 
 // envelope is a message together with the listen address of its sender. A
@@ -38,6 +39,11 @@
 	Result []byte `cbor:"result"`
 }
 
+// yieldRequest asks the leader to make the voter ID a learner.
+type yieldRequest struct {
+	ID brlog.ID `cbor:"id"`
+}
+
 type indexReply struct {
 	Index uint64 `cbor:"index"`
 }
@@ -91,6 +97,7 @@
 		return indexReply{i}, err
 	})
 	handleReplica(m, groupName(callChange, group), current, (*Replica).changeLocal)
+	handleReplica(m, groupName(callYield, group), current, (*Replica).yieldLocal)
 	handleReplica(m, groupName(callHello, group), current, func(r *Replica, _ context.Context, _ struct{}) (helloReply, error) {
 		return r.hello(), nil
 	})
--- a/brcontrol/propose.go
+++ b/brcontrol/propose.go
@@ -224,6 +224,11 @@
 	if err != nil {
 		return indexReply{}, err
 	}
+	return changeReply(reply)
+}
+
+// changeReply returns the reply to a request for a membership change.
+func changeReply(reply brlog.Effect) (indexReply, error) {
 	switch a := reply.(type) {
 	case brlog.Accepted:
 		return indexReply{a.First}, nil
@@ -235,7 +240,59 @@
 			return indexReply{}, brerror.New(brerror.InvalidRequest, "membership change refused: %v", a.Reason)
 		}
 	}
-	return indexReply{}, brerror.New(brerror.NotLeader, "membership change is not possible at present")
+	return indexReply{}, errChangeNotPossible
+}
+
+// errChangeNotPossible is the reply to a membership change that may be possible later.
+var errChangeNotPossible = brerror.New(brerror.NotLeader, "membership change is not possible at present")
+
+// YieldVote gives up the vote of this replica, so that the group tolerates as many losses
+// after the end of its process as before. Before that, another replica takes the vote. It
+// returns nil once this replica has no vote. It returns an error of kind InvalidRequest if no
+// replica can take the vote, or if the leader's build knows no such request; the vote is kept
+// then. YieldVote tries again until ctx is done if no leader can be reached.
+func (r *Replica) YieldVote(ctx context.Context) error {
+	for {
+		st := r.Status()
+		if st.Forming || !st.Membership.IsVoter(st.ID) {
+			return nil
+		}
+		err := r.TransferLeadership(ctx)
+		if err == nil {
+			err = r.requestYield(ctx, st.ID)
+		}
+		switch {
+		case brerror.Is(err, brerror.InvalidRequest):
+			return err
+		case ctx.Err() != nil:
+			return brerror.New(brerror.NoQuorum, "vote was not yielded: %w", ctx.Err())
+		case r.ctx.Err() != nil:
+			return errClosed
+		}
+		r.sleep(tickInterval) // until this replica has the change, or a leader is elected
+	}
+}
+
+// requestYield asks the leader to make this replica a learner, and waits until it has.
+func (r *Replica) requestYield(ctx context.Context, id brlog.ID) error {
+	return r.callLeader(ctx, func(ctx context.Context, c *brpeer.Conn) error {
+		if c == nil {
+			// Not of kind NotLeader, which callLeader would try again without a transfer.
+			return brerror.New(brerror.NoQuorum, "this replica has become the leader")
+		}
+		_, err := brpeer.Call[yieldRequest, indexReply](ctx, c, r.name(callYield), yieldRequest{id})
+		return err
+	})
+}
+
+// yieldLocal passes a request to yield a vote to this replica, which must be the leader. The
+// error is of kind NotLeader until the change is made.
+func (r *Replica) yieldLocal(ctx context.Context, req yieldRequest) (indexReply, error) {
+	reply, err := r.submit(ctx, brlog.YieldVote{ID: req.ID})
+	if err != nil {
+		return indexReply{}, err
+	}
+	return changeReply(reply)
 }
 
 // TransferLeadership transfers leadership to another voter and returns once this
--- a/brcontrol/replica.go
+++ b/brcontrol/replica.go
@@ -82,7 +82,10 @@
 	// ElectionTimeout is the minimum election timeout; 0 means the default of brlog.
 	// The heartbeat interval and the lease duration are proportional to it.
 	ElectionTimeout time.Duration
-	WAL             brwal.Options // Dir is ignored
+	// MaxVoters and VoterTimeout are as in brlog.Config.
+	MaxVoters    int
+	VoterTimeout time.Duration
+	WAL          brwal.Options // Dir is ignored
 }
 
 // Replica is a running replica. It is safe for concurrent use.
@@ -202,6 +205,7 @@
 		Random: rand.Uint64, SnapshotEvery: r.cfg.SnapshotEvery,
 		ElectionTimeout: r.cfg.ElectionTimeout, HeartbeatInterval: r.cfg.ElectionTimeout * heartbeatPart / electionParts,
 		LeaseDuration: r.cfg.ElectionTimeout * leasePart / electionParts,
+		MaxVoters:     r.cfg.MaxVoters, VoterTimeout: r.cfg.VoterTimeout,
 	})
 	if err != nil {
 		r.fatal(err)
--- a/brcore/core.go
+++ b/brcore/core.go
@@ -94,13 +94,25 @@
 	c.wg.Wait()
 }
 
-// TransferLeadership transfers the leadership to another replica if this one leads.
-func (c *Core) TransferLeadership(ctx context.Context) error {
+// Leave prepares the stop of this daemon's replica: it transfers the leadership, and yields the
+// vote if another replica can take it, so that the group tolerates as many further losses
+// whether this daemon comes back or not. It returns when that is done or not possible, or when
+// ctx is done. The replica runs until Close.
+func (c *Core) Leave(ctx context.Context) {
 	r := c.replica.Load()
 	if r == nil {
-		return nil
+		return
 	}
-	return r.TransferLeadership(ctx)
+	if err := r.TransferLeadership(ctx); err != nil {
+		c.cfg.Log.Warn().Err(err).Msg("leadership transfer failed")
+	}
+	st := r.Status()
+	if !st.Membership.IsVoter(st.ID) || !canYield(st.Membership, c.cfg.Tolerance) {
+		return
+	}
+	err := r.YieldVote(ctx)
+	c.cfg.Log.Info().AnErr("error", err).Int("voters", r.Status().Membership.Voters()).Bool("yielded", err == nil).
+		Msg("replica leaves with its vote yielded to another one if possible")
 }
 
 // Status returns the status of this daemon's replica and whether a replica runs.
--- a/brcore/membership.go
+++ b/brcore/membership.go
@@ -6,29 +6,59 @@
 	"bramleyroute/brlog"
 )
 
-// voterTimeout is the time without a message after which a voter is removed from
-// the group if enough others are left. It is longer than a restart. It is short
-// enough that a group of three regains its tolerance before the successor of a
-// lost replica counts as caught up.
-const voterTimeout = 2500 * time.Millisecond
-
-// removableVoter returns the voter that the leader should remove, if any: the one
-// that has been silent longest, provided that the group has more voters than
-// needed to survive the loss of tolerance replicas.
-func removableVoter(st brlog.Status, tolerance int) (brlog.ID, bool) {
-	if st.Membership.Voters() <= requiredVoters(tolerance) {
-		return "", false
+const (
+	// voterTimeout is the time without a message after which a voter is replaced by a
+	// learner, or removed from the group if enough others are left. It is longer than a
+	// restart. It is short enough that a group of three regains its tolerance before the
+	// successor of a lost replica counts as caught up.
+	voterTimeout = 2500 * time.Millisecond
+	// learnerTimeout is the time without a message after which a learner is removed from
+	// the group. It has no vote, so that only the size of the membership depends on it.
+	learnerTimeout = 15 * time.Second
+)
+
+// removableMember returns the member that the leader should remove, if any: the voter that has
+// been silent longest, provided that the group has more voters than needed to survive the loss
+// of tolerance replicas, or else a silent learner.
+func removableMember(st brlog.Status, tolerance int) (brlog.ID, bool) {
+	if st.Membership.Voters() > requiredVoters(tolerance) {
+		if id := longestSilent(st, voterTimeout, false); id != "" {
+			return id, true
+		}
 	}
-	var lost brlog.ID
-	longest := voterTimeout
+	id := longestSilent(st, learnerTimeout, true)
+	return id, id != ""
+}
+
+// longestSilent returns the learner, or the voter, that has been silent longest, and "" if none
+// has for the given time.
+func longestSilent(st brlog.Status, limit time.Duration, learners bool) (longest brlog.ID) {
 	for _, m := range st.Membership.Members {
-		if silent := st.SinceLastReply[m.ID]; !m.Learner && m.ID != st.ID && silent >= longest {
-			lost, longest = m.ID, silent
+		if silent := st.SinceLastReply[m.ID]; m.Learner == learners && m.ID != st.ID && silent >= limit {
+			longest, limit = m.ID, silent
 		}
 	}
-	return lost, lost != ""
+	return longest
+}
+
+// canYield reports whether a voter of m that stops may have its vote taken by another member:
+// there is a learner, or a voter more than needed.
+func canYield(m brlog.Membership, tolerance int) bool {
+	voters := m.Voters()
+	return maxVoters(tolerance) > 0 && (voters < len(m.Members) || voters > requiredVoters(tolerance))
 }
 
 // requiredVoters returns the number of voters needed to survive the loss of
 // tolerance of them.
 func requiredVoters(tolerance int) int { return 2*tolerance + 1 }
+
+// maxVoters returns the number of voters above which further replicas stay learners, or 0 for
+// no limit. A voter more than required would need a larger majority for the same tolerance:
+// with four voters, the loss of a second one before the first is removed takes the majority.
+// Without a stated tolerance every replica votes.
+func maxVoters(tolerance int) int {
+	if tolerance == 0 {
+		return 0
+	}
+	return requiredVoters(tolerance)
+}
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -64,6 +64,7 @@
 		},
 		OnApplied:     func(uint64) { c.publish() },
 		SnapshotEvery: snapshotInterval, ElectionTimeout: electionTimeout,
+		MaxVoters: maxVoters(c.cfg.Tolerance), VoterTimeout: voterTimeout,
 		Clock: c.cfg.Clock, WAL: c.cfg.WAL,
 	})
 	if err != nil {
@@ -106,7 +107,7 @@
 		if !st.LeaseValid {
 			continue
 		}
-		if id, ok := removableVoter(st.Status, c.cfg.Tolerance); ok {
+		if id, ok := removableMember(st.Status, c.cfg.Tolerance); ok {
 			ctx, cancel := context.WithTimeout(c.ctx, callTimeout)
 			err := r.RemoveReplica(ctx, id)
 			cancel()
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -79,6 +79,7 @@
 	daemons   atomic.Int64 // known daemons that are not leaving
 	// domainDaemons is the number of those in the same failure domain.
 	domainDaemons atomic.Int64
+	knownReplicas atomic.Int64      // the most daemons with a replica that were known at a time
 	loadSeqs      map[string]uint64 // of the applied load records, by daemon incarnation; used by calls from node
 
 	dropped   droppedRecords
@@ -166,17 +167,16 @@
 	}
 }
 
-// Leave marks the daemon as not ready, transfers the leadership of the replicated
-// log to another replica and announces to the other daemons that this one is
-// leaving. Requests are still served.
+// Leave marks the daemon as not ready, announces to the other daemons that this one is
+// leaving, and transfers the leadership of the replicated log and this replica's vote to other
+// replicas. Requests are still served. Close is called after Leave has returned, since the
+// replica votes until then.
 func (f *Fleet) Leave(ctx context.Context) {
 	f.leaving.Store(true)
 	f.paths.server.Leave()
 	f.proxy.DisableKeepAlives()
 	f.node.Leave()
-	if err := f.core.TransferLeadership(ctx); err != nil {
-		f.cfg.Log.Warn().Err(err).Msg("leadership transfer failed")
-	}
+	f.core.Leave(ctx)
 }
 
 // Drain stops serving callers by plan, and then waits until the tunnels have ended over which
--- a/brlog/event.go
+++ b/brlog/event.go
@@ -2,7 +2,7 @@
 
 import "fmt"
 
-// Event is one of Tick, Receive, Propose, Synced, SnapshotSaved, ChangeMember,
+// Event is one of Tick, Receive, Propose, Synced, SnapshotSaved, ChangeMember, YieldVote,
 // Transfer and ClockJumped.
 type Event interface{ event() }
 
@@ -32,6 +32,14 @@
 	Remove ID     // member to remove, if Add.ID is empty
 }
 
+// YieldVote requests that the voter ID becomes a learner, because its process is about to end.
+// The leader first makes a learner that has caught up a voter, so that the number of voters is
+// even only while ID is still alive, and then ID a learner. The request holds for
+// Config.VoterTimeout and is repeated until the reply, a Refused effect, isn't Busy: it is
+// ChangeAlreadyMade once ID is no voter, and Invalid if no learner could take the vote, or if
+// ID is the leader, which transfers the leadership first.
+type YieldVote struct{ ID ID }
+
 // Transfer requests that the leader transfers leadership to the voter To, or to
 // the most up-to-date voter if To is empty.
 type Transfer struct{ To ID }
@@ -45,6 +53,7 @@
 func (Synced) event()        {}
 func (SnapshotSaved) event() {}
 func (ChangeMember) event()  {}
+func (YieldVote) event()     {}
 func (Transfer) event()      {}
 func (ClockJumped) event()   {}
 
@@ -98,7 +107,7 @@
 // with the same term.
 type Accepted struct{ First, Term, Count uint64 }
 
-// Refused reports that a Propose, ChangeMember or Transfer event was rejected.
+// Refused reports that a Propose, ChangeMember, YieldVote or Transfer event was rejected.
 // Nothing was appended.
 type Refused struct {
 	Reason        Reason
--- a/brlog/leader.go
+++ b/brlog/leader.go
@@ -20,6 +20,8 @@
 	peerTime    int64
 	session     uint64
 
+	yieldingUntil time.Duration // the member yields its vote until then
+
 	snapshotIndex  uint64 // index of the snapshot being sent; 0 if none
 	snapshotOffset uint64
 }
@@ -117,7 +119,7 @@
 			}
 		}
 	}
-	s.promoteLearner()
+	s.balanceVoters()
 }
 
 func (s *State) sendHeartbeat(m Member) {
@@ -137,7 +139,7 @@
 		if x.Learner {
 			continue
 		}
-		if p := s.progress[x.ID]; x.ID == s.id || p != nil && s.now-p.lastReplyAt < d {
+		if s.active(x.ID, d) {
 			n++
 		}
 	}
--- a/brlog/membership.go
+++ b/brlog/membership.go
@@ -1,5 +1,7 @@
 package brlog
 
+import "time"
+
 // updateMembership sets the membership from the latest membership entry, whether
 // committed or not, or from the snapshot if the log has none.
 func (s *State) updateMembership() {
@@ -89,30 +91,118 @@
 	}
 }
 
-// promoteLearner promotes a learner that has caught up to a voter. The member that
-// it replaces is removed first, so that the replacement does not increase the
-// quorum size.
-func (s *State) promoteLearner() {
+// balanceVoters makes one membership change towards Config.MaxVoters: it promotes a learner
+// that has caught up while there are fewer voters, or makes a surplus voter a learner.
+func (s *State) balanceVoters() {
 	if s.role != leader || !s.canChangeMembership() {
 		return
 	}
 	for _, m := range s.membership.Members {
-		p := s.progress[m.ID]
-		if !m.Learner || p == nil || p.probing || p.match < s.commit || s.now-p.lastReplyAt > s.cfg.ElectionTimeout {
+		if !s.caughtUp(m) {
 			continue
 		}
 		next := s.membership
 		if _, ok := next.Find(m.Replaces); ok && m.Replaces != s.id {
+			// The replaced member is removed first, so that the replacement doesn't
+			// increase the quorum size.
 			next = next.Without(m.Replaces)
+		} else if s.needsVoter() {
+			next = next.With(m.voter())
 		} else {
-			m.Learner, m.Replaces = false, ""
-			next = next.With(m)
+			continue
 		}
 		if s.quorumActive(next, s.cfg.ElectionTimeout) {
 			s.appendMembership(next)
 			return
 		}
 	}
+	if m, ok := s.surplusVoter(); ok {
+		if next := s.membership.With(m.learner()); s.quorumActive(next, s.cfg.ElectionTimeout) {
+			s.appendMembership(next)
+		}
+	}
+}
+
+// caughtUp reports whether m is a learner that is active and has all committed entries.
+func (s *State) caughtUp(m Member) bool {
+	p := s.progress[m.ID]
+	return m.Learner && p != nil && !p.probing && p.match >= s.commit && s.active(m.ID, s.cfg.ElectionTimeout)
+}
+
+// active reports whether id replied within the last d. This replica is always active.
+func (s *State) active(id ID, d time.Duration) bool {
+	p := s.progress[id]
+	return id == s.id || p != nil && s.now-p.lastReplyAt < d
+}
+
+// needsVoter reports whether a learner should become a voter. Voters that are silent for
+// Config.VoterTimeout or yield their vote don't count.
+func (s *State) needsVoter() bool {
+	if s.cfg.MaxVoters == 0 {
+		return true
+	}
+	n := 0
+	for _, m := range s.membership.Members {
+		if !m.Learner && s.active(m.ID, s.cfg.VoterTimeout) && !s.yielding(m.ID) {
+			n++
+		}
+	}
+	return n < s.cfg.MaxVoters
+}
+
+// yielding reports whether id has asked within Config.VoterTimeout to become a learner.
+func (s *State) yielding(id ID) bool {
+	p := s.progress[id]
+	return p != nil && s.now < p.yieldingUntil
+}
+
+// surplusVoter returns a voter beyond Config.MaxVoters, preferably one that yields its vote. It
+// returns no other one while a voter is silent, since that one may be lost.
+func (s *State) surplusVoter() (surplus Member, ok bool) {
+	if s.cfg.MaxVoters == 0 || s.membership.Voters() <= s.cfg.MaxVoters {
+		return Member{}, false
+	}
+	silent := false
+	for _, m := range s.membership.Members {
+		switch {
+		case m.Learner || m.ID == s.id:
+		case s.yielding(m.ID):
+			return m, true
+		case !s.active(m.ID, s.cfg.ElectionTimeout):
+			silent = true
+		default:
+			surplus = m
+		}
+	}
+	return surplus, !silent && surplus.ID != ""
+}
+
+// yieldVote records that id yields its vote, for balanceVoters.
+func (s *State) yieldVote(id ID) {
+	if s.role != leader {
+		s.emitRefused(NotLeader)
+		return
+	}
+	p := s.progress[id]
+	switch {
+	case !s.membership.IsVoter(id):
+		s.emitRefused(ChangeAlreadyMade)
+	case p == nil || s.cfg.MaxVoters == 0 || s.membership.Voters() <= s.cfg.MaxVoters && !s.hasActiveLearner():
+		s.emitRefused(Invalid)
+	default:
+		p.yieldingUntil = s.now + s.cfg.VoterTimeout
+		s.emitRefused(Busy)
+	}
+}
+
+// hasActiveLearner reports whether a learner replies, which may not have caught up yet.
+func (s *State) hasActiveLearner() bool {
+	for _, m := range s.membership.Members {
+		if m.Learner && s.active(m.ID, s.cfg.ElectionTimeout) {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *State) appendMembership(m Membership) {
--- a/brlog/state.go
+++ b/brlog/state.go
@@ -57,6 +57,15 @@
 	SnapshotEvery     uint64        // number of entries between snapshots
 	TrailingEntries   uint64        // number of entries retained before a snapshot for slow followers
 
+	// MaxVoters is the number of voters that the group should have; 0 means no limit. Further
+	// members stay learners and take the vote of a voter that is silent for VoterTimeout, or
+	// that yields it. An odd number tolerates as many losses as the even one above it, and
+	// needs one voter less for a majority.
+	MaxVoters int
+	// VoterTimeout is the time without a reply after which a voter doesn't count towards
+	// MaxVoters. It is used only with MaxVoters, and then required.
+	VoterTimeout time.Duration
+
 	mutate mutation
 }
 
@@ -215,6 +224,9 @@
 	if float64(c.LeaseDuration) > float64(c.ElectionTimeout)*(1-2*MaxClockDrift) || 2*c.HeartbeatInterval > c.LeaseDuration {
 		panic("brlog: lease is too long for the election timeout or too short for the heartbeat interval")
 	}
+	if c.MaxVoters > 0 && c.VoterTimeout < c.ElectionTimeout {
+		panic("brlog: voter timeout is shorter than the election timeout")
+	}
 	return c
 }
 
@@ -246,6 +258,8 @@
 		s.onSnapshotSaved(e.Snapshot)
 	case ChangeMember:
 		s.changeMember(e)
+	case YieldVote:
+		s.yieldVote(e.ID)
 	case Transfer:
 		s.startTransfer(e.To)
 	case ClockJumped:
--- a/brlog/types.go
+++ b/brlog/types.go
@@ -22,6 +22,17 @@
 	Replaces ID `cbor:"replaces,omitempty" json:"replaces,omitempty"`
 }
 
+// voter returns m as a voter, and learner as a learner.
+func (m Member) voter() Member {
+	m.Learner, m.Replaces = false, ""
+	return m
+}
+
+func (m Member) learner() Member {
+	m.Learner, m.Replaces = true, ""
+	return m
+}
+
 // Membership lists the replicas of the group. It is immutable.
 type Membership struct {
 	Members []Member `cbor:"members" json:"members"`                     // sorted by ID
