brfleet: acknowledge a withdrawal once t+1 replicas have it

Cause: a withdrawal was acknowledged when the daemon's own store had it, up to a flush interval before any other daemon. A heartbeat that says that the endpoint leaves had the same gap. Ruled out: a loss on the links (nothing was sent before the end of the process), and the replicated log as the place of withdrawals, which would cost a sync on a majority for each.

Now the record goes to all peers at once, and each replies after it has merged it. The daemon acknowledges once t+1 daemons with a replica have it, t being the tolerance, and waits up to 100 ms for the others. Otherwise it responds 503 after 0.9 s. A daemon of an earlier build replies that it doesn't know the call, which proves the same, since messages are handled in order. Daemons of large fleets keep links to t+1 replicas.

--- a/brfleet/brittle_test.go
+++ b/brfleet/brittle_test.go
@@ -99,7 +99,7 @@
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
 		servers = append(servers, e)
-		if err := c.fleets[0].Announce(Announcement{
+		if err := c.fleets[0].Announce(t.Context(), Announcement{
 			Endpoint: brplace.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: server.Listener.Addr().String(), Slots: slots}, Born: 1, Sequence: 1,
 		}); err != nil {
 			t.Fatal(err)
--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -1,6 +1,7 @@
 package brfleet
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math"
@@ -40,9 +41,9 @@
 // Announce publishes a heartbeat to all daemons. A heartbeat older than the
 // current record of the endpoint has no effect. Announce returns an error that
 // wraps ErrInvalid or ErrUnknownService for an announcement that names no endpoint to
-// use, and ErrIsolated if a leaving endpoint announces itself while no other daemon can
-// be reached.
-func (f *Fleet) Announce(a Announcement) error {
+// use. For a leaving endpoint it returns nil and errors as Withdraw does. Otherwise it
+// doesn't wait for other daemons: the endpoint repeats its heartbeat.
+func (f *Fleet) Announce(ctx context.Context, a Announcement) error {
 	if err := a.Check(); err != nil {
 		return err
 	}
@@ -53,8 +54,16 @@
 		return ErrIsolated
 	}
 	if !f.recentlyPublished(a) {
+		f.confirmed.remove(a.Endpoint.ID)
 		f.publishEndpoint(a)
 	}
+	if !a.Endpoint.Leaving || f.confirmed.has(a.Endpoint.ID, a.Born) {
+		return nil
+	}
+	if err := f.confirmLeaving(ctx, a); err != nil {
+		return err
+	}
+	f.confirmed.add(a.Endpoint.ID, a.Born)
 	return nil
 }
 
@@ -69,29 +78,6 @@
 	return err == nil && last.Endpoint == a.Endpoint
 }
 
-// Withdraw marks the endpoint as leaving and publishes that to all daemons. It
-// returns an error that wraps ErrInvalid if no endpoint can have the ID, and ErrIsolated
-// if no other daemon can be reached.
-func (f *Fleet) Withdraw(id string) error {
-	if err := (Announcement{Endpoint: brplace.Endpoint{ID: id}}).checkIdentity(); err != nil {
-		return err
-	}
-	if f.isolated() {
-		return ErrIsolated
-	}
-	a := Announcement{Endpoint: brplace.Endpoint{ID: id}}
-	if r, ok := f.node.Get(kindEndpoint + "/" + id); ok {
-		last, err := brwire.Decode[Announcement](r.Value)
-		if err != nil {
-			return fmt.Errorf("brfleet: record of endpoint %s: %w", id, err)
-		}
-		a = last
-	}
-	a.Endpoint.Leaving, a.Sequence = true, withdrawnSequence
-	f.publishEndpoint(a)
-	return nil
-}
-
 // endpointLeaving marks an endpoint as leaving, since it said so in a response to a
 // request that was dispatched to e, and publishes that to all daemons. It stays marked
 // until it starts again. If it has done so already, the response is of its former start.
--- a/brfleet/endpoint_test.go
+++ b/brfleet/endpoint_test.go
@@ -24,7 +24,7 @@
 	})
 	announce := func(i int, a Announcement) {
 		t.Helper()
-		if err := c.fleets[i].Announce(a); err != nil {
+		if err := c.fleets[i].Announce(t.Context(), a); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -63,7 +63,7 @@
 			return present && !former
 		})
 	}
-	if err := c.fleets[0].Withdraw("n"); err != nil {
+	if err := c.fleets[0].Withdraw(t.Context(), "n"); err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range c.fleets {
@@ -103,7 +103,7 @@
 	}
 	announce := func(i int) {
 		t.Helper()
-		if err := c.fleets[i].Announce(a); err != nil {
+		if err := c.fleets[i].Announce(t.Context(), a); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -161,7 +161,7 @@
 	a := Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 2}, Born: 7, Sequence: 1}
 	published := func() uint64 {
 		t.Helper()
-		if err := f.Announce(a); err != nil {
+		if err := f.Announce(t.Context(), a); err != nil {
 			t.Fatal(err)
 		}
 		r, ok := f.node.Get(kindEndpoint + "/e")
@@ -196,7 +196,7 @@
 	f := newCluster(t, 1, 1).fleets[0]
 	announce := func(born uint64) {
 		t.Helper()
-		if err := f.Announce(Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 4}, Born: born, Sequence: 1}); err != nil {
+		if err := f.Announce(t.Context(), Announcement{Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.1:80", Slots: 4}, Born: born, Sequence: 1}); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/brfleet/fatal_test.go
+++ b/brfleet/fatal_test.go
@@ -87,7 +87,7 @@
 	c.awaitInForce(1)
 	crashes := &atomic.Int64{}
 	announce := func(a Announcement) {
-		if err := c.fleets[0].Announce(a); err != nil {
+		if err := c.fleets[0].Announce(t.Context(), a); err != nil {
 			t.Error(err)
 		}
 	}
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -73,6 +73,7 @@
 	core    *brcore.Core
 
 	endpoints registry
+	confirmed startSet // leaving endpoints that enough daemons know of
 	policies  policies
 	rollouts  rollouts
 	leaving   atomic.Bool
@@ -131,7 +132,7 @@
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
 		Accept: f.accept, OnRecord: f.onRecord, OnExpired: f.onExpired, OnDropped: f.onDropped, OnLink: f.onLink,
 		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
-		DomainKinds: map[string]bool{kindDomainLoad: true}, Clock: cfg.Clock,
+		DomainKinds: map[string]bool{kindDomainLoad: true}, OpenRelays: cfg.Tolerance + 1, Clock: cfg.Clock,
 	})
 	savedEvidence := f.loadEvidence()
 	f.core = brcore.Start(brcore.Config{
@@ -273,6 +274,7 @@
 		domain := 0
 		var active []string
 		daemons := f.node.Daemons()
+		f.requiredHolders(daemons)
 		f.setRelays(f.relays(daemons))
 		for _, d := range daemons {
 			if d.Leaving {
--- a/brfleet/fleet_test.go
+++ b/brfleet/fleet_test.go
@@ -128,7 +128,7 @@
 	defer endpoint.Close()
 	c.put(3, 1)
 	c.awaitInForce(1)
-	err := c.fleets[0].Announce(Announcement{
+	err := c.fleets[0].Announce(t.Context(), Announcement{
 		Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: endpoint.Listener.Addr().String(), Slots: 4}, Born: 1, Sequence: 1,
 	})
 	if err != nil {
--- a/brfleet/flush_test.go
+++ b/brfleet/flush_test.go
@@ -18,7 +18,7 @@
 	f, other := c.fleets[0], &c.fleets[1].endpoints
 	for i := range endpoints {
 		e := brplace.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprint("127.0.0.1:", 100+i), Zone: "z", Version: "v", Slots: 1}
-		if err := f.Announce(Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
+		if err := f.Announce(t.Context(), Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -33,7 +33,7 @@
 	}
 	c.await("endpoints are known", func() bool { return serving() == endpoints })
 	for i := range endpoints {
-		if err := f.Withdraw(fmt.Sprint("e", i)); err != nil {
+		if err := f.Withdraw(t.Context(), fmt.Sprint("e", i)); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/brfleet/fuzz_test.go
+++ b/brfleet/fuzz_test.go
@@ -45,7 +45,7 @@
 		fleet.proxy.PlacementReport(time.Second)
 		seq++
 		sound := Announcement{Endpoint: brplace.Endpoint{ID: "sound", Service: "s", Address: "10.0.0.2:1", Slots: int(1 + seq%9)}, Born: 1 << 52, Sequence: seq}
-		if err := fleet.Announce(sound); err != nil {
+		if err := fleet.Announce(t.Context(), sound); err != nil {
 			t.Fatal(err)
 		}
 		if a, ok := fleet.endpoints.serving("sound"); !ok || a.Endpoint.Slots != sound.Endpoint.Slots {
--- a/brfleet/limit_test.go
+++ b/brfleet/limit_test.go
@@ -68,7 +68,7 @@
 	for id, e := range endpoints {
 		server := httptest.NewServer(e)
 		t.Cleanup(server.Close)
-		if err := c.fleets[0].Announce(Announcement{
+		if err := c.fleets[0].Announce(t.Context(), Announcement{
 			Endpoint: brplace.Endpoint{ID: id, Service: "s", Address: server.Listener.Addr().String(), Slots: 8}, Born: 1, Sequence: 1,
 		}); err != nil {
 			t.Fatal(err)
--- a/brfleet/odd_report_test.go
+++ b/brfleet/odd_report_test.go
@@ -30,7 +30,7 @@
 	endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok") }))
 	defer endpoint.Close()
 	e := brplace.Endpoint{ID: "e", Service: "s", Address: endpoint.Listener.Addr().String(), Slots: 1}
-	if err := f.Announce(Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
+	if err := f.Announce(t.Context(), Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	n := 0
--- a/brfleet/odd_test.go
+++ b/brfleet/odd_test.go
@@ -23,14 +23,14 @@
 	}
 	link := c.fleets[1].node.Conn(c.addresses[0])
 	odd := brplace.Endpoint{ID: "e\xff", Service: "s", Address: "10.0.0.1:1", Slots: 2}
-	if err := c.fleets[0].Announce(Announcement{Endpoint: odd, Born: 1, Sequence: 1}); err == nil {
+	if err := c.fleets[0].Announce(t.Context(), Announcement{Endpoint: odd, Born: 1, Sequence: 1}); err == nil {
 		t.Error("heartbeat under an ID of invalid UTF-8 was acknowledged")
 	}
-	if err := c.fleets[0].Withdraw("w\xff"); err == nil {
+	if err := c.fleets[0].Withdraw(t.Context(), "w\xff"); err == nil {
 		t.Error("withdrawal of an ID of invalid UTF-8 was acknowledged")
 	}
 	sound := brplace.Endpoint{ID: "e", Service: "s", Address: "10.0.0.2:1", Slots: 2}
-	if err := c.fleets[0].Announce(Announcement{Endpoint: sound, Born: 1, Sequence: 1}); err != nil {
+	if err := c.fleets[0].Announce(t.Context(), Announcement{Endpoint: sound, Born: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range c.fleets {
@@ -108,7 +108,7 @@
 			})
 		}
 		sound := brplace.Endpoint{ID: "sound of " + name, Service: "s", Address: "10.0.0.2:1", Slots: 2}
-		if err := c.fleets[0].Announce(Announcement{Endpoint: sound, Born: 1, Sequence: 1}); err != nil {
+		if err := c.fleets[0].Announce(t.Context(), Announcement{Endpoint: sound, Born: 1, Sequence: 1}); err != nil {
 			t.Fatal(err)
 		}
 		for i, f := range c.fleets {
@@ -178,7 +178,7 @@
 		_, _ = brpeer.Call[struct{}, struct{}](context.Background(), conn, "unknown", struct{}{})
 	}
 	e.Slots = 5
-	if err := c.fleets[1].Announce(Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
+	if err := c.fleets[1].Announce(t.Context(), Announcement{Endpoint: e, Born: 1, Sequence: 1}); err != nil {
 		t.Fatal(err)
 	}
 	for _, f := range c.fleets {
--- a/brfleet/partition_test.go
+++ b/brfleet/partition_test.go
@@ -46,7 +46,7 @@
 		}))
 		t.Cleanup(server.Close)
 		all.addresses = append(all.addresses, server.Listener.Addr().String())
-		if err := c.fleets[0].Announce(Announcement{
+		if err := c.fleets[0].Announce(t.Context(), Announcement{
 			Endpoint: brplace.Endpoint{ID: fmt.Sprint("e", i), Service: "s", Address: server.Listener.Addr().String(), Slots: 7}, Born: 1, Sequence: 1,
 		}); err != nil {
 			t.Fatal(err)
@@ -347,7 +347,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}))
 	t.Cleanup(server.Close)
-	if err := c.fleets[0].Announce(Announcement{
+	if err := c.fleets[0].Announce(t.Context(), Announcement{
 		Endpoint: brplace.Endpoint{ID: "e", Service: "s", Address: server.Listener.Addr().String(), Slots: 7}, Born: 1, Sequence: 1,
 	}); err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/brfleet/withdrawal.go
@@ -0,0 +1,171 @@
+package brfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"bramleyroute/brgossip"
+	"bramleyroute/brplace"
+	"bramleyroute/brwire"
+)
+
+const (
+	// confirmTimeout limits the time in which other daemons confirm a withdrawal. The
+	// endpoint is then told to send it again, to this or another daemon.
+	confirmTimeout = 900 * time.Millisecond
+	// confirmSettleTime is the time for which the other peers are waited for once enough
+	// replicas have a withdrawal, so that it also survives the end of all replicas.
+	confirmSettleTime = 100 * time.Millisecond
+)
+
+// ErrUnconfirmed is returned for the announcement of a leaving endpoint that too few other
+// daemons have confirmed. It may have taken effect.
+var ErrUnconfirmed = errors.New("brfleet: too few daemons have confirmed that the endpoint leaves")
+
+// Withdraw marks the endpoint as leaving and publishes that to all daemons. It returns nil once
+// the withdrawal survives the loss of this daemon, and of as many replicas as Config.Tolerance
+// allows. It returns an error that wraps ErrInvalid if no endpoint can have the ID, ErrIsolated
+// if no other daemon can be reached, and ErrUnconfirmed if too few have confirmed in time.
+func (f *Fleet) Withdraw(ctx context.Context, id string) error {
+	if err := (Announcement{Endpoint: brplace.Endpoint{ID: id}}).checkIdentity(); err != nil {
+		return err
+	}
+	if f.isolated() {
+		return ErrIsolated
+	}
+	a, err := f.withdrawal(id)
+	if err != nil {
+		return err
+	}
+	f.publishEndpoint(a)
+	return f.confirmLeaving(ctx, a)
+}
+
+// withdrawal returns the announcement that withdraws the newest known start of an endpoint.
+func (f *Fleet) withdrawal(id string) (Announcement, error) {
+	a := Announcement{Endpoint: brplace.Endpoint{ID: id}}
+	if r, ok := f.node.Get(kindEndpoint + "/" + id); ok {
+		last, err := brwire.Decode[Announcement](r.Value)
+		if err != nil {
+			return a, fmt.Errorf("brfleet: record of endpoint %s: %w", id, err)
+		}
+		a = last
+	}
+	a.Endpoint.Leaving, a.Sequence = true, withdrawnSequence
+	return a, nil
+}
+
+// confirmLeaving waits until the announcement of a leaving endpoint, which was published,
+// survives the loss of this daemon and of Config.Tolerance replicas.
+func (f *Fleet) confirmLeaving(ctx context.Context, a Announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	daemons := f.node.Daemons()
+	h := holders{required: f.requiredHolders(daemons), alone: len(daemons) == 1}
+	if f.cfg.Dir != "" {
+		h.replicas++
+	}
+	var settled <-chan time.Time
+	confirmations := f.node.Confirm(ctx, kindEndpoint+"/"+a.Endpoint.ID)
+	for open := true; open; {
+		if h.enough() && settled == nil {
+			settled = f.cfg.Clock.After(confirmSettleTime)
+		}
+		select {
+		case address, ok := <-confirmations:
+			open = ok
+			if ok {
+				h.add(daemons, address)
+			}
+		case <-settled:
+			open = false
+		}
+	}
+	if !h.enough() {
+		f.cfg.Log.Warn().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.replicas).Int("required", h.required).
+			Int("daemons", len(h.others)).Msg("too few daemons have confirmed that an endpoint leaves")
+		return ErrUnconfirmed
+	}
+	f.cfg.Log.Info().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.replicas).Int("daemons", len(h.others)).
+		Msg("other daemons have confirmed that an endpoint leaves")
+	return nil
+}
+
+// requiredHolders returns the number of replicas that must have an acknowledged withdrawal: one
+// more than may be lost, or all while fewer have ever been known.
+func (f *Fleet) requiredHolders(daemons []brgossip.Daemon) int {
+	replicas := int64(0)
+	for _, d := range daemons {
+		if d.Replica {
+			replicas++
+		}
+	}
+	for {
+		known := f.knownReplicas.Load()
+		if replicas <= known {
+			replicas = known
+			break
+		}
+		if f.knownReplicas.CompareAndSwap(known, replicas) {
+			break
+		}
+	}
+	return min(f.cfg.Tolerance+1, int(replicas))
+}
+
+// holders are the daemons that have an announcement.
+type holders struct {
+	required int  // replicas
+	alone    bool // no other daemon is known
+	replicas int  // with this daemon
+	others   []string
+}
+
+// add adds the daemon at an address. Two links to it count once.
+func (h *holders) add(daemons []brgossip.Daemon, address string) {
+	if slices.Contains(h.others, address) {
+		return
+	}
+	h.others = append(h.others, address)
+	if slices.ContainsFunc(daemons, func(d brgossip.Daemon) bool { return d.Address == address && d.Replica }) {
+		h.replicas++
+	}
+}
+
+// enough reports whether the announcement survives the losses that it has to.
+func (h *holders) enough() bool {
+	return h.replicas >= h.required && (h.alone || len(h.others) > 0)
+}
+
+// startSet is a set of starts of endpoints, at most one for each endpoint. It is safe for
+// concurrent use.
+type startSet struct {
+	mu   sync.Mutex
+	born map[string]uint64
+}
+
+func (s *startSet) has(id string, born uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b, ok := s.born[id]
+	return ok && b == born
+}
+
+func (s *startSet) remove(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.born, id)
+}
+
+func (s *startSet) add(id string, born uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.born == nil || len(s.born) >= maxWithdrawn {
+		s.born = map[string]uint64{}
+	}
+	s.born[id] = born
+}
--- /dev/null
+++ b/brgossip/confirm.go
@@ -0,0 +1,56 @@
+package brgossip
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"bramleyroute/brerror"
+	"bramleyroute/brpeer"
+)
+
+const callConfirm = "gossip_confirm"
+
+type confirmMessage struct{}
+
+// Confirm sends the newest version of a record to all peers at once, and returns a channel of
+// the addresses of those that have received it, which is closed when all have, or when ctx
+// ends.
+//
+// A peer handles the messages of a connection in order, so that any reply to a call proves that
+// it has merged the record before, also that of a build that doesn't know the call.
+func (n *Node) Confirm(ctx context.Context, key string) <-chan string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	confirmed := make(chan string, len(n.peers))
+	r, ok := n.store.Get(n.cfg.Clock.Now(), key)
+	if !ok || n.closed {
+		close(confirmed)
+		return confirmed
+	}
+	body := encode(batch{Records: []Record{r}})
+	var calls sync.WaitGroup
+	for c, p := range n.peers {
+		p.removePending(key)
+		calls.Go(func() {
+			if confirm(ctx, c, body) {
+				confirmed <- p.address
+			}
+		})
+	}
+	n.wg.Go(func() {
+		calls.Wait()
+		close(confirmed)
+	})
+	return confirmed
+}
+
+// confirm sends an encoded record over c and reports whether the peer has merged it.
+func confirm(ctx context.Context, c *brpeer.Conn, body []byte) bool {
+	if brpeer.PushEncoded(c, pushRecord, body) != nil {
+		return false // the peer receives all records when it reconnects
+	}
+	_, err := brpeer.Call[confirmMessage, confirmMessage](ctx, c, callConfirm, confirmMessage{})
+	var answered *brerror.Error
+	return err == nil || errors.As(err, &answered)
+}
--- a/brgossip/formats_test.go
+++ b/brgossip/formats_test.go
@@ -10,10 +10,12 @@
 func TestFormats(t *testing.T) {
 	brtest.CheckFormats(t,
 		brtest.Value("names", []string{KindDaemon, pushHello, pushRecord, pushSubscribe}),
+		brtest.Value("names/confirm", callConfirm),
 		brtest.Message[helloMessage]("hello"),
 		// 294156b writes the names of fields instead of numbers.
 		brtest.Message[batch]("records").NotShared("294156b"),
 		brtest.Message[subscribeMessage]("subscribe"),
 		brtest.Message[Daemon]("daemon"),
+		brtest.Message[confirmMessage]("confirm"),
 	)
 }
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -1,6 +1,7 @@
 package brgossip
 
 import (
+	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -70,7 +71,11 @@
 	// DomainKinds holds the kinds of direct records that, in a large fleet, only the
 	// daemons of the writer's failure domain receive. They are sent more often than
 	// the others. In a small fleet they are not sent at all.
-	DomainKinds   map[string]bool
+	DomainKinds map[string]bool
+	// OpenRelays is the least number of replicas that a daemon of a large fleet keeps open
+	// links to, as far as they can be reached; at least 2. Confirm needs it for records that
+	// so many replicas should have.
+	OpenRelays    int
 	FlushInterval time.Duration // 0 means DefaultFlushInterval
 	Clock         brclock.Clock // nil means the system clock
 }
@@ -122,6 +127,9 @@
 	brpeer.HandlePush(cfg.Mux, pushHello, func(c *brpeer.Conn, h helloMessage) { n.addPeer(c, h.Address) })
 	brpeer.HandlePush(cfg.Mux, pushRecord, n.receive)
 	brpeer.HandlePush(cfg.Mux, pushSubscribe, n.handleSubscribe)
+	brpeer.HandleCall(cfg.Mux, callConfirm, func(context.Context, *brpeer.Conn, confirmMessage) (confirmMessage, error) {
+		return confirmMessage{}, nil
+	})
 	return n
 }
 
@@ -184,7 +192,7 @@
 	if n.sorted == nil {
 		n.sorted = slices.SortedFunc(maps.Values(n.daemons), func(a, b Daemon) int { return strings.Compare(a.Address, b.Address) })
 	}
-	return topology{self: n.cfg.Self, daemons: n.sorted}
+	return topology{self: n.cfg.Self, daemons: n.sorted, openRelays: n.cfg.OpenRelays}
 }
 
 // LinkedAddresses returns the addresses of the daemons with an open link, sorted.
--- a/brgossip/topology.go
+++ b/brgossip/topology.go
@@ -16,7 +16,7 @@
 	// relayLinks is the number of replicas that a daemon of a large fleet links to.
 	// It adds more until minOpenRelays of the links are open.
 	relayLinks    = 3
-	minOpenRelays = 2
+	minOpenRelays = 2 // or Config.OpenRelays
 	// ringLinks is the number of successors on the ring that a daemon without a
 	// replica links to. These links keep the fleet connected while all replicas are
 	// down.
@@ -27,6 +27,8 @@
 type topology struct {
 	self    Daemon
 	daemons []Daemon // all known daemons, sorted by address
+	// openRelays is Config.OpenRelays.
+	openRelays int
 }
 
 // sparse reports whether the fleet is too large for links between all daemons.
@@ -63,11 +65,11 @@
 }
 
 // addRelays adds the first relayLinks relays, and as many more as needed for
-// minOpenRelays open links.
+// minOpenRelays or openRelays open links.
 func (t topology) addRelays(desired map[string]bool, open func(address string) bool) {
-	chosen, linked := 0, 0
+	chosen, linked, required := 0, 0, max(minOpenRelays, t.openRelays)
 	for _, d := range t.relays() {
-		if chosen >= relayLinks && linked >= minOpenRelays {
+		if chosen >= relayLinks && linked >= required {
 			return
 		}
 		desired[d.Address] = true
--- a/brgossip/topology_test.go
+++ b/brgossip/topology_test.go
@@ -142,3 +142,27 @@
 		t.Errorf("%d links to running relays, want %d", open, minOpenRelays)
 	}
 }
+
+// TestOpenRelays guards against a daemon of a large fleet that has links to too few replicas to
+// confirm a record at as many as the fleet may lose, and one more, while that many are lost.
+func TestOpenRelays(t *testing.T) {
+	for tolerance := 1; tolerance <= 4; tolerance++ {
+		all := testFleet(200, 2*tolerance+2)
+		down := map[string]bool{}
+		for _, d := range all[:tolerance] {
+			down[d.Address] = true
+		}
+		for _, d := range all[2*tolerance+2:] {
+			top := topology{self: d, daemons: all, openRelays: tolerance + 1}
+			open := 0
+			for address := range top.desiredLinks(nil, func(address string) bool { return !down[address] }) {
+				if top.isReplica(address) && !down[address] {
+					open++
+				}
+			}
+			if open < tolerance+1 {
+				t.Fatalf("%s has links to %d replicas, want at least %d", d.Address, open, tolerance+1)
+			}
+		}
+	}
+}
