brfleet: withdraw the start of an endpoint that other daemons know

A withdrawal at a daemon that hadn't heard of the endpoint yet, or only of its former start, was acknowledged and had no effect: the record named no start, or the former one, and the others kept their newer record.

Weighed: a withdrawal of every start until now would go by the wall clock, which jumps.

The replies to a withdrawal contain the newest record that a peer has. If it is of another start, that is withdrawn as well, up to three times.

--- a/brfleet/withdrawal.go
+++ b/brfleet/withdrawal.go
@@ -20,6 +20,9 @@
 	// confirmSettleTime is the time for which the other peers are waited for once enough
 	// replicas have a withdrawal, so that it also survives the end of all replicas.
 	confirmSettleTime = 100 * time.Millisecond
+	// maxWithdrawals is the number of times that a withdrawal is published for a start that
+	// another daemon has heard of later.
+	maxWithdrawals = 3
 )
 
 // ErrUnconfirmed is returned for the announcement of a leaving endpoint that too few other
@@ -37,12 +40,21 @@
 	if f.isolated() {
 		return ErrIsolated
 	}
-	a, err := f.withdrawal(id)
-	if err != nil {
-		return err
+	// Another daemon may know a later start of the endpoint, or any, which is to be withdrawn.
+	for range maxWithdrawals {
+		a, err := f.withdrawal(id)
+		if err != nil {
+			return err
+		}
+		f.publishEndpoint(a)
+		if err := f.confirmLeaving(ctx, a); err != nil {
+			return err
+		}
+		if r, ok := f.node.Get(kindEndpoint + "/" + id); !ok || r.Version.Epoch == a.Born {
+			return nil
+		}
 	}
-	f.publishEndpoint(a)
-	return f.confirmLeaving(ctx, a)
+	return ErrUnconfirmed
 }
 
 // withdrawal returns the announcement that withdraws the newest known start of an endpoint.
--- a/brfleet/withdrawal_test.go
+++ b/brfleet/withdrawal_test.go
@@ -113,3 +113,25 @@
 		return c.fleets[3].Withdraw(t.Context(), "e2") == nil
 	})
 }
+
+// TestWithdrawalOfUnknownStart guards against a withdrawal without effect: it is acknowledged
+// by a daemon that hasn't heard of the endpoint yet, or only of its former start.
+func TestWithdrawalOfUnknownStart(t *testing.T) {
+	const endpoints = 24
+	c := newWithdrawalCluster(t, endpoints)
+	for i := range endpoints + 8 {
+		started := Announcement{Endpoint: testEndpoint(i), Born: 7, Sequence: 4}
+		if err := c.fleets[0].Announce(t.Context(), started); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.fleets[3].Withdraw(t.Context(), started.Endpoint.ID); err != nil {
+			t.Fatal(err)
+		}
+		if n := c.holdersOf(i); n < 2 {
+			t.Errorf("endpoint %d: %d daemons with a disk know that it leaves, want 2 or 3", i, n)
+		}
+	}
+	for i := range c.fleets {
+		c.await("no endpoint is used", func() bool { return c.servingAt(i) == 0 })
+	}
+}
--- a/brgossip/confirm_test.go
+++ b/brgossip/confirm_test.go
@@ -22,7 +22,8 @@
 	return addresses
 }
 
-// TestConfirm guards against a daemon that is reported to have a record which it hasn't merged.
+// TestConfirm guards against a daemon that is reported to have a record which it hasn't merged,
+// and against a newer record of a peer that the caller doesn't learn of.
 func TestConfirm(t *testing.T) {
 	a := startNode(t, "a", func() []string { return nil })
 	seeds := func() []string { return []string{a.address} }
@@ -43,6 +44,14 @@
 	if got := confirmedBy(t, a.node, "endpoint/unknown"); len(got) != 0 {
 		t.Errorf("unknown record is confirmed by %v", got)
 	}
+	newer := Record{Key: "endpoint/e", Version: Version{Epoch: 2}, Value: []byte("newer")}
+	b.node.mu.Lock()
+	b.node.store.Merge(time.Now(), newer) // not scheduled for a
+	b.node.mu.Unlock()
+	confirmedBy(t, a.node, newer.Key)
+	if got := a.value(newer.Key); got != "newer" {
+		t.Errorf("value %q after a peer with a newer one has replied", got)
+	}
 }
 
 // TestConfirmByOtherBuild guards against records that no daemon of an earlier build, which
--- a/brgossip/formats_test.go
+++ b/brgossip/formats_test.go
@@ -16,6 +16,7 @@
 		brtest.Message[batch]("records").NotShared("294156b"),
 		brtest.Message[subscribeMessage]("subscribe"),
 		brtest.Message[Daemon]("daemon"),
-		brtest.Message[confirmMessage]("confirm"),
+		brtest.Message[confirmRequest]("confirm"),
+		brtest.Message[confirmReply]("confirm_reply"),
 	)
 }
--- a/brgossip/node.go
+++ b/brgossip/node.go
@@ -1,7 +1,6 @@
 package brgossip
 
 import (
-	"context"
 	"fmt"
 	"maps"
 	"slices"
@@ -127,9 +126,7 @@
 	brpeer.HandlePush(cfg.Mux, pushHello, func(c *brpeer.Conn, h helloMessage) { n.addPeer(c, h.Address) })
 	brpeer.HandlePush(cfg.Mux, pushRecord, n.receive)
 	brpeer.HandlePush(cfg.Mux, pushSubscribe, n.handleSubscribe)
-	brpeer.HandleCall(cfg.Mux, callConfirm, func(context.Context, *brpeer.Conn, confirmMessage) (confirmMessage, error) {
-		return confirmMessage{}, nil
-	})
+	brpeer.HandleCall(cfg.Mux, callConfirm, n.handleConfirm)
 	return n
 }
 
