brconn: limit the memory of all unfinished responses together

A report of other operators: a worker sent bytes without end, the machine kept them all and ran out of memory, and the requests of other clients ended with it. Each response was limited here, but not their sum: endpoints that stop below the limits and send a byte now and then hold the memory until the deadlines of their requests.

All exchanges of a pool hold at most 4 MiB now besides 16 KiB each. Beyond that a body is relayed as it arrives, and the exchange that holds most is ended if another one needs room for an event. Weighed: a lower limit for each event would refuse sound ones, and a limit without eviction would end the sound ones while faulty ones hold the room.

--- a/brconn/event_reader.go
+++ b/brconn/event_reader.go
@@ -28,15 +28,18 @@
 // Next returns all whole events that have arrived, and waits until there is at least
 // one. The bytes are valid until the next call. At the end of a complete stream it
 // returns the events that are left, if any, and io.EOF. At the end of another one the
-// error is brevent.ErrBrokenOff. An event larger than maxEventBytes is an error.
+// error is brevent.ErrBrokenOff. An event larger than maxEventBytes is an error, and one for
+// which there is no room ErrBufferFull.
 func (e *EventReader) Next() ([]byte, error) {
-	e.length = copy(e.buffer, e.buffer[e.returned:e.length])
-	e.returned = 0
+	e.removeReturned()
 	for {
 		if e.length == len(e.buffer) {
 			if len(e.buffer) >= maxEventBytes {
 				return nil, fmt.Errorf("brconn: event of over %d bytes", maxEventBytes)
 			}
+			if !e.exchange.reserve(len(e.buffer), 2*len(e.buffer)) {
+				return nil, ErrBufferFull
+			}
 			e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
 		}
 		n, err := e.exchange.Read(e.buffer[e.length:])
@@ -63,6 +66,17 @@
 	}
 }
 
+// removeReturned removes the events that the last call of Next has returned. A buffer that has
+// grown for a large event is replaced by a small one, if the rest fits.
+func (e *EventReader) removeReturned() {
+	rest := e.buffer[e.returned:e.length]
+	if len(e.buffer) > freeBytes && len(rest) < bufferBytes {
+		e.exchange.ReleaseBuffer()
+		e.buffer = make([]byte, bufferBytes)
+	}
+	e.length, e.returned = copy(e.buffer, rest), 0
+}
+
 // checkEnd returns the error of a stream whose body was read to its end: io.EOF, or
 // brevent.ErrBrokenOff. end is the index after the last whole event in the buffer.
 func (e *EventReader) checkEnd(end int) error {
--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -114,6 +114,7 @@
 	cause       func() error // returns the cause with which the context ended, or nil
 	complete    bool         // the response body was read to its end
 	closed      atomic.Bool
+	evicted     atomic.Bool // see budget
 }
 
 // Send sends a request to the endpoint at address and waits for the response
@@ -249,10 +250,40 @@
 	}
 	if cause := x.cause(); cause != nil {
 		err = fmt.Errorf("brconn: response body: %w", cause)
+	} else if x.evicted.Load() {
+		err = ErrBufferFull
 	}
 	return n, err
 }
 
+// ReadBody reads the response body up to limit bytes. more says that the body may be longer:
+// it has the limit, or the memory for unfinished responses is used up. The rest is read with
+// Read then; ReleaseBuffer is called once the caller doesn't hold body any more.
+func (x *Exchange) ReadBody(limit int) (body []byte, more bool, err error) {
+	body = make([]byte, 0, min(bufferBytes, limit))
+	for {
+		if len(body) == cap(body) {
+			size := min(2*cap(body), limit)
+			if size == cap(body) || !x.reserve(cap(body), size) {
+				return body, true, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := x.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err != nil {
+			x.ReleaseBuffer()
+		}
+		switch err {
+		case nil:
+		case io.EOF:
+			return body, false, nil
+		default:
+			return body, false, err
+		}
+	}
+}
+
 // Close ends the exchange. It returns the connection to the pool if the exchange is
 // complete and the endpoint permits reuse, and closes the connection otherwise.
 // Close may be called more than once.
@@ -268,6 +299,7 @@
 	if x.closed.Swap(true) {
 		return false
 	}
+	x.pool.budget.release(x)
 	if !x.stopCancel() {
 		x.conn.net.Close()
 		return false
--- a/brconn/pool.go
+++ b/brconn/pool.go
@@ -46,7 +46,11 @@
 	// followed by another request there: an endpoint may send a copy of it later, which
 	// nothing would tell from a refusal of that request.
 	Refusal func(res *Response) (refusal, named bool)
+	// BufferBytes is the memory in bytes that all exchanges together may hold for responses
+	// that aren't complete, besides 16 KiB each; 0 means 4 MiB.
+	BufferBytes int
 
+	budget     budget
 	background sync.WaitGroup // discards bodies
 
 	mu     sync.Mutex
@@ -56,14 +60,17 @@
 	reused uint64
 }
 
-// Stats holds the numbers of connections dialed and connections reused by a Pool.
-type Stats struct{ Dialed, Reused uint64 }
+// Stats holds the numbers of connections dialed and connections reused by a Pool, and of
+// exchanges that were ended because unfinished responses were too large.
+type Stats struct{ Dialed, Reused, Evicted uint64 }
 
 // Stats returns the totals since the creation of the pool.
 func (p *Pool) Stats() Stats {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return Stats{p.dialed, p.reused}
+	p.budget.mu.Lock()
+	defer p.budget.mu.Unlock()
+	return Stats{p.dialed, p.reused, p.budget.evicted}
 }
 
 // Close closes all idle connections, and those in use at the end of their exchange. It
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -44,7 +44,7 @@
 		"failed": s.Failed.Load(), "callers_gone": s.Disconnected.Load(), "dispatches": s.Dispatches.Load(),
 		"retries": s.Retries.Load(), "resumed": s.Resumed.Load(), "over_quota": s.OverQuota.Load(),
 		"denied": s.Denied.Load(), "requests_held_back": s.Quarantined.Load(),
-		"connections_dialed": pool.Dialed, "connections_reused": pool.Reused,
+		"connections_dialed": pool.Dialed, "connections_reused": pool.Reused, "responses_evicted": pool.Evicted,
 		"link_bytes_received": bytesIn, "link_bytes_sent": bytesOut,
 	} {
 		m.ExportTotal(m.Scope, "", name, int64(total))
--- a/brproxy/relay.go
+++ b/brproxy/relay.go
@@ -29,9 +29,10 @@
 }
 
 // relayResponse relays a response that isn't a stream. It buffers the body up to
-// maxBufferedBody bytes, so that an incomplete response can be retried.
+// maxBufferedBody bytes, or as many as there is memory for, so that an incomplete response can
+// be retried.
 func (p *Proxy) relayResponse(ctx context.Context, q *request, a *attempt, x *brconn.Exchange) outcome {
-	body, err := io.ReadAll(io.LimitReader(x, maxBufferedBody))
+	body, more, err := x.ReadBody(maxBufferedBody)
 	if err != nil {
 		if stopped(ctx) || ctx.Err() != nil && p.cfg.Clock.Now().Sub(a.sentAt) < q.route.FirstByteTarget {
 			return p.retry(ctx, q, a, "deadline", http.StatusGatewayTimeout)
@@ -61,12 +62,16 @@
 			return retryElsewhere
 		}
 	}
-	if len(body) == maxBufferedBody && p.useSuccessor(ctx, q, a.stall.stop(), "response stalled") {
+	if more && p.useSuccessor(ctx, q, a.stall.stop(), "response stalled") {
 		return retryElsewhere
 	}
 	a.stall.close()
-	p.relayHead(q, x, int64(len(body)))
-	if len(body) == maxBufferedBody {
+	length := int64(len(body))
+	if more {
+		length = x.Response.Length
+	}
+	p.relayHead(q, x, length)
+	if more {
 		p.relayRest(ctx, q, x, body)
 	} else if _, err := q.out.Write(body); err != nil {
 		p.log(q, "caller disconnected before the response", x.Response.Status, err.Error())
@@ -76,28 +81,24 @@
 	return finished
 }
 
-// relayRest relays the buffered part and the rest of a body that is longer than
-// maxBufferedBody.
+// relayRest relays the buffered part and the rest of a body that is too long to be buffered.
 func (p *Proxy) relayRest(ctx context.Context, q *request, x *brconn.Exchange, body []byte) {
 	if _, err := q.out.Write(body); err != nil {
 		p.abort(q, err.Error())
 	}
+	x.ReleaseBuffer()
 	if _, err := io.Copy(q.out, x); err != nil {
 		p.abort(q, stopReason(ctx, err.Error()))
 	}
 }
 
-// relayHead relays the status and header of a response. A length of maxBufferedBody
-// or more is replaced by the length that the endpoint stated; a negative length
-// means unknown.
+// relayHead relays the status and header of a response with the given length of the body in
+// bytes; a negative length means unknown.
 func (p *Proxy) relayHead(q *request, x *brconn.Exchange, length int64) {
 	h := q.out.Header()
 	for name, values := range brheader.EndToEnd(x.Response.Header) {
 		h[name] = values
 	}
-	if length >= maxBufferedBody {
-		length = x.Response.Length
-	}
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	} else {
