brcore: let a learner take a silent voter's vote after 1 s

With a voter gone for good without a signal, a group of three tolerates no further loss until a learner has its vote. That took 2.5 s of silence, since the voter was removed then, which empties the log of one that only restarts. Now the voter becomes a learner and keeps its log, so that 1 s is enough.

Learners are removed after 10 s of silence instead of 15.

--- a/brcore/membership.go
+++ b/brcore/membership.go
@@ -7,14 +7,17 @@
 )
 
 const (
-	// voterTimeout is the time without a message after which a voter is replaced by a
-	// learner, or removed from the group if enough others are left. It is longer than a
-	// restart. It is short enough that a group of three regains its tolerance before the
-	// successor of a lost replica counts as caught up.
+	// spareTimeout is the time without a message after which a learner takes the vote of a
+	// voter, which is a learner with its log when it is back. It is longer than an election,
+	// and as short as possible: with a voter gone for good, the group tolerates one loss less.
+	spareTimeout = time.Second
+	// voterTimeout is the time without a message after which a voter is removed from the group
+	// if enough others are left. It is longer than a restart, since the replica then joins
+	// with an empty log.
 	voterTimeout = 2500 * time.Millisecond
-	// learnerTimeout is the time without a message after which a learner is removed from
-	// the group. It has no vote, so that only the size of the membership depends on it.
-	learnerTimeout = 15 * time.Second
+	// learnerTimeout is the same for a learner. It has no vote, so that only the size of the
+	// membership depends on it.
+	learnerTimeout = 10 * time.Second
 )
 
 // removableMember returns the member that the leader should remove, if any: the voter that has
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -64,7 +64,7 @@
 		},
 		OnApplied:     func(uint64) { c.publish() },
 		SnapshotEvery: snapshotInterval, ElectionTimeout: electionTimeout,
-		MaxVoters: maxVoters(c.cfg.Tolerance), VoterTimeout: voterTimeout,
+		MaxVoters: maxVoters(c.cfg.Tolerance), VoterTimeout: spareTimeout,
 		Clock: c.cfg.Clock, WAL: c.cfg.WAL,
 	})
 	if err != nil {
--- a/brlog/membership.go
+++ b/brlog/membership.go
@@ -156,8 +156,9 @@
 	return p != nil && s.now < p.yieldingUntil
 }
 
-// surplusVoter returns a voter beyond Config.MaxVoters, preferably one that yields its vote. It
-// returns no other one while a voter is silent, since that one may be lost.
+// surplusVoter returns a voter beyond Config.MaxVoters, preferably one that yields its vote or
+// is silent for Config.VoterTimeout. It returns no other one while a voter is silent for a
+// shorter time, since that one may be lost.
 func (s *State) surplusVoter() (surplus Member, ok bool) {
 	if s.cfg.MaxVoters == 0 || s.membership.Voters() <= s.cfg.MaxVoters {
 		return Member{}, false
@@ -166,7 +167,7 @@
 	for _, m := range s.membership.Members {
 		switch {
 		case m.Learner || m.ID == s.id:
-		case s.yielding(m.ID):
+		case s.yielding(m.ID) || !s.active(m.ID, s.cfg.VoterTimeout):
 			return m, true
 		case !s.active(m.ID, s.cfg.ElectionTimeout):
 			silent = true
--- a/brlog/yield_test.go
+++ b/brlog/yield_test.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	orderCatchUp      = 4 * time.Second         // from the start of a replica until it counts
-	orderGrace        = 8 * time.Second         // from the begin of a planned stop to its end
-	orderVoterTimeout = 2500 * time.Millisecond // as in brcore
+	orderCatchUp = 4 * time.Second // from the start of a replica until it counts
+	orderGrace   = 8 * time.Second // from the begin of a planned stop to its end
+
+	orderSpareTimeout   = time.Second // as in brcore, like the next two
+	orderVoterTimeout   = 2500 * time.Millisecond
+	orderLearnerTimeout = 10 * time.Second
 )
 
 // orderRun is a schedule of replicas that join, stop, are lost and restart. No more of them
@@ -33,7 +36,7 @@
 	r.onHalt = func(n *node) { r.rejoin(n) }
 	r.configure = func(c *Config) { // as in brcore
 		c.ElectionTimeout, c.HeartbeatInterval, c.LeaseDuration = 300*time.Millisecond, 60*time.Millisecond, 240*time.Millisecond
-		c.MaxVoters, c.VoterTimeout = r.maxVoters(), orderVoterTimeout
+		c.MaxVoters, c.VoterTimeout = r.maxVoters(), orderSpareTimeout
 	}
 	members := r.maxVoters() + int(seed%3)
 	r.kill(r.nodes[0])
@@ -60,7 +63,7 @@
 	}
 }
 
-// scheduleRemoval removes silent voters that aren't needed, as brcore does.
+// scheduleRemoval removes silent members that aren't needed, as brcore does.
 func (r *orderRun) scheduleRemoval() {
 	r.after(250*time.Millisecond, func() {
 		for _, n := range r.nodes {
@@ -69,7 +72,8 @@
 			}
 			st := n.state.Status()
 			for id, silent := range st.SinceLastReply {
-				if silent >= orderVoterTimeout && st.Membership.IsVoter(id) && st.Membership.Voters() > r.maxVoters() {
+				voter := st.Membership.IsVoter(id)
+				if voter && silent >= orderVoterTimeout && st.Membership.Voters() > r.maxVoters() || !voter && silent >= orderLearnerTimeout {
 					r.step(n, ChangeMember{Remove: id})
 				}
 			}
@@ -190,7 +194,13 @@
 
 // event plays one event, beside which as many other machines as the group tolerates are lost.
 func (r *orderRun) event() {
-	switch n := r.pick(); r.rng.IntN(3) {
+	switch n := r.pick(); r.rng.IntN(4) {
+	case 3: // replacement without a signal, until a learner has taken the vote
+		r.join()
+		r.runFor(orderCatchUp)
+		r.forget(n)
+		r.kill(n)
+		r.runFor(2 * time.Second)
 	case 0: // planned replacement
 		r.join()
 		r.runFor(orderCatchUp)
