brwal: sync the mark of a removal

The mark that Remove leaves until a log is removed was made durable by a sync of its directory only.

TestRemoveSyncsItsMark fails on the code before.

--- a/brwal/remove.go
+++ b/brwal/remove.go
@@ -20,7 +20,8 @@
 	if err != nil {
 		return fmt.Errorf("brwal: %w", err)
 	}
-	if err := errors.Join(mark.Close(), l.syncDir(o.Dir)); err != nil {
+	// Some file systems keep a new file only after its own sync.
+	if err := errors.Join(l.opts.Sync(mark), mark.Close(), l.syncDir(o.Dir)); err != nil {
 		return fmt.Errorf("brwal: %w", err)
 	}
 	return l.finishRemoval()
--- a/brwal/remove_test.go
+++ b/brwal/remove_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 
@@ -55,3 +56,26 @@
 		}
 	}
 }
+
+// TestRemoveSyncsItsMark guards against a mark that is lost with the power while the files that
+// were removed stay removed: the rest of the log can't be opened.
+func TestRemoveSyncsItsMark(t *testing.T) {
+	o := Options{Dir: t.TempDir()}
+	l, _ := mustOpen(t, o)
+	check(t, l.Initialize(brlog.Bootstrap("a", []brlog.Member{{ID: "a"}})))
+	check(t, l.Close())
+	var synced []string
+	o.Sync = func(f *os.File) error {
+		synced = append(synced, filepath.Base(f.Name()))
+		return f.Sync()
+	}
+	removed := false
+	o.Remove = func(path string) error {
+		if want := []string{removalMark, filepath.Base(o.Dir)}; !removed && !slices.Equal(synced, want) {
+			t.Errorf("synced %q before the first removal, want %q", synced, want)
+		}
+		removed = true
+		return os.Remove(path)
+	}
+	check(t, Remove(o))
+}
