brcore: replace a log that can't be read

A replica whose log can't be read was started again twice a second for good, and the group had one replica less until somebody emptied its disk.

Now the log is removed, and the replica joins with an empty one like after a lost disk, once the other replicas have a leader that confirms its newest entry: a majority without this replica has everything that was acknowledged. Without such a leader the log stays, since it may be needed, and so does one of a later build. The gauge replica_running tells that a daemon has no replica.

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -63,7 +63,7 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	replica atomic.Pointer[brcontrol.Replica]
-	removed atomic.Bool // this daemon's replica was once removed from the group
+	removed atomic.Bool // this daemon's replica, or its log, was once removed
 
 	mu             sync.Mutex
 	state          State
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bramleyroute/brcontrol"
+	"bramleyroute/brformat"
 	"bramleyroute/brwal"
 )
 
@@ -26,8 +27,8 @@
 	snapshotInterval = 64 // entries
 )
 
-// supervise runs the replica and restarts it after a disk failure or after its
-// removal from the group.
+// supervise runs the replica and restarts it after a disk failure, after its removal from the
+// group, or after the removal of a log that can't be read.
 func (c *Core) supervise() {
 	for c.ctx.Err() == nil {
 		err := c.runReplica()
@@ -35,7 +36,7 @@
 			return
 		}
 		c.cfg.Log.Error().Err(err).Msg("replica stopped; restarting it")
-		if errors.Is(err, brcontrol.ErrRemoved) {
+		if errors.Is(err, brcontrol.ErrRemoved) || isDamaged(err) && c.othersServe() {
 			c.removed.Store(true)
 			c.removeLog()
 		}
@@ -46,6 +47,25 @@
 	}
 }
 
+// isDamaged reports whether err says that the log can't be read for good. A log of a later build
+// isn't damaged.
+func isDamaged(err error) bool {
+	var corruption *brwal.CorruptionError
+	var unsupported *brformat.UnsupportedError
+	return errors.As(err, &corruption) && !errors.As(err, &unsupported)
+}
+
+// othersServe reports whether the other replicas have a leader that has confirmed its newest
+// entry. A majority without this replica then has every entry that was ever acknowledged, so
+// that the log of this one isn't needed: it joins with an empty one, like after a lost disk.
+func (c *Core) othersServe() bool {
+	_, err := c.Document(c.ctx)
+	if err == nil {
+		c.cfg.Log.Warn().Str("dir", c.cfg.Dir).Msg("log can't be read; removing it, since the other replicas have all entries")
+	}
+	return err == nil
+}
+
 // runReplica runs one replica until it fails or the core is closed.
 func (c *Core) runReplica() error {
 	failed := make(chan error, 1)
@@ -205,8 +225,8 @@
 	}
 }
 
-// removeLog removes the log of a removed replica, so that it can join the group again
-// under a new ID. Other files of the daemon remain.
+// removeLog removes the log of a replica that was removed or can't be started, so that it can
+// join the group again under a new ID. Other files of the daemon remain.
 func (c *Core) removeLog() {
 	o := c.cfg.WAL
 	o.Dir = c.cfg.Dir
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -56,7 +56,11 @@
 	if t := f.proxy.Table(); t != nil {
 		m.Scope.Gauge("policy_version").Update(float64(t.Policy().Version))
 	}
-	if st, ok := f.core.Status(); ok {
+	st, running := f.core.Status()
+	if f.cfg.Dir != "" {
+		m.Scope.Gauge("replica_running").Update(brmetrics.BoolValue(running))
+	}
+	if running {
 		m.Scope.Gauge("replica_term").Update(float64(st.Term))
 		m.Scope.Gauge("replica_committed_index").Update(float64(st.Commit))
 		m.Scope.Gauge("replica_voters").Update(float64(st.Membership.Voters()))
