brfleet: acknowledge no withdrawal before other daemons are known

A daemon that had just started, and knew no other one yet, took itself for the only one: it acknowledged a withdrawal that nobody else had. As it didn't know the endpoint either, the record that it sent later had no effect.

Now t+1 replicas are required however many are known, and a daemon with other seeds isn't alone.

TestWithdrawalAtStart fails on the code before (acknowledged, and 0 daemons with a disk have it).

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -80,7 +80,6 @@
 	daemons   atomic.Int64 // known daemons that are not leaving
 	// domainDaemons is the number of those in the same failure domain.
 	domainDaemons atomic.Int64
-	knownReplicas atomic.Int64      // the most daemons with a replica that were known at a time
 	loadSeqs      map[string]uint64 // of the applied load records, by daemon incarnation; used by calls from node
 
 	dropped   droppedRecords
@@ -274,7 +273,6 @@
 		domain := 0
 		var active []string
 		daemons := f.node.Daemons()
-		f.requiredHolders(daemons)
 		f.setRelays(f.relays(daemons))
 		for _, d := range daemons {
 			if d.Leaving {
--- a/brfleet/withdrawal.go
+++ b/brfleet/withdrawal.go
@@ -20,6 +20,8 @@
 	// confirmSettleTime is the time for which the other peers are waited for once enough
 	// replicas have a withdrawal, so that it also survives the end of all replicas.
 	confirmSettleTime = 100 * time.Millisecond
+	// confirmInterval is the time between two tries.
+	confirmInterval = 50 * time.Millisecond
 	// maxWithdrawals is the number of times that a withdrawal is published for a start that
 	// another daemon has heard of later.
 	maxWithdrawals = 3
@@ -76,68 +78,64 @@
 func (f *Fleet) confirmLeaving(ctx context.Context, a Announcement) error {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	daemons := f.node.Daemons()
-	h := holders{required: f.requiredHolders(daemons), alone: len(daemons) == 1}
-	if f.cfg.Dir != "" {
-		h.replicas++
-	}
-	var settled <-chan time.Time
-	confirmations := f.node.Confirm(ctx, kindEndpoint+"/"+a.Endpoint.ID)
-	for open := true; open; {
-		if h.enough() && settled == nil {
-			settled = f.cfg.Clock.After(confirmSettleTime)
-		}
-		select {
-		case address, ok := <-confirmations:
-			open = ok
-			if ok {
-				h.add(daemons, address)
-			}
-		case <-settled:
-			open = false
+	h := holders{}
+	f.addHolders(ctx, &h, a.Endpoint.ID)
+	for !h.enough() && ctx.Err() == nil {
+		select { // links may open meanwhile, above all after the start of a daemon
+		case <-f.cfg.Clock.After(confirmInterval):
+		case <-ctx.Done():
 		}
+		f.addHolders(ctx, &h, a.Endpoint.ID)
 	}
 	if !h.enough() {
-		f.cfg.Log.Warn().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.replicas).Int("required", h.required).
+		f.cfg.Log.Warn().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.count()).Int("required", h.required).
 			Int("daemons", len(h.others)).Msg("too few daemons have confirmed that an endpoint leaves")
 		return ErrUnconfirmed
 	}
-	f.cfg.Log.Info().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.replicas).Int("daemons", len(h.others)).
+	f.cfg.Log.Info().Str("endpoint", a.Endpoint.ID).Uint64("born", a.Born).Int("replicas", h.count()).Int("daemons", len(h.others)).
 		Msg("other daemons have confirmed that an endpoint leaves")
 	return nil
 }
 
-// requiredHolders returns the number of replicas that must have an acknowledged withdrawal: one
-// more than may be lost, or all while fewer have ever been known.
-func (f *Fleet) requiredHolders(daemons []brgossip.Daemon) int {
-	replicas := int64(0)
-	for _, d := range daemons {
-		if d.Replica {
-			replicas++
-		}
-	}
+// addHolders asks the peers to confirm the record of an endpoint and adds those that do to h. It
+// returns when all have, when enough have and confirmSettleTime has passed, or when ctx ends.
+func (f *Fleet) addHolders(ctx context.Context, h *holders, endpoint string) {
+	daemons := f.node.Daemons()
+	h.self, h.required, h.alone = f.cfg.Dir != "", f.cfg.Tolerance+1, !f.knowsOthers(daemons)
+	confirmations := f.node.Confirm(ctx, kindEndpoint+"/"+endpoint)
+	var settled <-chan time.Time
 	for {
-		known := f.knownReplicas.Load()
-		if replicas <= known {
-			replicas = known
-			break
+		if h.enough() && settled == nil {
+			settled = f.cfg.Clock.After(confirmSettleTime)
 		}
-		if f.knownReplicas.CompareAndSwap(known, replicas) {
-			break
+		select {
+		case address, open := <-confirmations:
+			if !open {
+				return
+			}
+			h.add(daemons, address)
+		case <-settled:
+			return
 		}
 	}
-	return min(f.cfg.Tolerance+1, int(replicas))
+}
+
+// knowsOthers reports whether there are other daemons: one is known, or a seed that isn't this
+// daemon is to be found.
+func (f *Fleet) knowsOthers(daemons []brgossip.Daemon) bool {
+	return len(daemons) > 1 || slices.ContainsFunc(f.cfg.Seeds(), func(address string) bool { return address != f.cfg.Address })
 }
 
 // holders are the daemons that have an announcement.
 type holders struct {
-	required int  // replicas
-	alone    bool // no other daemon is known
-	replicas int  // with this daemon
+	required int  // number of replicas
+	self     bool // this daemon has a replica
+	alone    bool // there are no other daemons
+	replicas int  // other replicas
 	others   []string
 }
 
-// add adds the daemon at an address. Two links to it count once.
+// add adds the daemon at an address, unless it was added before.
 func (h *holders) add(daemons []brgossip.Daemon, address string) {
 	if slices.Contains(h.others, address) {
 		return
@@ -148,9 +146,17 @@
 	}
 }
 
+// count returns the number of replicas that have the announcement.
+func (h *holders) count() int {
+	if h.self {
+		return h.replicas + 1
+	}
+	return h.replicas
+}
+
 // enough reports whether the announcement survives the losses that it has to.
 func (h *holders) enough() bool {
-	return h.replicas >= h.required && (h.alone || len(h.others) > 0)
+	return h.count() >= h.required && (h.alone || len(h.others) > 0)
 }
 
 // startSet is a set of starts of endpoints, at most one for each endpoint. It is safe for
--- a/brfleet/withdrawal_test.go
+++ b/brfleet/withdrawal_test.go
@@ -135,3 +135,22 @@
 		c.await("no endpoint is used", func() bool { return c.servingAt(i) == 0 })
 	}
 }
+
+// TestWithdrawalAtStart guards against a withdrawal that is acknowledged by a daemon that has
+// just started and knows no other one yet, so that nobody else ever has it.
+func TestWithdrawalAtStart(t *testing.T) {
+	const endpoints = 5
+	c := newWithdrawalCluster(t, endpoints)
+	for i := range endpoints {
+		c.stop(3)
+		c.start(3, false)
+		err := c.fleets[3].Withdraw(t.Context(), testEndpoint(i).ID)
+		if n := c.holdersOf(i); err == nil && n < 2 {
+			t.Errorf("endpoint %d: withdrawal is acknowledged, and %d daemons with a disk have it, want 2 or 3", i, n)
+		}
+		c.await("withdrawal is acknowledged", func() bool { return c.fleets[3].Withdraw(t.Context(), testEndpoint(i).ID) == nil })
+		if n := c.holdersOf(i); n < 2 {
+			t.Errorf("endpoint %d: %d daemons with a disk have the withdrawal, want 2 or 3", i, n)
+		}
+	}
+}
