brfleet: count daemons that confirm a withdrawal once they are known

A daemon that confirmed before its own record had arrived was counted as one without a replica for good, so that a withdrawal right after a start could get 503 though enough replicas had it.

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -112,7 +112,7 @@
 	}
 	err := r.YieldVote(ctx)
 	c.cfg.Log.Info().AnErr("error", err).Int("voters", r.Status().Membership.Voters()).Bool("yielded", err == nil).
-		Msg("replica leaves with its vote yielded to another one if possible")
+		Msg("replica has prepared its stop")
 }
 
 // Status returns the status of this daemon's replica and whether a replica runs.
--- a/brfleet/withdrawal.go
+++ b/brfleet/withdrawal.go
@@ -102,6 +102,7 @@
 func (f *Fleet) addHolders(ctx context.Context, h *holders, endpoint string) {
 	daemons := f.node.Daemons()
 	h.self, h.required, h.alone = f.cfg.Dir != "", f.cfg.Tolerance+1, !f.knowsOthers(daemons)
+	h.recount(daemons) // a daemon that confirmed before may have become known meanwhile
 	confirmations := f.node.Confirm(ctx, kindEndpoint+"/"+endpoint)
 	var settled <-chan time.Time
 	for {
@@ -113,7 +114,10 @@
 			if !open {
 				return
 			}
-			h.add(daemons, address)
+			if !slices.Contains(h.others, address) {
+				h.others = append(h.others, address)
+			}
+			h.recount(daemons)
 		case <-settled:
 			return
 		}
@@ -128,21 +132,20 @@
 
 // holders are the daemons that have an announcement.
 type holders struct {
-	required int  // number of replicas
-	self     bool // this daemon has a replica
-	alone    bool // there are no other daemons
-	replicas int  // other replicas
-	others   []string
+	required int      // number of replicas
+	self     bool     // this daemon has a replica
+	alone    bool     // there are no other daemons
+	replicas int      // other replicas
+	others   []string // addresses of the other daemons
 }
 
-// add adds the daemon at an address, unless it was added before.
-func (h *holders) add(daemons []brgossip.Daemon, address string) {
-	if slices.Contains(h.others, address) {
-		return
-	}
-	h.others = append(h.others, address)
-	if slices.ContainsFunc(daemons, func(d brgossip.Daemon) bool { return d.Address == address && d.Replica }) {
-		h.replicas++
+// recount counts the replicas among the others.
+func (h *holders) recount(daemons []brgossip.Daemon) {
+	h.replicas = 0
+	for _, d := range daemons {
+		if d.Replica && slices.Contains(h.others, d.Address) {
+			h.replicas++
+		}
 	}
 }
 
