--- a/brcore/membership.go
+++ b/brcore/membership.go
@@ -24,21 +24,29 @@
 // been silent longest, provided that the group has more voters than needed to survive the loss
 // of tolerance replicas, or else a silent learner.
 func removableMember(st brlog.Status, tolerance int) (brlog.ID, bool) {
-	if st.Membership.Voters() > requiredVoters(tolerance) {
-		if id := longestSilent(st, voterTimeout, false); id != "" {
+	var voters, learners []brlog.ID
+	for _, m := range st.Membership.Members {
+		if m.Learner {
+			learners = append(learners, m.ID)
+		} else {
+			voters = append(voters, m.ID)
+		}
+	}
+	if len(voters) > requiredVoters(tolerance) {
+		if id := longestSilent(st, voters, voterTimeout); id != "" {
 			return id, true
 		}
 	}
-	id := longestSilent(st, learnerTimeout, true)
+	id := longestSilent(st, learners, learnerTimeout)
 	return id, id != ""
 }
 
-// longestSilent returns the learner, or the voter, that has been silent longest, and "" if none
-// has for the given time.
-func longestSilent(st brlog.Status, limit time.Duration, learners bool) (longest brlog.ID) {
-	for _, m := range st.Membership.Members {
-		if silent := st.SinceLastReply[m.ID]; m.Learner == learners && m.ID != st.ID && silent >= limit {
-			longest, limit = m.ID, silent
+// longestSilent returns the one of the other replicas ids that has been silent longest, and ""
+// if none has for the given time.
+func longestSilent(st brlog.Status, ids []brlog.ID, atLeast time.Duration) (longest brlog.ID) {
+	for _, id := range ids {
+		if silent := st.SinceLastReply[id]; id != st.ID && silent >= atLeast {
+			longest, atLeast = id, silent
 		}
 	}
 	return longest
