--- a/brfleet/replaced_test.go
+++ b/brfleet/replaced_test.go
@@ -29,7 +29,7 @@
 // them has stopped as planned, whether for good or not, and another one is lost before, at or
 // after the end of the first. A fourth replica is there, as in a planned replacement.
 func TestPlannedStopThenLoss(t *testing.T) {
-	const before = time.Duration(-1) // the other one is lost before
+	const before = time.Duration(-1)     // the other one is lost before
 	for _, leaves := range []int{0, 1} { // the leader, or another voter
 		for _, delay := range []time.Duration{before, 0, 300 * time.Millisecond} {
 			t.Run(fmt.Sprint(leaves, delay), func(t *testing.T) {
