brcore: keep evacuations in the replicated state

An order of an operator that a failure domain get no new requests had no place in the acknowledged state. A proposal names the change that was read before it, so that a delayed copy doesn't undo a later one.

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -46,13 +46,15 @@
 	// MayBootstrap reports whether this replica may bootstrap a new group, as in
 	// brcontrol.Config.
 	MayBootstrap func() bool
-	// OnDocument and OnRollouts are called with state that this daemon's replica has
-	// confirmed as current. They must not block.
-	OnDocument func(Document)
-	OnRollouts func(rollouts []Rollout)
-	Log        zerolog.Logger
-	Clock      brclock.Clock // nil means the system clock
-	WAL        brwal.Options // replaces file operations in tests; Dir is ignored
+	// OnEvacuations, OnDocument and OnRollouts are called in this order with state that this
+	// daemon's replica has confirmed as current, OnEvacuations once there was an evacuation.
+	// They must not block.
+	OnEvacuations func(all []Evacuation)
+	OnDocument    func(Document)
+	OnRollouts    func(rollouts []Rollout)
+	Log           zerolog.Logger
+	Clock         brclock.Clock // nil means the system clock
+	WAL           brwal.Options // replaces file operations in tests; Dir is ignored
 }
 
 // Core gives access to the durable state and runs this daemon's replica if it has
@@ -67,7 +69,7 @@
 
 	mu             sync.Mutex
 	state          State
-	publishedIndex uint64 // index of the state last passed to OnDocument and OnRollouts
+	publishedIndex uint64 // index of the state last passed to the callbacks
 	appliedIndex   uint64 // index of the last applied command
 }
 
@@ -212,6 +214,9 @@
 	brpeer.HandleCall(m, callRollout, func(ctx context.Context, _ *brpeer.Conn, service string) (Rollout, error) {
 		return c.localRollout(ctx, service)
 	})
+	brpeer.HandleCall(m, callEvacuations, func(ctx context.Context, _ *brpeer.Conn, _ struct{}) ([]Evacuation, error) {
+		return c.localEvacuations(ctx, struct{}{})
+	})
 	brpeer.HandleCall(m, callPropose, func(ctx context.Context, _ *brpeer.Conn, data []byte) (Verdict, error) {
 		return c.localPropose(ctx, data)
 	})
--- a/brcore/replica.go
+++ b/brcore/replica.go
@@ -195,6 +195,9 @@
 	for _, r := range c.state.rollouts {
 		c.appliedIndex = max(c.appliedIndex, r.Index)
 	}
+	for _, e := range c.state.evacuations {
+		c.appliedIndex = max(c.appliedIndex, e.Index)
+	}
 	return nil
 }
 
@@ -213,6 +216,9 @@
 		return
 	}
 	c.publishedIndex = c.appliedIndex
+	if c.cfg.OnEvacuations != nil && len(c.state.evacuations) > 0 {
+		c.cfg.OnEvacuations(c.state.sortedEvacuations())
+	}
 	if c.cfg.OnDocument != nil && c.state.document.Version > 0 {
 		c.cfg.OnDocument(c.state.document)
 	}
--- a/brcore/state.go
+++ b/brcore/state.go
@@ -43,6 +43,8 @@
 	Document *Document `cbor:"document,omitempty"`
 	Begin    *Rollout  `cbor:"begin,omitempty"`
 	Progress *Rollout  `cbor:"progress,omitempty"`
+	// Evacuation needs Format 2.
+	Evacuation *EvacuationChange `cbor:"evacuation,omitempty"`
 }
 
 // Verdict is the result of applying a command.
@@ -52,15 +54,16 @@
 const (
 	Done     Verdict = iota + 1
 	NoChange         // a newer document is in force, or the rollout has already begun or ended
-	Conflict         // another rollout of the service is running
+	Conflict         // another rollout of the service is running, or another order for the domain came first
 )
 
 // State is the replicated state. The zero value is the empty state. State is not
 // safe for concurrent use.
 type State struct {
-	document Document
-	rollouts map[string]Rollout
-	err      error // set by a command of a later build
+	document    Document
+	rollouts    map[string]Rollout
+	evacuations map[string]Evacuation // by domain
+	err         error                 // set by a command of a later build
 }
 
 // Apply applies a committed command and returns the encoded verdict. A command that
@@ -102,6 +105,8 @@
 		return s.begin(index, *c.Begin)
 	case c.Progress != nil:
 		return s.progress(*c.Progress)
+	case c.Evacuation != nil:
+		return s.evacuate(index, *c.Evacuation)
 	}
 	return NoChange
 }
@@ -138,6 +143,8 @@
 	Format   uint64             `cbor:"format,omitempty"` // 0 means 1
 	Document Document           `cbor:"document"`
 	Rollouts map[string]Rollout `cbor:"rollouts"`
+	// Evacuations needs Format 2.
+	Evacuations map[string]Evacuation `cbor:"evacuations,omitempty"`
 }
 
 // Snapshot returns the encoded state. Its error is that of Err.
@@ -145,7 +152,11 @@
 	if s.err != nil {
 		return nil, s.err
 	}
-	return brwire.Encode(snapshot{Document: s.document, Rollouts: s.rollouts})
+	n := snapshot{Document: s.document, Rollouts: s.rollouts, Evacuations: s.evacuations}
+	if len(s.evacuations) > 0 {
+		n.Format = evacuationFormat
+	}
+	return brwire.Encode(n)
 }
 
 // Restore replaces the state by an encoded one. It leaves the state unchanged if
@@ -158,6 +169,6 @@
 	if err := brformat.State.Check(max(n.Format, 1)); err != nil {
 		return fmt.Errorf("brcore: snapshot: %w", err)
 	}
-	s.document, s.rollouts, s.err = n.Document, n.Rollouts, nil
+	s.document, s.rollouts, s.evacuations, s.err = n.Document, n.Rollouts, n.Evacuations, nil
 	return nil
 }
--- a/brformat/format.go
+++ b/brformat/format.go
@@ -29,8 +29,8 @@
 	SnapshotFile = Format{"snapshot file", 1, 1, Refuse}
 	LogRecord    = Format{"kind of a record in a log segment", 3, 1, Refuse}
 	LogEntry     = Format{"kind of a log entry", 3, 1, Refuse}
-	Command      = Format{"command in the log (brcore)", 1, 1, Refuse}
-	State        = Format{"state in a snapshot (brcore)", 1, 1, Refuse}
+	Command      = Format{"command in the log (brcore)", 2, 1, Refuse}
+	State        = Format{"state in a snapshot (brcore)", 2, 1, Refuse}
 )
 
 // All returns all formats.
