brplace: send nothing to evacuated failure domains

The endpoints of an evacuated domain were used like any others. An event with all evacuated domains now closes them: they are no candidates, hold no shares of limits or slots and don't count for the health of their service. What only they could run is refused at once, also what waits already.

--- a/brplace/brittle.go
+++ b/brplace/brittle.go
@@ -70,6 +70,9 @@
 func (v *service) updateUtilization() {
 	slots, active := 0, 0
 	for _, e := range v.endpoints {
+		if e.evacuated {
+			continue
+		}
 		slots += e.Slots
 		active += e.active()
 	}
@@ -129,7 +132,7 @@
 		if e.slotUse.share > 0 && e.usable(s.now) {
 			return false
 		}
-		brittle = brittle || e.slotUse.brittle
+		brittle = brittle || e.slotUse.brittle && !e.evacuated
 	}
 	return brittle && s.cfg.Random() < 2-v.utilization/lendingUtilization
 }
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -50,6 +50,7 @@
 	duration       time.Duration // moving average of request durations
 	suspendedUntil time.Time
 	lastSuspension time.Duration  // duration of the last suspension
+	evacuated      bool           // its failure domain is evacuated
 	pausedUntil    time.Time      // until then the endpoint wants no requests of this daemon
 	limit          brlimit.Limit  // as its present start states
 	stated         bool           // the present start has stated a limit, or that it has none
@@ -103,9 +104,9 @@
 func (e *endpoint) pendingPrompt() int { return e.own.PendingPromptTokens + e.others.prompt }
 
 // usable reports whether this daemon may send a request to the endpoint now: it accepts
-// new requests, is neither suspended nor paused, and its limit leaves room.
+// new requests and isn't evacuated, is neither suspended nor paused, and its limit leaves room.
 func (e *endpoint) usable(now time.Time) bool {
-	return !e.Leaving && !now.Before(e.suspendedUntil) && !now.Before(e.pausedUntil) && e.withinLimit(now)
+	return !e.closed() && !now.Before(e.suspendedUntil) && !now.Before(e.pausedUntil) && e.withinLimit(now)
 }
 
 // pause keeps this daemon's requests from an endpoint for the duration that the
@@ -157,8 +158,11 @@
 }
 
 // recordOutcomes adds ended and failed requests of any daemon to the health
-// statistics of the endpoint and its service.
+// statistics of the endpoint and its service, unless the endpoint is evacuated.
 func (s *State) recordOutcomes(e *endpoint, ended, failed uint64) {
+	if e.evacuated {
+		return
+	}
 	e.health.add(ended, failed)
 	s.service(e.Service).health.add(ended, failed)
 }
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -53,8 +53,8 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
-// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
-// Progressed, Ended and Tick.
+// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, DomainsEvacuated, PathLost, Submit,
+// Cancel, FirstByte, Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -112,6 +112,9 @@
 	v.sharesStale = false
 	rates, slots := map[string]float64{}, map[string]int{}
 	for _, e := range v.endpoints {
+		if e.evacuated {
+			continue
+		}
 		if e.limit.Limited {
 			rates[e.ID] = e.limit.Rate
 		}
@@ -149,7 +152,7 @@
 	var rate, tokens float64
 	limited := false
 	for _, e := range v.endpoints {
-		if e.Leaving || !eligible(e, r) {
+		if e.closed() || !eligible(e, r) {
 			continue
 		}
 		switch p := e.pausedUntil.Sub(s.now); {
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -31,6 +31,10 @@
 	v := s.service(r.Service)
 	v.urgentRank = min(v.urgentRank, r.Rank)
 	r.short, r.queuedAt = v.isShort(&r), s.now
+	if s.onlyEvacuated(v, &r) {
+		s.reject(&r, Evacuated, s.retryDelay())
+		return
+	}
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
 			s.reject(&r, NoEndpoint, s.retryDelay())
@@ -63,7 +67,7 @@
 // hasCandidate reports whether any endpoint is eligible for r, including suspended
 // ones.
 func (s *State) hasCandidate(v *service, r *Request) bool {
-	return slices.ContainsFunc(v.endpoints, func(e *endpoint) bool { return !e.Leaving && eligible(e, r) })
+	return slices.ContainsFunc(v.endpoints, func(e *endpoint) bool { return !e.closed() && eligible(e, r) })
 }
 
 // eligible reports whether r may run at e by version and earlier attempts.
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -21,10 +21,12 @@
 	domainDelay        time.Duration // until these have a report
 	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
-	hideShort          bool    // the daemons don't know which streams are short
-	fullChoice         bool    // the daemons don't know that the fleet is large
-	stepped            bool    // the endpoints work in steps; see replayEngine
-	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+	hideShort          bool                                                      // the daemons don't know which streams are short
+	fullChoice         bool                                                      // the daemons don't know that the fleet is large
+	stepped            bool                                                      // the endpoints work in steps; see replayEngine
+	prepare            func(r *replayRun)                                        // schedules further events; may be nil
+	observe            func(r *replayRun, daemon int, q *replayStream, e Effect) // may be nil
+	spread             float64                                                   // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
 }
 
 // streamKind describes the streams of one route.
@@ -145,6 +147,9 @@
 	for _, k := range f.kinds {
 		r.arrive(k)
 	}
+	if f.prepare != nil {
+		f.prepare(r)
+	}
 	for r.now < f.duration {
 		s := heap.Pop(&r.steps).(timedStep)
 		r.now = s.at
@@ -192,6 +197,7 @@
 		switch e := effect.(type) {
 		case Dispatch:
 			q := r.waiting[daemon][e.ID]
+			r.notify(daemon, q, effect)
 			delete(r.waiting[daemon], e.ID)
 			i := r.index[e.Endpoint.ID]
 			r.pairs[[2]int{daemon, i}] = true
@@ -201,11 +207,19 @@
 			r.reportDispatch(daemon)
 		case Reject:
 			r.rejected++
+			r.notify(daemon, r.waiting[daemon][e.ID], effect)
 			delete(r.waiting[daemon], e.ID)
 		}
 	}
 }
 
+// notify passes a decision on a stream to observe.
+func (r *replayRun) notify(daemon int, q *replayStream, e Effect) {
+	if r.observe != nil {
+		r.observe(r, daemon, q, e)
+	}
+}
+
 // serve starts the next stream at an endpoint if it has a free slot.
 func (r *replayRun) serve(i int) {
 	if r.running[i] == r.slots || len(r.queues[i]) == 0 {
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -26,6 +26,7 @@
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
+	evacuated        []string // failure domains
 	daemons          []string // IDs of the daemons, including this one; empty if unknown
 	now              time.Time
 	effects          []Effect
@@ -103,6 +104,8 @@
 		delete(s.partitionedPeers, e.Daemon)
 	case PeerPartitioned:
 		s.setPeerPartitioned(e)
+	case DomainsEvacuated:
+		s.evacuate(e)
 	case PathLost:
 		s.losePath()
 	case FleetChanged:
@@ -176,6 +179,7 @@
 		s.service(e.Service).sharesStale = s.service(e.Service).sharesStale || e.slotUse.brittle && e.Slots != announced.Slots
 		e.Endpoint = announced
 	}
+	s.applyEvacuation(s.endpoints[announced.ID])
 	s.applyLimit(s.endpoints[announced.ID])
 	s.placeWaiting(s.service(announced.Service), maxPlacements)
 }
