brproxy: check for an evacuation right before a request is sent

A request that was placed before an evacuation could be sent after it: a dial takes up to 0.7 s, a successor waits for its connection. brconn asks again when the connection is open; the request then counts as not sent, goes elsewhere, and blames no endpoint.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -25,6 +25,9 @@
 	Header http.Header
 	Body   []byte
 	Conn   *Conn // open connection to use; nil means one of the pool
+	// MaySend returns an error if the request must not be sent any more. It is called when
+	// the connection is open, right before the first byte is written. It may be nil.
+	MaySend func() error
 }
 
 // Response is the status line and header of a response from an endpoint.
@@ -128,6 +131,12 @@
 			return nil, &SendError{Err: err}
 		}
 	}
+	if r.MaySend != nil {
+		if err := r.MaySend(); err != nil {
+			open.Release()
+			return nil, &SendError{Err: err}
+		}
+	}
 	c := open.conn
 	x := &Exchange{
 		Relayed: c.relayed(), pool: p, conn: c, writeResult: make(chan error, 1),
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -38,7 +38,7 @@
 	stall       *stallWatch
 	conn        *brconn.Conn // open connection to the endpoint; nil means one of the pool
 	sent        *sentRequest // the request, if it was sent while the dispatch before went on
-	notRun      bool         // the response to sent states that the request didn't run
+	notRun      bool         // sent didn't run: its response states so, or nothing of it was sent
 	continues   bool         // the caller had received a part of the response when sent was sent
 }
 
@@ -157,6 +157,7 @@
 	return brconn.Request{
 		ID: q.call.ID, Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
 		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: a.conn,
+		MaySend: func() error { return p.checkEvacuated(a.endpoint) },
 	}
 }
 
@@ -188,9 +189,9 @@
 	return brplace.Failed
 }
 
-// connectFailureResult returns the result of an attempt without a connection.
+// connectFailureResult returns the result of an attempt of which nothing was sent.
 func connectFailureResult(err error) brplace.Result {
-	if errors.Is(err, brpath.ErrNoPath) {
+	if errors.Is(err, brpath.ErrNoPath) || errors.Is(err, errEvacuated) {
 		return brplace.Inconclusive
 	}
 	return brplace.WrongAddress
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -259,6 +259,7 @@
 			}
 		case brplace.Reject:
 			q.waiting, q.freeSlots = e.Waiting, e.FreeSlots
+			p.countEvacuated(e.Reason)
 			p.endUndispatched(ctx, q, string(e.Reason), e.RetryAfter)
 			return
 		default:
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -13,6 +13,7 @@
 	Retries      atomic.Uint64 // dispatches charged to a retry budget
 	Resumed      atomic.Uint64 // attempts to resume a stream that failed
 	Quarantined  atomic.Uint64 // requests held back because of a part of their prompt
+	Evacuated    atomic.Uint64 // requests refused because of an evacuation; also in Rejected
 	OverQuota    atomic.Uint64 // requests refused by the quota; also in Rejected
 	Denied       atomic.Uint64 // requests denied as malformed, too large, without a route or with an unknown key
 }
--- a/brproxy/successor.go
+++ b/brproxy/successor.go
@@ -79,7 +79,7 @@
 		return true // ended by this daemon
 	}
 	if a.sent.err != nil {
-		p.recordSendFailure(ctx, q, a, a.sent.err)
+		a.notRun = !p.recordSendFailure(ctx, q, a, a.sent.err)
 		return true
 	}
 	a.relayed = a.sent.exchange.Relayed
