brtunnel: withhold endpoints that are to get no new request

A relay passed on whatever came over its tunnels, so that a daemon which doesn't know of an evacuation could reach the endpoints through one that does. Withheld refuses new tunnels, and ends an open one when the next request begins on it.

Before (check ignored): TestWithheldEndpoint saw the second request arrive and both tunnels go on.

--- a/brtunnel/server.go
+++ b/brtunnel/server.go
@@ -33,6 +33,10 @@
 	// Allow reports whether address is that of a known endpoint, so that the server
 	// connects to nothing else.
 	Allow func(address string) bool
+	// Withheld reports whether the endpoint at address is to get no new request. It then
+	// gets no new tunnel, and an open one ends when the next request begins on it. It may
+	// be nil.
+	Withheld func(address string) bool
 	// Available reports whether this daemon has a path to endpoints; nil means that it
 	// has.
 	Available func() bool
@@ -78,7 +82,7 @@
 	}
 	defer s.background.Done()
 	address := r.URL.Query().Get(addressQuery)
-	if s.Allow == nil || !s.Allow(address) {
+	if s.Allow == nil || !s.Allow(address) || s.withheld(address) {
 		s.release(nil)
 		s.refuse(w, NotAllowed, http.StatusForbidden)
 		return
@@ -93,7 +97,7 @@
 		s.refuse(w, cause, http.StatusBadGateway)
 		return
 	}
-	s.open(w, endpoint)
+	s.open(w, address, endpoint)
 }
 
 // refuse answers with a cause and counts it.
@@ -159,8 +163,10 @@
 	return dial(ctx, address)
 }
 
+func (s *Server) withheld(address string) bool { return s.Withheld != nil && s.Withheld(address) }
+
 // open switches the protocol and runs a tunnel to endpoint.
-func (s *Server) open(w http.ResponseWriter, endpoint net.Conn) {
+func (s *Server) open(w http.ResponseWriter, address string, endpoint net.Conn) {
 	client, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		endpoint.Close()
@@ -168,8 +174,9 @@
 		s.refuse(w, RelayFailed, http.StatusInternalServerError)
 		return
 	}
-	t := &tunnel{server: s, client: client, endpoint: endpoint, upDone: make(chan struct{})}
+	t := &tunnel{server: s, address: address, client: client, endpoint: endpoint, upDone: make(chan struct{})}
 	t.active.Store(true)
+	t.answered.Store(true)
 	// The reader of the HTTP server may hold bytes that the client sent early.
 	first, _ := buffered.Reader.Peek(buffered.Reader.Buffered())
 	if !s.add(t) || t.switchProtocol() != nil {
--- a/brtunnel/tunnel.go
+++ b/brtunnel/tunnel.go
@@ -32,8 +32,12 @@
 // tunnel connects a client to an endpoint.
 type tunnel struct {
 	server           *Server
+	address          string // of the endpoint
 	client, endpoint net.Conn
 	active           atomic.Bool // bytes have passed since the last check by runIdle
+	// answered is set when bytes come from the endpoint, and at first. The next bytes of the
+	// client begin a request then, unless they are the rest of one that was answered early.
+	answered atomic.Bool
 
 	upDone chan struct{} // closed at the end of copyUp
 	upErr  error         // error of writing to the endpoint; read after upDone
@@ -96,8 +100,13 @@
 }
 
 // writeUp writes b to the endpoint. After a failure, copyDown still passes on what the
-// endpoint has sent and then sees the end of the connection.
+// endpoint has sent and then sees the end of the connection. If b begins a request to an
+// endpoint that is to get none, writeUp ends the tunnel without an end frame.
 func (t *tunnel) writeUp(b []byte) bool {
+	if t.answered.Swap(false) && t.server.withheld(t.address) {
+		t.endpoint.Close()
+		return false
+	}
 	t.active.Store(true)
 	t.server.toEndpoint.Add(uint64(len(b)))
 	_, t.upErr = t.endpoint.Write(b)
@@ -127,6 +136,7 @@
 // writeDown writes a frame with the n bytes after the space for the header in buffer.
 func (t *tunnel) writeDown(buffer *[bufferBytes]byte, n int) bool {
 	t.active.Store(true)
+	t.answered.Store(true)
 	t.server.toClient.Add(uint64(n))
 	putHeader(buffer[:], kindData, n)
 	_, err := t.client.Write(buffer[:headerBytes+n])
