brfleet, platform: order, withdraw and list evacuations

POST and DELETE of /-/evacuations/DOMAIN got 404. Replicas publish the evacuations in force as one record whose key precedes the policy's; each daemon applies it at once, also those without a disk and those that start later, and relays withhold the endpoints.

Before: TestEvacuationOrders in platform got 404.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -76,8 +76,10 @@
 	confirmed startSet // leaving endpoints that enough daemons know of
 	policies  policies
 	rollouts  rollouts
-	leaving   atomic.Bool
-	daemons   atomic.Int64 // known daemons that are not leaving
+	// evacuations are those that this daemon knows.
+	evacuations evacuations
+	leaving     atomic.Bool
+	daemons     atomic.Int64 // known daemons that are not leaving
 	// domainDaemons is the number of those in the same failure domain.
 	domainDaemons atomic.Int64
 	loadSeqs      map[string]uint64 // of the applied load records, by daemon incarnation; used by calls from node
@@ -137,7 +139,7 @@
 	f.core = brcore.Start(brcore.Config{
 		Dir: cfg.Dir, Self: brcontrol.Peer{ID: cfg.ID, Address: cfg.Address}, Tolerance: cfg.Tolerance,
 		Keys: cfg.Keys, Mux: f.mux, Replicas: f.replicas, Conn: f.node.Conn, MayBootstrap: f.mayBootstrap,
-		OnDocument: f.publishDocument, OnRollouts: f.onRollouts, Log: cfg.Log, Clock: cfg.Clock, WAL: cfg.WAL,
+		OnEvacuations: f.publishEvacuations, OnDocument: f.publishDocument, OnRollouts: f.onRollouts, Log: cfg.Log, Clock: cfg.Clock, WAL: cfg.WAL,
 	})
 	f.node.Run()
 	f.links = &brpeer.Server{Mux: f.mux, Keys: cfg.Keys}
@@ -297,6 +299,8 @@
 	switch r.Kind() {
 	case kindEndpoint:
 		f.applyEndpointRecord(r)
+	case kindEvacuation:
+		f.applyEvacuationRecord(r)
 	case kindLimit:
 		f.applyLimitRecord(r)
 	case kindLoad, kindDomainLoad:
--- a/brfleet/formats_test.go
+++ b/brfleet/formats_test.go
@@ -17,6 +17,7 @@
 	brtest.CheckFormats(t,
 		brtest.Value("kindEndpoint", kindEndpoint),
 		brtest.Value("kindEvidence", kindEvidence),
+		brtest.Value("kindEvacuation", kindEvacuation),
 		brtest.Value("kindLimit", kindLimit),
 		brtest.Value("kindLoad", kindLoad),
 		brtest.Value("kindDomainLoad", kindDomainLoad),
@@ -27,6 +28,7 @@
 		brtest.Value("kindTally", kindTally),
 		brtest.Value("kindPath", kindPath),
 		brtest.Message[pathRecord]("path"),
+		brtest.Message[evacuationRecord]("evacuation"),
 		brtest.Message[Announcement]("endpoint"),
 		brtest.Message[brquarantine.Evidence]("evidence"),
 		brtest.Value("evidence/subjects", []string{
--- a/brfleet/path.go
+++ b/brfleet/path.go
@@ -62,7 +62,7 @@
 	}
 	p.dialer.Clock, p.dialer.Log = f.cfg.Clock, f.cfg.Log
 	p.dialer.Direct = direct
-	p.server = &brtunnel.Server{Keys: f.cfg.Keys, Clock: f.cfg.Clock, Allow: f.endpoints.knows}
+	p.server = &brtunnel.Server{Keys: f.cfg.Keys, Clock: f.cfg.Clock, Allow: f.endpoints.knows, Withheld: f.withheld}
 	brtunnel.Connect(p.dialer, p.server)
 	return p
 }
