--- a/brctl/app.go
+++ b/brctl/app.go
@@ -71,6 +71,7 @@
 	a.addTimeline()
 	a.addReplicas()
 	a.addForget()
+	a.addEvacuation()
 	return a
 }
 
--- a/brctl/run_test.go
+++ b/brctl/run_test.go
@@ -53,6 +53,13 @@
 		{ID: "rollout-0", Model: "model-b", From: "v1", To: "v2", FinishBy: testTime, Outcome: "taken_back", Reason: "errors on route draft", EndedAt: testTime},
 	})
 	handleFixed(m, keys, "POST "+broperator.PathDrain, broperator.Empty{})
+	handleFixed(m, keys, "GET "+broperator.PathEvacuations, []broperator.Evacuation{{Domain: "a", Revision: 8}, {Domain: "c", Revision: 12}})
+	broperator.Handle(m, keys, "POST "+broperator.PathEvacuations, func(_ context.Context, c broperator.ChangeEvacuation) (broperator.Accepted, error) {
+		if c.Withdraw != (c.Domain == "a") {
+			return broperator.Accepted{}, brerror.New(brerror.InvalidRequest, "unexpected change %+v", c)
+		}
+		return broperator.Accepted{CommandID: c.CommandID, Revision: 13}, nil
+	})
 	handleFixed(m, keys, "POST "+broperator.PathTimeline, broperator.Timeline{Truncated: []string{"vm2"}, Events: []brtimeline.Event{
 		{Stamp: brtimeline.Stamp{Wall: testTime.UnixNano()}, Process: "vm1", Kind: brtimeline.RequestReceived, RequestID: "r1", Tier: 1},
 		{Stamp: brtimeline.Stamp{Wall: testTime.UnixNano(), Logical: 1}, Process: "vm2", Kind: brtimeline.OrderSent, EndpointID: "engine-1", Detail: "load_version v2"},
@@ -126,6 +133,9 @@
 		{"rollout_wait_limit", good, "", []string{"rollout", "wait", "rollout-1", "--limit=1m"}, ExitUnavailable},
 		{"timeline", good, "", []string{"timeline", "--request-id=r1", "--last=10m"}, ExitOK},
 		{"orders", good, "", []string{"orders"}, ExitOK},
+		{"evacuation_order", good, "", []string{"evacuation", "order", "b"}, ExitOK},
+		{"evacuation_withdraw", good, "", []string{"evacuation", "withdraw", "a"}, ExitOK},
+		{"evacuation_list", good, "", []string{"evacuation", "list"}, ExitOK},
 	}
 	golden := goldie.New(t)
 	t.Setenv("BRAMLEYCTL_KEY", testKey)
--- a/brdaemon/operator.go
+++ b/brdaemon/operator.go
@@ -43,6 +43,8 @@
 	broperator.Handle(m, keys, "GET "+broperator.PathMembers, d.opMembers)
 	broperator.Handle(m, keys, "POST "+broperator.PathMemberRemove, d.opRemoveMember)
 	broperator.Handle(m, keys, "GET "+broperator.PathPools, d.opPools)
+	broperator.Handle(m, keys, "GET "+broperator.PathEvacuations, d.opEvacuations)
+	broperator.Handle(m, keys, "POST "+broperator.PathEvacuations, d.opChangeEvacuation)
 	broperator.Handle(m, keys, "POST "+broperator.PathTimeline, d.opTimeline)
 	broperator.Handle(m, keys, "POST "+broperator.PathReplicas, d.opReplicas)
 	broperator.Handle(m, keys, "POST "+broperator.PathDrain, d.opDrain)
@@ -293,6 +295,8 @@
 		switch {
 		case e.Leaving:
 			state = "leaving"
+		case e.Evacuated:
+			state = "evacuated"
 		case e.Silent:
 			state = "silent"
 		case e.Loading != "":
--- a/brdaemon/poolconfig.go
+++ b/brdaemon/poolconfig.go
@@ -22,6 +22,7 @@
 		limits.Weights[c.Name] = max(c.Weight, 1)
 	}
 	r.post(limits)
+	r.post(brpool.SetEvacuated{Domains: v.EvacuatedDomains()})
 	r.post(brpool.SetRollouts{Rollouts: rolloutsOf(v, model, r.name)})
 }
 
--- a/broperator/api.go
+++ b/broperator/api.go
@@ -25,6 +25,7 @@
 	PathDrain        = "/v1/drain"
 	PathTimeline     = "/v1/timeline"
 	PathReplicas     = "/v1/replicas"
+	PathEvacuations  = "/v1/evacuations"
 )
 
 // Status describes the state of one daemon.
@@ -198,6 +199,20 @@
 	Remove    string `json:"remove,omitempty"`  // replica ID
 }
 
+// ChangeEvacuation orders that the endpoints of a failure domain get no new request, or
+// withdraws that order.
+type ChangeEvacuation struct {
+	CommandID string `json:"command_id"`
+	Domain    string `json:"domain"`
+	Withdraw  bool   `json:"withdraw"`
+}
+
+// Evacuation is the evacuation of a failure domain, which is in force.
+type Evacuation struct {
+	Domain   string `json:"domain"`
+	Revision uint64 `json:"revision"`
+}
+
 // TimelineQuery selects events; empty fields select everything.
 type TimelineQuery struct {
 	brtimeline.Filter
--- a/brpool/event.go
+++ b/brpool/event.go
@@ -100,6 +100,10 @@
 	Weights map[string]int // by customer; 1 if missing or below 1
 }
 
+// SetEvacuated replaces the failure domains whose endpoints get no new grant. Requests that
+// run there go on.
+type SetEvacuated struct{ Domains []string }
+
 // SetRollouts replaces the pool's rollouts. A request belongs to the first rollout
 // that includes its customer. A request without a rollout may be sent to any
 // version except the New version of a rollout below 1,000 per mille.
@@ -147,6 +151,7 @@
 func (Release) event()           {}
 func (LeaseEnded) event()        {}
 func (SetLimits) event()         {}
+func (SetEvacuated) event()      {}
 func (SuspendForLoad) event()    {}
 func (SetRollouts) event()       {}
 func (Locate) event()            {}
--- a/brpool/pool.go
+++ b/brpool/pool.go
@@ -174,6 +174,8 @@
 	case SetLimits:
 		p.setLimits(ev)
 		p.refuseShed(p.queue.ShedToLimit(p.queueLimit), "queue limit lowered")
+	case SetEvacuated:
+		p.table.SetEvacuated(ev.Domains)
 	case SetRollouts:
 		p.setRollouts(ev.Rollouts)
 	case Locate:
--- a/brpool/submit.go
+++ b/brpool/submit.go
@@ -177,6 +177,10 @@
 		if p.refuseHeld(now, r) {
 			continue
 		}
+		if p.table.OnlyEvacuated() {
+			p.refuseShed(p.queue.Shed(it), "all endpoints are evacuated")
+			continue
+		}
 		r.rollout, r.route.Group = p.rolloutOf(r.Customer)
 		c, ok := p.table.Choose(now, r.route)
 		if !ok {
--- a/brroute/table.go
+++ b/brroute/table.go
@@ -49,6 +49,7 @@
 	trial              *Flight
 	groups             map[string]*group
 	reserved           map[string]bool // versions that get no requests without a group
+	evacuated          []string        // failure domains
 	speed              speed           // of all endpoints
 	idleSpeed          speed           // best speed of the usable endpoints at the last Tick
 	outstanding        int             // sum over the flights
@@ -67,6 +68,7 @@
 	flights              []*Flight
 	completions          []completion
 	silent               bool
+	evacuated            bool      // its failure domain is evacuated
 	loadingVersion       string    // version that the endpoint was ordered to load; empty for none
 	failedLoadsBefore    int       // number of failed loads announced before that order
 	loadDeadline         time.Time // end of the suspension for the load
@@ -224,6 +226,7 @@
 	Version        string
 	Leaving        bool
 	Silent         bool
+	Evacuated      bool
 	HalfOpen       bool
 	Loading        string // version that the endpoint was ordered to load
 	Requests       int    // in flight
@@ -239,7 +242,7 @@
 	for _, e := range t.list {
 		out = append(out, Status{
 			EndpointID: e.EndpointID, Address: e.Address, Version: e.Version,
-			Leaving: e.Leaving, Silent: e.silent, HalfOpen: e.halfOpen, Loading: e.loadingVersion,
+			Leaving: e.Leaving, Silent: e.silent, Evacuated: e.evacuated, HalfOpen: e.halfOpen, Loading: e.loadingVersion,
 			Requests: len(e.flights), Outstanding: e.outstanding, Load: e.load, CapacityTokens: e.CapacityTokens,
 			TokenTime: seconds(t.speedOf(e).tokenTime),
 		})
@@ -301,6 +304,7 @@
 	a.Address = reuseString(e.Address, a.Address)
 	a.Version = reuseString(e.Version, a.Version)
 	e.Announce = a
+	e.evacuated = slices.Contains(t.evacuated, a.FailureDomain)
 	e.lastAnnounced = now
 	e.measuredAt = now.Add(-max(0, a.Age()))
 	e.load = clampTokens(a.RunningTokens) + clampTokens(a.WaitingTokens)
@@ -396,6 +400,6 @@
 }
 
 // usable reports whether e may get new requests.
-func (e *endpoint) usable() bool { return !e.Leaving && !e.silent && e.loadingVersion == "" }
+func (e *endpoint) usable() bool { return e.open() && e.loadingVersion == "" }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/brstate/command.go
+++ b/brstate/command.go
@@ -36,6 +36,7 @@
 	PlaceOrder       *PlaceOrder       `cbor:"place_order,omitempty"`
 	FinishOrder      *FinishOrder      `cbor:"finish_order,omitempty"`
 	SaveProgress     *SaveProgress     `cbor:"save_progress,omitempty"`
+	ChangeEvacuation *ChangeEvacuation `cbor:"change_evacuation,omitempty"`
 }
 
 // PutConfiguration changes the configuration if its revision equals Expected.
--- a/brstate/formats_test.go
+++ b/brstate/formats_test.go
@@ -11,6 +11,7 @@
 func TestFormats(t *testing.T) {
 	brtest.CheckFormats(t,
 		brtest.Value("snapshot_format", snapshotFormat),
+		brtest.Value("snapshot_format/evacuations", evacuationFormat),
 		brtest.Message[Command]("command"),
 		brtest.Message[frame]("snapshot"),
 		brtest.Message[View]("view"),
--- a/brstate/snapshot.go
+++ b/brstate/snapshot.go
@@ -29,6 +29,8 @@
 	Results   []result          `cbor:"results,omitempty"`
 	Progress  []SaveProgress    `cbor:"progress,omitempty"`
 	LastFrame bool              `cbor:"last_frame,omitempty"`
+	// Evacuations need the format evacuationFormat.
+	Evacuations []Evacuation `cbor:"evacuations,omitempty"`
 }
 
 type header struct {
@@ -40,20 +42,30 @@
 	MembersRevision       uint64    `cbor:"members_revision"`
 }
 
-const snapshotFormat = 1
+const (
+	snapshotFormat = 1
+	// evacuationFormat is the format of a snapshot with evacuations, which a build that
+	// doesn't know them must not restore without them.
+	evacuationFormat = 2
+)
 
 // Snapshot returns the encoded state. All replicas that have applied the same entries
 // return the same bytes.
 func (s *State) Snapshot() []byte {
 	v := s.view
 	w := &frameWriter{}
-	w.frame(frame{Header: &header{snapshotFormat, s.index, s.now, v.Revision, v.ConfigurationRevision, v.MembersRevision}})
+	format := snapshotFormat
+	if len(v.Evacuations) > 0 {
+		format = evacuationFormat
+	}
+	w.frame(frame{Header: &header{format, s.index, s.now, v.Revision, v.ConfigurationRevision, v.MembersRevision}})
 	writeRows(w, v.Configuration.Models, func(rows []brconfig.Model) frame { return frame{Items: &brconfig.Change{Models: rows}} })
 	writeRows(w, v.Configuration.Templates, func(rows []brconfig.Template) frame { return frame{Items: &brconfig.Change{Templates: rows}} })
 	writeRows(w, v.Configuration.Customers, func(rows []brconfig.Customer) frame { return frame{Items: &brconfig.Change{Customers: rows}} })
 	writeRows(w, v.Owners, func(rows []Owner) frame { return frame{Owners: rows} })
 	writeRows(w, v.Daemons, func(rows []brwire.Daemon) frame { return frame{Daemons: rows} })
 	writeRows(w, v.Rollouts, func(rows []Rollout) frame { return frame{Rollouts: rows} })
+	writeRows(w, v.Evacuations, func(rows []Evacuation) frame { return frame{Evacuations: rows} })
 	writeRows(w, s.leases.List(), func(rows []brlease.Lease) frame { return frame{Leases: rows} })
 	writeRows(w, s.ledger.Records(), func(rows []brledger.Record) frame { return frame{Records: rows} })
 	writeRows(w, s.orders.list(), func(rows []Order) frame { return frame{Orders: rows} })
@@ -76,7 +88,7 @@
 			return nil, fmt.Errorf("brstate: restore frame %d: %w", n, err)
 		}
 		data = rest
-		if (n == 0) != (f.Header != nil) || f.Header != nil && f.Header.Format != snapshotFormat {
+		if (n == 0) != (f.Header != nil) || f.Header != nil && f.Header.Format != snapshotFormat && f.Header.Format != evacuationFormat {
 			return nil, fmt.Errorf("brstate: restore frame %d: header missing, misplaced or of an unknown format", n)
 		}
 		if h := f.Header; h != nil {
@@ -91,6 +103,7 @@
 		s.view.Owners = append(s.view.Owners, f.Owners...)
 		s.view.Daemons = append(s.view.Daemons, f.Daemons...)
 		s.view.Rollouts = append(s.view.Rollouts, f.Rollouts...)
+		s.view.Evacuations = append(s.view.Evacuations, f.Evacuations...)
 		leases, records = append(leases, f.Leases...), append(records, f.Records...)
 		for _, o := range f.Orders {
 			s.orders.put(o)
--- a/brstate/state.go
+++ b/brstate/state.go
@@ -156,6 +156,8 @@
 		return s.reply(o, err), nil
 	case c.SaveProgress != nil:
 		return s.reply(struct{}{}, s.saveProgress(*c.SaveProgress)), nil
+	case c.ChangeEvacuation != nil:
+		return s.changeEvacuation(*c.ChangeEvacuation)
 	}
 	panic("brstate: command without a body") // excluded by Kind
 }
--- a/brstate/view.go
+++ b/brstate/view.go
@@ -35,19 +35,22 @@
 	Owners                []Owner           `cbor:"owners" json:"owners"`
 	Daemons               []brwire.Daemon   `cbor:"daemons" json:"daemons"`
 	Rollouts              []Rollout         `cbor:"rollouts" json:"rollouts"`
+	Evacuations           []Evacuation      `cbor:"evacuations,omitempty" json:"evacuations,omitempty"`
 }
 
 // Change is the difference between the view of revision Previous and that of
 // Revision. It contains only rows that differ. It is immutable.
 type Change struct {
-	Revision        uint64           `cbor:"revision" json:"revision"`
-	Previous        uint64           `cbor:"previous" json:"previous"`
-	Configuration   *brconfig.Change `cbor:"configuration,omitempty" json:"configuration,omitempty"`
-	Owners          []Owner          `cbor:"owners,omitempty" json:"owners,omitempty"`
-	Daemons         []brwire.Daemon  `cbor:"daemons,omitempty" json:"daemons,omitempty"`
-	RemovedDaemons  []string         `cbor:"removed_daemons,omitempty" json:"removed_daemons,omitempty"`
-	Rollouts        []Rollout        `cbor:"rollouts,omitempty" json:"rollouts,omitempty"`
-	RemovedRollouts []string         `cbor:"removed_rollouts,omitempty" json:"removed_rollouts,omitempty"`
+	Revision           uint64           `cbor:"revision" json:"revision"`
+	Previous           uint64           `cbor:"previous" json:"previous"`
+	Configuration      *brconfig.Change `cbor:"configuration,omitempty" json:"configuration,omitempty"`
+	Owners             []Owner          `cbor:"owners,omitempty" json:"owners,omitempty"`
+	Daemons            []brwire.Daemon  `cbor:"daemons,omitempty" json:"daemons,omitempty"`
+	RemovedDaemons     []string         `cbor:"removed_daemons,omitempty" json:"removed_daemons,omitempty"`
+	Rollouts           []Rollout        `cbor:"rollouts,omitempty" json:"rollouts,omitempty"`
+	RemovedRollouts    []string         `cbor:"removed_rollouts,omitempty" json:"removed_rollouts,omitempty"`
+	Evacuations        []Evacuation     `cbor:"evacuations,omitempty" json:"evacuations,omitempty"`
+	RemovedEvacuations []string         `cbor:"removed_evacuations,omitempty" json:"removed_evacuations,omitempty"`
 }
 
 // Follows reports whether c is the change that directly follows v.
@@ -74,6 +77,7 @@
 	v.Owners = mergeRows(v.Owners, c.Owners, nil, func(o Owner) string { return o.Pool })
 	v.Daemons = mergeRows(v.Daemons, c.Daemons, c.RemovedDaemons, func(d brwire.Daemon) string { return d.ID })
 	v.Rollouts = mergeRows(v.Rollouts, c.Rollouts, c.RemovedRollouts, func(r Rollout) string { return r.ID })
+	v.Evacuations = mergeRows(v.Evacuations, c.Evacuations, c.RemovedEvacuations, domainOf)
 	return v
 }
 
