brcore: try the replica first that has completed the last call

An evacuation takes two calls from a daemon without a replica, a read and a proposal. The replica that has answered the read is asked first now; other calls gain the same.

TestPreferring is new. go test ./brcore passes.

--- a/brcore/core.go
+++ b/brcore/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,7 +66,8 @@
 	cancel  context.CancelFunc
 	wg      sync.WaitGroup
 	replica atomic.Pointer[brcontrol.Replica]
-	removed atomic.Bool // this daemon's replica, or its log, was once removed
+	replied atomic.Pointer[string] // address of the replica that has completed the last call; see preferring
+	removed atomic.Bool            // this daemon's replica, or its log, was once removed
 
 	mu             sync.Mutex
 	state          State
@@ -188,7 +190,7 @@
 		}
 		c.cfg.Log.Warn().Str("call", name).Err(err).Msg("call to the local replica failed; trying the other replicas")
 	}
-	for _, p := range c.cfg.Replicas() {
+	for _, p := range preferring(c.cfg.Replicas(), c.replied.Load()) {
 		conn := c.cfg.Conn(p.Address)
 		if conn == nil || p.Address == c.cfg.Self.Address || ctx.Err() != nil {
 			continue
@@ -198,6 +200,7 @@
 		reply, err := brpeer.Call[Q, A](callCtx, conn, name, req)
 		cancel()
 		if err == nil {
+			c.replied.Store(&p.Address)
 			return reply, nil
 		}
 		c.cfg.Log.Warn().Str("call", name).Str("replica", p.Address).Err(err).Msg("call to a replica failed")
@@ -205,6 +208,17 @@
 	return zero, fmt.Errorf("%w: %s tried at %d replicas", ErrUnavailable, name, tried)
 }
 
+// preferring returns peers with that at the given address, if any, before the others. The
+// replica that has completed a call is tried first for the next one: a frozen one costs
+// callTimeout each time, and an operator waits for little longer.
+func preferring(peers []brcontrol.Peer, address *string) []brcontrol.Peer {
+	i := slices.IndexFunc(peers, func(p brcontrol.Peer) bool { return address != nil && p.Address == *address })
+	if i < 0 {
+		return peers
+	}
+	return slices.Concat(peers[i:i+1], peers[:i], peers[i+1:])
+}
+
 // register adds the handlers for calls of other daemons and for the messages of
 // the replication group. The replica may stop and start while links stay open.
 func (c *Core) register(m *brpeer.Mux) {
--- a/brcore/evacuation_test.go
+++ b/brcore/evacuation_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"bramleyroute/brcontrol"
+
 	"github.com/google/go-cmp/cmp"
 )
 
@@ -72,3 +74,21 @@
 		t.Errorf("%d evacuations, want %d, with that in force and without the oldest", n, maxWithdrawn+1)
 	}
 }
+
+// TestPreferring guards against an order whose read and proposal both wait for a frozen
+// replica, and against a replica that is left out.
+func TestPreferring(t *testing.T) {
+	peers := []brcontrol.Peer{{Address: "1"}, {Address: "2"}, {Address: "3"}}
+	for address, want := range map[string]string{"1": "123", "3": "312", "gone": "123"} {
+		got := ""
+		for _, p := range preferring(peers, &address) {
+			got += p.Address
+		}
+		if got != want {
+			t.Errorf("after a reply of %s: order %s, want %s", address, got, want)
+		}
+	}
+	if diff := cmp.Diff(peers, preferring(peers, nil)); diff != "" {
+		t.Errorf("before the first reply:\n%s", diff)
+	}
+}
