--- a/brfleet/evacuation_test.go
+++ b/brfleet/evacuation_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -131,55 +130,6 @@
 	}
 }
 
-// TestEvacuationSurvivesLosses guards against an acknowledged order or withdrawal that is
-// lost with the daemon that has acknowledged it, with its disk, or with the power of all.
-func TestEvacuationSurvivesLosses(t *testing.T) {
-	for name, lose := range map[string]func(c *cluster){
-		"the daemon": func(c *cluster) { c.restart(0, 0) },
-		"its disk":   func(c *cluster) { c.restart(1, 0) },
-		"all daemons and the disk": func(c *cluster) {
-			c.restart(1, 0, 1, 2, 3)
-		},
-	} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			c := newCluster(t, 4, 3)
-			c.put(0, 1)
-			c.awaitInForce(1)
-			c.order("first order", c.fleets[0].Evacuate, "a")
-			c.order("order", c.fleets[0].Evacuate, "b")
-			c.order("withdrawal", c.fleets[0].WithdrawEvacuation, "a")
-			lose(c)
-			c.awaitInForce(1)
-			c.awaitEvacuated("b")
-			all, err := c.fleets[0].Evacuations(t.Context())
-			for err != nil && t.Context().Err() == nil {
-				all, err = c.fleets[0].Evacuations(t.Context())
-			}
-			if !slices.Equal(all, []string{"b"}) {
-				t.Errorf("evacuations %q, want b", all)
-			}
-		})
-	}
-}
-
-// restart stops the given daemons, empties the disks of the first lostDisks of them, and
-// starts all of them again.
-func (c *cluster) restart(lostDisks int, daemons ...int) {
-	c.t.Helper()
-	for _, i := range daemons {
-		c.stop(i)
-	}
-	for _, i := range daemons[:lostDisks] {
-		if err := os.RemoveAll(c.dirs[i]); err != nil {
-			c.t.Fatal(err)
-		}
-	}
-	for _, i := range daemons {
-		c.start(i, false)
-	}
-}
-
 // TestEvacuationWithoutMajority guards against an acknowledgement of what a majority doesn't
 // have, and against an order that can't be given when the majority is back.
 func TestEvacuationWithoutMajority(t *testing.T) {
