brsoak: evacuate one failure domain after the other

The soak knew no evacuations. It orders and withdraws them now through random daemons while faults come, and reports a refusal with a 4xx, and a request that reaches an evacuated domain 5.5 s after the acknowledgement if no daemon was disturbed meanwhile; faults are so frequent that this last check seldom counts.

--- a/brsoak/adapter.go
+++ b/brsoak/adapter.go
@@ -54,6 +54,11 @@
 	Version    func(body []byte) (uint64, error)
 	Ready      func(address string) (*http.Request, error)
 
+	// Evacuate returns the request that orders the evacuation of a failure domain at the
+	// daemon at address, and EndEvacuation the one that withdraws it.
+	Evacuate      func(address, domain string) (*http.Request, error)
+	EndEvacuation func(address, domain string) (*http.Request, error)
+
 	Announce func(address string, h Heartbeat) (*http.Request, error)
 	Withdraw func(address, id string) (*http.Request, error)
 
--- a/brsoak/endpoint.go
+++ b/brsoak/endpoint.go
@@ -158,7 +158,7 @@
 		e.refuse(w, id, http.StatusServiceUnavailable)
 		return
 	}
-	finish := e.run.history.RecordExecution(Execution{ID: id, Endpoint: e.id, StartedAt: time.Now()})
+	finish := e.run.history.RecordExecution(Execution{ID: id, Endpoint: e.id, Domain: e.failureDomain, StartedAt: time.Now()})
 	kind := kindFromID(id)
 	abort := e.nextAbort()
 	if abort == abortImmediately {
--- a/brsoak/history.go
+++ b/brsoak/history.go
@@ -23,6 +23,7 @@
 	ConfigIsApplied    = "an acknowledged policy was not applied in time"
 	QuotaHolds         = "a customer exceeded its quota"
 	RetriesLimited     = "more dispatches were retried than the retry budget allows"
+	EvacuationsHold    = "an endpoint received requests after the evacuation of its failure domain"
 	LeavingIsDrained   = "an endpoint received requests after it had left"
 	Recovers           = "the fleet did not recover after the last fault"
 )
@@ -41,6 +42,8 @@
 	// which the endpoint must not receive requests. It includes 500 ms for requests
 	// in transit.
 	drainLimit = 2500*time.Millisecond + 500*time.Millisecond
+	// evacuationLimit is the same for the acknowledgement of an evacuation.
+	evacuationLimit = 5*time.Second + 500*time.Millisecond
 )
 
 // Attempt is the result of one request as seen by the caller.
@@ -73,6 +76,7 @@
 type Execution struct {
 	ID        string
 	Endpoint  string
+	Domain    string // failure domain of the endpoint
 	StartedAt time.Time
 	Outcome   Outcome
 }
@@ -87,6 +91,7 @@
 	executions     map[string][]Execution // by request ID
 	executionOrder []Execution            // all executions in the order of their start
 	leaveAcked     map[string]time.Time   // by endpoint ID, time of the acknowledgement
+	evacuated      map[string]time.Time   // by failure domain, time of the acknowledgement
 	ackedVersion   uint64                 // highest acknowledged policy version
 	disturbances   []disturbance
 	violations     []Violation
@@ -105,6 +110,7 @@
 	return &History{
 		kinds: map[string]Kind{}, customers: map[string]Customer{}, attempts: map[string]Attempt{},
 		executions: map[string][]Execution{}, leaveAcked: map[string]time.Time{},
+		evacuated: map[string]time.Time{},
 	}
 }
 
@@ -169,6 +175,9 @@
 	if at, ok := h.leaveAcked[r.Endpoint]; ok && r.StartedAt.Sub(at) > drainLimit && !h.disturbedDuring(at, r.StartedAt, func(int) bool { return true }) {
 		h.addViolation(LeavingIsDrained, "%s ran at %s, %v after the leave was acknowledged", r.ID, r.Endpoint, r.StartedAt.Sub(at))
 	}
+	if at, ok := h.evacuated[r.Domain]; ok && r.StartedAt.Sub(at) > evacuationLimit && !h.disturbedDuring(at, r.StartedAt, func(int) bool { return true }) {
+		h.addViolation(EvacuationsHold, "%s ran at %s, %v after the evacuation was acknowledged", r.ID, r.Endpoint, r.StartedAt.Sub(at))
+	}
 	h.executions[r.ID] = append(previous, r)
 	h.executionOrder = append(h.executionOrder, r)
 	index := len(previous)
@@ -209,6 +218,20 @@
 	h.leaveAcked[endpoint] = at
 }
 
+// RecordEvacuation records the acknowledgement of the evacuation of a failure domain.
+func (h *History) RecordEvacuation(domain string, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.evacuated[domain] = at
+}
+
+// RecordEvacuationEnd records that the withdrawal of an evacuation is about to be sent.
+func (h *History) RecordEvacuationEnd(domain string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.evacuated, domain)
+}
+
 // RecordAcknowledged records that a policy version was acknowledged.
 func (h *History) RecordAcknowledged(version uint64) {
 	h.mu.Lock()
--- a/brsoak/history_test.go
+++ b/brsoak/history_test.go
@@ -80,6 +80,17 @@
 			h.RecordRead(1, 4, minVersion)
 			h.RecordRead(1, 4, h.NewestAcknowledged())
 		}, []string{ReadsAreCurrent}},
+		{"request to an evacuated domain", func(h *History) {
+			run := func(id, domain string, ms int) {
+				h.RecordExecution(Execution{ID: id, Endpoint: "e1", Domain: domain, StartedAt: at(ms)})(Completed)
+			}
+			h.RecordEvacuation("a", at(0))
+			run("safe-1-1", "a", 5400)
+			run("safe-1-2", "b", 5600)
+			run("safe-1-3", "a", 5600)
+			h.RecordEvacuationEnd("a")
+			run("safe-1-4", "a", 7000)
+		}, []string{EvacuationsHold}},
 		{"request to an endpoint that has left", func(h *History) {
 			h.RecordLeave("e1", at(0))
 			recordExecution(h, "safe-1-1", "e1", 100)
--- a/brsoak/soak.go
+++ b/brsoak/soak.go
@@ -159,6 +159,7 @@
 func (r *run) startTraffic(ctx context.Context) {
 	r.wg.Go(func() { r.runOperator(ctx) })
 	r.wg.Go(func() { r.runReader(ctx) })
+	r.wg.Go(func() { r.runEvacuations(ctx) })
 	for i := range r.cfg.Callers {
 		c := Unlimited
 		if i%4 == 0 {
