brplace: refuse what waits when only evacuated endpoints are left

Requests that waited for an endpoint outside the evacuated domains waited on when that one left. Each tick looks for them now. TestServiceInEvacuatedDomains saw no rejection before; go test ./brplace passes.

--- a/brplace/evacuation.go
+++ b/brplace/evacuation.go
@@ -59,8 +59,12 @@
 		slices.ContainsFunc(v.endpoints, func(e *endpoint) bool { return e.evacuated && !e.Leaving && eligible(e, r) })
 }
 
-// rejectEvacuated rejects the waiting requests that only evacuated endpoints could run.
+// rejectEvacuated rejects the waiting requests that only evacuated endpoints could run:
+// after an order, and after the other endpoints have gone.
 func (s *State) rejectEvacuated(v *service) {
+	if len(s.evacuated) == 0 {
+		return
+	}
 	v.queue = slices.DeleteFunc(v.queue, func(r *Request) bool {
 		if !s.onlyEvacuated(v, r) {
 			return false
--- a/brplace/evacuation_test.go
+++ b/brplace/evacuation_test.go
@@ -126,7 +126,11 @@
 	checkEffects(t, "moved to a sound domain", announce(60, "b", "z3"))
 	checkEffects(t, "new request", s.Step(at(60), Submit{request(5, 0, 60)}), "dispatch 5 b")
 	checkEffects(t, "waits for b", s.Step(at(70), Submit{request(6, 1, 70)}))
-	checkEffects(t, "withdrawal", s.Step(at(80), DomainsEvacuated{[]string{"z2"}}), "dispatch 6 a")
+	s.Step(at(75), EndpointChanged{Endpoint{ID: "b", Service: "s", Zone: "z3", Slots: 1, Leaving: true}})
+	checkEffects(t, "b leaves", s.Step(at(80), Tick{}), "reject 6 evacuated")
+	s.Step(at(85), EndpointChanged{Endpoint{ID: "b", Service: "s", Zone: "z3", Slots: 1}})
+	checkEffects(t, "waits for b again", s.Step(at(85), Submit{request(7, 1, 85)}))
+	checkEffects(t, "withdrawal", s.Step(at(90), DomainsEvacuated{[]string{"z2"}}), "dispatch 7 a")
 }
 
 // TestEvacuatedEndpointsHoldNoShares guards against a daemon that may use no endpoint but
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -345,6 +345,7 @@
 		s.assignShares(v)
 		v.borrows = s.mayBorrow(v)
 		s.placeWaiting(v, maxPlacements)
+		s.rejectEvacuated(v)
 		s.rejectUnservable(v)
 	}
 }
