brplace, brlimit, brfleet, platform: share what a cold endpoint takes

Cause: the time for which an endpoint says that it stays cold was read and dropped, so that all daemons sent to it as to a warm one.

--- a/brfleet/announcement.go
+++ b/brfleet/announcement.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"time"
 	"unicode/utf8"
 
 	"bramleyroute/brgossip"
@@ -15,6 +16,11 @@
 	Endpoint brplace.Endpoint
 	Born     uint64 // start time of the endpoint, Unix milliseconds
 	Sequence uint64 // number of the heartbeat since the start
+
+	// ColdTime is the time for which the endpoint stays cold, and 0 if it is warm.
+	ColdTime time.Duration `cbor:",omitempty"`
+	// ColdUnstated reports that the endpoint doesn't say whether it is cold.
+	ColdUnstated bool `cbor:",omitempty"`
 }
 
 const (
@@ -60,6 +66,9 @@
 	if e.Slots < 1 || e.Slots > maxSlots {
 		return fmt.Errorf("%w: %d slots, want 1 to %d", ErrInvalid, e.Slots, maxSlots)
 	}
+	if a.ColdTime < 0 || a.ColdTime > MaxColdTime {
+		return fmt.Errorf("%w: cold for %v, want 0 to %v", ErrInvalid, a.ColdTime, MaxColdTime)
+	}
 	return nil
 }
 
--- a/brfleet/endpoint.go
+++ b/brfleet/endpoint.go
@@ -53,6 +53,7 @@
 	if a.Endpoint.Leaving && f.isolated() {
 		return ErrIsolated
 	}
+	a = f.withoutCold(a)
 	if !f.recentlyPublished(a) {
 		f.confirmed.remove(a.Endpoint.ID)
 		f.publishEndpoint(a)
@@ -68,14 +69,14 @@
 }
 
 // recentlyPublished reports whether the endpoint's record has the same content as
-// a and is younger than endpointRefreshAge.
+// a and is younger than endpointRefreshAge. Of the cold time it has to tell the end.
 func (f *Fleet) recentlyPublished(a Announcement) bool {
 	r, ok := f.node.Get(kindEndpoint + "/" + a.Endpoint.ID)
 	if !ok || r.Age >= endpointRefreshAge || r.Version.Epoch != a.Born || r.Version.Seq > a.Sequence {
 		return false
 	}
 	last, err := brwire.Decode[Announcement](r.Value)
-	return err == nil && last.Endpoint == a.Endpoint
+	return err == nil && last.Endpoint == a.Endpoint && !a.coldDiffers(last, r.Age)
 }
 
 // endpointLeaving marks an endpoint as leaving, since it said so in a response to a
@@ -109,6 +110,7 @@
 	if !ok {
 		return
 	}
+	f.applyCold(a, r.Age) // before the endpoint gets a request
 	change := f.endpoints.update(a)
 	if change.displaced != "" {
 		f.proxy.ApplyEvent(brplace.EndpointLost{ID: change.displaced})
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -264,6 +264,7 @@
 // is lost stays among them for the lifetime of its record, so that the shares of limits
 // that it may still use while it is cut off aren't given to others.
 func (f *Fleet) runDaemons() {
+	joined := false
 	for {
 		select {
 		case <-f.stop:
@@ -285,6 +286,10 @@
 		}
 		slices.Sort(active)
 		f.proxy.SetDaemons(active)
+		if !joined && f.hasJoined() {
+			joined = true
+			f.proxy.ApplyEvent(brplace.FleetJoined{})
+		}
 		f.daemons.Store(int64(len(active)))
 		f.domainDaemons.Store(int64(domain))
 	}
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -43,7 +43,7 @@
 		"requests": s.Requests.Load(), "answered": s.Answered.Load(), "refused": s.Rejected.Load(),
 		"failed": s.Failed.Load(), "callers_gone": s.Disconnected.Load(), "dispatches": s.Dispatches.Load(),
 		"retries": s.Retries.Load(), "resumed": s.Resumed.Load(), "over_quota": s.OverQuota.Load(),
-		"denied": s.Denied.Load(), "requests_held_back": s.Quarantined.Load(),
+		"refused_cold": s.RefusedCold.Load(), "denied": s.Denied.Load(), "requests_held_back": s.Quarantined.Load(),
 		"connections_dialed": pool.Dialed, "connections_reused": pool.Reused, "responses_evicted": pool.Evicted,
 		"link_bytes_received": bytesIn, "link_bytes_sent": bytesOut,
 	} {
@@ -52,6 +52,7 @@
 	m.Scope.Gauge("requests_waiting").Update(float64(f.proxy.Waiting()))
 	m.Scope.Gauge("quarantined").Update(float64(len(f.proxy.Quarantine())))
 	m.Scope.Gauge("endpoints").Update(float64(f.endpoints.count()))
+	m.Scope.Gauge("endpoints_cold").Update(float64(f.proxy.ColdEndpoints()))
 	m.Scope.Gauge("daemons_linked").Update(float64(len(f.node.LinkedAddresses())))
 	if t := f.proxy.Table(); t != nil {
 		m.Scope.Gauge("policy_version").Update(float64(t.Policy().Version))
--- a/brlimit/bucket.go
+++ b/brlimit/bucket.go
@@ -20,6 +20,12 @@
 	b.share, b.updated = s, now
 }
 
+// Fill adds tokens up to the burst of the share.
+func (b *Bucket) Fill(now time.Time, tokens float64) {
+	b.tokens = min(b.share.Burst, b.Tokens(now)+tokens)
+	b.updated = now
+}
+
 // Tokens returns the number of tokens at the time now, at most the burst of the share. It
 // is negative while more were taken than there were.
 func (b *Bucket) Tokens(now time.Time) float64 {
--- a/brlimit/doc.go
+++ b/brlimit/doc.go
@@ -19,6 +19,10 @@
 // belongs to one member, by the same division, so that no message is needed for a request
 // and the members can't exceed the slots together.
 //
+// An endpoint that has just started may crash under more than a rate in any single second,
+// also if members don't hear of each other. Spaced divides such a rate: fewer holders, which
+// don't depend on the other endpoints, and no bursts.
+//
 // The types do no I/O and take the time as an argument. They aren't safe for concurrent
 // use.
 package brlimit
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -67,7 +67,10 @@
 	if !s.mayStart(v, r) {
 		return nil
 	}
-	candidates := s.candidates(v, r, s.hasRoom)
+	candidates := s.candidates(v, r, s.hasWarmRoom)
+	if len(candidates) == 0 && s.hasCold(v) {
+		candidates = s.candidates(v, r, s.hasRoom)
+	}
 	if len(candidates) == 0 && v.borrows {
 		// All daemons with the same view would take the cheapest one.
 		candidates = s.sample(s.candidates(v, r, s.mayLend), 1)
@@ -156,7 +159,7 @@
 }
 
 // slots returns the number of slots of the usable endpoints of a service, and how
-// many of them are free. An endpoint with a limit counts with the one request that this
+// many of them are free. An endpoint with a limit, or a cold one, counts with the one request that this
 // daemon may send to it at a time.
 func (s *State) slots(v *service) (total, free int) {
 	for _, e := range v.endpoints {
@@ -164,7 +167,7 @@
 			continue
 		}
 		slots, unused := e.Slots, max(0, e.Slots-e.active())
-		if e.limit.Limited {
+		if e.limit.Limited || e.isCold(s.now) {
 			slots, unused = min(1, slots), min(1, unused)
 		}
 		total += slots
@@ -265,6 +268,7 @@
 	if e.limit.Limited {
 		e.bucket.Take(s.now)
 	}
+	e.takeCold(s.now)
 	s.takeSlot(e)
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -55,6 +55,7 @@
 	stated         bool           // the present start has stated a limit, or that it has none
 	bucket         brlimit.Bucket // this daemon's share of the rate
 	slotUse        slotUse
+	cold           coldUse
 }
 
 // usageSum is the sum of the usage by other daemons.
@@ -147,6 +148,7 @@
 		Endpoint: e.ID, Duration: e.lastSuspension, Cause: cause, Ended: e.health.ended, Failed: e.health.failed,
 	})
 	s.forgetOutcomes(e)
+	s.presumeColdAfter(e, cause)
 }
 
 // forgetOutcomes removes the past requests of an endpoint from its health statistics and
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -53,7 +53,7 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
-// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
+// LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
 // Progressed, Ended and Tick.
 type Event interface{ event() }
 
@@ -198,6 +198,7 @@
 	Overload     Reason = "overload"    // the expected queueing time exceeds MaxQueueTime
 	QueueTimeout Reason = "waited"      // the request has waited for longer than MaxQueueTime
 	Paused       Reason = "paused"      // every eligible endpoint asked for a pause that outlasts MaxQueueTime
+	Cold         Reason = "cold"        // as Limited, and some of these endpoints are cold
 	Limited      Reason = "limited"     // the limits of the eligible endpoints leave no room within MaxQueueTime
 )
 
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -89,6 +89,7 @@
 		e.limit = limit
 		s.service(e.Service).sharesStale = true
 	}
+	s.applyCold(e)
 	s.setBrittle(e, s.isBrittle(e))
 }
 
@@ -131,23 +132,30 @@
 	for id := range maps.Keys(slots) {
 		s.endpoints[id].slotUse.share = parts[id]
 	}
+	s.assignColdShares(v, daemons)
 }
 
 // withinLimit reports whether this daemon may send another request to e now.
 func (e *endpoint) withinLimit(now time.Time) bool {
+	if e.isCold(now) {
+		return e.cold.mayTake(now)
+	}
 	return !e.limit.Limited || e.bucket.Tokens(now) >= 1
 }
 
 // unservable returns why r can't be placed in time and the time after which it may be
 // sent again, or an empty reason if it may be placed. That is so if each eligible
-// endpoint either stays paused for longer than r may wait, has a limit, and this
+// endpoint either stays paused for longer than r may wait, has a limit or is cold, and this
 // daemon's shares of the limits don't reach for r and the requests ahead of it, or is
-// brittle, and this daemon has no slot of it and may not borrow one.
+// brittle, and this daemon has no slot of it and may not borrow one. An endpoint that turns
+// warm while r may wait has no limit in this regard.
 func (s *State) unservable(v *service, r *Request, ahead int) (Reason, time.Duration) {
 	remaining := r.MaxQueueTime - s.now.Sub(r.queuedAt)
 	var pause time.Duration // until the first endpoint is no longer paused
 	var rate, tokens float64
+	var warmIn time.Duration // until the first cold endpoint is warm, if known
 	limited := false
+	reason := Limited
 	for _, e := range v.endpoints {
 		if e.Leaving || !eligible(e, r) {
 			continue
@@ -159,6 +167,13 @@
 			}
 		case e.slotUse.brittle && (e.slotUse.share == 0 || s.now.Before(e.suspendedUntil)) && !s.lends(e):
 			limited = true
+		case e.isCold(s.now):
+			limited, reason = true, Cold
+			rate += e.cold.bucket.Rate()
+			tokens += e.cold.available(s.now)
+			if d := e.cold.warmIn(s.now); d > 0 && (warmIn == 0 || d < warmIn) {
+				warmIn = d
+			}
 		case !e.limit.Limited:
 			return "", 0
 		default:
@@ -175,16 +190,22 @@
 	}
 	missing := float64(ahead+1) - tokens
 	switch {
-	case missing <= 0 || v.sharesStale:
+	case missing <= 0 || v.sharesStale || warmIn > 0 && warmIn <= remaining:
 		return "", 0
 	case rate == 0:
-		return Limited, s.retryDelay()
+		if warmIn == 0 {
+			return reason, s.retryDelay()
+		}
+		return reason, min(max(warmIn, minRetryAfter), maxRetryAfter) + s.spread()
 	}
 	wait := time.Duration(missing / rate * float64(time.Second))
 	if wait <= remaining {
 		return "", 0
 	}
-	return Limited, min(max(wait, minRetryAfter), maxRetryAfter) + s.spread()
+	if warmIn > 0 {
+		wait = min(wait, warmIn)
+	}
+	return reason, min(max(wait, minRetryAfter), maxRetryAfter) + s.spread()
 }
 
 // spread returns a random time that is added to the Retry-After of requests which are
--- a/brplace/path.go
+++ b/brplace/path.go
@@ -14,6 +14,7 @@
 		if s.now.Before(e.suspendedUntil) {
 			e.suspendedUntil, e.lastSuspension = s.now, 0
 		}
+		e.cold.presumedAt = time.Time{}
 	}
 	for _, f := range s.inflight {
 		f.pathLost = true
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -23,6 +23,7 @@
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
 	limits    map[string]*endpointLimit // by endpoint ID
+	cold      coldState
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
@@ -71,6 +72,7 @@
 		services:  map[string]*service{},
 		inflight:  map[uint64]*inflightRequest{},
 		limits:    map[string]*endpointLimit{},
+		cold:      newColdState(),
 		peers:     map[string]Report{},
 
 		partitionedPeers: map[string]bool{},
@@ -96,6 +98,12 @@
 		s.observeLimit(e)
 	case LimitPublished:
 		s.setLimit(e)
+	case ColdLimitsChanged:
+		s.setColdLimits(e.Limits)
+	case ColdAnnounced:
+		s.setCold(e)
+	case FleetJoined:
+		s.joinFleet()
 	case PeerReported:
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
@@ -217,6 +225,7 @@
 		delete(s.endpoints, id)
 		delete(s.limits, id)
 	}
+	delete(s.cold.starts, id)
 }
 
 // applyReport replaces the usage by another daemon. A nil report removes the
@@ -336,6 +345,7 @@
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
+		s.updateCold(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
 		s.assignShares(v)
--- a/brpolicy/policy.go
+++ b/brpolicy/policy.go
@@ -54,6 +54,11 @@
 	HealthPath     string
 	MaxConnections int     // to one endpoint, over all callers; 0 if not set
 	Engine         *Engine // nil if the service runs no model engine
+	// ColdRate is the number of requests per second that an endpoint takes while it is
+	// cold, from all daemons together; 0 means no limit.
+	ColdRate float64
+	// ColdStart is the usual time for which an endpoint is cold after its start.
+	ColdStart time.Duration
 }
 
 // Engine describes the model engines of a service.
@@ -87,6 +92,9 @@
 	services := map[string]bool{}
 	for _, s := range p.Services {
 		services[s.Name] = true
+		if err := s.check(); err != nil {
+			return fmt.Errorf("brpolicy: service %q: %w", s.Name, err)
+		}
 	}
 	routeNames := map[string]string{}
 	for _, r := range p.Routes {
@@ -111,6 +119,17 @@
 	return nil
 }
 
+// check validates a service.
+func (s Service) check() error {
+	if !(s.ColdRate >= 0) { // true for NaN
+		return fmt.Errorf("rate %v of a cold endpoint is negative", s.ColdRate)
+	}
+	if s.ColdStart < 0 {
+		return fmt.Errorf("cold start of %v is negative", s.ColdStart)
+	}
+	return nil
+}
+
 // maxWeight is the largest weight of a service. A float64 holds the sum of all weights of
 // a route exactly.
 const maxWeight = 1_000_000_000
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -157,12 +157,25 @@
 	}
 	p.mu.Lock()
 	p.limiter.SetLimits(limits)
+	p.step(brplace.ColdLimitsChanged{Limits: coldLimits(t.Policy())})
 	p.mu.Unlock()
 	if p.table.Swap(t) == nil {
 		close(p.policySet)
 	}
 }
 
+// coldLimits returns the limits of the services whose endpoints take fewer requests while
+// they are cold.
+func coldLimits(policy brpolicy.Policy) map[string]brplace.ColdLimit {
+	limits := map[string]brplace.ColdLimit{}
+	for _, s := range policy.Services {
+		if s.ColdRate > 0 {
+			limits[s.Name] = brplace.ColdLimit{Rate: s.ColdRate, Duration: s.ColdStart}
+		}
+	}
+	return limits
+}
+
 // Table returns the policy in force, or nil.
 func (p *Proxy) Table() *brpolicy.Table { return p.table.Load() }
 
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -259,6 +259,9 @@
 			}
 		case brplace.Reject:
 			q.waiting, q.freeSlots = e.Waiting, e.FreeSlots
+			if e.Reason == brplace.Cold {
+				p.stats.RefusedCold.Add(1)
+			}
 			p.endUndispatched(ctx, q, string(e.Reason), e.RetryAfter)
 			return
 		default:
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -13,6 +13,7 @@
 	Retries      atomic.Uint64 // dispatches charged to a retry budget
 	Resumed      atomic.Uint64 // attempts to resume a stream that failed
 	Quarantined  atomic.Uint64 // requests held back because of a part of their prompt
+	RefusedCold  atomic.Uint64 // requests refused because endpoints are cold; also in Rejected
 	OverQuota    atomic.Uint64 // requests refused by the quota; also in Rejected
 	Denied       atomic.Uint64 // requests denied as malformed, too large, without a route or with an unknown key
 }
@@ -20,6 +21,13 @@
 // Stats returns the totals, which continue to change.
 func (p *Proxy) Stats() *Stats { return &p.stats }
 
+// ColdEndpoints returns the number of endpoints that are cold or presumed to be.
+func (p *Proxy) ColdEndpoints() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.ColdEndpoints(p.cfg.Clock.Now())
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
