--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -64,14 +64,12 @@
 
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
-	if !s.mayStart(v, r) {
+	mayStart := s.mayStart(v, r)
+	if !mayStart && !s.mayStartCold(v) {
 		return nil
 	}
-	candidates := s.candidates(v, r, s.hasWarmRoom)
-	if len(candidates) == 0 && s.hasCold(v) {
-		candidates = s.candidates(v, r, s.hasRoom)
-	}
-	if len(candidates) == 0 && v.borrows {
+	candidates := s.candidates(v, r, s.mayUse(mayStart))
+	if len(candidates) == 0 && mayStart && v.borrows {
 		// All daemons with the same view would take the cheapest one.
 		candidates = s.sample(s.candidates(v, r, s.mayLend), 1)
 	}
--- a/brplace/cold.go
+++ b/brplace/cold.go
@@ -115,17 +115,30 @@
 	}
 }
 
-// hasWarmRoom is hasRoom for endpoints that aren't cold. These are used first.
-func (s *State) hasWarmRoom(e *endpoint, r *Request) bool { return !e.isCold(s.now) && s.hasRoom(e, r) }
+// mayUse returns which endpoints a request may be placed at: those that have room, or only the
+// cold ones among them if the others are kept for more urgent requests.
+func (s *State) mayUse(mayStart bool) func(*endpoint, *Request) bool {
+	if mayStart {
+		return s.hasRoom
+	}
+	return s.hasColdRoom
+}
+
+// hasColdRoom is hasRoom for endpoints that are cold.
+func (s *State) hasColdRoom(e *endpoint, r *Request) bool { return e.isCold(s.now) && s.hasRoom(e, r) }
 
-// hasCold reports whether endpoints of v are cold.
-func (s *State) hasCold(v *service) bool {
+// mayStartCold reports whether a request that may not start for the sake of others may do so
+// at a cold endpoint: most endpoints of v are warm, and the more urgent requests use those.
+func (s *State) mayStartCold(v *service) bool { return v.cold > 0 && 2*v.cold < len(v.endpoints) }
+
+// countCold counts the cold endpoints of v.
+func (s *State) countCold(v *service) {
+	v.cold = 0
 	for _, e := range v.endpoints {
 		if e.isCold(s.now) {
-			return true
+			v.cold++
 		}
 	}
-	return false
 }
 
 // ColdEndpoints returns the number of endpoints that are cold or presumed to be.
@@ -194,7 +207,9 @@
 	changed := limit != e.cold.limit
 	e.cold.limit, e.cold.until = limit, until
 	if isCold := e.isCold(s.now); isCold != wasCold || isCold && changed {
-		s.service(e.Service).sharesStale = true
+		v := s.service(e.Service)
+		v.sharesStale = true
+		s.countCold(v)
 	}
 	if !wasCold {
 		e.cold.bucket = brlimit.Bucket{}
@@ -217,7 +232,9 @@
 	e.cold.presumedAt, e.cold.presumedUntil = s.now, until
 	if !wasCold {
 		e.cold.bucket, e.cold.fresh = brlimit.Bucket{}, false
-		s.service(e.Service).sharesStale = true
+		v := s.service(e.Service)
+		v.sharesStale = true
+		s.countCold(v)
 	}
 }
 
@@ -230,7 +247,7 @@
 	}
 }
 
-// updateCold sets the end of presumptions. An endpoint that has shown a sign of life since
+// updateCold counts the cold endpoints and sets the end of presumptions. An endpoint that has shown a sign of life since
 // then has started before that, and is cold for at most the usual time from now on.
 func (s *State) updateCold(v *service) {
 	for _, e := range v.endpoints {
@@ -239,6 +256,7 @@
 			c.presumedUntil = s.now.Add(c.limit.Duration)
 		}
 	}
+	s.countCold(v)
 }
 
 // assignColdShares assigns this daemon its shares of the rates of the cold endpoints of v. An
@@ -259,10 +277,12 @@
 	}
 	usableFrom := s.cold.joinedAt.Add(joinTime)
 	shares := brlimit.Spaced(rates, daemons, s.cfg.Daemon)
-	for id := range rates {
-		e := s.endpoints[id]
+	for _, e := range v.endpoints {
+		if !e.isCold(s.now) {
+			continue
+		}
 		e.cold.usableFrom = usableFrom
-		e.cold.bucket.SetShare(s.now, shares[id])
+		e.cold.bucket.SetShare(s.now, shares[e.ID])
 		if e.cold.fresh && !s.now.Before(usableFrom) {
 			// Holders that begin at once would send all at once from then on.
 			e.cold.bucket.Fill(s.now, s.cfg.Random())
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -147,8 +147,8 @@
 // sent again, or an empty reason if it may be placed. That is so if each eligible
 // endpoint either stays paused for longer than r may wait, has a limit or is cold, and this
 // daemon's shares of the limits don't reach for r and the requests ahead of it, or is
-// brittle, and this daemon has no slot of it and may not borrow one. An endpoint that turns
-// warm while r may wait has no limit in this regard.
+// brittle, and this daemon has no slot of it and may not borrow one. For a cold endpoint r
+// waits until FirstByteDue at most. One that turns warm by then has no limit in this regard.
 func (s *State) unservable(v *service, r *Request, ahead int) (Reason, time.Duration) {
 	remaining := r.MaxQueueTime - s.now.Sub(r.queuedAt)
 	var pause time.Duration // until the first endpoint is no longer paused
@@ -188,6 +188,10 @@
 		}
 		return Paused, pause + s.spread()
 	}
+	if reason == Cold {
+		// A response that is late is worth less than one of another try soon.
+		remaining = min(remaining, r.FirstByteDue.Sub(s.now))
+	}
 	missing := float64(ahead+1) - tokens
 	switch {
 	case missing <= 0 || v.sharesStale || warmIn > 0 && warmIn <= remaining:
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -21,9 +21,10 @@
 	domainDelay        time.Duration // until these have a report
 	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
-	hideShort          bool    // the daemons don't know which streams are short
-	fullChoice         bool    // the daemons don't know that the fleet is large
-	stepped            bool    // the endpoints work in steps; see replayEngine
+	hideShort          bool // the daemons don't know which streams are short
+	fullChoice         bool // the daemons don't know that the fleet is large
+	stepped            bool // the endpoints work in steps; see replayEngine
+	cold               *coldReplay
 	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
 }
 
@@ -129,6 +130,7 @@
 			r.index[id] = e
 			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", replayZone(e)), Slots: f.slots}})
 		}
+		f.cold.prepare(r, s, d)
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
 		r.reported = append(r.reported, map[reportKind]time.Duration{})
@@ -195,12 +197,17 @@
 			delete(r.waiting[daemon], e.ID)
 			i := r.index[e.Endpoint.ID]
 			r.pairs[[2]int{daemon, i}] = true
+			if f := r.cold; f != nil && f.fails(r, i) {
+				r.after(time.Millisecond, func() { r.step(daemon, Ended{ID: e.ID, Result: WrongAddress}) })
+				continue
+			}
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
 			r.reportDispatch(daemon)
 		case Reject:
 			r.rejected++
+			r.cold.recordRejection(r, r.waiting[daemon][e.ID], e)
 			delete(r.waiting[daemon], e.ID)
 		}
 	}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -48,6 +48,7 @@
 	sharesStale   bool          // the limits of its endpoints or the daemons have changed since assignShares
 	utilization   float64       // moving average of the part of its slots in use
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
+	cold          int           // number of its endpoints that were cold at the last tick or change of one
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 }
 
@@ -193,6 +194,7 @@
 	v.endpoints = append(v.endpoints, e)
 	slices.SortFunc(v.endpoints, s.comparePreference)
 	v.sharesStale = v.sharesStale || e.hasShares()
+	s.countCold(v)
 }
 
 // comparePreference orders endpoints by this daemon's preference: first those of its own
@@ -216,6 +218,7 @@
 	v := s.service(e.Service)
 	v.endpoints = slices.DeleteFunc(v.endpoints, func(x *endpoint) bool { return x == e })
 	v.sharesStale = v.sharesStale || e.hasShares()
+	s.countCold(v)
 }
 
 func (s *State) removeEndpoint(id string) {
