--- a/brplace/cold.go
+++ b/brplace/cold.go
@@ -218,14 +218,11 @@
 }
 
 // presumeCold records that e may have turned cold without this daemon's knowledge: it may
-// have started again, or was out of use for another reason. That is so until the end of its
-// usual cold time or a later announcement that says otherwise.
-func (s *State) presumeCold(e *endpoint) {
-	s.presumeColdUntil(e, s.now.Add(s.cold.limits[e.Service].Duration))
-}
-
-func (s *State) presumeColdUntil(e *endpoint, until time.Time) {
-	if s.cold.limits[e.Service].Rate == 0 {
+// have started again, or was out of use for another reason. That is so until the given
+// time, or if it is zero until the usual cold time after the next sign of life, and at most
+// until a later announcement that says otherwise.
+func (s *State) presumeCold(e *endpoint, until time.Time) {
+	if e.cold.limit.Rate == 0 {
 		return
 	}
 	wasCold := e.isCold(s.now)
@@ -243,7 +240,7 @@
 // has stayed silent since the suspension before.
 func (s *State) presumeColdAfter(e *endpoint, cause Cause) {
 	if cause == Unreachable || cause == Stalled && e.lastSuspension > minSuspendTime {
-		s.presumeColdUntil(e, time.Time{})
+		s.presumeCold(e, time.Time{})
 	}
 }
 
