merge: cold endpoints

Seams with the evacuations: one function counts rejections by reason; an endpoint of an evacuated domain holds no share of a limit. go test of brplace, brcore, brproxy, brfleet, platform, brformat, brlimit, brstate and brctl passes on the merge.

--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -26,7 +26,8 @@
 	stepped            bool                                                      // the endpoints work in steps; see replayEngine
 	prepare            func(r *replayRun)                                        // schedules further events; may be nil
 	observe            func(r *replayRun, daemon int, q *replayStream, e Effect) // may be nil
-	spread             float64                                                   // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+	cold               *coldReplay
+	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
 }
 
 // streamKind describes the streams of one route.
@@ -131,6 +132,7 @@
 			r.index[id] = e
 			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", replayZone(e)), Slots: f.slots}})
 		}
+		f.cold.prepare(r, s, d)
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
 		r.reported = append(r.reported, map[reportKind]time.Duration{})
@@ -201,6 +203,10 @@
 			delete(r.waiting[daemon], e.ID)
 			i := r.index[e.Endpoint.ID]
 			r.pairs[[2]int{daemon, i}] = true
+			if f := r.cold; f != nil && f.fails(r, i) {
+				r.after(time.Millisecond, func() { r.step(daemon, Ended{ID: e.ID, Result: WrongAddress}) })
+				continue
+			}
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
@@ -208,6 +214,7 @@
 		case Reject:
 			r.rejected++
 			r.notify(daemon, r.waiting[daemon][e.ID], effect)
+			r.cold.recordRejection(r, r.waiting[daemon][e.ID], e)
 			delete(r.waiting[daemon], e.ID)
 		}
 	}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -23,6 +23,7 @@
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
 	limits    map[string]*endpointLimit // by endpoint ID
+	cold      coldState
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
@@ -48,6 +49,7 @@
 	sharesStale   bool          // the limits of its endpoints or the daemons have changed since assignShares
 	utilization   float64       // moving average of the part of its slots in use
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
+	cold          int           // number of its endpoints that were cold at the last tick or change of one
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 }
 
@@ -72,6 +74,7 @@
 		services:  map[string]*service{},
 		inflight:  map[uint64]*inflightRequest{},
 		limits:    map[string]*endpointLimit{},
+		cold:      newColdState(),
 		peers:     map[string]Report{},
 
 		partitionedPeers: map[string]bool{},
@@ -97,6 +100,12 @@
 		s.observeLimit(e)
 	case LimitPublished:
 		s.setLimit(e)
+	case ColdLimitsChanged:
+		s.setColdLimits(e.Limits)
+	case ColdAnnounced:
+		s.setCold(e)
+	case FleetJoined:
+		s.joinFleet()
 	case PeerReported:
 		s.applyReport(e.Daemon, e.Report)
 	case PeerLost:
@@ -189,6 +198,7 @@
 	v.endpoints = append(v.endpoints, e)
 	slices.SortFunc(v.endpoints, s.comparePreference)
 	v.sharesStale = v.sharesStale || e.hasShares()
+	s.countCold(v)
 }
 
 // comparePreference orders endpoints by this daemon's preference: first those of its own
@@ -212,6 +222,7 @@
 	v := s.service(e.Service)
 	v.endpoints = slices.DeleteFunc(v.endpoints, func(x *endpoint) bool { return x == e })
 	v.sharesStale = v.sharesStale || e.hasShares()
+	s.countCold(v)
 }
 
 func (s *State) removeEndpoint(id string) {
@@ -221,6 +232,7 @@
 		delete(s.endpoints, id)
 		delete(s.limits, id)
 	}
+	delete(s.cold.starts, id)
 }
 
 // applyReport replaces the usage by another daemon. A nil report removes the
@@ -340,6 +352,7 @@
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
+		s.updateCold(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
 		s.assignShares(v)
--- a/brproxy/evacuation.go
+++ b/brproxy/evacuation.go
@@ -25,9 +25,3 @@
 	}
 	return nil
 }
-
-func (p *Proxy) countEvacuated(r brplace.Reason) {
-	if r == brplace.Evacuated {
-		p.stats.Evacuated.Add(1)
-	}
-}
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -1,6 +1,10 @@
 package brproxy
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"bramleyroute/brplace"
+)
 
 // Stats holds the cumulative totals of a Proxy since its creation.
 type Stats struct {
@@ -14,13 +18,31 @@
 	Resumed      atomic.Uint64 // attempts to resume a stream that failed
 	Quarantined  atomic.Uint64 // requests held back because of a part of their prompt
 	Evacuated    atomic.Uint64 // requests refused because of an evacuation; also in Rejected
+	RefusedCold  atomic.Uint64 // requests refused because endpoints are cold; also in Rejected
 	OverQuota    atomic.Uint64 // requests refused by the quota; also in Rejected
 	Denied       atomic.Uint64 // requests denied as malformed, too large, without a route or with an unknown key
 }
 
+// countRejection counts a rejection by the placement whose reason has a total of its own.
+func (s *Stats) countRejection(r brplace.Reason) {
+	switch r {
+	case brplace.Evacuated:
+		s.Evacuated.Add(1)
+	case brplace.Cold:
+		s.RefusedCold.Add(1)
+	}
+}
+
 // Stats returns the totals, which continue to change.
 func (p *Proxy) Stats() *Stats { return &p.stats }
 
+// ColdEndpoints returns the number of endpoints that are cold or presumed to be.
+func (p *Proxy) ColdEndpoints() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.ColdEndpoints(p.cfg.Clock.Now())
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
