brplace: place short calls of a large fleet by rates

Cause: with 84 daemons the counts of others' requests are five times as old as a call of 60 ms. Daemons waited for slots that were free, and chose the same endpoints. Change: where the work of a service is shorter than the median age of the reports, calls are spread by the endpoints' flows, wait there, and what the fleet's demand exceeds is rejected at once.

--- /dev/null
+++ b/brplace/admission.go
@@ -0,0 +1,127 @@
+package brplace
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// admissionMemory is the time constant of the moving averages of rates for the
+	// admission, and queueCorrectionTime the time in which a queue that is too long is to
+	// shrink to its target. Both are longer than the reports are old.
+	admissionMemory     = 500 * time.Millisecond
+	queueCorrectionTime = 600 * time.Millisecond
+
+	// queueFraction is the part of the time that calls may wait at an endpoint and still be
+	// in time, which they wait on average when the endpoints are full.
+	queueFraction = 0.4
+
+	// slackWeight is the weight of a new value in the moving average of the time in which
+	// calls are due.
+	slackWeight = 0.05
+
+	// admissionRecovery is the part of what a daemon rejects that it admits again in a
+	// second. It makes the parts that the daemons admit alike.
+	admissionRecovery = 0.2
+)
+
+// admission decides which part of the calls of a service this daemon admits. It answers
+// calls that a large fleet sends at a higher rate than the endpoints complete: the calls
+// that would wait too long are rejected at once, and all daemons reject the same part.
+//
+// All daemons see about the same rate of starts and have admitted about the same part of
+// their calls, so that one divided by the other is the demand of the fleet, which nobody
+// reports.
+type admission struct {
+	startRate float64       // starts per second over all daemons, moving average
+	active    int           // requests at the endpoints at the last update
+	fraction  float64       // part of the calls to admit
+	mean      float64       // moving average of fraction
+	slack     time.Duration // moving average of the time from arrival until a call is due
+	demand    map[int]float64
+	arrived   map[int]int
+}
+
+// update sets the part to admit, given what the endpoints have, complete and have
+// completed in the time elapsed since the last update.
+func (a *admission) update(elapsed time.Duration, usable load, active int, ended uint64, work time.Duration) {
+	if a.mean == 0 {
+		a.mean, a.fraction, a.active, a.startRate = 1, 1, active, float64(ended)/elapsed.Seconds()
+	}
+	weight := 1 - math.Exp(-float64(elapsed)/float64(admissionMemory))
+	started := float64(ended) + float64(active-a.active)
+	a.startRate += weight * (started/elapsed.Seconds() - a.startRate)
+	a.active = active
+	a.mean += weight * (a.fraction - a.mean)
+	for rank := range a.demand {
+		a.demand[rank] += weight * (float64(a.arrived[rank])/elapsed.Seconds() - a.demand[rank])
+		a.arrived[rank] = 0
+	}
+	if a.startRate <= 0 {
+		return
+	}
+	wait := queueFraction * max(0, (a.slack-workMargin*work).Seconds())
+	target := float64(usable.window) + wait*usable.capacity
+	wanted := usable.capacity + (target-float64(usable.active))/queueCorrectionTime.Seconds()
+	a.fraction = a.mean * max(0, wanted) / a.startRate
+	a.fraction += admissionRecovery * elapsed.Seconds() * (1 - a.fraction)
+	a.fraction = min(1, max(minAdmission, a.fraction))
+}
+
+// minAdmission is the least part of the calls that is admitted. From it the starts and thus
+// the demand remain known.
+const minAdmission = 0.02
+
+// record counts an arrival of the given rank that is due after slack.
+func (a *admission) record(rank int, slack time.Duration) {
+	if a.arrived == nil {
+		a.arrived, a.demand = map[int]int{}, map[int]float64{}
+	}
+	a.arrived[rank]++
+	a.demand[rank] += 0
+	a.slack = movingAverage(a.slack, slack, slackWeight)
+}
+
+// part returns the part of the calls of a rank to admit: that of the whole demand is given
+// to the most urgent ones first.
+func (a *admission) part(rank int) float64 {
+	all, before := 0.0, 0.0
+	for q, d := range a.demand {
+		all += d
+		if q < rank {
+			before += d
+		}
+	}
+	if a.demand[rank] == 0 {
+		return a.fraction
+	}
+	return (a.fraction*all - before) / a.demand[rank]
+}
+
+// updateAdmission updates the admission of v after the time elapsed since the last update,
+// in which the given number of requests have ended.
+func (s *State) updateAdmission(v *service, elapsed time.Duration, ended uint64) {
+	active := 0
+	for _, e := range v.endpoints {
+		active += e.active()
+	}
+	v.rates.admission.update(elapsed, s.usableLoad(v), active, ended, v.rates.work)
+}
+
+// admits reports whether r is admitted. It is while less than half of what the endpoints
+// take at a time is in use, and if it has been sent before.
+func (s *State) admits(v *service, r *Request) bool {
+	a := &v.rates.admission
+	if !v.byRates(r) || len(r.ExcludedEndpoints) > 0 {
+		return true
+	}
+	a.record(r.Rank, r.FirstByteDue.Sub(s.now))
+	part := a.part(r.Rank)
+	if a.fraction == 0 || part >= 1 {
+		return true
+	}
+	if usable := s.usableLoad(v); 2*usable.active < usable.window || usable.window == 0 {
+		return true
+	}
+	return s.cfg.Random() < part
+}
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -64,6 +64,9 @@
 
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
+	if v.byRates(r) {
+		return s.chooseByRates(v, r)
+	}
 	if !s.mayStart(v, r) {
 		return nil
 	}
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -55,6 +55,7 @@
 	stated         bool           // the present start has stated a limit, or that it has none
 	bucket         brlimit.Bucket // this daemon's share of the rate
 	slotUse        slotUse
+	flow           flow
 }
 
 // usageSum is the sum of the usage by other daemons.
@@ -98,6 +99,9 @@
 // active returns the number of requests at the endpoint, over all daemons.
 func (e *endpoint) active() int { return e.own.Active + e.others.active }
 
+// window returns the number of requests that the endpoint takes at a time.
+func (e *endpoint) window() int { return e.Slots }
+
 // pendingPrompt returns the number of prompt tokens that the endpoint has yet to
 // process, over all daemons.
 func (e *endpoint) pendingPrompt() int { return e.own.PendingPromptTokens + e.others.prompt }
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -45,6 +45,10 @@
 		s.reject(&r, reason, retryAfter)
 		return
 	}
+	if !s.admits(v, &r) {
+		s.reject(&r, Overload, s.retryDelay())
+		return
+	}
 	if len(v.queue) == 0 {
 		if e := s.choose(v, &r); e != nil {
 			s.place(&r, e)
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -21,12 +21,22 @@
 	domainDelay        time.Duration // until these have a report
 	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
-	hideShort          bool    // the daemons don't know which streams are short
-	fullChoice         bool    // the daemons don't know that the fleet is large
-	stepped            bool    // the endpoints work in steps; see replayEngine
-	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+	warmUp             time.Duration // what arrives before isn't counted
+	hideShort          bool          // the daemons don't know which streams are short
+	fullChoice         bool          // the daemons don't know that the fleet is large
+	stepped            bool          // the endpoints work in steps; see replayEngine
+	spread             float64       // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+	speeds             []float64     // relative times that the endpoints take, in turn; empty for replaySpeed
+	queueLimit         int           // calls that wait at an endpoint before it rejects the next as not run; 0 for no limit
+	slow               int           // number of the endpoint that takes slowFactor times as long; 0 for none
+	gone               int           // number of the endpoint that answers nothing from goneAfter on; 0 for none
 }
 
+const (
+	slowFactor = 4
+	goneAfter  = time.Second
+)
+
 // streamKind describes the streams of one route.
 type streamKind struct {
 	rank              int
@@ -36,6 +46,7 @@
 	target, deadline  time.Duration
 	worth, lateWorth  float64
 	prefill, interval time.Duration // of the mean stream at an endpoint of speed 1
+	call              bool          // a plain call, whose work takes prefill
 }
 
 // callerTimeout returns how long the caller waits for the first event.
@@ -56,7 +67,9 @@
 	daemon  int
 	kind    streamKind
 	events  float64
-	prompt  int // tokens
+	prompt  int     // tokens
+	counted bool    // arrived after warmUp
+	work    float64 // relative to the mean of its kind
 	arrived time.Duration
 }
 
@@ -101,7 +114,10 @@
 	index    map[string]int             // of an endpoint by its ID
 	earned   float64
 	owed     float64
+	counted  int // streams that arrived after warmUp
 	rejected int
+	waited   int // of those rejected, the number that waited for longer than an eighth of their target
+	notRun   int // rejected by an endpoint
 	streams  int
 	byRank   [3]struct{ streams, onTime, late int }
 	pairs    map[[2]int]bool                // of a daemon and an endpoint that it has used
@@ -163,6 +179,9 @@
 func (r *replayRun) arrive(k streamKind) {
 	rate := k.perEndpoint * r.load * float64(r.endpoints)
 	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if k.call && r.now > r.duration-k.deadline {
+			return // its end would not be seen
+		}
 		r.streams++
 		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
 		prompt := k.prompt
@@ -170,16 +189,22 @@
 			prompt = int(float64(k.prompt) * r.logNormal())
 			q.events = 1 + k.events*r.logNormal()
 		}
-		q.prompt = prompt
-		r.owed += k.worth
-		r.byRank[k.rank].streams++
+		q.prompt, q.work = prompt, 1
+		if k.call {
+			q.work = math.Exp(callSpread*r.rng.NormFloat64() - callSpread*callSpread/2)
+		}
+		if q.counted = r.now >= r.warmUp; q.counted {
+			r.owed += k.worth
+			r.byRank[k.rank].streams++
+			r.counted++
+		}
 		r.waiting[q.daemon][q.id] = q
 		at, expected := start.Add(r.now), k.events
 		if r.hideShort {
 			expected = max(expected, longEvents)
 		}
 		r.step(q.daemon, Submit{Request{
-			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: prompt, ExpectedEvents: expected,
+			ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call, PromptTokens: prompt, ExpectedEvents: expected,
 			FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
@@ -195,12 +220,24 @@
 			delete(r.waiting[daemon], e.ID)
 			i := r.index[e.Endpoint.ID]
 			r.pairs[[2]int{daemon, i}] = true
+			if r.queueLimit > 0 && len(r.queues[i]) >= r.queueLimit {
+				if q.counted {
+					r.notRun++
+				}
+				r.after(replayLatency, func() { r.step(daemon, Ended{ID: q.id, Result: Inconclusive}) })
+				continue
+			}
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
 			r.reportDispatch(daemon)
 		case Reject:
-			r.rejected++
+			if q := r.waiting[daemon][e.ID]; q.counted {
+				r.rejected++
+				if r.now-q.arrived > q.kind.target/8 {
+					r.waited++
+				}
+			}
 			delete(r.waiting[daemon], e.ID)
 		}
 	}
@@ -208,7 +245,7 @@
 
 // serve starts the next stream at an endpoint if it has a free slot.
 func (r *replayRun) serve(i int) {
-	if r.running[i] == r.slots || len(r.queues[i]) == 0 {
+	if r.running[i] == r.slots || len(r.queues[i]) == 0 || r.isGone(i) {
 		return
 	}
 	q := r.queues[i][0]
@@ -223,16 +260,48 @@
 		r.engines[i].start(q)
 		return
 	}
-	speed := replaySpeed(i)
-	prefill := time.Duration(speed * float64(q.kind.prefill))
-	r.after(prefill, func() { r.begin(q) })
+	speed := r.speed(i)
+	prefill := time.Duration(speed * q.work * float64(q.kind.prefill))
+	r.after(prefill, func() {
+		if !r.isGone(i) {
+			r.begin(q)
+		}
+	})
 	interval := time.Duration(speed * float64(q.kind.interval))
-	r.after(prefill+time.Duration(q.events*float64(interval)), func() { r.end(i, q, interval) })
+	r.after(prefill+time.Duration(q.events*float64(interval)), func() {
+		if !r.isGone(i) {
+			r.end(i, q, interval)
+		}
+	})
+}
+
+// isGone reports whether endpoint i answers nothing. The daemons then lose it after
+// lossDelay.
+func (r *replayRun) isGone(i int) bool { return r.gone > 0 && i == r.gone && r.now > goneAfter }
+
+// speed returns the relative time that endpoint i takes.
+func (f *fleetReplay) speed(i int) float64 {
+	speed := replaySpeed(i)
+	if len(f.speeds) > 0 {
+		speed = f.speeds[i%len(f.speeds)]
+	}
+	if f.slow > 0 && i == f.slow {
+		speed *= slowFactor
+	}
+	return speed
 }
 
+const (
+	// callSpread is the standard deviation of the logarithm of the work of calls.
+	callSpread = 0.5
+	// replayLatency is the time until a daemon has the rejection by an endpoint.
+	replayLatency = 3 * time.Millisecond
+)
+
 // begin records the first event of a stream.
 func (r *replayRun) begin(q *replayStream) {
 	switch waited := r.now - q.arrived; {
+	case !q.counted:
 	case waited <= q.kind.target:
 		r.earned += q.kind.worth
 		r.byRank[q.kind.rank].onTime++
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -26,6 +26,9 @@
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
+	reportedAt       map[string]time.Time // time of the last report, by daemon
+	countsAge        time.Duration        // moving average of the median age of the reports; 0 if unknown
+	tickedAt         time.Time
 	daemons          []string // IDs of the daemons, including this one; empty if unknown
 	now              time.Time
 	effects          []Effect
@@ -48,6 +51,7 @@
 	utilization   float64       // moving average of the part of its slots in use
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
+	rates         rates
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -74,6 +78,7 @@
 		peers:     map[string]Report{},
 
 		partitionedPeers: map[string]bool{},
+		reportedAt:       map[string]time.Time{},
 	}
 }
 
@@ -236,6 +241,9 @@
 			continue
 		}
 		e.others.add(u)
+		if s.large() {
+			e.flow.recordReport(daemon, u.Ended, old != nil)
+		}
 		prev, known := old[id]
 		if u.EventInterval != prev.EventInterval {
 			e.eventInterval = movingAverage(e.eventInterval, u.EventInterval, eventIntervalWeight)
@@ -261,9 +269,10 @@
 		s.checkHealth(e)
 	}
 	if r == nil {
-		delete(s.peers, daemon)
+		s.forgetPeer(daemon)
 	} else {
 		s.peers[daemon] = r
+		s.reportedAt[daemon] = s.now
 	}
 	for v := range freed {
 		// All daemons see the same freed slots; placing a single request limits how
@@ -272,6 +281,15 @@
 	}
 }
 
+// forgetPeer removes what is known of another daemon apart from its usage.
+func (s *State) forgetPeer(daemon string) {
+	delete(s.peers, daemon)
+	delete(s.reportedAt, daemon)
+	for _, e := range s.endpoints {
+		delete(e.flow.endedAt, daemon)
+	}
+}
+
 func (s *State) recordFirstByte(id uint64) {
 	f := s.inflight[id]
 	if f == nil || f.gotFirstByte {
@@ -305,10 +323,14 @@
 	}
 	switch f.attributed(ev.Result) {
 	case Succeeded:
+		e.flow.recent++
 		e.own.Ended++
 		e.lastProgress = s.now
 		s.recordOutcomes(e, 1, 0)
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
+		if !f.request.Stream {
+			v.rates.recordDuration(s.now.Sub(f.dispatchedAt))
+		}
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
 		s.recordFailed(e)
@@ -333,11 +355,15 @@
 	for _, f := range s.inflight {
 		s.checkStalled(f)
 	}
+	elapsed := s.now.Sub(s.tickedAt)
+	s.tickedAt = s.now
+	s.recordAge()
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
+		s.updateRates(v, elapsed)
 		s.assignShares(v)
 		v.borrows = s.mayBorrow(v)
 		s.placeWaiting(v, maxPlacements)
