--- a/brplace/admission.go
+++ b/brplace/admission.go
@@ -6,16 +6,22 @@
 )
 
 const (
-	// admissionMemory is the time constant of the moving averages of rates for the
-	// admission, and queueCorrectionTime the time in which a queue that is too long is to
-	// shrink to its target. Both are longer than the reports are old.
-	admissionMemory     = 500 * time.Millisecond
-	queueCorrectionTime = 600 * time.Millisecond
+	// minAdmissionMemory is the least time constant of the moving averages of rates for the
+	// admission, and minQueueTime the least time in which a queue that is too long is to
+	// shrink to its target. Both are at least admissionAges times the age of the reports,
+	// since a correction that is made before it is seen overshoots.
+	minAdmissionMemory = 500 * time.Millisecond
+	minQueueTime       = 600 * time.Millisecond
+	admissionAges      = 2
 
 	// queueFraction is the part of the time that calls may wait at an endpoint and still be
 	// in time, which they wait on average when the endpoints are full.
 	queueFraction = 0.4
 
+	// rejectedWeight is the weight of a call in the moving average of the part that endpoints
+	// reject.
+	rejectedWeight = 0.1
+
 	// slackWeight is the weight of a new value in the moving average of the time in which
 	// calls are due.
 	slackWeight = 0.05
@@ -30,13 +36,14 @@
 // that would wait too long are rejected at once, and all daemons reject the same part.
 //
 // All daemons see about the same rate of starts and have admitted about the same part of
-// their calls, so that one divided by the other is the demand of the fleet, which nobody
-// reports.
+// their calls, of which the endpoints have rejected about the same part, so that one divided
+// by the other is the demand of the fleet, which nobody reports.
 type admission struct {
 	startRate float64       // starts per second over all daemons, moving average
 	active    int           // requests at the endpoints at the last update
 	fraction  float64       // part of the calls to admit
 	mean      float64       // moving average of fraction
+	rejected  float64       // moving average of the part of this daemon's calls that endpoints reject as full
 	slack     time.Duration // moving average of the time from arrival until a call is due
 	demand    map[int]float64
 	arrived   map[int]int
@@ -44,11 +51,11 @@
 
 // update sets the part to admit, given what the endpoints have, complete and have
 // completed in the time elapsed since the last update.
-func (a *admission) update(elapsed time.Duration, usable load, active int, ended uint64, work time.Duration) {
+func (a *admission) update(elapsed time.Duration, usable load, active int, ended uint64, work, age time.Duration) {
 	if a.mean == 0 {
 		a.mean, a.fraction, a.active, a.startRate = 1, 1, active, float64(ended)/elapsed.Seconds()
 	}
-	weight := 1 - math.Exp(-float64(elapsed)/float64(admissionMemory))
+	weight := 1 - math.Exp(-float64(elapsed)/float64(max(minAdmissionMemory, admissionAges*age)))
 	started := float64(ended) + float64(active-a.active)
 	a.startRate += weight * (started/elapsed.Seconds() - a.startRate)
 	a.active = active
@@ -62,8 +69,8 @@
 	}
 	wait := queueFraction * max(0, (a.slack-workMargin*work).Seconds())
 	target := float64(usable.window) + wait*usable.capacity
-	wanted := usable.capacity + (target-float64(usable.active))/queueCorrectionTime.Seconds()
-	a.fraction = a.mean * max(0, wanted) / a.startRate
+	wanted := usable.capacity + (target-float64(usable.active))/max(minQueueTime, admissionAges*age).Seconds()
+	a.fraction = a.mean * (1 - a.rejected) * max(0, wanted) / a.startRate
 	a.fraction += admissionRecovery * elapsed.Seconds() * (1 - a.fraction)
 	a.fraction = min(1, max(minAdmission, a.fraction))
 }
@@ -82,6 +89,15 @@
 	a.slack = movingAverage(a.slack, slack, slackWeight)
 }
 
+// recordAnswer counts a call of this daemon that an endpoint has completed or rejected as full.
+func (a *admission) recordAnswer(rejected bool) {
+	value := 0.0
+	if rejected {
+		value = 1
+	}
+	a.rejected += rejectedWeight * (value - a.rejected)
+}
+
 // part returns the part of the calls of a rank to admit: that of the whole demand is given
 // to the most urgent ones first.
 func (a *admission) part(rank int) float64 {
@@ -105,7 +121,7 @@
 	for _, e := range v.endpoints {
 		active += e.active()
 	}
-	v.rates.admission.update(elapsed, s.usableLoad(v), active, ended, v.rates.work)
+	v.rates.admission.update(elapsed, s.usableLoad(v), active, ended, v.rates.work, s.countsAge)
 }
 
 // admits reports whether r is admitted. It is while less than half of what the endpoints
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -42,6 +42,9 @@
 	if l.born != ev.Born {
 		return
 	}
+	if e := s.endpoints[ev.ID]; e != nil && ev.Rejected {
+		s.service(e.Service).rates.admission.recordAnswer(true)
+	}
 	publish := l.known.Observe(s.now, ev.SentAt, ev.Limit)
 	s.applyLimit(s.endpoints[ev.ID])
 	ev.Rejected = ev.Rejected && l.known.Limit().Brittle
--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -31,6 +31,11 @@
 	// one.
 	priorRequests = 2
 
+	// flowRetention is the time that an endpoint without running requests stays in the
+	// reports of its flow: longer than the interval between two reports in the largest fleets,
+	// so that each request that has ended is soon counted.
+	flowRetention = 2 * time.Second
+
 	// callDurationWeight is the weight of a new value in the moving average of durations.
 	callDurationWeight = 0.05
 
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -161,7 +161,9 @@
 	for _, k := range f.kinds {
 		r.arrive(k)
 	}
+	next:=time.Duration(0)
 	for r.now < f.duration {
+		if probe!=nil && r.now>next { probe(r); next+=200*time.Millisecond }
 		s := heap.Pop(&r.steps).(timedStep)
 		r.now = s.at
 		s.run()
@@ -224,7 +226,10 @@
 				if q.counted {
 					r.notRun++
 				}
-				r.after(replayLatency, func() { r.step(daemon, Ended{ID: q.id, Result: Inconclusive}) })
+				r.after(replayLatency, func() {
+					r.step(daemon, LimitObserved{ID: e.Endpoint.ID, Rejected: true})
+					r.step(daemon, Ended{ID: q.id, Result: Inconclusive})
+				})
 				continue
 			}
 			r.queues[i] = append(r.queues[i], q)
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -132,11 +132,16 @@
 
 // Report returns the usage by this daemon of the endpoints that have running requests
 // or had one within the given retention. During the retention the other daemons receive
-// the outcome of the last request.
+// the outcome of the last request. Endpoints whose requests are placed by rates stay for
+// at least flowRetention.
 func (s *State) Report(now time.Time, retention time.Duration) Report {
 	r := Report{}
 	for id, e := range s.endpoints {
-		if e.own.Active > 0 || now.Sub(e.lastEnded) < retention {
+		keep := retention
+		if s.service(e.Service).rates.decide {
+			keep = max(keep, flowRetention)
+		}
+		if e.own.Active > 0 || now.Sub(e.lastEnded) < keep {
 			r[id] = e.own
 		}
 	}
@@ -330,6 +335,7 @@
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
 		if !f.request.Stream {
 			v.rates.recordDuration(s.now.Sub(f.dispatchedAt))
+			v.rates.admission.recordAnswer(false)
 		}
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
