brplace: replays of calls in a large fleet; the admission compares rates of the same age

Cause: starts are seen as late as the reports are, while the admitted part was averaged without that delay; the quotient swung at 400 daemons. Change: the part is delayed as the reports are; flows are averaged over 2 s.

--- a/brplace/admission.go
+++ b/brplace/admission.go
@@ -16,7 +16,7 @@
 
 	// queueFraction is the part of the time that calls may wait at an endpoint and still be
 	// in time, which they wait on average when the endpoints are full.
-	queueFraction = 0.4
+	queueFraction = 0.33
 
 	// rejectedWeight is the weight of a call in the moving average of the part that endpoints
 	// reject.
@@ -42,7 +42,8 @@
 	startRate float64       // starts per second over all daemons, moving average
 	active    int           // requests at the endpoints at the last update
 	fraction  float64       // part of the calls to admit
-	mean      float64       // moving average of fraction
+	reported  float64       // moving average of fraction that is as old as the reports
+	mean      float64       // moving average of reported
 	rejected  float64       // moving average of the part of this daemon's calls that endpoints reject as full
 	slack     time.Duration // moving average of the time from arrival until a call is due
 	demand    map[int]float64
@@ -53,13 +54,14 @@
 // completed in the time elapsed since the last update.
 func (a *admission) update(elapsed time.Duration, usable load, active int, ended uint64, work, age time.Duration) {
 	if a.mean == 0 {
-		a.mean, a.fraction, a.active, a.startRate = 1, 1, active, float64(ended)/elapsed.Seconds()
+		a.reported, a.mean, a.fraction, a.active, a.startRate = 1, 1, 1, active, float64(ended)/elapsed.Seconds()
 	}
 	weight := 1 - math.Exp(-float64(elapsed)/float64(max(minAdmissionMemory, admissionAges*age)))
 	started := float64(ended) + float64(active-a.active)
 	a.startRate += weight * (started/elapsed.Seconds() - a.startRate)
 	a.active = active
-	a.mean += weight * (a.fraction - a.mean)
+	a.reported += (1 - math.Exp(-float64(elapsed)/float64(age))) * (a.fraction - a.reported)
+	a.mean += weight * (a.reported - a.mean)
 	for rank := range a.demand {
 		a.demand[rank] += weight * (float64(a.arrived[rank])/elapsed.Seconds() - a.demand[rank])
 		a.arrived[rank] = 0
@@ -121,7 +123,7 @@
 	for _, e := range v.endpoints {
 		active += e.active()
 	}
-	v.rates.admission.update(elapsed, s.usableLoad(v), active, ended, v.rates.work, s.countsAge)
+	v.rates.admission.update(elapsed, sumLoad(s.endpointsInTime(v, v.rates.admission.slack)), active, ended, v.rates.work, s.countsAge)
 }
 
 // admits reports whether r is admitted. It is while less than half of what the endpoints
@@ -136,7 +138,7 @@
 	if a.fraction == 0 || part >= 1 {
 		return true
 	}
-	if usable := s.usableLoad(v); 2*usable.active < usable.window || usable.window == 0 {
+	if usable := sumLoad(s.endpointsInTime(v, a.slack)); 2*usable.active < usable.window || usable.window == 0 {
 		return true
 	}
 	return s.cfg.Random() < part
--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -21,7 +21,7 @@
 const (
 	// flowMemory is the time constant of the moving averages of an endpoint's flow, which
 	// contains several reports of each daemon and several requests.
-	flowMemory = time.Second
+	flowMemory = 2 * time.Second
 
 	// minFlowRequests is the number of completed requests within flowMemory from which on
 	// the work of a service is known.
@@ -184,38 +184,61 @@
 // longer, and its cost depends on what runs beside it.
 func (v *service) byRates(r *Request) bool { return v.rates.decide && !r.Stream }
 
-// load is the sum over the usable endpoints of a service.
+// load is the sum over some endpoints of a service.
 type load struct {
 	active   int     // requests at the endpoints
 	window   int     // requests that they take at a time
 	capacity float64 // requests that they complete in a second
 }
 
-// usableLoad returns the load of the usable endpoints of v.
-func (s *State) usableLoad(v *service) load {
+func sumLoad(endpoints []*endpoint) load {
 	var l load
+	for _, e := range endpoints {
+		l.active += e.active()
+		l.window += e.window()
+		l.capacity += e.flow.capacity
+	}
+	return l
+}
+
+// endpointsInTime returns the usable endpoints of v that are expected to complete a call
+// within slack, or all usable ones if none is.
+func (s *State) endpointsInTime(v *service, slack time.Duration) []*endpoint {
+	var all, inTime []*endpoint
 	for _, e := range v.endpoints {
-		if e.usable(s.now) {
-			l.active += e.active()
-			l.window += e.window()
-			l.capacity += e.flow.capacity
+		if !e.usable(s.now) {
+			continue
+		}
+		all = append(all, e)
+		if workMargin*e.flow.work < slack {
+			inTime = append(inTime, e)
 		}
 	}
-	return l
+	if len(inTime) > 0 {
+		return inTime
+	}
+	return all
 }
 
 // chooseByRates returns an endpoint for r at random, or nil if none is usable. The
 // probabilities are such that the requests which the fleet starts within the correction
 // time fill the endpoints to the same expected wait (basic load interpretation).
 func (s *State) chooseByRates(v *service, r *Request) *endpoint {
-	all, candidates := s.rateCandidates(v, r)
-	if len(all) == 0 {
+	if s.cfg.Random() < probeFraction {
+		if all := s.rateCandidates(v.endpoints, r); len(all) > 0 {
+			return all[int(s.cfg.Random()*float64(len(all)))]
+		}
 		return nil
 	}
-	if s.cfg.Random() < probeFraction {
-		return all[int(s.cfg.Random()*float64(len(all)))]
+	inTime := s.endpointsInTime(v, r.FirstByteDue.Sub(s.now))
+	candidates := s.rateCandidates(inTime, r)
+	if len(candidates) == 0 {
+		candidates = s.rateCandidates(v.endpoints, r)
 	}
-	total := s.usableLoad(v)
+	if len(candidates) == 0 {
+		return nil
+	}
+	total := sumLoad(inTime)
 	correction := max(minCorrectionTime, correctionAges*s.countsAge).Seconds()
 	level := (float64(total.active) + v.rates.admission.startRate*correction) / total.capacity // seconds
 	weights := make([]float64, len(candidates))
@@ -248,23 +271,13 @@
 	return 0
 }
 
-// rateCandidates returns the first preferredEndpoints that may run r, and the first ones of
-// those that are expected to run it in time, or the same if none is.
-func (s *State) rateCandidates(v *service, r *Request) (all, inTime []*endpoint) {
-	remaining := r.FirstByteDue.Sub(s.now)
-	for _, e := range v.endpoints {
-		if !e.usable(s.now) || !eligible(e, r) {
-			continue
-		}
-		if len(all) < preferredEndpoints {
-			all = append(all, e)
+// rateCandidates returns the first preferredEndpoints of those that may run r now.
+func (s *State) rateCandidates(endpoints []*endpoint, r *Request) []*endpoint {
+	var candidates []*endpoint
+	for _, e := range endpoints {
+		if len(candidates) < preferredEndpoints && e.usable(s.now) && eligible(e, r) {
+			candidates = append(candidates, e)
 		}
-		if workMargin*e.flow.work < remaining && len(inTime) < preferredEndpoints {
-			inTime = append(inTime, e)
-		}
-	}
-	if len(inTime) == 0 {
-		inTime = all
 	}
-	return all, inTime
+	return candidates
 }
--- a/brplace/rates_test.go
+++ b/brplace/rates_test.go
@@ -1,29 +1,39 @@
 package brplace
 
 import (
+	"fmt"
+	"testing"
 	"time"
 )
 
-// callReplay replays the plain calls of a large fleet to a few endpoints of 6 slots. Load
-// is relative to the capacity of the endpoints that answer in time.
+// callReplay replays the calls of a large fleet to a few endpoints of 6 slots, each of which
+// lets 24 more calls wait. The load is relative to the endpoints that answer in time.
 type callReplay struct {
 	daemons, endpoints int
 	work               time.Duration
-	load               float64
 	speeds             []float64
-	slow, gone         int
-	warmUp             time.Duration
+	slow, gone         int // see fleetReplay
+	byCounts           bool
 }
 
-// callTargetFactor times its work is the time in which a call is due.
-const callTargetFactor = 5
+func (c callReplay) String() string {
+	return fmt.Sprintf("%d daemons, %d endpoints, %v, slow %d, gone %d", c.daemons, c.endpoints, c.work, c.slow, c.gone)
+}
+
+const (
+	// dueWorks times the mean work is the time in which a call is due.
+	dueWorks = 5
+	// callWarmUp is the time in which the daemons learn the flows of the endpoints.
+	callWarmUp = 4 * time.Second
+)
 
-func (c callReplay) run() *replayRun {
+func (c callReplay) run(load float64) *replayRun {
+	domainDaemons := (c.daemons + 5) / 6
 	f := fleetReplay{
-		daemons: c.daemons, endpoints: c.endpoints, slots: 6, load: c.load, duration: 10 * time.Second, warmUp: c.warmUp,
+		daemons: c.daemons, endpoints: c.endpoints, slots: 6, load: load, duration: 12 * time.Second, warmUp: callWarmUp,
 		reportInterval: time.Duration(c.daemons) * 4 * time.Millisecond, reportDelay: 60 * time.Millisecond,
-		domainInterval: max(20*time.Millisecond, time.Duration(c.daemons)*3*time.Millisecond/6), domainDelay: 20 * time.Millisecond,
-		speeds: c.speeds, queueLimit: 24, slow: c.slow, gone: c.gone,
+		domainInterval: max(20*time.Millisecond, time.Duration(domainDaemons)*3*time.Millisecond), domainDelay: 20 * time.Millisecond,
+		speeds: c.speeds, queueLimit: 24, slow: c.slow, gone: c.gone, byCounts: c.byCounts,
 	}
 	capacity := 0.0
 	for i := range c.endpoints {
@@ -32,8 +42,67 @@
 		}
 	}
 	f.kinds = []streamKind{{
-		rank: 2, call: true, perEndpoint: capacity / float64(c.endpoints), target: callTargetFactor * c.work,
+		rank: 2, call: true, perEndpoint: capacity / float64(c.endpoints), target: dueWorks * c.work,
 		deadline: 800 * time.Millisecond, worth: 1, lateWorth: 0.3, prefill: c.work,
 	}}
 	return f.run()
 }
+
+var (
+	alikeSpeeds  = []float64{1}
+	unlikeSpeeds = []float64{0.6, 1.7, 1}
+	panelCalls   = callReplay{daemons: 84, endpoints: 5, work: 60 * time.Millisecond, speeds: alikeSpeeds}
+)
+
+var callReplays = []callReplay{
+	panelCalls,
+	{daemons: 84, endpoints: 5, work: 60 * time.Millisecond, speeds: unlikeSpeeds, slow: 2},
+	{daemons: 84, endpoints: 5, work: 60 * time.Millisecond, speeds: unlikeSpeeds, gone: 2},
+	{daemons: 32, endpoints: 4, work: 30 * time.Millisecond, speeds: alikeSpeeds},
+	{daemons: 200, endpoints: 8, work: 60 * time.Millisecond, speeds: unlikeSpeeds},
+	{daemons: 84, endpoints: 2, work: 120 * time.Millisecond, speeds: alikeSpeeds},
+	{daemons: 400, endpoints: 2, work: 30 * time.Millisecond, speeds: alikeSpeeds},
+}
+
+// TestCallsOfLargeFleet guards against calls that wait although endpoints are idle, and
+// against daemons that all choose the same endpoint: the counts of each other's requests
+// are older than the calls last, and at a load of 0.85 half of the calls were late. Beyond
+// the capacity it guards against a queue at the endpoints in which all calls become late,
+// and against calls that wait before they are rejected.
+func TestCallsOfLargeFleet(t *testing.T) {
+	for _, test := range []struct {
+		load, least, mostLate float64 // least part on time of the calls that the endpoints can complete
+	}{{0.4, 0.95, 0.05}, {0.65, 0.95, 0.05}, {0.85, 0.9, 0.1}, {1.2, 0.9, 0.05}, {2, 0.9, 0.05}} {
+		for _, c := range callReplays {
+			t.Run(fmt.Sprintf("load %.2f, %v", test.load, c), func(t *testing.T) {
+				t.Parallel()
+				r := c.run(test.load)
+				t.Log(callResult(r))
+				if served := max(1, test.load) * r.onTime(2); served < test.least || r.late(2) > test.mostLate || r.waited > 0 {
+					t.Errorf("%.3f of what fits on time, %.3f late, %d rejected after a wait; want at least %.2f, at most %.2f and none",
+						served, r.late(2), r.waited, test.least, test.mostLate)
+				}
+			})
+		}
+	}
+}
+
+// TestCallsByRatesOrCounts compares the decision by rates with that by counts.
+func TestCallsByRatesOrCounts(t *testing.T) {
+	for _, test := range []struct{ load, gain float64 }{{0.65, 1}, {0.85, 1.4}, {1.2, 1.5}, {2, 1.5}} {
+		c := panelCalls
+		rates := c.run(test.load)
+		c.byCounts = true
+		counts := c.run(test.load)
+		t.Logf("load %.2f: %v; by counts: %v", test.load, callResult(rates), callResult(counts))
+		if rates.onTime(2) < test.gain*counts.onTime(2) {
+			t.Errorf("load %.2f: %.3f of the calls on time, want at least %.1f times the %.3f by counts", test.load, rates.onTime(2), test.gain, counts.onTime(2))
+		}
+	}
+}
+
+func callResult(r *replayRun) string {
+	part := func(n int) float64 { return float64(n) / float64(r.counted) }
+	return fmt.Sprintf("on time %.3f, late %.3f, rejected at a daemon %.3f (%.3f after a wait), at an endpoint %.3f",
+		r.onTime(2), r.late(2), part(r.rejected), part(r.waited), part(r.notRun))
+}
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -23,6 +23,7 @@
 	duration           time.Duration
 	warmUp             time.Duration // what arrives before isn't counted
 	hideShort          bool          // the daemons don't know which streams are short
+	byCounts           bool          // calls are placed by counts in any case, as streams are
 	fullChoice         bool          // the daemons don't know that the fleet is large
 	stepped            bool          // the endpoints work in steps; see replayEngine
 	spread             float64       // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
@@ -161,9 +162,7 @@
 	for _, k := range f.kinds {
 		r.arrive(k)
 	}
-	next:=time.Duration(0)
 	for r.now < f.duration {
-		if probe!=nil && r.now>next { probe(r); next+=200*time.Millisecond }
 		s := heap.Pop(&r.steps).(timedStep)
 		r.now = s.at
 		s.run()
@@ -206,7 +205,7 @@
 			expected = max(expected, longEvents)
 		}
 		r.step(q.daemon, Submit{Request{
-			ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call, PromptTokens: prompt, ExpectedEvents: expected,
+			ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call || r.byCounts, PromptTokens: prompt, ExpectedEvents: expected,
 			FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
