--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -33,6 +33,16 @@
 	})
 }
 
+// updateRates exports how the calls to each service are placed.
+func (f *Fleet) updateRates() {
+	for service, status := range f.proxy.RateStatuses() {
+		s := f.metrics.Scope.Tagged(map[string]string{"service": service})
+		s.Gauge("placed_by_rates").Update(brmetrics.BoolValue(status.ByRates))
+		s.Gauge("calls_admitted_part").Update(status.Admitted)
+		f.metrics.ExportTotal(s, service, "calls_over_capacity", int64(status.Rejected))
+	}
+}
+
 // updateMetrics copies the current totals from the components that count them.
 func (f *Fleet) updateMetrics() {
 	m := f.metrics
@@ -50,6 +60,7 @@
 		m.ExportTotal(m.Scope, "", name, int64(total))
 	}
 	m.Scope.Gauge("requests_waiting").Update(float64(f.proxy.Waiting()))
+	f.updateRates()
 	m.Scope.Gauge("quarantined").Update(float64(len(f.proxy.Quarantine())))
 	m.Scope.Gauge("endpoints").Update(float64(f.endpoints.count()))
 	m.Scope.Gauge("daemons_linked").Update(float64(len(f.node.LinkedAddresses())))
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -194,11 +194,12 @@
 
 // The reasons for a rejection.
 const (
-	NoEndpoint   Reason = "no_endpoint" // no endpoint of the service is eligible
-	Overload     Reason = "overload"    // the expected queueing time exceeds MaxQueueTime
-	QueueTimeout Reason = "waited"      // the request has waited for longer than MaxQueueTime
-	Paused       Reason = "paused"      // every eligible endpoint asked for a pause that outlasts MaxQueueTime
-	Limited      Reason = "limited"     // the limits of the eligible endpoints leave no room within MaxQueueTime
+	NoEndpoint   Reason = "no_endpoint"   // no endpoint of the service is eligible
+	OverCapacity Reason = "over_capacity" // the fleet sends more calls than the endpoints complete in time
+	Overload     Reason = "overload"      // the expected queueing time exceeds MaxQueueTime
+	QueueTimeout Reason = "waited"        // the request has waited for longer than MaxQueueTime
+	Paused       Reason = "paused"        // every eligible endpoint asked for a pause that outlasts MaxQueueTime
+	Limited      Reason = "limited"       // the limits of the eligible endpoints leave no room within MaxQueueTime
 )
 
 func (EndpointChanged) event() {}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -46,7 +46,8 @@
 		return
 	}
 	if !s.admits(v, &r) {
-		s.reject(&r, Overload, s.retryDelay())
+		v.rates.rejected++
+		s.reject(&r, OverCapacity, s.retryDelay())
 		return
 	}
 	if len(v.queue) == 0 {
--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -112,6 +112,27 @@
 	work      time.Duration // mean time in a slot; 0 if unknown
 	duration  time.Duration // moving average of the durations of this daemon's calls; 0 if unknown
 	admission admission
+	rejected  uint64 // calls of this daemon that weren't admitted, since its start
+}
+
+// RateStatus describes how the calls to a service are placed.
+type RateStatus struct {
+	ByRates  bool    // by rates instead of counts
+	Admitted float64 // part of the calls that is admitted
+	Rejected uint64  // calls that weren't admitted, since the start of the daemon
+}
+
+// RateStatuses returns how the calls are placed, by service.
+func (s *State) RateStatuses() map[string]RateStatus {
+	statuses := map[string]RateStatus{}
+	for name, v := range s.services {
+		status := RateStatus{ByRates: v.rates.decide, Admitted: 1, Rejected: v.rates.rejected}
+		if a := &v.rates.admission; status.ByRates && a.fraction > 0 {
+			status.Admitted = a.fraction
+		}
+		statuses[name] = status
+	}
+	return statuses
 }
 
 // recordDuration adds the duration of a call of this daemon. Calls wait at the endpoints, so
@@ -152,7 +173,7 @@
 		shared = shared || e.hasShares()
 	}
 	if ended*flowMemory.Seconds() < minFlowRequests {
-		v.rates = rates{duration: v.rates.duration}
+		v.rates = rates{duration: v.rates.duration, rejected: v.rates.rejected}
 		return
 	}
 	slotTime := time.Duration(busy / ended * float64(time.Second))
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -1,6 +1,10 @@
 package brproxy
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"bramleyroute/brplace"
+)
 
 // Stats holds the cumulative totals of a Proxy since its creation.
 type Stats struct {
@@ -20,6 +24,13 @@
 // Stats returns the totals, which continue to change.
 func (p *Proxy) Stats() *Stats { return &p.stats }
 
+// RateStatuses returns how the calls to each service are placed.
+func (p *Proxy) RateStatuses() map[string]brplace.RateStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.RateStatuses()
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
