brplace: late requests of a large fleet give way, and the reserve follows what urgent ones need

Change: a late request leaves the slots of one more rank free; one whose forecast wait exceeds the time until it is due is refused at once; a reserve of more than twice the need is cut to it.

--- a/brplace/admission.go
+++ b/brplace/admission.go
@@ -46,8 +46,6 @@
 	mean      float64       // moving average of reported
 	rejected  float64       // moving average of the part of this daemon's calls that endpoints reject as full
 	slack     time.Duration // moving average of the time from arrival until a call is due
-	demand    map[int]float64
-	arrived   map[int]int
 }
 
 // update sets the part to admit, given what the endpoints have, complete and have
@@ -62,10 +60,6 @@
 	a.active = active
 	a.reported += (1 - math.Exp(-float64(elapsed)/float64(age))) * (a.fraction - a.reported)
 	a.mean += weight * (a.reported - a.mean)
-	for rank := range a.demand {
-		a.demand[rank] += weight * (float64(a.arrived[rank])/elapsed.Seconds() - a.demand[rank])
-		a.arrived[rank] = 0
-	}
 	if a.startRate <= 0 {
 		return
 	}
@@ -81,16 +75,6 @@
 // the demand remain known.
 const minAdmission = 0.02
 
-// record counts an arrival of the given rank that is due after slack.
-func (a *admission) record(rank int, slack time.Duration) {
-	if a.arrived == nil {
-		a.arrived, a.demand = map[int]int{}, map[int]float64{}
-	}
-	a.arrived[rank]++
-	a.demand[rank] += 0
-	a.slack = movingAverage(a.slack, slack, slackWeight)
-}
-
 // recordAnswer counts a call of this daemon that an endpoint has completed or rejected as full.
 func (a *admission) recordAnswer(rejected bool) {
 	value := 0.0
@@ -100,20 +84,15 @@
 	a.rejected += rejectedWeight * (value - a.rejected)
 }
 
-// part returns the part of the calls of a rank to admit: that of the whole demand is given
-// to the most urgent ones first.
-func (a *admission) part(rank int) float64 {
-	all, before := 0.0, 0.0
-	for q, d := range a.demand {
-		all += d
-		if q < rank {
-			before += d
-		}
-	}
-	if a.demand[rank] == 0 {
-		return a.fraction
+// part returns the part of the calls of a rank to admit: what is admitted of the whole demand
+// is given to the most urgent ones first.
+func (a *admission) part(d *demand, rank int) float64 {
+	all, _ := d.before(math.MaxInt)
+	before, _ := d.before(rank)
+	if own := d.ranks[rank]; own != nil && own.rate > 0 {
+		return (a.fraction*all - before) / own.rate
 	}
-	return (a.fraction*all - before) / a.demand[rank]
+	return a.fraction
 }
 
 // updateAdmission updates the admission of v after the time elapsed since the last update,
@@ -133,8 +112,8 @@
 	if !v.byRates(r) || len(r.ExcludedEndpoints) > 0 {
 		return true
 	}
-	a.record(r.Rank, r.FirstByteDue.Sub(s.now))
-	part := a.part(r.Rank)
+	a.slack = movingAverage(a.slack, r.FirstByteDue.Sub(s.now), slackWeight)
+	part := a.part(&v.demand, r.Rank)
 	if a.fraction == 0 || part >= 1 {
 		return true
 	}
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -91,7 +91,7 @@
 func (s *State) mayStart(v *service, r *Request) bool {
 	slots, free := s.slots(v)
 	rank := float64(v.placementRank(r))
-	available := float64(free) - rank*s.reserve()*float64(slots)
+	available := float64(free) - s.reservedSlots(v, r, slots)
 	if rank > 0 && available <= 0 {
 		return false
 	}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -30,6 +30,7 @@
 func (s *State) submit(r Request) {
 	v := s.service(r.Service)
 	v.urgentRank = min(v.urgentRank, r.Rank)
+	v.demand.record(r.Rank)
 	r.short, r.queuedAt = v.isShort(&r), s.now
 	if !s.hasCandidate(v, &r) {
 		if len(r.ExcludedEndpoints) > 0 {
@@ -59,12 +60,22 @@
 	v.queue = append(v.queue, &r)
 	s.placeWaiting(v, 1)
 	position := slices.Index(v.queue, &r)
-	if position >= 0 && time.Duration(position+1)*v.startInterval > r.MaxQueueTime {
+	if position >= 0 && time.Duration(position+1)*v.startInterval > s.patience(v, &r) {
 		v.queue = slices.Delete(v.queue, position, position+1)
 		s.reject(&r, Overload, s.retryDelay())
 	}
 }
 
+// patience returns how long r may be expected to wait when it arrives. In a large fleet that
+// is until its first byte is due, unless it is of the most urgent rank: a late one hardly finds a
+// slot there, and its caller has more of a rejection at once.
+func (s *State) patience(v *service, r *Request) time.Duration {
+	if s.large() && r.Rank > v.urgentRank {
+		return min(r.MaxQueueTime, r.FirstByteDue.Sub(s.now))
+	}
+	return r.MaxQueueTime
+}
+
 // hasCandidate reports whether any endpoint is eligible for r, including suspended
 // ones.
 func (s *State) hasCandidate(v *service, r *Request) bool {
--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -159,9 +159,6 @@
 // updateRates updates the flows of v after the time elapsed since the last update and
 // decides whether its calls are placed by them.
 func (s *State) updateRates(v *service, elapsed time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
 	var busy, ended float64
 	var recent uint64
 	shared := false
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -22,6 +22,7 @@
 	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
 	warmUp             time.Duration // what arrives before isn't counted
+	hideDue            bool          // the daemons don't know when the streams are due
 	hideShort          bool          // the daemons don't know which streams are short
 	byCounts           bool          // calls are placed by counts in any case, as streams are
 	fullChoice         bool          // the daemons don't know that the fleet is large
@@ -204,9 +205,13 @@
 		if r.hideShort {
 			expected = max(expected, longEvents)
 		}
+		due := at.Add(k.target)
+		if r.hideDue {
+			due = at.Add(k.deadline)
+		}
 		r.step(q.daemon, Submit{Request{
 			ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call || r.byCounts, PromptTokens: prompt, ExpectedEvents: expected,
-			FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
+			FirstByteDue: due, Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
 	})
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -52,6 +52,7 @@
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 	rates         rates
+	demand        demand
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -369,7 +370,10 @@
 		s.expire(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
-		s.updateRates(v, elapsed)
+		if elapsed > 0 {
+			v.demand.update(elapsed)
+			s.updateRates(v, elapsed)
+		}
 		s.assignShares(v)
 		v.borrows = s.mayBorrow(v)
 		s.placeWaiting(v, maxPlacements)
