--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -1,7 +1,6 @@
 package brplace
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -19,22 +18,9 @@
 // When the fleet sends more than the endpoints complete in time, each daemon rejects the
 // same part of its calls at once.
 const (
-	// flowMemory is the time constant of the moving averages of an endpoint's flow, which
-	// contains several reports of each daemon and several requests.
-	flowMemory = 2 * time.Second
-
 	// minFlowRequests is the number of completed requests within flowMemory from which on
 	// the work of a service is known.
 	minFlowRequests = 20
-	// priorRequests is the weight, in requests, of the work of the whole service in that of
-	// one endpoint. An endpoint that has completed nothing for a while counts as an average
-	// one.
-	priorRequests = 2
-
-	// flowRetention is the time that an endpoint without running requests stays in the
-	// reports of its flow: longer than the interval between two reports in the largest fleets,
-	// so that each request that has ended is soon counted.
-	flowRetention = 2 * time.Second
 
 	// callDurationWeight is the weight of a new value in the moving average of durations.
 	callDurationWeight = 0.05
@@ -61,51 +47,6 @@
 	probeFraction = 0.02
 )
 
-// flow is the flow of requests through an endpoint, over all daemons. The averages cover
-// flowMemory and start at 0.
-type flow struct {
-	ended    float64           // requests that end in a second
-	busy     float64           // slots in use
-	recent   uint64            // requests that have ended since the last tick
-	endedAt  map[string]uint64 // counter of ended requests by daemon, also while it reports no usage
-	work     time.Duration     // mean time in a slot; 0 if unknown
-	capacity float64           // requests that it completes in a second; 0 if unknown
-}
-
-// recordReport counts the requests that have ended since the last report of a daemon that
-// contains the endpoint. A daemon that uses it rarely leaves it out of some of its reports.
-// The first report of an endpoint by a daemon that has reported others counts one request,
-// since the counter may cover any time.
-func (f *flow) recordReport(daemon string, ended uint64, reportedOthers bool) {
-	switch last, known := f.endedAt[daemon]; {
-	case known && ended > last:
-		f.recent += ended - last
-	case !known && ended > 0 && reportedOthers:
-		f.recent++
-	}
-	if f.endedAt == nil {
-		f.endedAt = map[string]uint64{}
-	}
-	f.endedAt[daemon] = ended
-}
-
-// update adds what happened in the time elapsed since the last update to the averages.
-func (f *flow) update(elapsed time.Duration, busy int) {
-	weight := 1 - math.Exp(-float64(elapsed)/float64(flowMemory))
-	f.ended += weight * (float64(f.recent)/elapsed.Seconds() - f.ended)
-	f.busy += weight * (float64(busy) - f.busy)
-	f.recent = 0
-}
-
-// estimate derives work and capacity, given the work of the whole service, its ratio to the
-// time in a slot by the flows, and the number of requests that the endpoint takes at a time.
-func (f *flow) estimate(work time.Duration, ratio float64, window int) {
-	requests := f.ended*flowMemory.Seconds() + priorRequests
-	slotTime := ratio*f.busy*flowMemory.Seconds() + priorRequests*work.Seconds()
-	f.work = time.Duration(slotTime / requests * float64(time.Second))
-	f.capacity = float64(window) / f.work.Seconds()
-}
-
 // rates is what a daemon knows of the flow of requests through a service.
 type rates struct {
 	decide    bool          // calls are placed by rates instead of counts
@@ -178,7 +119,7 @@
 	if v.rates.duration > 0 {
 		v.rates.work = min(slotTime, v.rates.duration)
 	}
-	v.rates.decide = !shared && s.large() && s.outlives(v)
+	v.rates.decide = !shared && s.large() && s.countsStale(v)
 	if !v.rates.decide {
 		v.rates.admission = admission{}
 		return
@@ -189,9 +130,9 @@
 	s.updateAdmission(v, elapsed, recent)
 }
 
-// outlives reports whether the counts of the other daemons' requests to v are older than
+// countsStale reports whether the counts of the other daemons' requests to v are older than
 // its requests last.
-func (s *State) outlives(v *service) bool {
+func (s *State) countsStale(v *service) bool {
 	if v.rates.decide {
 		return float64(v.rates.work) < ratesHysteresis*float64(s.countsAge)
 	}
@@ -257,6 +198,9 @@
 		return nil
 	}
 	total := sumLoad(inTime)
+	if total.capacity == 0 { // all have just been announced
+		return s.sample(candidates, 1)[0]
+	}
 	correction := max(minCorrectionTime, correctionAges*s.countsAge).Seconds()
 	level := (float64(total.active) + v.rates.admission.startRate*correction) / total.capacity // seconds
 	weights := make([]float64, len(candidates))
