--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -64,6 +64,9 @@
 
 // choose returns the endpoint to dispatch r to, or nil if r has to wait.
 func (s *State) choose(v *service, r *Request) *endpoint {
+	if v.byRates(r) {
+		return s.chooseByRates(v, r)
+	}
 	mayStart := s.mayStart(v, r)
 	if !mayStart && !s.mayStartCold(v) {
 		return nil
@@ -89,7 +92,7 @@
 func (s *State) mayStart(v *service, r *Request) bool {
 	slots, free := s.slots(v)
 	rank := float64(v.placementRank(r))
-	available := float64(free) - rank*s.reserve()*float64(slots)
+	available := float64(free) - s.reservedSlots(v, r, slots)
 	if rank > 0 && available <= 0 {
 		return false
 	}
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -21,15 +21,27 @@
 	domainDelay        time.Duration // until these have a report
 	reportOnDispatch   bool          // a daemon reports as soon as it dispatches a stream, if the interval has passed
 	duration           time.Duration
+	warmUp             time.Duration                                             // what arrives before isn't counted
+	hideDue            bool                                                      // the daemons don't know when the streams are due
 	hideShort          bool                                                      // the daemons don't know which streams are short
+	byCounts           bool                                                      // calls are placed by counts in any case, as streams are
 	fullChoice         bool                                                      // the daemons don't know that the fleet is large
 	stepped            bool                                                      // the endpoints work in steps; see replayEngine
+	spread             float64                                                   // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
+	speeds             []float64                                                 // relative times that the endpoints take, in turn; empty for replaySpeed
+	queueLimit         int                                                       // calls that wait at an endpoint before it rejects the next as not run; 0 for no limit
+	slow               int                                                       // number of the endpoint that takes slowFactor times as long; 0 for none
+	gone               int                                                       // number of the endpoint that answers nothing from goneAfter on; 0 for none
 	prepare            func(r *replayRun)                                        // schedules further events; may be nil
 	observe            func(r *replayRun, daemon int, q *replayStream, e Effect) // may be nil
 	cold               *coldReplay
-	spread             float64 // standard deviation of the logarithms of prompt lengths and numbers of events; 0 means as in streamKind
 }
 
+const (
+	slowFactor = 4
+	goneAfter  = time.Second
+)
+
 // streamKind describes the streams of one route.
 type streamKind struct {
 	rank              int
@@ -39,6 +51,7 @@
 	target, deadline  time.Duration
 	worth, lateWorth  float64
 	prefill, interval time.Duration // of the mean stream at an endpoint of speed 1
+	call              bool          // a plain call, whose work takes prefill
 }
 
 // callerTimeout returns how long the caller waits for the first event.
@@ -59,7 +72,9 @@
 	daemon  int
 	kind    streamKind
 	events  float64
-	prompt  int // tokens
+	prompt  int     // tokens
+	counted bool    // arrived after warmUp
+	work    float64 // relative to the mean of its kind
 	arrived time.Duration
 }
 
@@ -104,7 +119,10 @@
 	index    map[string]int             // of an endpoint by its ID
 	earned   float64
 	owed     float64
+	counted  int // streams that arrived after warmUp
 	rejected int
+	waited   int // of those rejected, the number that waited for longer than an eighth of their target
+	notRun   int // rejected by an endpoint
 	streams  int
 	byRank   [3]struct{ streams, onTime, late int }
 	pairs    map[[2]int]bool                // of a daemon and an endpoint that it has used
@@ -170,6 +188,9 @@
 func (r *replayRun) arrive(k streamKind) {
 	rate := k.perEndpoint * r.load * float64(r.endpoints)
 	r.after(time.Duration(r.rng.ExpFloat64()/rate*float64(time.Second)), func() {
+		if k.call && r.now > r.duration-k.deadline {
+			return // its end would not be seen
+		}
 		r.streams++
 		q := &replayStream{id: uint64(r.streams), daemon: r.rng.IntN(r.daemons), kind: k, events: 1 + k.events*r.rng.ExpFloat64(), arrived: r.now}
 		prompt := k.prompt
@@ -177,17 +198,27 @@
 			prompt = int(float64(k.prompt) * r.logNormal())
 			q.events = 1 + k.events*r.logNormal()
 		}
-		q.prompt = prompt
-		r.owed += k.worth
-		r.byRank[k.rank].streams++
+		q.prompt, q.work = prompt, 1
+		if k.call {
+			q.work = math.Exp(callSpread*r.rng.NormFloat64() - callSpread*callSpread/2)
+		}
+		if q.counted = r.now >= r.warmUp; q.counted {
+			r.owed += k.worth
+			r.byRank[k.rank].streams++
+			r.counted++
+		}
 		r.waiting[q.daemon][q.id] = q
 		at, expected := start.Add(r.now), k.events
 		if r.hideShort {
 			expected = max(expected, longEvents)
 		}
+		due := at.Add(k.target)
+		if r.hideDue {
+			due = at.Add(k.deadline)
+		}
 		r.step(q.daemon, Submit{Request{
-			ID: q.id, Service: "s", Rank: k.rank, Stream: true, PromptTokens: prompt, ExpectedEvents: expected,
-			FirstByteDue: at.Add(k.target), Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
+			ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call || r.byCounts, PromptTokens: prompt, ExpectedEvents: expected,
+			FirstByteDue: due, Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
 	})
@@ -207,14 +238,29 @@
 				r.after(time.Millisecond, func() { r.step(daemon, Ended{ID: e.ID, Result: WrongAddress}) })
 				continue
 			}
+			if r.queueLimit > 0 && len(r.queues[i]) >= r.queueLimit {
+				if q.counted {
+					r.notRun++
+				}
+				r.after(replayLatency, func() {
+					r.step(daemon, LimitObserved{ID: e.Endpoint.ID, Rejected: true})
+					r.step(daemon, Ended{ID: q.id, Result: Inconclusive})
+				})
+				continue
+			}
 			r.queues[i] = append(r.queues[i], q)
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
 			r.reportDispatch(daemon)
 		case Reject:
-			r.rejected++
 			r.notify(daemon, r.waiting[daemon][e.ID], effect)
 			r.cold.recordRejection(r, r.waiting[daemon][e.ID], e)
+			if q := r.waiting[daemon][e.ID]; q.counted {
+				r.rejected++
+				if r.now-q.arrived > q.kind.target/8 {
+					r.waited++
+				}
+			}
 			delete(r.waiting[daemon], e.ID)
 		}
 	}
@@ -229,7 +275,7 @@
 
 // serve starts the next stream at an endpoint if it has a free slot.
 func (r *replayRun) serve(i int) {
-	if r.running[i] == r.slots || len(r.queues[i]) == 0 {
+	if r.running[i] == r.slots || len(r.queues[i]) == 0 || r.isGone(i) {
 		return
 	}
 	q := r.queues[i][0]
@@ -244,16 +290,48 @@
 		r.engines[i].start(q)
 		return
 	}
-	speed := replaySpeed(i)
-	prefill := time.Duration(speed * float64(q.kind.prefill))
-	r.after(prefill, func() { r.begin(q) })
+	speed := r.speed(i)
+	prefill := time.Duration(speed * q.work * float64(q.kind.prefill))
+	r.after(prefill, func() {
+		if !r.isGone(i) {
+			r.begin(q)
+		}
+	})
 	interval := time.Duration(speed * float64(q.kind.interval))
-	r.after(prefill+time.Duration(q.events*float64(interval)), func() { r.end(i, q, interval) })
+	r.after(prefill+time.Duration(q.events*float64(interval)), func() {
+		if !r.isGone(i) {
+			r.end(i, q, interval)
+		}
+	})
 }
 
+// isGone reports whether endpoint i answers nothing. The daemons then lose it after
+// lossDelay.
+func (r *replayRun) isGone(i int) bool { return r.gone > 0 && i == r.gone && r.now > goneAfter }
+
+// speed returns the relative time that endpoint i takes.
+func (f *fleetReplay) speed(i int) float64 {
+	speed := replaySpeed(i)
+	if len(f.speeds) > 0 {
+		speed = f.speeds[i%len(f.speeds)]
+	}
+	if f.slow > 0 && i == f.slow {
+		speed *= slowFactor
+	}
+	return speed
+}
+
+const (
+	// callSpread is the standard deviation of the logarithm of the work of calls.
+	callSpread = 0.5
+	// replayLatency is the time until a daemon has the rejection by an endpoint.
+	replayLatency = 3 * time.Millisecond
+)
+
 // begin records the first event of a stream.
 func (r *replayRun) begin(q *replayStream) {
 	switch waited := r.now - q.arrived; {
+	case !q.counted:
 	case waited <= q.kind.target:
 		r.earned += q.kind.worth
 		r.byRank[q.kind.rank].onTime++
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -27,7 +27,10 @@
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
-	evacuated        []string // failure domains
+	evacuated        []string             // failure domains
+	reportedAt       map[string]time.Time // time of the last report, by daemon
+	countsAge        time.Duration        // moving average of the median age of the reports; 0 if unknown
+	tickedAt         time.Time
 	daemons          []string // IDs of the daemons, including this one; empty if unknown
 	now              time.Time
 	effects          []Effect
@@ -51,6 +54,8 @@
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
 	cold          int           // number of its endpoints that were cold at the last tick or change of one
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
+	rates         rates
+	demand        demand
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -78,6 +83,7 @@
 		peers:     map[string]Report{},
 
 		partitionedPeers: map[string]bool{},
+		reportedAt:       map[string]time.Time{},
 	}
 }
 
@@ -139,11 +145,16 @@
 
 // Report returns the usage by this daemon of the endpoints that have running requests
 // or had one within the given retention. During the retention the other daemons receive
-// the outcome of the last request.
+// the outcome of the last request. Endpoints whose requests are placed by rates stay for
+// at least flowRetention.
 func (s *State) Report(now time.Time, retention time.Duration) Report {
 	r := Report{}
 	for id, e := range s.endpoints {
-		if e.own.Active > 0 || now.Sub(e.lastEnded) < retention {
+		keep := retention
+		if s.service(e.Service).rates.decide {
+			keep = max(keep, flowRetention)
+		}
+		if e.own.Active > 0 || now.Sub(e.lastEnded) < keep {
 			r[id] = e.own
 		}
 	}
@@ -252,6 +263,9 @@
 			continue
 		}
 		e.others.add(u)
+		if s.large() {
+			e.flow.recordReport(daemon, u.Ended, old != nil)
+		}
 		prev, known := old[id]
 		if u.EventInterval != prev.EventInterval {
 			e.eventInterval = movingAverage(e.eventInterval, u.EventInterval, eventIntervalWeight)
@@ -277,9 +291,10 @@
 		s.checkHealth(e)
 	}
 	if r == nil {
-		delete(s.peers, daemon)
+		s.forgetPeer(daemon)
 	} else {
 		s.peers[daemon] = r
+		s.reportedAt[daemon] = s.now
 	}
 	for v := range freed {
 		// All daemons see the same freed slots; placing a single request limits how
@@ -288,6 +303,15 @@
 	}
 }
 
+// forgetPeer removes what is known of another daemon apart from its usage.
+func (s *State) forgetPeer(daemon string) {
+	delete(s.peers, daemon)
+	delete(s.reportedAt, daemon)
+	for _, e := range s.endpoints {
+		delete(e.flow.endedAt, daemon)
+	}
+}
+
 func (s *State) recordFirstByte(id uint64) {
 	f := s.inflight[id]
 	if f == nil || f.gotFirstByte {
@@ -321,10 +345,15 @@
 	}
 	switch f.attributed(ev.Result) {
 	case Succeeded:
+		e.flow.recent++
 		e.own.Ended++
 		e.lastProgress = s.now
 		s.recordOutcomes(e, 1, 0)
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
+		if !f.request.Stream {
+			v.rates.recordDuration(s.now.Sub(f.dispatchedAt))
+			v.rates.admission.recordAnswer(false)
+		}
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
 		s.recordFailed(e)
@@ -349,12 +378,19 @@
 	for _, f := range s.inflight {
 		s.checkStalled(f)
 	}
+	elapsed := s.now.Sub(s.tickedAt)
+	s.tickedAt = s.now
+	s.recordAge()
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.expire(v)
 		s.updateCold(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
+		if elapsed > 0 {
+			v.demand.update(elapsed)
+			s.updateRates(v, elapsed)
+		}
 		s.assignShares(v)
 		v.borrows = s.mayBorrow(v)
 		s.placeWaiting(v, maxPlacements)
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -43,6 +43,13 @@
 	return p.placement.ColdEndpoints(p.cfg.Clock.Now())
 }
 
+// RateStatuses returns how the calls to each service are placed.
+func (p *Proxy) RateStatuses() map[string]brplace.RateStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.RateStatuses()
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
