brplace, brfleet: fill endpoints to what they take well

Endpoints were filled to their stated slots, and the choice among them for plain calls knew nothing of their speed. With Config.LearnConcurrency, daemons share counts of responses, at most every 0.5 s and 15 ms for each daemon, and go by the limits and times that brconcurrency estimates.

--- a/brfleet/check.go
+++ b/brfleet/check.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"bramleyroute/brconcurrency"
 	"bramleyroute/brplace"
 	"bramleyroute/brproxy"
 	"bramleyroute/brquota"
@@ -45,6 +46,20 @@
 	return nil
 }
 
+func checkConcurrency(r brconcurrency.Report) error {
+	for _, c := range r {
+		for _, l := range c.Levels {
+			if l.Count > maxCount {
+				return errOutOfRange
+			}
+			if err := inRange(l.Seconds, l.Active); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 func checkQuotaUsage(r brquota.Report) error {
 	for _, t := range r.Customers {
 		if max(t.Spent, t.Demand) > maxQuota || min(t.Spent, t.Demand) < -maxQuota {
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -44,7 +44,9 @@
 	Dialect       brproxy.Dialect
 	// DialEndpoint opens a connection to an endpoint; nil means TCP.
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
-	Quota        brquota.Config
+	// LearnConcurrency is as in brproxy.Config.
+	LearnConcurrency bool
+	Quota            brquota.Config
 	// QuotaSlackTokens is as in brproxy.Config.
 	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
@@ -121,7 +123,7 @@
 	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
-		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		LearnConcurrency: cfg.LearnConcurrency, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
@@ -130,7 +132,7 @@
 		Self:  brgossip.Daemon{ID: cfg.ID, Address: cfg.Address, FailureDomain: cfg.FailureDomain, Replica: cfg.Dir != ""},
 		Epoch: f.epoch, Keys: cfg.Keys, Mux: f.mux, Seeds: cfg.Seeds,
 		Accept: f.accept, OnRecord: f.onRecord, OnExpired: f.onExpired, OnDropped: f.onDropped, OnLink: f.onLink,
-		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true},
+		DirectKinds: map[string]bool{kindLoad: true, kindQuotaUsage: true, kindConcurrency: true},
 		DomainKinds: map[string]bool{kindDomainLoad: true}, OpenRelays: cfg.Tolerance + 1, Clock: cfg.Clock,
 	})
 	savedEvidence := f.loadEvidence()
@@ -303,6 +305,8 @@
 		f.applyLoadRecord(r)
 	case kindQuotaUsage:
 		f.applyQuotaUsageRecord(r)
+	case kindConcurrency:
+		f.applyConcurrencyRecord(r)
 	case kindPolicy:
 		f.applyPolicyRecord(r)
 	case kindShare:
@@ -333,6 +337,8 @@
 		delete(f.loadSeqs, r.Name())
 		// If the daemon still reports to the whole fleet, that adds its load again.
 		f.proxy.ApplyEvent(brplace.PeerLost{Daemon: r.Name()})
+	case kindConcurrency:
+		f.proxy.ApplyEvent(brplace.ConcurrencyReported{Daemon: r.Name()})
 	case kindEvidence:
 		f.evidenceExpired(r)
 	case kindPath:
--- a/brfleet/formats_test.go
+++ b/brfleet/formats_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"bramleyroute/brconcurrency"
 	"bramleyroute/brcore"
 	"bramleyroute/brplace"
 	"bramleyroute/brquarantine"
@@ -19,6 +20,7 @@
 		brtest.Value("kindEvidence", kindEvidence),
 		brtest.Value("kindLimit", kindLimit),
 		brtest.Value("kindLoad", kindLoad),
+		brtest.Value("kindConcurrency", kindConcurrency),
 		brtest.Value("kindDomainLoad", kindDomainLoad),
 		brtest.Value("kindQuotaUsage", kindQuotaUsage),
 		brtest.Value("kindPause", kindPause),
@@ -38,6 +40,7 @@
 		// 294156b writes maps instead of arrays, and names totals otherwise.
 		brtest.Message[brplace.Report]("load").NotShared("294156b"),
 		brtest.Message[brquota.Report]("spent").NotShared("294156b"),
+		brtest.Message[brconcurrency.Report]("concurrency"),
 		brtest.Message[time.Duration]("pause"),
 		brtest.Message[brcore.Document]("policy"),
 		brtest.Message[versionShare]("steer"),
--- a/brfleet/load.go
+++ b/brfleet/load.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	kindLoad       = "load"  // work dispatched to endpoints, by daemon incarnation
-	kindDomainLoad = "near"  // the same, for the daemons of the same failure domain
-	kindQuotaUsage = "spent" // quota usage of customers, by daemon incarnation
+	kindConcurrency = "concurrency" // counts of responses by load level, by daemon incarnation
+	kindLoad        = "load"        // work dispatched to endpoints, by daemon incarnation
+	kindDomainLoad  = "near"        // the same, for the daemons of the same failure domain
+	kindQuotaUsage  = "spent"       // quota usage of customers, by daemon incarnation
 
 	// loadLifetime is the time without a report after which the dispatches of a
 	// daemon no longer count.
@@ -39,6 +40,13 @@
 	// between two reports of quota usage. Between reports the other daemons
 	// extrapolate the usage.
 	quotaUsageIntervalPerDaemon = 3 * time.Millisecond
+	// countsIntervalPerDaemon times the number of daemons, and at least minCountsInterval, is
+	// the interval between two reports of the counts of responses. They hold some 25 bytes for
+	// each endpoint with a response, and with a second or two a daemon still notices in time
+	// that an endpoint has turned slow.
+	countsIntervalPerDaemon = 15 * time.Millisecond
+	minCountsInterval       = 500 * time.Millisecond
+	countsLifetime          = 10 * time.Second
 )
 
 // scheduleReport requests a report from runLoad. It doesn't block.
@@ -61,11 +69,12 @@
 // loadReporter publishes the reports of one daemon.
 type loadReporter struct {
 	*Fleet
-	seq             uint64
-	interval        time.Duration // until the next report
-	reportedAt      time.Time     // time of the last report to the failure domain
-	loadReportedAt  time.Time
-	usageReportedAt time.Time
+	seq              uint64
+	interval         time.Duration // until the next report
+	reportedAt       time.Time     // time of the last report to the failure domain
+	loadReportedAt   time.Time
+	usageReportedAt  time.Time
+	countsReportedAt time.Time // of responses, for brconcurrency
 }
 
 // wait waits for the time of the next report and reports whether the fleet is still
@@ -113,9 +122,30 @@
 		r.usageReportedAt = now
 		publishReport(r.Fleet, kindQuotaUsage, r.seq, loadLifetime, r.proxy.QuotaReport())
 	}
+	r.publishCounts(now)
 	r.interval = interval
 }
 
+// publishCounts publishes what this daemon has counted of the responses of endpoints, if it is due
+// and endpoints' limits are learned.
+func (r *loadReporter) publishCounts(now time.Time) {
+	interval := max(minCountsInterval, time.Duration(r.daemons.Load())*countsIntervalPerDaemon)
+	if !r.cfg.LearnConcurrency || now.Sub(r.countsReportedAt) < interval {
+		return
+	}
+	r.countsReportedAt = now
+	publishReport(r.Fleet, kindConcurrency, r.seq, max(countsLifetime, 3*interval), r.proxy.ConcurrencyReport(2*interval))
+}
+
+func (f *Fleet) applyConcurrencyRecord(r brgossip.Record) {
+	if r.Name() == f.incarnation || !f.cfg.LearnConcurrency {
+		return
+	}
+	if report, ok := decodeChecked(f, r, checkConcurrency); ok {
+		f.proxy.ApplyEvent(brplace.ConcurrencyReported{Daemon: r.Name(), Report: report})
+	}
+}
+
 // reportIntervals returns the shortest interval between two reports, and that between
 // two reports to the whole fleet if it is large, so that these are less frequent.
 func (f *Fleet) reportIntervals(large bool) (interval, fleetInterval time.Duration) {
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -50,6 +50,7 @@
 		m.ExportTotal(m.Scope, "", name, int64(total))
 	}
 	m.Scope.Gauge("requests_waiting").Update(float64(f.proxy.Waiting()))
+	m.Scope.Gauge("endpoints_limited").Update(float64(f.proxy.Limited()))
 	m.Scope.Gauge("quarantined").Update(float64(len(f.proxy.Quarantine())))
 	m.Scope.Gauge("endpoints").Update(float64(f.endpoints.count()))
 	m.Scope.Gauge("daemons_linked").Update(float64(len(f.node.LinkedAddresses())))
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -163,7 +163,7 @@
 		if !e.usable(s.now) {
 			continue
 		}
-		slots, unused := e.Slots, max(0, e.Slots-e.active())
+		slots, unused := e.window(), max(0, e.window()-e.active())
 		if e.limit.Limited {
 			slots, unused = min(1, slots), min(1, unused)
 		}
@@ -202,7 +202,7 @@
 	if e.slotUse.brittle {
 		return s.hasOwnSlot(e)
 	}
-	return e.active() < e.Slots+overflow(r)
+	return e.active() < e.window()+overflow(r)
 }
 
 // overflow returns the number of requests beyond the slots of an endpoint that r
@@ -225,15 +225,18 @@
 		utilization := float64(e.active()) / float64(max(1, e.Slots))
 		cost += time.Duration(float64(r.Rank) * (1 - slowdown) * utilization * utilization * utilization * float64(fastEndpointCost))
 	}
+	if !r.Stream {
+		cost += v.expectedCall(e)
+	}
 	if r.Stream && v.eventInterval > 0 {
 		cost += s.streamCost(r, time.Duration(slowdown*r.ExpectedEvents*float64(v.eventInterval)))
 	}
-	if excess := e.active() - e.Slots + 1; excess > 0 {
+	if excess := e.active() - e.window() + 1; excess > 0 {
 		d := e.duration
 		if d == 0 {
 			d = defaultDuration
 		}
-		cost += time.Duration(excess) * d / time.Duration(max(1, e.Slots))
+		cost += time.Duration(excess) * d / time.Duration(max(1, e.window()))
 	}
 	// Concurrent requests slow each other down slightly.
 	cost += time.Duration(e.active()) * time.Millisecond
@@ -269,6 +272,6 @@
 	if e.lastProgress.IsZero() {
 		e.lastProgress = s.now
 	}
-	s.inflight[r.ID] = &inflightRequest{request: *r, endpoint: e, dispatchedAt: s.now, unqueued: unqueued}
+	s.inflight[r.ID] = &inflightRequest{request: *r, endpoint: e, dispatchedAt: s.now, unqueued: unqueued, active: e.active()}
 	s.effects = append(s.effects, Dispatch{ID: r.ID, Endpoint: e.Endpoint})
 }
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -55,6 +55,7 @@
 	stated         bool           // the present start has stated a limit, or that it has none
 	bucket         brlimit.Bucket // this daemon's share of the rate
 	slotUse        slotUse
+	learned        learned
 }
 
 // usageSum is the sum of the usage by other daemons.
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyroute/brconcurrency"
 	"bramleyroute/brlimit"
 )
 
@@ -53,7 +54,7 @@
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
-// LimitPublished, PeerReported, PeerLost, PeerPartitioned, FleetChanged, PathLost, Submit, Cancel, FirstByte,
+// LimitPublished, PeerReported, PeerLost, PeerPartitioned, ConcurrencyReported, FleetChanged, PathLost, Submit, Cancel, FirstByte,
 // Progressed, Ended and Tick.
 type Event interface{ event() }
 
@@ -107,6 +108,13 @@
 	Partitioned bool
 }
 
+// ConcurrencyReported carries what another daemon has counted of the responses of endpoints. A
+// nil Report forgets the daemon.
+type ConcurrencyReported struct {
+	Daemon string
+	Report brconcurrency.Report
+}
+
 // PathLost reports that this daemon has lost its direct path to the endpoints, and reaches
 // them through other daemons from now on.
 type PathLost struct{}
@@ -148,7 +156,7 @@
 	WrongAddress                   // the address refuses connections or belongs to another endpoint
 )
 
-// Effect is Dispatch, Reject, Suspended or LimitLearned.
+// Effect is Dispatch, Reject, Suspended, LimitLearned or ConcurrencyLimited.
 type Effect interface{ effect() }
 
 // Dispatch directs a request to an endpoint.
@@ -175,6 +183,15 @@
 	Failed   float64 // decayed number of failed requests over all daemons
 }
 
+// ConcurrencyLimited reports that the number of requests at once that an endpoint takes well
+// has changed.
+type ConcurrencyLimited struct {
+	Endpoint string
+	Limit    int           // requests at once
+	Slots    int           // that the endpoint states
+	Unit     time.Duration // for a call, or between two events of a stream; 0 if unknown
+}
+
 // LimitLearned reports a limit, or a rejection by an endpoint that bears few, to be
 // published to the other daemons.
 type LimitLearned LimitObserved
@@ -211,16 +228,21 @@
 func (PeerLost) event()        {}
 func (PeerPartitioned) event() {}
 func (PathLost) event()        {}
-func (FleetChanged) event()    {}
-func (Submit) event()          {}
-func (Cancel) event()          {}
-func (FirstByte) event()       {}
-func (Progressed) event()      {}
-func (Ended) event()           {}
-func (Tick) event()            {}
+
+func (ConcurrencyReported) event() {}
+
+func (FleetChanged) event() {}
+func (Submit) event()       {}
+func (Cancel) event()       {}
+func (FirstByte) event()    {}
+func (Progressed) event()   {}
+func (Ended) event()        {}
+func (Tick) event()         {}
 
 func (Dispatch) effect()  {}
 func (Reject) effect()    {}
 func (Suspended) effect() {}
 
 func (LimitLearned) effect() {}
+
+func (ConcurrencyLimited) effect() {}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"bramleyroute/brconcurrency"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -14,6 +16,9 @@
 	Daemon        string         // ID of this daemon
 	FailureDomain string         // failure domain of this daemon
 	Random        func() float64 // returns uniform values in [0, 1); required
+	// LearnConcurrency says that the number of requests at once that each endpoint takes well is
+	// learned from its responses. Without it, endpoints are filled to their slots.
+	LearnConcurrency bool
 }
 
 // State is the placement state of one daemon. It isn't safe for concurrent use.
@@ -23,6 +28,7 @@
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
 	limits    map[string]*endpointLimit // by endpoint ID
+	estimator *brconcurrency.Estimator  // nil without Config.LearnConcurrency
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
@@ -48,6 +54,7 @@
 	utilization   float64       // moving average of the part of its slots in use
 	mostBrittle   bool          // most of its endpoints that have stated anything are brittle
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
+	fastestUnit   time.Duration // shortest learned.unit of its endpoints; 0 if none is known
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -58,6 +65,7 @@
 	gotFirstByte bool
 	pathLost     bool // this daemon has lost its direct path since the dispatch
 	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
+	active       int  // number of requests at the endpoint at the dispatch, this one included, as far as known
 }
 
 // New returns a State without endpoints. New panics if cfg.Random is nil.
@@ -65,7 +73,7 @@
 	if cfg.Random == nil {
 		panic("brplace: config without Random")
 	}
-	return &State{
+	s := &State{
 		cfg:       cfg,
 		endpoints: map[string]*endpoint{},
 		services:  map[string]*service{},
@@ -75,6 +83,10 @@
 
 		partitionedPeers: map[string]bool{},
 	}
+	if cfg.LearnConcurrency {
+		s.estimator = brconcurrency.New()
+	}
+	return s
 }
 
 // Step applies one event at the time now and returns the resulting effects. It
@@ -101,6 +113,8 @@
 	case PeerLost:
 		s.applyReport(e.Daemon, nil)
 		delete(s.partitionedPeers, e.Daemon)
+	case ConcurrencyReported:
+		s.applyConcurrency(e)
 	case PeerPartitioned:
 		s.setPeerPartitioned(e)
 	case PathLost:
@@ -177,6 +191,7 @@
 		e.Endpoint = announced
 	}
 	s.applyLimit(s.endpoints[announced.ID])
+	s.addEstimate(s.endpoints[announced.ID])
 	s.placeWaiting(s.service(announced.Service), maxPlacements)
 }
 
@@ -213,6 +228,7 @@
 func (s *State) removeEndpoint(id string) {
 	if e := s.endpoints[id]; e != nil {
 		s.forgetOutcomes(e)
+		s.removeEstimate(id)
 		s.detach(e)
 		delete(s.endpoints, id)
 		delete(s.limits, id)
@@ -309,6 +325,7 @@
 		e.lastProgress = s.now
 		s.recordOutcomes(e, 1, 0)
 		e.recordSuccess(s.now.Sub(f.dispatchedAt), ev.EventInterval)
+		s.observeConcurrency(f, ev.EventInterval)
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
 		s.recordFailed(e)
@@ -335,6 +352,7 @@
 	}
 	for _, v := range s.services {
 		v.updateStatistics()
+		s.updateLearned(v)
 		s.expire(v)
 		s.updateBrittle(v)
 		v.updateUtilization()
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"bramleyroute/brclock"
+	"bramleyroute/brconcurrency"
 	"bramleyroute/brconn"
 	"bramleyroute/brdrain"
 	"bramleyroute/brplace"
@@ -23,13 +24,19 @@
 // connections to endpoints.
 const tickInterval = 50 * time.Millisecond
 
+// limitLinesPerSecond bounds the log lines on learned limits. Each endpoint of a large fleet
+// changes its limit every few seconds.
+const limitLinesPerSecond = 5
+
 // Config configures a Proxy.
 type Config struct {
 	Dialect       Dialect
 	Pool          *brconn.Pool // required
 	Daemon        string       // ID of this daemon
 	FailureDomain string       // failure domain of this daemon
-	Quota         brquota.Config
+	// LearnConcurrency is as in brplace.Config.
+	LearnConcurrency bool
+	Quota            brquota.Config
 	// QuotaSlackTokens is the number of tokens by which a customer with a quota in
 	// tokens may exceed its limit in any window of time.
 	QuotaSlackTokens float64
@@ -97,6 +104,7 @@
 	quarantined     chan struct{} // closed and replaced when a part is quarantined
 	path            pathState
 	durations       brdrain.Durations
+	limitsLog       zerolog.Logger // for changes of learned limits
 
 	stop chan struct{}
 	wg   sync.WaitGroup
@@ -117,8 +125,10 @@
 		cfg.ReportsChanged = func() {}
 	}
 	p := &Proxy{
-		cfg:       cfg,
-		placement: brplace.New(brplace.Config{Daemon: cfg.Daemon, FailureDomain: cfg.FailureDomain, Random: rand.Float64}),
+		cfg: cfg,
+		placement: brplace.New(brplace.Config{
+			Daemon: cfg.Daemon, FailureDomain: cfg.FailureDomain, Random: rand.Float64, LearnConcurrency: cfg.LearnConcurrency,
+		}),
 		limiter:   brquota.NewLimiter(cfg.Quota),
 		waiting:   map[uint64]chan brplace.Effect{},
 		policySet: make(chan struct{}),
@@ -129,6 +139,7 @@
 		quarantined: make(chan struct{}),
 		path:        pathState{unjudged: map[string][]lostRun{}},
 		stop:        make(chan struct{}),
+		limitsLog:   cfg.Log.Sample(&zerolog.BurstSampler{Burst: limitLinesPerSecond, Period: time.Second}),
 	}
 	p.server = brserver.New(brserver.Config{
 		Handler: p, Limits: p.limits, StateKeepAlive: true, Log: cfg.Log, Clock: cfg.Clock,
@@ -204,6 +215,14 @@
 	return p.placement.Report(p.cfg.Clock.Now(), retention)
 }
 
+// ConcurrencyReport returns what this daemon has counted of the responses of endpoints, as
+// brplace.State.ConcurrencyReport does.
+func (p *Proxy) ConcurrencyReport(retention time.Duration) brconcurrency.Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.ConcurrencyReport(p.cfg.Clock.Now(), retention)
+}
+
 // QuotaReport returns the quota usage by this daemon.
 func (p *Proxy) QuotaReport() brquota.Report {
 	p.mu.Lock()
@@ -225,6 +244,10 @@
 			p.cfg.Log.Warn().Str("endpoint", e.Endpoint).Str("cause", string(e.Cause)).Dur("for_ms", e.Duration).
 				Float64("ended", e.Ended).Float64("failed", e.Failed).Msg("endpoint suspended")
 			continue
+		case brplace.ConcurrencyLimited:
+			p.limitsLog.Info().Str("endpoint", e.Endpoint).Int("limit", e.Limit).Int("slots", e.Slots).Dur("unit_ms", e.Unit).
+				Msg("number of requests that an endpoint takes well changed")
+			continue
 		}
 		if ch := p.waiting[id]; ch != nil {
 			delete(p.waiting, id)
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -20,6 +20,14 @@
 // Stats returns the totals, which continue to change.
 func (p *Proxy) Stats() *Stats { return &p.stats }
 
+// Limited returns the number of endpoints that get fewer requests at once than they have slots,
+// since they slow down before.
+func (p *Proxy) Limited() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.Limited()
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
