--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -46,7 +46,9 @@
 	DialEndpoint func(ctx context.Context, address string) (net.Conn, error)
 	// LearnConcurrency is as in brproxy.Config.
 	LearnConcurrency bool
-	Quota            brquota.Config
+	// ShareByCustomer is as in brproxy.Config.
+	ShareByCustomer bool
+	Quota           brquota.Config
 	// QuotaSlackTokens is as in brproxy.Config.
 	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
@@ -123,7 +125,7 @@
 	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
-		LearnConcurrency: cfg.LearnConcurrency, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
