--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -62,6 +62,7 @@
 	}
 	m.Scope.Gauge("requests_waiting").Update(float64(f.proxy.Waiting()))
 	f.updateRates()
+	m.Scope.Gauge("endpoints_limited").Update(float64(f.proxy.Limited()))
 	m.Scope.Gauge("quarantined").Update(float64(len(f.proxy.Quarantine())))
 	m.Scope.Gauge("evacuated_domains").Update(float64(len(f.evacuations.names())))
 	m.Scope.Gauge("endpoints").Update(float64(f.endpoints.count()))
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bramleyroute/brconcurrency"
 	"bramleyroute/brlimit"
 )
 
@@ -47,14 +48,17 @@
 	Deadline          time.Time     // time until which the caller waits
 	MaxQueueTime      time.Duration // maximum time between Submit and dispatch
 	ExcludedEndpoints []string      // IDs of endpoints to exclude
+	Customer          string        // empty if unknown
 
 	short    bool      // see service.isShort; set by State
 	queuedAt time.Time // time of Submit; set by State
+	// beyondShare says that its customer receives more than its share; set by State.
+	beyondShare bool
 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
-// LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, FleetChanged,
-// DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
+// LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, ConcurrencyReported,
+// SharesCompared, FleetChanged, DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
@@ -107,6 +111,17 @@
 	Partitioned bool
 }
 
+// ConcurrencyReported carries what another daemon has counted of the responses of endpoints. A
+// nil Report forgets the daemon.
+type ConcurrencyReported struct {
+	Daemon string
+	Report brconcurrency.Report
+}
+
+// SharesCompared carries the customers that receive more than their share of the fleet, with the
+// part of their requests that is within it.
+type SharesCompared struct{ Beyond map[string]float64 }
+
 // PathLost reports that this daemon has lost its direct path to the endpoints, and reaches
 // them through other daemons from now on.
 type PathLost struct{}
@@ -148,7 +163,7 @@
 	WrongAddress                   // the address refuses connections or belongs to another endpoint
 )
 
-// Effect is Dispatch, Reject, Suspended or LimitLearned.
+// Effect is Dispatch, Reject, Suspended, LimitLearned or ConcurrencyLimited.
 type Effect interface{ effect() }
 
 // Dispatch directs a request to an endpoint.
@@ -175,6 +190,15 @@
 	Failed   float64 // decayed number of failed requests over all daemons
 }
 
+// ConcurrencyLimited reports that the number of requests at once that an endpoint takes well
+// has changed.
+type ConcurrencyLimited struct {
+	Endpoint string
+	Limit    int           // requests at once
+	Slots    int           // that the endpoint states
+	Unit     time.Duration // for a call, or between two events of a stream; 0 if unknown
+}
+
 // LimitLearned reports a limit, or a rejection by an endpoint that bears few, to be
 // published to the other daemons.
 type LimitLearned LimitObserved
@@ -199,8 +223,10 @@
 	Overload     Reason = "overload"      // the expected queueing time exceeds MaxQueueTime
 	QueueTimeout Reason = "waited"        // the request has waited for longer than MaxQueueTime
 	Paused       Reason = "paused"        // every eligible endpoint asked for a pause that outlasts MaxQueueTime
-	Cold         Reason = "cold"          // as Limited, and some of these endpoints are cold
-	Limited      Reason = "limited"       // the limits of the eligible endpoints leave no room within MaxQueueTime
+	// ShareExceeded: the customer receives more than its share of a congested service.
+	ShareExceeded Reason = "share"
+	Cold          Reason = "cold"    // as Limited, and some of these endpoints are cold
+	Limited       Reason = "limited" // the limits of the eligible endpoints leave no room within MaxQueueTime
 )
 
 func (EndpointChanged) event() {}
@@ -213,16 +239,22 @@
 func (PeerLost) event()        {}
 func (PeerPartitioned) event() {}
 func (PathLost) event()        {}
-func (FleetChanged) event()    {}
-func (Submit) event()          {}
-func (Cancel) event()          {}
-func (FirstByte) event()       {}
-func (Progressed) event()      {}
-func (Ended) event()           {}
-func (Tick) event()            {}
+
+func (ConcurrencyReported) event() {}
+
+func (FleetChanged) event()   {}
+func (Submit) event()         {}
+func (Cancel) event()         {}
+func (FirstByte) event()      {}
+func (Progressed) event()     {}
+func (Ended) event()          {}
+func (Tick) event()           {}
+func (SharesCompared) event() {}
 
 func (Dispatch) effect()  {}
 func (Reject) effect()    {}
 func (Suspended) effect() {}
 
 func (LimitLearned) effect() {}
+
+func (ConcurrencyLimited) effect() {}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"bramleyroute/brconcurrency"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -14,6 +16,9 @@
 	Daemon        string         // ID of this daemon
 	FailureDomain string         // failure domain of this daemon
 	Random        func() float64 // returns uniform values in [0, 1); required
+	// LearnConcurrency says that the number of requests at once that each endpoint takes well is
+	// learned from its responses. Without it, endpoints are filled to their slots.
+	LearnConcurrency bool
 }
 
 // State is the placement state of one daemon. It isn't safe for concurrent use.
@@ -23,6 +28,7 @@
 	services  map[string]*service
 	inflight  map[uint64]*inflightRequest
 	limits    map[string]*endpointLimit // by endpoint ID
+	estimator *brconcurrency.Estimator  // nil without Config.LearnConcurrency
 	cold      coldState
 	peers     map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
@@ -31,7 +37,8 @@
 	reportedAt       map[string]time.Time // time of the last report, by daemon
 	countsAge        time.Duration        // moving average of the median age of the reports; 0 if unknown
 	tickedAt         time.Time
-	daemons          []string // IDs of the daemons, including this one; empty if unknown
+	daemons          []string           // IDs of the daemons, including this one; empty if unknown
+	beyondShare      map[string]float64 // customers that receive more than their share; see SharesCompared
 	now              time.Time
 	effects          []Effect
 }
@@ -56,6 +63,7 @@
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 	rates         rates
 	demand        demand
+	fastestUnit   time.Duration // shortest learned.unit of its endpoints; 0 if none is known
 }
 
 // inflightRequest is a dispatched request that has not ended.
@@ -66,6 +74,7 @@
 	gotFirstByte bool
 	pathLost     bool // this daemon has lost its direct path since the dispatch
 	unqueued     bool // the endpoint had a free slot and no prompt to process, as far as known
+	active       int  // number of requests at the endpoint at the dispatch, this one included, as far as known
 }
 
 // New returns a State without endpoints. New panics if cfg.Random is nil.
@@ -73,7 +82,7 @@
 	if cfg.Random == nil {
 		panic("brplace: config without Random")
 	}
-	return &State{
+	s := &State{
 		cfg:       cfg,
 		endpoints: map[string]*endpoint{},
 		services:  map[string]*service{},
@@ -85,6 +94,10 @@
 		partitionedPeers: map[string]bool{},
 		reportedAt:       map[string]time.Time{},
 	}
+	if cfg.LearnConcurrency {
+		s.estimator = brconcurrency.New()
+	}
+	return s
 }
 
 // Step applies one event at the time now and returns the resulting effects. It
@@ -117,10 +130,14 @@
 	case PeerLost:
 		s.applyReport(e.Daemon, nil)
 		delete(s.partitionedPeers, e.Daemon)
+	case ConcurrencyReported:
+		s.applyConcurrency(e)
 	case PeerPartitioned:
 		s.setPeerPartitioned(e)
 	case DomainsEvacuated:
 		s.evacuate(e)
+	case SharesCompared:
+		s.setBeyondShare(e.Beyond)
 	case PathLost:
 		s.losePath()
 	case FleetChanged:
@@ -201,6 +218,7 @@
 	}
 	s.applyEvacuation(s.endpoints[announced.ID])
 	s.applyLimit(s.endpoints[announced.ID])
+	s.addEstimate(s.endpoints[announced.ID])
 	s.placeWaiting(s.service(announced.Service), maxPlacements)
 }
 
@@ -239,6 +257,7 @@
 func (s *State) removeEndpoint(id string) {
 	if e := s.endpoints[id]; e != nil {
 		s.forgetOutcomes(e)
+		s.removeEstimate(id)
 		s.detach(e)
 		delete(s.endpoints, id)
 		delete(s.limits, id)
@@ -354,6 +373,7 @@
 			v.rates.recordDuration(s.now.Sub(f.dispatchedAt))
 			v.rates.admission.recordAnswer(false)
 		}
+		s.observeConcurrency(f, ev.EventInterval)
 		v.meanDuration = movingAverage(v.meanDuration, s.now.Sub(f.dispatchedAt), meanDurationWeight)
 	case Failed:
 		s.recordFailed(e)
@@ -383,6 +403,7 @@
 	s.recordAge()
 	for _, v := range s.services {
 		v.updateStatistics()
+		s.updateLearned(v)
 		s.expire(v)
 		s.updateCold(v)
 		s.updateBrittle(v)
