brlog: count the silence of a lost leader from its last message

A leader is gone for good without a signal, its successor has run for more than catch_up_s, and 2 s later another machine is lost. DEPLOY.md owes that: "A machine that is removed stops counting once its successor has had that time", so that the second machine is the only one lost.

Trace: r7 (leader) is killed at 45.343. The first round of the election splits the votes, r6 leads from 46.394 (term 6). It counts the silence of r7 from there, so that the learner r9 can have its vote from 47.394 on. r6 is lost at 47.343: one of three voters is left.

Cause: a new leader has no measure of the silence of the others and starts all at zero, also for the previous leader, although it has waited for an election timeout because of that silence. Now the silence of the previous leader begins at its last message or vote; at most VoterTimeout of it is counted. The vote is taken 1 s after the loss, or with the first entries after a longer election.

--- a/brlog/election.go
+++ b/brlog/election.go
@@ -68,6 +68,7 @@
 		if s.role != follower || s.leader != m.From {
 			s.becomeFollower(m.Term, m.From)
 		}
+		s.previous = contact{m.From, s.now}
 		s.delayVotes()
 	}
 	switch m.Kind {
@@ -219,6 +220,9 @@
 		return
 	}
 	s.votes[m.From] = true
+	if m.From == s.previous.id {
+		s.previous.at = s.now
+	}
 	if s.countVotes() >= s.membership.Quorum() {
 		s.becomeLeader()
 	}
--- a/brlog/leader.go
+++ b/brlog/leader.go
@@ -34,11 +34,28 @@
 	s.nextHeartbeat = s.now
 	s.progress = map[ID]*progress{}
 	s.updateProgress()
+	s.countPreviousSilence()
 	s.termStart = s.log.last() + 1
 	s.appendEntries([]Entry{{Kind: EntryNoop}})
 	s.tickLeader()
 }
 
+// contact is the latest contact with a replica.
+type contact struct {
+	id ID
+	at time.Duration
+}
+
+// countPreviousSilence lets the silence of the previous leader begin at its last message
+// instead of at the election: until a learner has the vote of a leader that is lost for good,
+// one further loss leaves no majority of three. Silence beyond Config.VoterTimeout isn't
+// counted: it would have the leader removed at once when the group starts again after a pause.
+func (s *State) countPreviousSilence() {
+	if p := s.progress[s.previous.id]; p != nil {
+		p.lastReplyAt = max(s.previous.at, s.now-s.cfg.VoterTimeout)
+	}
+}
+
 // updateProgress adds progress for new members and deletes it for removed ones.
 func (s *State) updateProgress() {
 	for id := range s.progress {
--- a/brlog/state.go
+++ b/brlog/state.go
@@ -108,6 +108,7 @@
 	hardState        HardState
 	role             role
 	leader           ID
+	previous         contact // latest leader that this replica heard of, for its successor
 	votes            map[ID]bool
 	transferTarget   ID // target of a pending leadership transfer
 	transferDeadline time.Duration
@@ -303,6 +304,7 @@
 	}
 	s.session = s.cfg.Random()
 	s.confirmed = false
+	s.previous = contact{}
 	s.delayVotes()
 }
 
--- a/brlog/yield_test.go
+++ b/brlog/yield_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -12,6 +13,10 @@
 	orderCount = flag.Uint64("order-count", 60, "number of schedules of membership changes")
 )
 
+// failedOrderSeeds are seeds of schedules that failed once: the leader is lost for good, and
+// the next one in the second round of the election.
+var failedOrderSeeds = []uint64{11485}
+
 const (
 	orderCatchUp = 4 * time.Second // from the start of a replica until it counts
 	orderGrace   = 8 * time.Second // from the begin of a planned stop to its end
@@ -271,9 +276,48 @@
 // majority although it is one that the group tolerates: while a replica is replaced as planned
 // or not, restarts, or has lost its disk.
 func TestOneLossLeavesMajority(t *testing.T) {
-	for seed := *orderSeed; seed < *orderSeed+*orderCount; seed++ {
+	seeds := slices.Clone(failedOrderSeeds)
+	for i := range *orderCount {
+		seeds = append(seeds, *orderSeed+i)
+	}
+	for _, seed := range seeds {
 		if err := runOrder(seed); err != nil {
 			t.Fatal(err)
 		}
 	}
 }
+
+// TestLostLeaderLosesItsVote guards against a leader that is gone for good and counts as a
+// voter for longer after an election, so that one further loss leaves no majority. A learner
+// takes its vote once it has been silent for VoterTimeout, or right after a longer election.
+func TestLostLeaderLosesItsVote(t *testing.T) {
+	const after = 200 * time.Millisecond // an entry is committed, then a tick, then the change
+	for seed := range uint64(60) {
+		r := newOrderRun(seed)
+		r.runFor(3 * time.Second)
+		r.join()
+		r.runFor(orderCatchUp)
+		lost := r.leaderID()
+		for _, n := range r.core {
+			if n.id == lost {
+				r.kill(n)
+			}
+		}
+		due := r.now + orderSpareTimeout
+		r.runUntil(due+5*time.Second, func() bool { return r.leaderID() != "" })
+		elected := r.now
+		due = max(due, elected) + after
+		voted := func() bool {
+			for _, n := range r.nodes {
+				if n.up && n.id == r.leaderID() {
+					return !n.state.membership.IsVoter(lost) && n.state.membershipIndex <= n.state.commit
+				}
+			}
+			return false
+		}
+		r.runUntil(due+5*time.Second, voted)
+		if r.now > due {
+			t.Errorf("seed %d: %s is a voter until %v, want at most %v; a leader was elected at %v", seed, lost, r.now, due, elected)
+		}
+	}
+}
