brcontrol, brcore: a stopping replica repeats that it yields its vote

A daemon serves for up to its grace period after its replica has yielded. The request holds for VoterTimeout (1 s) at one leader, and a learner that stops didn't send it at all: with another voter silent, either got a vote and took it along when its process ended.

Now YieldVote is also sent by a learner, and repeated four times per VoterTimeout until Close, so that a new leader learns it too.

TestLeavingReplicaGetsNoVote failed before (the learner d is a voter) and passes. go test ./brcontrol ./brcore ./brfleet pass.

--- a/brcontrol/propose.go
+++ b/brcontrol/propose.go
@@ -248,19 +248,13 @@
 
 // YieldVote gives up the vote of this replica, so that the group tolerates as many losses
 // after the end of its process as before. Before that, another replica takes the vote. It
-// returns nil once this replica has no vote. It returns an error of kind InvalidRequest if no
-// replica can take the vote, or if the leader's build knows no such request; the vote is kept
-// then. YieldVote tries again until ctx is done if no leader can be reached.
+// returns nil once this replica has no vote; it then gets none until Close, also if another
+// voter is lost. YieldVote returns an error of kind InvalidRequest if no replica can take the
+// vote, or if the leader's build knows no such request; the vote is kept then. It tries again
+// until ctx is done if no leader can be reached.
 func (r *Replica) YieldVote(ctx context.Context) error {
-	for {
-		st := r.Status()
-		if st.Forming || !st.Membership.IsVoter(st.ID) {
-			return nil
-		}
-		err := r.TransferLeadership(ctx)
-		if err == nil {
-			err = r.requestYield(ctx, st.ID)
-		}
+	for r.isVoter() {
+		err := r.tryYield(ctx)
 		switch {
 		case brerror.Is(err, brerror.InvalidRequest):
 			return err
@@ -271,6 +265,37 @@
 		}
 		r.sleep(tickInterval) // until this replica has the change, or a leader is elected
 	}
+	r.yielded.Do(func() { close(r.yieldedVote) })
+	return nil
+}
+
+// keepYielded repeats the request to yield the vote once YieldVote has returned nil: the
+// request holds for a limited time, and a new leader doesn't know it.
+func (r *Replica) keepYielded() {
+	select {
+	case <-r.yieldedVote:
+	case <-r.ctx.Done():
+	}
+	for r.ctx.Err() == nil {
+		if err := r.tryYield(r.ctx); brerror.Is(err, brerror.InvalidRequest) {
+			return
+		}
+		r.sleep(max(r.cfg.VoterTimeout/yieldPart, tickInterval))
+	}
+}
+
+// isVoter reports whether this replica has a vote, as far as it knows.
+func (r *Replica) isVoter() bool {
+	st := r.Status()
+	return !st.Forming && st.Membership.IsVoter(st.ID)
+}
+
+// tryYield transfers the leadership and asks the leader once to make this replica a learner.
+func (r *Replica) tryYield(ctx context.Context) error {
+	if err := r.TransferLeadership(ctx); err != nil {
+		return err
+	}
+	return r.requestYield(ctx, r.Status().ID)
 }
 
 // requestYield asks the leader to make this replica a learner, and waits until it has.
--- a/brcontrol/replica.go
+++ b/brcontrol/replica.go
@@ -32,6 +32,10 @@
 	// out of electionParts of the election timeout.
 	heartbeatPart, leasePart, electionParts = 2, 8, 10
 
+	// yieldPart is the part of Config.VoterTimeout, for which a yielded vote isn't given back,
+	// after which a stopping replica repeats its request: one that is lost is made up for.
+	yieldPart = 4
+
 	inboxSize         = 4096 // messages; further messages are dropped
 	proposalQueueSize = 1024 // proposals; callers block when the queue is full
 )
@@ -103,6 +107,9 @@
 	disk       diskQueue
 	changed    signal
 
+	yielded     sync.Once
+	yieldedVote chan struct{} // closed once YieldVote has returned nil
+
 	mu        sync.Mutex
 	state     *brlog.State // nil until the group is formed or joined
 	stored    brlog.StoredState
@@ -161,6 +168,8 @@
 		links:      map[string]*brpeer.Link{},
 		addresses:  map[brlog.ID]string{},
 		waiters:    map[uint64]*proposal{},
+
+		yieldedVote: make(chan struct{}),
 	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.wg.Go(r.run)
@@ -218,6 +227,7 @@
 	r.openLinks()
 	r.wg.Go(r.runDisk)
 	r.wg.Go(r.joinGroup)
+	r.wg.Go(r.keepYielded)
 	r.loop()
 }
 
--- a/brcontrol/yield_test.go
+++ b/brcontrol/yield_test.go
@@ -57,3 +57,36 @@
 		return ok && m.Learner && s.Applied >= st.Applied
 	})
 }
+
+// TestLeavingReplicaGetsNoVote guards against a replica that gets the vote of a lost one while
+// its own process drains, so that its end is a second loss.
+func TestLeavingReplicaGetsNoVote(t *testing.T) {
+	const voterTimeout = time.Second
+	g := newGroup(t, 3, 1000)
+	for _, n := range g.nodes {
+		g.stop(n)
+		n.cfg.MaxVoters, n.cfg.VoterTimeout = 3, voterTimeout
+		g.start(n, nil)
+	}
+	leader := g.leader()
+	g.propose(leader, "before the learner")
+	leaving := g.add("d")
+	g.wait("replica is a learner", func() bool {
+		_, ok := leader.Status().Membership.Find(leaving.Status().ID)
+		return ok
+	})
+	if err := leaving.YieldVote(t.Context()); err != nil {
+		t.Fatalf("yield: %v", err)
+	}
+	for _, n := range g.nodes {
+		if n != leader && n != leaving {
+			lost := n.Status().ID
+			g.stop(n)
+			g.wait("replica is silent", func() bool { return leader.Status().SinceLastReply[lost] > 2*voterTimeout })
+			break
+		}
+	}
+	if st := leader.Status(); st.Membership.IsVoter(leaving.Status().ID) {
+		t.Errorf("membership is %+v, want %s to stay a learner", st.Membership, leaving.Status().ID)
+	}
+}
--- a/brcore/core.go
+++ b/brcore/core.go
@@ -96,8 +96,8 @@
 
 // Leave prepares the stop of this daemon's replica: it transfers the leadership, and yields the
 // vote if another replica can take it, so that the group tolerates as many further losses
-// whether this daemon comes back or not. It returns when that is done or not possible, or when
-// ctx is done. The replica runs until Close.
+// whether this daemon comes back or not. A replica without a vote gets none until Close. Leave
+// returns when that is done or not possible, or when ctx is done. The replica runs until Close.
 func (c *Core) Leave(ctx context.Context) {
 	r := c.replica.Load()
 	if r == nil {
@@ -107,7 +107,7 @@
 		c.cfg.Log.Warn().Err(err).Msg("leadership transfer failed")
 	}
 	st := r.Status()
-	if !st.Membership.IsVoter(st.ID) || !canYield(st.Membership, c.cfg.Tolerance) {
+	if !canYield(st.Membership, c.cfg.Tolerance) {
 		return
 	}
 	err := r.YieldVote(ctx)
