brfleet: log once a second what the decision on a rollout is based on

The leader now logs responses, failures and latency ratio of both versions per route when it records the progress.

--- a/brcanary/decide.go
+++ b/brcanary/decide.go
@@ -21,6 +21,9 @@
 	return Tally{t.Responses - u.Responses, t.Failed - u.Failed, t.LatencyRatios - u.LatencyRatios}
 }
 
+// MeanLatencyRatio returns the mean of the latency ratios, and 0 without responses.
+func (t Tally) MeanLatencyRatio() float64 { return ratio(t.LatencyRatios, t.Responses) }
+
 // Comparison holds the responses of both versions on one route.
 type Comparison struct{ Old, New Tally }
 
@@ -100,7 +103,7 @@
 		return true
 	}
 	return c.New.Responses >= minResponses && c.Old.Responses >= minResponses &&
-		ratio(c.New.LatencyRatios, c.New.Responses) > maxSlowdown*ratio(c.Old.LatencyRatios, c.Old.Responses)
+		c.New.MeanLatencyRatio() > maxSlowdown*c.Old.MeanLatencyRatio()
 }
 
 func ratio(part, whole float64) float64 {
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -263,12 +263,23 @@
 			next.Outcome = brcore.RolledBack
 		}
 		if due || next.Outcome != brcore.Running {
+			f.logRollout(next, share, routes)
 			f.wg.Go(func() { f.recordRollout(next) })
 		}
 	}
 	f.publishShare(versionShare{Rollout: r, Share: share})
 }
 
+// logRollout logs what the decision on r is based on.
+func (f *Fleet) logRollout(r brcore.Rollout, share float64, routes map[string]brcanary.Comparison) {
+	for route, c := range routes {
+		f.cfg.Log.Info().Str("service", r.Service).Str("target", r.Target).Str("route", route).Dur("elapsed_ms", r.Elapsed).Float64("share", share).
+			Float64("old_responses", c.Old.Responses).Float64("old_failed", c.Old.Failed).Float64("old_latency_ratio", c.Old.MeanLatencyRatio()).
+			Float64("new_responses", c.New.Responses).Float64("new_failed", c.New.Failed).Float64("new_latency_ratio", c.New.MeanLatencyRatio()).
+			Msg("versions compared")
+	}
+}
+
 // compare returns the response counts of both versions for each route of the
 // rollout's service, since this leader took over.
 func (r *rollouts) compare(l *evaluatedRollout) map[string]brcanary.Comparison {
