brcanary: judge each stage by itself, and await it before the full share

The means of the latencies are over the whole rollout: the good responses at the small share hide the bad ones of the following stages for longer than these last.

Now the versions are also compared since the start of each stage, and after the stage at a half the share falls to 6% for 11% of the duration, until its responses have come. The share of the early stage ends at 45% of the duration instead of 50%, the full one begins at 72% instead of 70%.

A fault that shows at the full share only isn't covered.

--- a/brcanary/decide.go
+++ b/brcanary/decide.go
@@ -1,6 +1,9 @@
 package brcanary
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Tally counts the responses of one version on one route.
 type Tally struct {
@@ -48,6 +51,9 @@
 	// each version for which the quotient is evaluated.
 	maxSlowdown  = 2.2
 	minResponses = 15
+	// minRecentResponses is the same for the responses since the start of a stage. It is
+	// larger, since they are compared for each stage.
+	minRecentResponses = 25
 	// minNewResponses is the smallest number of responses of the new version with
 	// which a rollout is finished.
 	minNewResponses = 30
@@ -56,53 +62,109 @@
 // stage is a share of the traffic that applies from a fraction of the duration on.
 type stage struct{ startFraction, share float64 }
 
-// stages limit the new version to less than a twentieth of the rollout's traffic
-// in the first half of the duration. The last stage leaves time for the old
-// version's requests to complete.
-var stages = []stage{{0, 0.06}, {0.5, 0.2}, {0.6, 0.5}, {0.7, 1}}
+// stages limit the new version to a sixteenth of the rollout's traffic until the last one. A
+// fault that shows at half of the traffic shows in the responses of that stage, which are
+// awaited at a small share: at the full one each second of waiting costs as much of the
+// traffic as all stages before. The last stage leaves time for the old version's requests to
+// complete.
+var stages = []stage{{0, 0.06}, {0.45, 0.2}, {0.55, 0.5}, {0.61, 0.06}, {0.72, 1}}
 
 // finishFraction is the fraction of the duration after which a good rollout is
 // finished.
 const finishFraction = 0.93
 
-// Decide returns the new version's share of the traffic and the outcome after
-// elapsed of the duration. The argument routes holds the responses by route. Decide
-// panics if the duration isn't positive.
-func Decide(elapsed, duration time.Duration, routes map[string]Comparison) (share float64, o Outcome) {
+// Progress is the progress of a rollout. It is immutable; the zero value is that of a rollout
+// that begins, or of one that another leader has evaluated before.
+type Progress struct {
+	stage  int
+	starts []map[string]Comparison // responses by route at the start of each stage
+}
+
+// Decide returns the progress, the new version's share of the traffic and the outcome after
+// elapsed of the duration. The argument routes holds the responses by route, and isn't
+// modified later by the caller. Decide panics if the duration isn't positive.
+func (p Progress) Decide(elapsed, duration time.Duration, routes map[string]Comparison) (next Progress, share float64, o Outcome) {
 	if duration <= 0 {
 		panic("brcanary: duration must be positive")
 	}
-	var total Comparison
-	for _, c := range routes {
-		if c.newIsWorse() {
-			return 0, RollBack
-		}
-		total.Old, total.New = total.Old.Add(c.Old), total.New.Add(c.New)
-	}
-	if total.newIsWorse() {
-		return 0, RollBack
-	}
 	fraction := float64(elapsed) / float64(duration)
-	for _, s := range stages {
-		if fraction >= s.startFraction {
-			share = s.share
-		}
+	p = p.advance(fraction, routes)
+	if p.newIsWorse(routes) {
+		return p, 0, RollBack
 	}
 	switch {
 	case fraction < finishFraction:
-		return share, Continue
-	case total.New.Responses < minNewResponses:
-		return 0, RollBack // too few responses to finish
+		return p, stages[p.stage].share, Continue
+	case sum(routes).New.Responses < minNewResponses:
+		return p, 0, RollBack // too few responses to finish
+	}
+	return p, 1, Finish
+}
+
+// advance returns p at the given fraction of the duration.
+func (p Progress) advance(fraction float64, routes map[string]Comparison) Progress {
+	started := p.stage
+	for p.stage+1 < len(stages) && fraction >= stages[p.stage+1].startFraction {
+		p.stage++
+	}
+	if p.stage > started {
+		p.starts = append(slices.Clone(p.starts), routes)
+	}
+	return p
+}
+
+// newIsWorse reports whether the new version is worse in all responses, or in those since the
+// start of a stage: good responses before a fault would hide it.
+func (p Progress) newIsWorse(routes map[string]Comparison) bool {
+	if anyIsWorse(routes, minResponses) {
+		return true
+	}
+	for _, start := range p.starts {
+		recent := map[string]Comparison{}
+		for route, c := range routes {
+			recent[route] = c.since(start[route])
+		}
+		if anyIsWorse(recent, minRecentResponses) {
+			return true
+		}
+	}
+	return false
+}
+
+// anyIsWorse reports whether the new version is worse on a route or on all together.
+func anyIsWorse(routes map[string]Comparison, responses float64) bool {
+	for _, c := range routes {
+		if c.newIsWorse(responses) {
+			return true
+		}
+	}
+	return sum(routes).newIsWorse(responses)
+}
+
+func sum(routes map[string]Comparison) (total Comparison) {
+	for _, c := range routes {
+		total.Old, total.New = total.Old.Add(c.Old), total.New.Add(c.New)
+	}
+	return total
+}
+
+// since returns the responses of c that are not in start. Those of the old version are all of
+// c while it has few new ones, as at the full share.
+func (c Comparison) since(start Comparison) Comparison {
+	recent := Comparison{c.Old.Sub(start.Old), c.New.Sub(start.New)}
+	if recent.Old.Responses < minRecentResponses {
+		recent.Old = c.Old
 	}
-	return 1, Finish
+	return recent
 }
 
-// newIsWorse reports whether the new version is worse than the old one.
-func (c Comparison) newIsWorse() bool {
+// newIsWorse reports whether the new version is worse than the old one. Latencies are compared
+// from the given number of responses of each version on.
+func (c Comparison) newIsWorse(responses float64) bool {
 	if c.New.Failed >= minFailures && ratio(c.New.Failed, c.New.Responses) > ratio(c.Old.Failed, c.Old.Responses)+maxFailureIncrease {
 		return true
 	}
-	return c.New.Responses >= minResponses && c.Old.Responses >= minResponses &&
+	return c.New.Responses >= responses && c.Old.Responses >= responses &&
 		c.New.MeanLatencyRatio() > maxSlowdown*c.Old.MeanLatencyRatio()
 }
 
--- a/brfleet/rollout.go
+++ b/brfleet/rollout.go
@@ -63,6 +63,7 @@
 	adoptedAt  time.Time          // when this leader took over the rollout
 	baseline   map[string]tallies // totals at adoptedAt, by record name
 	recordedAt time.Time
+	progress   brcanary.Progress // used by runRollouts only
 }
 
 // BeginRollout starts a rollout. It returns an InvalidError for a rollout without a
@@ -252,7 +253,7 @@
 	if r.Outcome == brcore.Running {
 		o := brcanary.RollBack
 		if r.Duration > 0 { // an earlier release also accepted others
-			share, o = brcanary.Decide(elapsed, r.Duration, routes)
+			l.progress, share, o = l.progress.Decide(elapsed, r.Duration, routes)
 		}
 		next := r
 		next.Elapsed = elapsed
