--- a/brcanary/decide.go
+++ b/brcanary/decide.go
@@ -62,7 +62,7 @@
 // stage is a share of the traffic that applies from a fraction of the duration on.
 type stage struct{ startFraction, share float64 }
 
-// stages limit the new version to a sixteenth of the rollout's traffic until the last one. A
+// stages limit the new version to a twelfth of the traffic until the last one begins. A
 // fault that shows at half of the traffic shows in the responses of that stage, which are
 // awaited at a small share: at the full one each second of waiting costs as much of the
 // traffic as all stages before. The last stage leaves time for the old version's requests to
