brserver: limits of connections and of the memory of headers

Cause: connections that send nothing, or half a header, were kept until their timeouts, in any number; descriptors and memory had no limit. After a suspension a body's deadline was seen before the bytes that had come in time.

Change: above Config.MaxConns a connection without a request in progress gives way to a new one, first those that never had a request; without one the new connection is closed unread. A read of a body looks once more what has arrived after its deadline. A connection that is to be closed says so in its last response.

--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"bramleyroute/brbuffer"
 )
 
 // lingerTime is the time for which a connection is read on after a rejection, so that the
@@ -31,6 +34,9 @@
 	reason   closeReason // empty until it is known
 	endPhase Phase       // phase at the time of reason
 	closed   bool
+
+	header       *brbuffer.Holder // memory of the header; nil for a usual one
+	readDeadline atomic.Int64     // set by net/http or by a handler, in Unix nanoseconds
 }
 
 // closeReason is the reason for the close of a connection, for the log.
@@ -45,6 +51,7 @@
 	reasonTooLarge  closeReason = "header too large"
 	reasonResponse  closeReason = "response"  // by the handler, or announced in the response
 	reasonMalformed closeReason = "malformed" // net/http rejects the request
+	reasonNoRoom    closeReason = "no room"   // another connection or request needs its place
 )
 
 // Read reads from the connection. Between two requests it returns io.EOF once the
@@ -53,7 +60,7 @@
 	for {
 		wait, reading := c.beginRead()
 		if !reading {
-			n, err := c.Conn.Read(b)
+			n, err := c.readBody(b)
 			if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http interrupts reads by a deadline
 				c.setReason(readReason(err))
 			}
@@ -72,7 +79,9 @@
 			n, err = c.poll(b, verdict == CloseIdle)
 		}
 		if n > 0 {
-			verdict = c.onData(n, waited)
+			if verdict = c.onData(n, waited); verdict == Continue {
+				verdict = c.reserveHeader(n)
+			}
 		}
 		switch {
 		case n > 0 && verdict == Continue:
@@ -89,6 +98,71 @@
 	}
 }
 
+// maxInterrupt is the latest deadline that stands for an interrupt rather than for a time.
+var maxInterrupt = time.Unix(1, 0).UnixNano()
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	nanos := int64(0)
+	if !t.IsZero() {
+		nanos = t.UnixNano()
+	}
+	c.readDeadline.Store(nanos)
+	return c.Conn.SetReadDeadline(t)
+}
+
+// readBody reads while a request is in progress. After a deadline it returns what has
+// arrived: a process that was suspended sees the deadline before the bytes that came in time.
+func (c *conn) readBody(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) || c.readDeadline.Load() <= maxInterrupt {
+		return n, err
+	}
+	if n, err = c.poll(b, false); errors.Is(err, syscall.EAGAIN) {
+		err = os.ErrDeadlineExceeded
+	}
+	return n, err
+}
+
+// headerCost is the memory that a byte of a header takes: in the buffer that it is read into,
+// and in its fields.
+const headerCost = 2
+
+// reserveHeader reserves memory for n further bytes of a request header. A usual header is a
+// part of the cost of its connection.
+func (c *conn) reserveHeader(n int) Verdict {
+	c.mu.Lock()
+	reading, holder := c.state.Phase() == Reading && c.state.headerBytes > readAhead, c.header
+	if reading && holder == nil && c.server.cfg.Buffers != nil {
+		holder = c.server.cfg.Buffers.Open(c.press)
+		c.header = holder
+	}
+	c.mu.Unlock()
+	if !reading || holder == nil || holder.Reserve(headerCost*n) == nil {
+		return Continue
+	}
+	return RejectNoRoom
+}
+
+// releaseHeader releases the memory of the header.
+func (c *conn) releaseHeader() {
+	c.mu.Lock()
+	holder := c.header
+	c.header = nil
+	c.mu.Unlock()
+	if holder != nil {
+		holder.Release()
+	}
+}
+
+// press makes the connection give way to another one, unless a request is in progress.
+func (c *conn) press() {
+	c.mu.Lock()
+	c.state = c.state.WithPressure()
+	c.mu.Unlock()
+	c.interrupt()
+}
+
 // beginRead sets the read deadline by the state and returns the time until then. It
 // returns false while a request is in progress: then net/http sets the deadlines.
 func (c *conn) beginRead() (time.Duration, bool) {
@@ -109,7 +183,11 @@
 	defer c.mu.Unlock()
 	c.state = c.state.WithRequest(now, l)
 	// The deadline of the header, or of an interrupt, doesn't apply to the body.
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.SetReadDeadline(time.Time{})
+	if c.header != nil {
+		// One that was evicted meanwhile has its request served; the memory is released soon.
+		_ = c.header.Complete()
+	}
 }
 
 // beginHandler records that a request is passed to the handler.
@@ -205,27 +283,40 @@
 	switch v {
 	case CloseIdle:
 		reason := reasonIdle
-		if c.current().Closing() {
+		switch s := c.current(); {
+		case s.Pressed():
+			reason = reasonNoRoom
+		case s.Closing():
 			reason = reasonStop
 		}
 		c.setReason(reason)
 	case RejectTimeout:
-		c.reject(reasonTimeout, http.StatusRequestTimeout)
+		reason := reasonTimeout
+		if c.current().Pressed() {
+			reason = reasonNoRoom
+		}
+		c.reject(reason, http.StatusRequestTimeout)
 	case RejectTooLarge:
 		c.reject(reasonTooLarge, http.StatusRequestHeaderFieldsTooLarge)
+	case RejectNoRoom:
+		c.reject(reasonNoRoom, http.StatusServiceUnavailable)
 	}
 }
 
 // reject responds to a request whose header wasn't read completely.
 func (c *conn) reject(reason closeReason, status int) {
 	c.setReason(reason)
-	text := http.StatusText(status)
+	text, retryAfter := http.StatusText(status), ""
+	if status == http.StatusServiceUnavailable {
+		retryAfter = fmt.Sprintf("Retry-After: %.2f\r\n", brbuffer.RetryAfter.Seconds())
+	}
 	// A caller that doesn't read must not hold the goroutine.
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingerTime))
 	// An error means that the caller has gone.
-	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
-		status, text, len(text), text)
-	if c.CloseWrite() != nil {
+	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
+		status, text, retryAfter, len(text), text)
+	// The place of one that gives way is needed now.
+	if c.CloseWrite() != nil || reason == reasonNoRoom {
 		return
 	}
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
@@ -291,6 +382,7 @@
 	c.mu.Unlock()
 	if first {
 		c.logClose()
+		c.releaseHeader()
 	}
 	return c.Conn.Close()
 }
--- a/brserver/listener.go
+++ b/brserver/listener.go
@@ -27,8 +27,22 @@
 }
 
 // Accept returns the next connection, as a *conn. After the deadline of stopAccepting it
-// returns the connections that wait in the accept queue, and then net.ErrClosed.
+// returns the connections that wait in the accept queue, and then net.ErrClosed. A connection
+// without a place is closed: none of its bytes was read.
 func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.server.admit(c) {
+			return c, nil
+		}
+		c.Conn.Close()
+	}
+}
+
+func (l listener) accept() (*conn, error) {
 	n, err := l.Listener.Accept()
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = acceptQueued(l.Listener)
@@ -37,9 +51,7 @@
 		return nil, err
 	}
 	now := l.server.cfg.Clock.Now()
-	c := &conn{Conn: n, server: l.server, accepted: now, state: NewState(now, l.server.limits())}
-	l.server.add(c)
-	return c, nil
+	return &conn{Conn: n, server: l.server, accepted: now, state: NewState(now, l.server.limits())}, nil
 }
 
 // acceptQueued returns a connection that waits in the accept queue of l: Accept returns none
--- a/brserver/server.go
+++ b/brserver/server.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 
 	"github.com/rs/zerolog"
@@ -32,8 +33,14 @@
 	// StateKeepAlive says that responses state the idle timeout in the header Keep-Alive,
 	// so that callers needn't know Limits.
 	StateKeepAlive bool
-	Log            zerolog.Logger
-	Clock          brclock.Clock // nil means the system clock
+	// Buffers limits the memory of request headers, with that of all other requests. It may
+	// be nil.
+	Buffers *brbuffer.Budget
+	// MaxConns is the number of open connections above which one gives way to a new one: see
+	// giveWay. 0 means no limit.
+	MaxConns int
+	Log      zerolog.Logger
+	Clock    brclock.Clock // nil means the system clock
 }
 
 // Server is an HTTP/1 server. It is safe for concurrent use.
@@ -47,6 +54,8 @@
 	conns     map[*conn]struct{}
 	closing   bool          // connections are closed as soon as no request has arrived
 	changed   chan struct{} // closed and replaced when a connection or a listener is removed
+	stats     Stats
+	roomLog   zerolog.Logger // of connections that give way or are refused
 }
 
 // New returns a Server. It panics if cfg.Handler is nil.
@@ -60,6 +69,7 @@
 	s := &Server{
 		cfg: cfg, listeners: map[net.Listener]struct{}{}, conns: map[*conn]struct{}{}, changed: make(chan struct{}),
 	}
+	s.roomLog = cfg.Log.Sample(&zerolog.BurstSampler{Burst: maxRoomLines, Period: roomLogPeriod})
 	// Both limits of the header are enforced by conn.
 	s.http = http.Server{
 		Handler: http.HandlerFunc(s.handle), ConnState: s.connState, MaxHeaderBytes: math.MaxInt32,
@@ -91,10 +101,12 @@
 
 // handle serves a request with the headers that concern its connection.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	closing := s.stopping.Load()
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.beginHandler()
+		closing = closing || c.current().Closing()
 	}
-	if s.stopping.Load() {
+	if closing {
 		w.Header().Set("Connection", "close")
 	} else if seconds := int(s.limits().IdleTimeout / time.Second); s.cfg.StateKeepAlive && seconds > 0 && r.ProtoAtLeast(1, 1) {
 		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(seconds))
@@ -114,22 +126,13 @@
 		c.beginRequest(now, limits)
 	case http.StateIdle:
 		c.endRequest(now, limits)
+		c.releaseHeader()
 	case http.StateHijacked, http.StateClosed:
+		c.releaseHeader()
 		s.remove(c)
 	}
 }
 
-// add registers an accepted connection.
-func (s *Server) add(c *conn) {
-	s.mu.Lock()
-	s.conns[c] = struct{}{}
-	closing := s.closing
-	s.mu.Unlock()
-	if closing {
-		c.requestClose()
-	}
-}
-
 func (s *Server) remove(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/brserver/state.go
+++ b/brserver/state.go
@@ -44,6 +44,7 @@
 	CloseIdle                     // close without a response
 	RejectTimeout                 // respond that the request header came too slowly, and close
 	RejectTooLarge                // respond that the request header is too large, and close
+	RejectNoRoom                  // respond that there is no memory for the request header, and close
 )
 
 // State is the state of one connection. It does no I/O. Its methods return the next state.
@@ -51,6 +52,7 @@
 	phase   Phase
 	since   time.Time // start of the phase
 	closing bool      // to be closed as soon as it is idle for closeDelay
+	pressed bool      // its place is needed: to be closed unless the header of a request is complete
 	// limits are the most generous ones that were in force since the latest request began.
 	// The caller may go by any of them.
 	limits      Limits
@@ -74,11 +76,21 @@
 	return s
 }
 
+// WithPressure returns the state of a connection whose place another one needs. It is closed
+// as WithClosing says, and a request header that isn't complete is rejected.
+func (s State) WithPressure() State {
+	s.closing, s.pressed = true, true
+	return s
+}
+
+// Pressed reports whether the place of the connection is needed.
+func (s State) Pressed() bool { return s.pressed }
+
 // WithRequest returns the state after the header of a request was read completely. Limits l
 // are in force.
 func (s State) WithRequest(now time.Time, l Limits) State {
 	s.phase, s.since, s.limits = InProgress, now, l
-	s.headerBytes, s.headerWait = 0, 0
+	s.headerBytes, s.headerWait, s.pressed = 0, 0, false
 	return s
 }
 
@@ -115,6 +127,8 @@
 func (s State) Wait(now time.Time, l Limits) time.Duration {
 	m := s.limits.max(l)
 	switch {
+	case s.phase == Reading && s.pressed:
+		return 0
 	case s.phase == Reading:
 		return max(0, m.HeaderTimeout-s.headerWait)
 	case s.closing:
