brproxy: read bodies within the memory limit of the process

Cause: io.ReadAll took what callers sent, for any number of bodies and any time; a length over the limit was refused only after the limit had been read.

Change: bodies are read by brbuffer, stay in segments up to the endpoint's connection, and are released at the end of the request. No room: 503 no_memory with Retry-After. No byte for the header timeout, or not complete by the deadline of the request: 408. Announced too large: 413 without reading.

--- a/brconn/exchange.go
+++ b/brconn/exchange.go
@@ -24,7 +24,18 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	Conn   *Conn // open connection to use; nil means one of the pool
+	// BodyRest is the rest of a body that is held in several parts. They aren't changed.
+	BodyRest [][]byte
+	Conn     *Conn // open connection to use; nil means one of the pool
+}
+
+// bodyLength returns the length of the whole body in bytes.
+func (r *Request) bodyLength() int {
+	n := len(r.Body)
+	for _, part := range r.BodyRest {
+		n += len(part)
+	}
+	return n
 }
 
 // Response is the status line and header of a response from an endpoint.
@@ -135,7 +146,7 @@
 	}
 	c.limiter.WriteError = x.writeError
 	x.stopCancel = context.AfterFunc(ctx, func() { c.net.Close() })
-	if len(r.Body) <= bufferBytes {
+	if r.bodyLength() <= bufferBytes {
 		x.writeResult <- c.write(r)
 	} else {
 		// An endpoint may respond before it has read a long body.
@@ -162,13 +173,16 @@
 // write writes the request line, header and body of a request.
 func (c *conn) write(r Request) error {
 	fmt.Fprintf(c.writer, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
-	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
-		fmt.Fprintf(c.writer, "Content-Length: %d\r\n", len(r.Body))
+	if n := r.bodyLength(); n > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		fmt.Fprintf(c.writer, "Content-Length: %d\r\n", n)
 	}
 	// The bufio.Writer stores the first error, and Flush returns it.
 	_ = r.Header.Write(c.writer)
 	_, _ = c.writer.WriteString("\r\n")
 	_, _ = c.writer.Write(r.Body)
+	for _, part := range r.BodyRest {
+		_, _ = c.writer.Write(part)
+	}
 	return c.writer.Flush()
 }
 
--- a/brproxy/dispatch.go
+++ b/brproxy/dispatch.go
@@ -156,7 +156,7 @@
 	}
 	return brconn.Request{
 		ID: q.call.ID, Method: q.in.Method, URI: q.in.RequestURI, Host: q.in.Host,
-		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), Body: q.body, Conn: a.conn,
+		Header: p.cfg.Dialect.EncodeHeader(q.in.Header, d), BodyRest: q.body.Segments(), Conn: a.conn,
 	}
 }
 
--- a/brproxy/drain.go
+++ b/brproxy/drain.go
@@ -114,17 +114,6 @@
 	return false
 }
 
-// interruptBody ends the reading of the body of q at the end of a stop. The caller must call
-// the returned function after reading.
-func (p *Proxy) interruptBody(q *request) func() bool {
-	return context.AfterFunc(p.drain.ended, func() {
-		// net/http also cancels the context of the request; admit refuses it before that
-		// is looked at.
-		// An error means that the connection is closed.
-		_ = http.NewResponseController(q.out).SetReadDeadline(time.Unix(1, 0))
-	})
-}
-
 // DisableKeepAlives adds the header Connection: close to all further responses, so that
 // callers close their connections. Idle connections stay open; see CloseIdle.
 func (p *Proxy) DisableKeepAlives() { p.server.DisableKeepAlives() }
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 	"bramleyroute/brconn"
 	"bramleyroute/brdrain"
@@ -63,8 +64,14 @@
 	// OnFirstByte is called for each completed request with the time from its arrival
 	// to the first byte of the response. It may be nil.
 	OnFirstByte func(time.Duration)
-	Log         zerolog.Logger
-	Clock       brclock.Clock // nil means the system clock
+	// Buffers limits the memory of the requests of callers, with that of all other requests
+	// of the process; nil means a limit of its own of brbuffer.DefaultBytes.
+	Buffers *brbuffer.Budget
+	// MaxConns is the number of connections of callers above which one gives way to a new
+	// one; 0 means no limit.
+	MaxConns int
+	Log      zerolog.Logger
+	Clock    brclock.Clock // nil means the system clock
 }
 
 // VersionResult is the result of one dispatch, attributed to the version of the
@@ -116,6 +123,9 @@
 	if cfg.ReportsChanged == nil {
 		cfg.ReportsChanged = func() {}
 	}
+	if cfg.Buffers == nil {
+		cfg.Buffers = brbuffer.New(brbuffer.Config{Log: cfg.Log, Clock: cfg.Clock})
+	}
 	p := &Proxy{
 		cfg:       cfg,
 		placement: brplace.New(brplace.Config{Daemon: cfg.Daemon, FailureDomain: cfg.FailureDomain, Random: rand.Float64}),
@@ -131,7 +141,7 @@
 		stop:        make(chan struct{}),
 	}
 	p.server = brserver.New(brserver.Config{
-		Handler: p, Limits: p.limits, StateKeepAlive: true, Log: cfg.Log, Clock: cfg.Clock,
+		Handler: p, Limits: p.limits, StateKeepAlive: true, Buffers: cfg.Buffers, MaxConns: cfg.MaxConns, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	p.wg.Go(p.tick)
 	return p
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -3,14 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brheader"
 	"bramleyroute/brplace"
 	"bramleyroute/brpolicy"
@@ -37,7 +36,7 @@
 	route    *brpolicy.Route
 	customer *brpolicy.Customer // nil if the request has no known key
 	service  string
-	body     []byte
+	body     *brbuffer.Body
 	identity brquarantine.Request
 	cost     float64 // amount charged to the quota of the customer
 	arrived  time.Time
@@ -78,7 +77,11 @@
 		p.refuse(q, http.StatusServiceUnavailable, "no_policy", noPolicyRetryAfter)
 		return
 	}
-	if !p.resolve(q, table) || !p.readBody(q, table) || !p.admit(q) {
+	if !p.resolve(q, table) || !p.readBody(q, table) {
+		return
+	}
+	defer q.body.Release()
+	if !p.admit(q) {
 		return
 	}
 	q.identify()
@@ -154,23 +157,25 @@
 // readBody reads the request body into memory, up to the limit of the policy. If it
 // returns false it has sent the error response.
 func (p *Proxy) readBody(q *request, table *brpolicy.Table) bool {
-	if q.in.ContentLength == 0 {
-		return true
+	limits := table.Policy().Limits
+	if limits.BodyBytes <= 0 {
+		limits.BodyBytes = defaultBodyBytes
 	}
-	limit := table.Policy().Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	done := p.interruptBody(q)
-	defer done()
 	var err error
-	q.body, err = io.ReadAll(http.MaxBytesReader(q.out, q.in.Body, limit))
-	var tooLarge *http.MaxBytesError
+	q.body, err = p.cfg.Buffers.Read(q.out, q.in, brbuffer.Options{
+		Limit: limits.BodyBytes, Idle: limits.HeaderTimeout, Deadline: q.deadline, Stop: p.drain.ended,
+	})
 	switch {
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, brbuffer.ErrTooLarge):
 		p.deny(q, http.StatusRequestEntityTooLarge, "body_too_large")
 		return false
-	case errors.Is(err, os.ErrDeadlineExceeded): // see interruptBody
+	case errors.Is(err, brbuffer.ErrNoRoom):
+		p.refuse(q, http.StatusServiceUnavailable, "no_memory", brbuffer.RetryAfter)
+		return false
+	case errors.Is(err, brbuffer.ErrTimeout):
+		p.refuse(q, http.StatusRequestTimeout, "body_timeout", 0)
+		return false
+	case errors.Is(err, brbuffer.ErrStopped):
 		p.refuse(q, http.StatusServiceUnavailable, reasonStopping, stoppingRetryAfter)
 		return false
 	case err != nil:
@@ -189,7 +194,7 @@
 		caller = q.customer.Name
 	}
 	q.identity = brquarantine.Request{
-		ID:    brquarantine.Fingerprint(q.body, q.in.Method, hostOnly(q.in.Host), q.in.RequestURI, caller),
+		ID:    brquarantine.FingerprintParts(q.body.Segments(), q.in.Method, hostOnly(q.in.Host), q.in.RequestURI, caller),
 		Parts: q.call.PromptParts,
 	}
 }
