brfleet: limits at the peer listener, and metrics of unfinished requests

Cause: anybody could hold the peer listener's connections and headers in any number.

Change: the peer listener is a brserver like the others, with a header limit of 16 KiB and Config.MaxPeers connections that aren't links or tunnels yet. The limit of unfinished requests is shared by all listeners of the process.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -12,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 	"bramleyroute/brconn"
 	"bramleyroute/brcontrol"
@@ -24,6 +24,7 @@
 	"bramleyroute/brpolicy"
 	"bramleyroute/brproxy"
 	"bramleyroute/brquota"
+	"bramleyroute/brserver"
 	"bramleyroute/brtunnel"
 	"bramleyroute/brwal"
 
@@ -49,9 +50,16 @@
 	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
 	DecodePolicy func(body []byte) (brpolicy.Policy, error)
-	Log          zerolog.Logger
-	Clock        brclock.Clock // nil means the system clock
-	WAL          brwal.Options // replaces file operations in tests; Dir is ignored
+	// Buffers and MaxCallers limit the requests and connections of callers, as in
+	// brproxy.Config.
+	Buffers    *brbuffer.Budget
+	MaxCallers int
+	// MaxPeers is the number of connections at the peer listener that are no links or tunnels
+	// yet, above which one gives way to a new one; 0 means no limit.
+	MaxPeers int
+	Log      zerolog.Logger
+	Clock    brclock.Clock // nil means the system clock
+	WAL      brwal.Options // replaces file operations in tests; Dir is ignored
 }
 
 // Fleet is one daemon of the fleet. It is safe for concurrent use.
@@ -63,7 +71,7 @@
 	incarnation string
 
 	mux     *brpeer.Mux
-	server  *http.Server
+	server  *brserver.Server
 	links   *brpeer.Server
 	pool    *brconn.Pool
 	metrics *metrics
@@ -112,6 +120,9 @@
 	}
 	f.incarnation = fmt.Sprintf("%s.%x", cfg.ID, f.epoch)
 	f.policies.changed = make(chan struct{}, 1)
+	if f.cfg.Buffers == nil {
+		f.cfg.Buffers = brbuffer.New(brbuffer.Config{Log: cfg.Log, Clock: cfg.Clock})
+	}
 	f.mux.OnPanic, f.mux.OnDropped = brlogging.PanicHandler(cfg.Log), brlogging.DroppedHandler(cfg.Log)
 	f.metrics = newMetrics()
 	f.paths = f.newPaths()
@@ -123,7 +134,8 @@
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
 		Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
-		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
+		OnFirstByte: f.metrics.firstByte.RecordDuration,
+		Buffers:     f.cfg.Buffers, MaxConns: cfg.MaxCallers, Log: cfg.Log, Clock: cfg.Clock,
 	})
 	f.paths.dialer.Keep, f.paths.dialer.OnChange = f.pool.Put, f.onPathChange
 	f.node = brgossip.New(brgossip.Config{
@@ -144,7 +156,10 @@
 	handler := http.NewServeMux()
 	handler.Handle(brtunnel.Path, f.paths.server)
 	handler.Handle("/", f.links)
-	f.server = &http.Server{Handler: handler, ReadHeaderTimeout: peerHeaderTimeout}
+	f.server = brserver.New(brserver.Config{
+		Handler: handler, Limits: func() brserver.Limits { return peerLimits }, Buffers: f.cfg.Buffers, MaxConns: cfg.MaxPeers,
+		Log: cfg.Log.Level(zerolog.WarnLevel), Clock: cfg.Clock, // closes of connections are logged for callers only
+	})
 	f.wg.Go(func() { f.servePeers(l) })
 	f.wg.Go(f.runPolicies)
 	f.wg.Go(f.runLoad)
@@ -157,12 +172,12 @@
 	return f, nil
 }
 
-// peerHeaderTimeout limits the time in which a peer must send the header of its
-// upgrade request.
-const peerHeaderTimeout = 5 * time.Second
+// peerLimits are the limits of a connection until it is a link or a tunnel. The header of an
+// upgrade request has a few hundred bytes.
+var peerLimits = brserver.Limits{HeaderBytes: 16 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second}
 
 func (f *Fleet) servePeers(l net.Listener) {
-	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := f.server.Serve(l); err != nil {
 		f.cfg.Log.Error().Err(err).Msg("peer listener failed")
 	}
 }
@@ -236,6 +251,9 @@
 // Proxy returns the HTTP handler for callers.
 func (f *Fleet) Proxy() *brproxy.Proxy { return f.proxy }
 
+// Buffers returns the limit of all unfinished requests of the process.
+func (f *Fleet) Buffers() *brbuffer.Budget { return f.cfg.Buffers }
+
 // Pool returns the connection pool for endpoints.
 func (f *Fleet) Pool() *brconn.Pool { return f.pool }
 
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -39,16 +39,23 @@
 	s := f.proxy.Stats()
 	pool := f.pool.Stats()
 	bytesIn, bytesOut := f.node.Bytes()
+	buffers, callers, peers := f.cfg.Buffers.Stats(), f.proxy.Connections(), f.server.Stats()
 	for name, total := range map[string]uint64{
 		"requests": s.Requests.Load(), "answered": s.Answered.Load(), "refused": s.Rejected.Load(),
 		"failed": s.Failed.Load(), "callers_gone": s.Disconnected.Load(), "dispatches": s.Dispatches.Load(),
 		"retries": s.Retries.Load(), "resumed": s.Resumed.Load(), "over_quota": s.OverQuota.Load(),
 		"denied": s.Denied.Load(), "requests_held_back": s.Quarantined.Load(),
 		"connections_dialed": pool.Dialed, "connections_reused": pool.Reused, "responses_evicted": pool.Evicted,
+		"requests_without_memory": buffers.Refused, "requests_evicted": buffers.Evicted,
+		"bodies_too_large": buffers.TooLarge, "bodies_timed_out": buffers.TimedOut,
+		"caller_connections_evicted": callers.Pressed, "caller_connections_refused": callers.Refused,
+		"peer_connections_evicted": peers.Pressed, "peer_connections_refused": peers.Refused,
 		"link_bytes_received": bytesIn, "link_bytes_sent": bytesOut,
 	} {
 		m.ExportTotal(m.Scope, "", name, int64(total))
 	}
+	m.Scope.Gauge("request_bytes_held").Update(float64(buffers.HeldBytes))
+	m.Scope.Gauge("caller_connections").Update(float64(callers.Open))
 	m.Scope.Gauge("requests_waiting").Update(float64(f.proxy.Waiting()))
 	m.Scope.Gauge("quarantined").Update(float64(len(f.proxy.Quarantine())))
 	m.Scope.Gauge("endpoints").Update(float64(f.endpoints.count()))
