brentry, brdaemon: limit requests that arrive, and connections

Cause: bodies were read by io.ReadAll before anything counted them; a caller that stopped short of its end was never ended; connections had no limit.

Change: the entry reads bodies by brbuffer, with the limit entry_buffer_bytes (at least five bodies of the largest size) until the request is held, where entry_buffer_bytes counts it as before, with shedding by tier. New setting max_connections for each listener, default 20000. TestDefaults of brsetting gets the new default. Bodies of operators and announcing endpoints, which have keys, are still read by io.ReadAll.

--- a/brbuffer/body.go
+++ b/brbuffer/body.go
@@ -79,6 +79,14 @@
 	return b.segments[0], nil
 }
 
+// Reserve reserves n bytes for what is made of b, until Release.
+func (b *Body) Reserve(n int) error {
+	if b.holder == nil {
+		return nil
+	}
+	return b.holder.Reserve(n)
+}
+
 // Release releases the memory of b, which must not be used any more.
 func (b *Body) Release() {
 	if b.holder != nil {
--- a/brdaemon/daemon.go
+++ b/brdaemon/daemon.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 	"bramleyroute/brerror"
 	"bramleyroute/brlogging"
@@ -61,6 +62,7 @@
 	self          brwire.Daemon
 	leaseDuration time.Duration
 	recorder      *brtimeline.Recorder
+	buffers       *brbuffer.Budget // of requests that arrive
 
 	links   *links
 	session *session
@@ -98,6 +100,7 @@
 		log: o.Log.With().Str("daemon", s.DaemonID).Logger(), entries: map[string]*brpeer.Conn{},
 		drainRequested: make(chan struct{}, 1),
 	}
+	d.buffers = brbuffer.New(brbuffer.Config{Bytes: bufferBytes(s), Log: d.log, Clock: o.Clock})
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	lis, err := d.listen(o)
 	if err != nil {
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -44,6 +44,7 @@
 	e := &entry{daemon: d, Entry: brentry.New(brentry.Config{
 		EntryID: d.self.ID, Address: d.self.CallerAddress, Region: d.self.Region,
 		MaxBody: settings.MaxBodyBytes, MaxHeld: settings.EntryBufferRequests, MaxHeldBytes: settings.EntryBufferBytes,
+		Buffers: d.buffers,
 	}, d.clock, client)}
 	e.Resolve = e.resolve
 	e.Ready = d.ready
--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -12,6 +12,7 @@
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
 	"bramleyroute/brserver"
+	"bramleyroute/brsetting"
 	"bramleyroute/brtunnel"
 	"bramleyroute/brwire"
 
@@ -26,8 +27,16 @@
 	// idleTimeout is the time after which a connection without a request may be closed.
 	// Responses state it.
 	idleTimeout = 2 * time.Minute
+	// arrivingBodies is the number of bodies of the largest size that fit into the limit of
+	// requests that arrive: a completion takes up to four times its size until it is held.
+	arrivingBodies = 5
 )
 
+// bufferBytes returns the limit of the memory of all requests that arrive.
+func bufferBytes(s brsetting.Settings) int {
+	return int(max(s.EntryBufferBytes, arrivingBodies*s.MaxBodyBytes))
+}
+
 // listeners are the open listeners of a daemon; caller and operator may be nil.
 type listeners struct{ caller, peer, operator net.Listener }
 
@@ -111,6 +120,7 @@
 	limits := brserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s := brserver.New(brserver.Config{
 		Handler: h, Limits: func() brserver.Limits { return limits }, StateKeepAlive: true, Log: log, Clock: d.clock,
+		Buffers: d.buffers, MaxConns: d.settings.MaxConnections,
 	})
 	d.servers = append(d.servers, s)
 	d.wg.Go(func() {
--- a/brdaemon/metrics.go
+++ b/brdaemon/metrics.go
@@ -34,6 +34,14 @@
 	m.Scope.Gauge("ready").Update(brmetrics.BoolValue(d.ready() == nil))
 	m.Scope.Gauge("revision").Update(float64(d.session.currentView().Revision))
 	m.ExportTotal(m.Scope, "", "refused_stamps", d.stamps.refused.Load())
+	buffers := d.buffers.Stats()
+	m.Scope.Gauge("request_bytes_held").Update(float64(buffers.HeldBytes))
+	for name, total := range map[string]uint64{
+		"requests_without_memory": buffers.Refused, "requests_evicted": buffers.Evicted,
+		"bodies_too_large": buffers.TooLarge, "bodies_timed_out": buffers.TimedOut,
+	} {
+		m.ExportTotal(m.Scope, "", name, int64(total))
+	}
 	if e := d.entry; e != nil {
 		c := &e.Counters
 		s := m.Scope.SubScope("entry")
--- a/brentry/completion.go
+++ b/brentry/completion.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brconfig"
 	"bramleyroute/brdispatch"
 	"bramleyroute/brengine"
@@ -29,7 +30,7 @@
 
 func (e *Entry) serveCompletion(w http.ResponseWriter, r *http.Request) {
 	defer e.countCaller()()
-	h, c, err := e.admitCompletion(r)
+	h, c, err := e.admitCompletion(w, r)
 	if err != nil {
 		e.refuse(w, r.Header.Get(brengine.HeaderRequestID), err)
 		return
@@ -116,12 +117,13 @@
 
 // admitCompletion validates a completion request and returns the held request and
 // its parameters. The returned completion has no prompt.
-func (e *Entry) admitCompletion(r *http.Request) (*heldRequest, brengine.Completion, error) {
+func (e *Entry) admitCompletion(w http.ResponseWriter, r *http.Request) (*heldRequest, brengine.Completion, error) {
 	var c brengine.Completion
-	key, body, err := e.readAuthorized(r)
+	key, buffer, body, err := e.readAuthorized(w, r)
 	if err != nil {
 		return nil, c, err
 	}
+	defer buffer.Release() // a held request counts in Config.MaxHeldBytes
 	if c, err = decodeCompletion(body); err != nil {
 		return nil, c, err
 	}
@@ -155,17 +157,17 @@
 	return h, c, nil
 }
 
-// readAuthorized reads the bearer key and the body of r. It returns an error if the
+// readAuthorized reads the bearer key and the body of r, which the caller must release. It returns an error if the
 // entry doesn't accept work.
-func (e *Entry) readAuthorized(r *http.Request) (key string, body []byte, err error) {
+func (e *Entry) readAuthorized(w http.ResponseWriter, r *http.Request) (key string, buffer *brbuffer.Body, body []byte, err error) {
 	if err := e.acceptsWork(); err != nil {
-		return "", nil, err
+		return "", nil, nil, err
 	}
 	if key, err = bearerKey(r); err != nil {
-		return "", nil, err
+		return "", nil, nil, err
 	}
-	body, err = readBody(r, e.config.MaxBody)
-	return key, body, err
+	buffer, body, err = e.readBody(w, r)
+	return key, buffer, body, err
 }
 
 // newHeldRequest returns a request that was admitted as a, with the ID and the
--- a/brentry/decode.go
+++ b/brentry/decode.go
@@ -9,7 +9,9 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brconfig"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
@@ -22,20 +24,48 @@
 	maxNameLength    = 256 // bytes in the name of a model or a route
 )
 
-// readBody returns the request body. It returns an error of kind too_large if the
-// body is longer than limit bytes.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, brerror.New(brerror.TooLarge, "body of %d bytes exceeds the limit of %d", r.ContentLength, limit).WithField("body")
+const (
+	// bodyTime and bodyRate limit the time in which a body must have arrived: bodyTime, and
+	// longer for large ones.
+	bodyTime = 30 * time.Second
+	bodyRate = 1 << 20 // bytes a second
+	// decodeCost is the memory that a decoded request takes besides its body, as a multiple
+	// of it: the decoded text and the body for the endpoint.
+	decodeCost = 2
+)
+
+// readBody returns the request body, which the caller must release, and its bytes. It
+// returns an error of kind too_large if the body is longer than Config.MaxBody.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) (*brbuffer.Body, []byte, error) {
+	limit := e.config.MaxBody
+	deadline := e.clock.Now().Add(bodyTime + time.Duration(limit/bodyRate)*time.Second)
+	body, err := e.config.Buffers.Read(w, r, brbuffer.Options{Limit: limit, Deadline: deadline, Stop: e.ended})
+	if err != nil {
+		return nil, nil, bodyError(err, limit)
+	}
+	b, err := body.Bytes()
+	if err == nil {
+		err = body.Reserve(decodeCost * len(b))
 	}
-	b, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return nil, brerror.New(brerror.InvalidRequest, "read body: %w", err).WithField("body")
+		body.Release()
+		return nil, nil, bodyError(err, limit)
 	}
-	if int64(len(b)) > limit {
-		return nil, brerror.New(brerror.TooLarge, "body exceeds the limit of %d bytes", limit).WithField("body")
+	return body, b, nil
+}
+
+// bodyError returns the error for the caller for one of brbuffer.
+func bodyError(err error, limit int64) error {
+	switch {
+	case errors.Is(err, brbuffer.ErrTooLarge):
+		return brerror.New(brerror.TooLarge, "body exceeds the limit of %d bytes", limit).WithField("body")
+	case errors.Is(err, brbuffer.ErrNoRoom):
+		return brerror.New(brerror.Overloaded, "unfinished requests are too large").WithRetryAfter(brbuffer.RetryAfter)
+	case errors.Is(err, brbuffer.ErrStopped):
+		return brerror.New(brerror.ShuttingDown, "entry is shutting down")
+	default:
+		return brerror.New(brerror.InvalidRequest, "read body: %w", err).WithField("body")
 	}
-	return b, nil
 }
 
 // decodeCompletion parses and validates a completion request. It rejects unknown
--- a/brentry/entry.go
+++ b/brentry/entry.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 	"bramleyroute/brconfig"
 	"bramleyroute/brdispatch"
@@ -21,10 +22,13 @@
 	Address string // host:port for callers, reported in responses of kind in_progress
 	Region  string // region of the pools that the entry uses
 
-	MaxBody           int64         // maximum size of a request body in bytes; default 1 MiB
-	MaxPromptTokens   int           // maximum number of prompt tokens; default 131,072
-	MaxHeld           int           // maximum number of requests held at a time; default 2,048
-	MaxHeldBytes      int64         // maximum memory of the held requests in bytes; default 160 MiB
+	MaxBody         int64 // maximum size of a request body in bytes; default 1 MiB
+	MaxPromptTokens int   // maximum number of prompt tokens; default 131,072
+	MaxHeld         int   // maximum number of requests held at a time; default 2,048
+	MaxHeldBytes    int64 // maximum memory of the held requests in bytes; default 160 MiB
+	// Buffers limits the memory of requests until they are held; nil means a limit of its own
+	// of brbuffer.DefaultBytes.
+	Buffers           *brbuffer.Budget
 	MaxEndedRecords   int           // maximum number of records of ended requests; default 200,000
 	Retention         time.Duration // how long records of ended requests are retained; default 10 minutes
 	DisconnectGrace   time.Duration // time before the request of a disconnected caller is canceled; default 5 s
@@ -124,6 +128,9 @@
 	c.GrantAttempts = cmp.Or(c.GrantAttempts, 3)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, 30*time.Second)
 	c.DrainStuckTimeout = cmp.Or(c.DrainStuckTimeout, 15*time.Second)
+	if c.Buffers == nil {
+		c.Buffers = brbuffer.New(brbuffer.Config{Clock: clock})
+	}
 	e := &Entry{config: c, clock: clock, client: client, stop: make(chan struct{}), registry: newRegistry(), startedAt: clock.Now()}
 	e.ended, e.end = context.WithCancel(context.Background())
 	return e
--- a/brentry/service.go
+++ b/brentry/service.go
@@ -17,7 +17,7 @@
 // requests.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	defer e.countCaller()()
-	h, err := e.admitService(r)
+	h, err := e.admitService(w, r)
 	if err != nil {
 		e.refuse(w, r.Header.Get(brengine.HeaderRequestID), err)
 		return
@@ -52,11 +52,12 @@
 }
 
 // admitService validates a call of a plain service and returns the held request.
-func (e *Entry) admitService(r *http.Request) (*heldRequest, error) {
-	key, body, err := e.readAuthorized(r)
+func (e *Entry) admitService(w http.ResponseWriter, r *http.Request) (*heldRequest, error) {
+	key, buffer, body, err := e.readAuthorized(w, r)
 	if err != nil {
 		return nil, err
 	}
+	defer buffer.Release() // a held request counts in Config.MaxHeldBytes
 	name, route := r.PathValue("name"), r.Header.Get(brengine.HeaderRoute)
 	if len(route) > maxNameLength {
 		return nil, brerror.New(brerror.InvalidRequest, "must not be longer than %d bytes", maxNameLength).WithField(brengine.HeaderRoute)
--- a/brsetting/settings.go
+++ b/brsetting/settings.go
@@ -27,6 +27,7 @@
 	MaxBodyBytes              int64
 	EntryBufferRequests       int
 	EntryBufferBytes          int64
+	MaxConnections            int           // of each listener
 	StallTimeout              time.Duration // without a byte on an engine's stream, until it is resumed
 	StuckTimeout              time.Duration // without a token on a stream, until it is ended
 	ShutdownTimeout           time.Duration // 0 means no limit while requests make progress
--- a/brsetting/settings_test.go
+++ b/brsetting/settings_test.go
@@ -42,7 +42,7 @@
 		CallerAddress: "0.0.0.0:8080", PeerAddress: "0.0.0.0:8081", OperatorAddress: "127.0.0.1:8082", AdvertisedPeerAddress: "10.0.0.1:8081",
 		ControlPeers: []ControlPeer{{"d1", "10.0.0.1:8081"}, {"d2", "10.0.0.2:8081"}},
 		PeerKeys:     []string{"peer-key-0123456789"}, OperatorKeys: []string{"operator-key-012345"}, LogLevel: "info",
-		MaxBodyBytes: 4 << 20, EntryBufferRequests: 10000, EntryBufferBytes: 64 << 20, StallTimeout: time.Second,
+		MaxBodyBytes: 4 << 20, EntryBufferRequests: 10000, EntryBufferBytes: 64 << 20, MaxConnections: 20000, StallTimeout: time.Second,
 		StuckTimeout: time.Minute, TimelineEvents: 65536, LeaseDuration: 3 * time.Second,
 	}
 	if diff := cmp.Diff(want, got); diff != "" {
