brserver, brbuffer: deliver the refusal of a body while the caller still sends

Cause: after a refused body net/http either waited for up to 256 KiB of the rest, or, with the read interrupted, closed the connection with unread bytes, which resets it.

Change: a refused body interrupts the reading, and the connection is closed for writing first and read on for up to lingerTime, unless the server is closed.

--- a/brbuffer/body.go
+++ b/brbuffer/body.go
@@ -101,19 +101,23 @@
 	if r.ContentLength == 0 {
 		return &Body{}, nil
 	}
-	if r.ContentLength > o.Limit {
-		w.Header().Set("Connection", "close")
-		b.countError(ErrTooLarge)
-		return nil, ErrTooLarge
-	}
-	if o.Idle <= 0 {
-		o.Idle = DefaultIdle
-	}
 	control := http.NewResponseController(w)
 	interrupt := func() {
 		// An error means that the connection is closed, or has no deadlines in a test.
 		_ = control.SetReadDeadline(time.Unix(1, 0))
 	}
+	fail := func(err error) (*Body, error) {
+		b.countError(err)
+		w.Header().Set("Connection", "close")
+		interrupt() // net/http would wait for a part of the rest
+		return nil, err
+	}
+	if r.ContentLength > o.Limit {
+		return fail(ErrTooLarge)
+	}
+	if o.Idle <= 0 {
+		o.Idle = DefaultIdle
+	}
 	x := &bodyReader{
 		source: r.Body, stated: r.ContentLength, options: o, budget: b,
 		setDeadline: func(t time.Time) { _ = control.SetReadDeadline(t) }, // as above
@@ -124,9 +128,7 @@
 	}
 	if err := x.read(); err != nil {
 		x.body.Release()
-		b.countError(err)
-		w.Header().Set("Connection", "close")
-		return nil, err
+		return fail(err)
 	}
 	x.setDeadline(time.Time{})
 	return &x.body, nil
--- a/brbuffer/budget.go
+++ b/brbuffer/budget.go
@@ -124,7 +124,8 @@
 	}
 }
 
-// tryReserve is a try of Reserve. The returned channel is closed at the next release.
+// tryReserve is a try of Reserve. If the verdict is Pending, the returned channel is closed at
+// the next release.
 func (h *Holder) tryReserve(n int) (Verdict, <-chan struct{}) {
 	b := h.budget
 	b.mu.Lock()
@@ -138,7 +139,7 @@
 	if verdict == Refused {
 		b.stats.Refused++
 	}
-	if b.released == nil {
+	if verdict == Pending && b.released == nil {
 		b.released = make(chan struct{})
 	}
 	released := b.released
--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -34,6 +34,7 @@
 	reason   closeReason // empty until it is known
 	endPhase Phase       // phase at the time of reason
 	closed   bool
+	hijacked bool
 
 	header       *brbuffer.Holder // memory of the header; nil for a usual one
 	readDeadline atomic.Int64     // set by net/http or by a handler, in Unix nanoseconds
@@ -315,12 +316,9 @@
 	// An error means that the caller has gone.
 	_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %d %s\r\nConnection: close\r\n%sContent-Type: text/plain; charset=utf-8\r\nContent-Length: %d\r\n\r\n%s",
 		status, text, retryAfter, len(text), text)
-	// The place of one that gives way is needed now.
-	if c.CloseWrite() != nil || reason == reasonNoRoom {
-		return
+	if reason != reasonNoRoom { // the place of one that gives way is needed now
+		c.linger()
 	}
-	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 func (c *conn) current() State {
@@ -374,6 +372,33 @@
 	return s.SyscallConn()
 }
 
+// setHijacked records that the connection isn't one of the server any more.
+func (c *conn) setHijacked() {
+	c.releaseHeader()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hijacked = true
+}
+
+// bodyInterrupted reports whether a handler has ended the reading of the body of its request
+// by a deadline, so that the caller may still send.
+func (c *conn) bodyInterrupted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	deadline := c.readDeadline.Load()
+	return c.state.Phase() == InProgress && !c.hijacked && deadline != 0 && deadline <= maxInterrupt && !c.server.closed.Load()
+}
+
+// linger ends the sending and reads on for lingerTime, or until the caller closes the
+// connection.
+func (c *conn) linger() {
+	if c.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.Copy(io.Discard, c.Conn)
+}
+
 // Close closes the connection and logs why.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -383,6 +408,9 @@
 	if first {
 		c.logClose()
 		c.releaseHeader()
+		if c.bodyInterrupted() {
+			c.linger()
+		}
 	}
 	return c.Conn.Close()
 }
--- a/brserver/room_test.go
+++ b/brserver/room_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,3 +120,32 @@
 		t.Errorf("body %q, error %v; want %q", b, err, want)
 	}
 }
+
+// TestRefusalReachesSender guards against the refusal of a body that is lost since the caller
+// still sends: the close of a connection with unread bytes resets it.
+func TestRefusalReachesSender(t *testing.T) {
+	const rounds, size = 10, 200 << 10
+	s := startConfig(t, Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0)); err != nil {
+			t.Error(err)
+		}
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})})
+	for i := range rounds {
+		c := s.dial(t)
+		for _, part := range []string{fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", size), strings.Repeat("x", size-1)} {
+			if _, err := io.WriteString(c, part); err != nil {
+				t.Fatalf("round %d: %v", i, err)
+			}
+		}
+		a, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			t.Fatalf("round %d: %v", i, err)
+		}
+		a.Body.Close()
+		if _, err := c.reader.ReadByte(); err != io.EOF {
+			t.Fatalf("round %d: after the response %v, want EOF", i, err)
+		}
+	}
+}
--- a/brserver/server.go
+++ b/brserver/server.go
@@ -47,6 +47,7 @@
 type Server struct {
 	cfg      Config
 	http     http.Server
+	closed   atomic.Bool // by Close
 	stopping atomic.Bool // responses announce the close of their connections
 
 	mu        sync.Mutex
@@ -127,7 +128,10 @@
 	case http.StateIdle:
 		c.endRequest(now, limits)
 		c.releaseHeader()
-	case http.StateHijacked, http.StateClosed:
+	case http.StateHijacked:
+		c.setHijacked()
+		s.remove(c)
+	case http.StateClosed:
 		c.releaseHeader()
 		s.remove(c)
 	}
@@ -212,4 +216,7 @@
 }
 
 // Close closes all listeners and connections, also those with a request in progress.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.closed.Store(true)
+	return s.http.Close()
+}
