brserver: end a body that a handler doesn't read

Cause: net/http waits for up to 256 KiB of a body that the handler hasn't read, before a long response or after a short one, without a time limit. A request that is denied by its header alone (no route, no key) and whose body never comes kept its connection, and its place, for ever, and got no answer.

Change: the read deadline of a body is the header timeout until it was read, and lingerTime once the handler has returned. Handlers that set deadlines replace it.

Result: TestUnreadBodyEnds failed before (no response, connection open after 10 s) and passes; go test ./brserver passes.

--- a/brserver/conn.go
+++ b/brserver/conn.go
@@ -385,8 +385,13 @@
 func (c *conn) bodyInterrupted() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.state.Phase() == InProgress && !c.hijacked && c.interrupted() && !c.server.closed.Load()
+}
+
+// interrupted reports whether reads are interrupted.
+func (c *conn) interrupted() bool {
 	deadline := c.readDeadline.Load()
-	return c.state.Phase() == InProgress && !c.hijacked && deadline != 0 && deadline <= maxInterrupt && !c.server.closed.Load()
+	return deadline != 0 && deadline <= maxInterrupt
 }
 
 // linger ends the sending and reads on for lingerTime, or until the caller closes the
--- a/brserver/room_test.go
+++ b/brserver/room_test.go
@@ -149,3 +149,22 @@
 		}
 	}
 }
+
+// TestUnreadBodyEnds guards against a connection that is kept for ever since a handler has
+// responded without reading a body that never comes.
+func TestUnreadBodyEnds(t *testing.T) {
+	for _, size := range []int{0, 64 << 10} { // of the response; net/http sends a long one before the handler ends
+		s := startConfig(t, Config{
+			Limits: fixed(Limits{HeaderTimeout: 50 * time.Millisecond}),
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				io.WriteString(w, strings.Repeat("x", size))
+			}),
+		})
+		c := s.dial(t)
+		io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\nx")
+		if _, err := http.ReadResponse(c.reader, nil); err != nil {
+			t.Errorf("response of %d bytes: %v", size, err)
+		}
+		brtest.Await(t, 10*time.Second, "the connection is closed", func() bool { return s.Stats().Open == 0 })
+	}
+}
--- a/brserver/server.go
+++ b/brserver/server.go
@@ -106,6 +106,11 @@
 	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
 		c.beginHandler()
 		closing = closing || c.current().Closing()
+		if r.ContentLength != 0 {
+			var body *requestBody
+			r, body = c.withBody(r, s.limits())
+			defer body.end()
+		}
 	}
 	if closing {
 		w.Header().Set("Connection", "close")
