--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -57,6 +57,8 @@
 	// MaxPeers is the number of connections at the peer listener that are no links or tunnels
 	// yet, above which one gives way to a new one; 0 means no limit.
 	MaxPeers int
+	// MaxLinks is the number of links that other daemons may open; 0 means no limit.
+	MaxLinks int
 	Log      zerolog.Logger
 	Clock    brclock.Clock // nil means the system clock
 	WAL      brwal.Options // replaces file operations in tests; Dir is ignored
@@ -152,7 +154,7 @@
 		OnDocument: f.publishDocument, OnRollouts: f.onRollouts, Log: cfg.Log, Clock: cfg.Clock, WAL: cfg.WAL,
 	})
 	f.node.Run()
-	f.links = &brpeer.Server{Mux: f.mux, Keys: cfg.Keys}
+	f.links = &brpeer.Server{Mux: f.mux, Keys: cfg.Keys, MaxConns: cfg.MaxLinks}
 	handler := http.NewServeMux()
 	handler.Handle(brtunnel.Path, f.paths.server)
 	handler.Handle("/", f.links)
--- a/brpeer/server.go
+++ b/brpeer/server.go
@@ -47,6 +47,9 @@
 type Server struct {
 	Mux  *Mux
 	Keys Keys
+	// MaxConns is the number of open links above which further ones are refused; 0 means no
+	// limit.
+	MaxConns int
 
 	mu     sync.Mutex
 	conns  map[*Conn]struct{}
@@ -59,6 +62,11 @@
 		http.Error(w, "peer key is missing or unknown", http.StatusUnauthorized)
 		return
 	}
+	if s.full() {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "too many links", http.StatusServiceUnavailable)
+		return
+	}
 	ws, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
 	if err != nil {
 		return // Accept has written the response
@@ -100,11 +108,18 @@
 	}
 }
 
-// add adds c to the open connections. It returns false if s is closed.
+// full reports whether there is no room for a further link.
+func (s *Server) full() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.MaxConns > 0 && len(s.conns) >= s.MaxConns
+}
+
+// add adds c to the open connections. It returns false if s is closed or full.
 func (s *Server) add(c *Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed {
+	if s.closed || s.MaxConns > 0 && len(s.conns) >= s.MaxConns {
 		return false
 	}
 	if s.conns == nil {
