brsystem: a crowd of unfinished announcements

Cause: without endpoint_keys every endpoint may announce itself.

Change: TestCrowds/announcements sends 120 of 1 MiB that stop short of their end.

Result: fails, +235.1 MB (want 33.6).

--- a/brsystem/crowd_test.go
+++ b/brsystem/crowd_test.go
@@ -50,6 +50,8 @@
 	}{
 		{"whole", callerAddress, crowdBodies, head(fmt.Sprint("Content-Length: ", crowdBodyBytes)) + unfinished},
 		{"one chunk", callerAddress, crowdBodies, head("Transfer-Encoding: chunked") + fmt.Sprintf("%x\r\n", crowdBodyBytes) + unfinished},
+		{"announcements", func(d *daemon) string { return d.peer }, crowdBodies,
+			fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n{\"endpoint_id\":\"", brengine.PathAnnounce, crowdBodyBytes) + unfinished[:crowdBodyBytes-20]},
 		{"half a header", callerAddress, crowdConns, half},
 		{"half a header to peers", func(d *daemon) string { return d.peer }, crowdConns, half},
 		{"half a header to operators", func(d *daemon) string { return d.operator }, crowdConns, half},
