brdaemon: read announcements within the limit of requests that arrive

Cause: TestCrowds/announcements.

Change: serveAnnounce reads by brbuffer, for at most 10 s; 503 with Retry-After without room.

--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
@@ -22,6 +25,8 @@
 const (
 	// maxAnnounceBytes limits the body of an endpoint's announcement.
 	maxAnnounceBytes = 1 << 20
+	// maxAnnounceTime is the time in which it must have arrived.
+	maxAnnounceTime = 10 * time.Second
 	// headerTimeout limits the time from the first byte of a request header to its end.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the time after which a connection without a request may be closed.
@@ -139,8 +144,13 @@
 		return
 	}
 	var a brwire.Announce
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&a); err != nil {
-		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+	if err := d.readAnnounce(w, r, &a); err != nil {
+		status := http.StatusBadRequest
+		if errors.Is(err, brbuffer.ErrNoRoom) {
+			w.Header().Set("Retry-After", strconv.FormatFloat(brbuffer.RetryAfter.Seconds(), 'f', 2, 64))
+			status = http.StatusServiceUnavailable
+		}
+		http.Error(w, "announcement: "+err.Error(), status)
 		return
 	}
 	if err := checkAnnounce(a); err != nil {
@@ -154,6 +164,16 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// readAnnounce reads an announcement. Errors include those of brbuffer.
+func (d *Daemon) readAnnounce(w http.ResponseWriter, r *http.Request, a *brwire.Announce) error {
+	body, err := d.buffers.Read(w, r, brbuffer.Options{Limit: maxAnnounceBytes, Deadline: d.clock.Now().Add(maxAnnounceTime)})
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	return json.NewDecoder(body.Reader()).Decode(a)
+}
+
 func checkAnnounce(a brwire.Announce) error {
 	for _, f := range []struct{ name, value string }{
 		{"endpoint_id", a.EndpointID}, {"address", a.Address}, {"model", a.Model}, {"version", a.Version}, {"region", a.Region}, {"incarnation", a.Incarnation},
