brdispatch: limit the memory of all services' responses together

Cause: each response had a limit of 8 MiB, their sum had none.

Change: Client.Responses is a brbuffer.Budget; a daemon's has entry_buffer_bytes, at least five responses of the largest size. Response.Buffer is released by the entry when the response is written. A response that gives way ends as endpoint_failed, since it has run. Heads still have no common limit.

--- a/brbuffer/body.go
+++ b/brbuffer/body.go
@@ -87,8 +87,11 @@
 	return b.holder.Reserve(n)
 }
 
-// Release releases the memory of b, which must not be used any more.
+// Release releases the memory of b, which must not be used any more. b may be nil.
 func (b *Body) Release() {
+	if b == nil {
+		return
+	}
 	if b.holder != nil {
 		b.holder.Release()
 	}
@@ -134,6 +137,27 @@
 	return &x.body, nil
 }
 
+// ReadFrom reads a body from source, of which no read may block for ever. Its length is
+// stated, or -1 if it isn't known. The function interrupt must end a read from source; it is
+// called when the body has to give way. The caller must call Release of the result. Errors are
+// those of Read and of source.
+func (b *Budget) ReadFrom(source io.Reader, stated, limit int64, interrupt func()) (*Body, error) {
+	if stated > limit {
+		b.countError(ErrTooLarge)
+		return nil, ErrTooLarge
+	}
+	x := &bodyReader{
+		source: source, stated: stated, options: Options{Limit: limit, Idle: DefaultIdle}, budget: b,
+		setDeadline: func(time.Time) {}, body: Body{holder: b.Open(interrupt)},
+	}
+	if err := x.read(); err != nil {
+		x.body.Release()
+		b.countError(err)
+		return nil, err
+	}
+	return &x.body, nil
+}
+
 // bodyReader reads one body.
 type bodyReader struct {
 	source      io.Reader
@@ -226,10 +250,12 @@
 // cause returns the error of Read for one of the connection.
 func (x *bodyReader) cause(err error) error {
 	switch {
-	case !errors.Is(err, os.ErrDeadlineExceeded):
+	case errors.Is(err, io.EOF):
 		return err
 	case x.body.holder.Evicted():
 		return ErrNoRoom
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return err
 	case x.options.Stop != nil && x.options.Stop.Err() != nil:
 		return ErrStopped
 	default:
--- a/brdaemon/entry.go
+++ b/brdaemon/entry.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brconfig"
 	"bramleyroute/brdispatch"
 	"bramleyroute/brentry"
@@ -40,6 +41,7 @@
 	client := &brdispatch.Client{
 		Clock: d.clock, StallTimeout: settings.StallTimeout, DialTimeout: endpointDialTimeout,
 		Dial: d.paths.dialEndpoint, PathFailed: d.paths.failed,
+		Responses: brbuffer.New(brbuffer.Config{Bytes: responseBytes(settings), Log: d.log, Clock: d.clock}),
 	}
 	e := &entry{daemon: d, Entry: brentry.New(brentry.Config{
 		EntryID: d.self.ID, Address: d.self.CallerAddress, Region: d.self.Region,
--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bramleyroute/brbuffer"
+	"bramleyroute/brdispatch"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
@@ -42,6 +43,11 @@
 	return int(max(s.EntryBufferBytes, arrivingBodies*s.MaxBodyBytes))
 }
 
+// responseBytes returns the limit of the memory of the services' responses.
+func responseBytes(s brsetting.Settings) int {
+	return int(max(s.EntryBufferBytes, arrivingBodies*brdispatch.DefaultMaxResponseBytes))
+}
+
 // listeners are the open listeners of a daemon; caller and operator may be nil.
 type listeners struct{ caller, peer, operator net.Listener }
 
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -5,10 +5,12 @@
 	"bytes"
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brevent"
@@ -36,6 +38,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Buffer holds the memory of Body if Client.Responses is set. The caller must release it.
+	Buffer *brbuffer.Body
 }
 
 // Call performs one exchange with a plain service and never repeats it, whatever the
@@ -102,20 +106,47 @@
 	defer cn.Close()
 	defer context.AfterFunc(ctx, func() { _ = cn.Close() })()
 	limit := cmp.Or(c.MaxResponseBytes, DefaultMaxResponseBytes)
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+	buffer, body, err := c.readBody(cn, resp, limit)
 	if err != nil {
 		return Response{}, err
 	}
-	if len(body) > limit {
-		return Response{}, brerror.New(brerror.EndpointFailed, "response body is longer than %d bytes", limit)
-	}
 	if brevent.IsStream(resp.Header) {
 		rest := body[brevent.LastEnd(body):]
 		if err := brevent.CheckEnd(brheader.FramingOf(resp), brevent.Count(body), rest); err != nil {
+			buffer.Release()
 			return Response{}, err
 		}
 	}
-	return Response{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body}, nil
+	return Response{Status: resp.StatusCode, Header: forwardedHeader(resp.Header), Body: body, Buffer: buffer}, nil
+}
+
+// readBody reads the body of a response of up to limit bytes. The buffer is nil without
+// Client.Responses.
+func (c *Client) readBody(cn *conn, resp *http.Response, limit int) (*brbuffer.Body, []byte, error) {
+	tooLong := brerror.New(brerror.EndpointFailed, "response body is longer than %d bytes", limit)
+	if c.Responses == nil {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
+		if err == nil && len(body) > limit {
+			err = tooLong
+		}
+		return nil, body, err
+	}
+	stated := resp.ContentLength
+	if resp.Body == http.NoBody {
+		stated = 0
+	}
+	buffer, err := c.Responses.ReadFrom(resp.Body, stated, int64(limit), func() { _ = cn.Close() })
+	if errors.Is(err, brbuffer.ErrTooLarge) {
+		err = tooLong
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := buffer.Bytes()
+	if err != nil {
+		buffer.Release()
+	}
+	return buffer, body, err
 }
 
 // omittedFields are the end-to-end header fields that aren't forwarded: idempotency
--- a/brdispatch/client.go
+++ b/brdispatch/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"bramleyroute/brbuffer"
 	"bramleyroute/brclock"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
@@ -44,7 +45,10 @@
 	ResumeAttempts   int           // maximum number of consecutive resumes without a new token
 	ResumeBackoff    time.Duration // delay before the second consecutive resume; doubles with each further one
 	MaxResponseBytes int           // maximum size of the body of a service's response in bytes
-	Counters         Counters
+	// Responses limits the memory of the bodies of all services' responses together, until
+	// their callers have released them; nil means no limit.
+	Responses *brbuffer.Budget
+	Counters  Counters
 
 	// Dial opens a connection; nil uses net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
--- a/brentry/service.go
+++ b/brentry/service.go
@@ -23,12 +23,14 @@
 		return
 	}
 	var response brdispatch.Response
+	defer func() { response.Buffer.Release() }()
 	var endpointID string
 	stored, err := e.serveHeld(r.Context(), h, func(ctx context.Context, g brwire.Grant, boundary func() error) (brdispatch.Result, error) {
 		resp, res, err := e.client.Call(ctx, brdispatch.Call{
 			RequestID: h.submit.RequestID, Address: g.Address, Method: r.Method, Path: servicePath(r), Route: h.submit.Route,
 			Header: r.Header, Body: h.body, Timeout: stuckTimeout(h.admission.Route), Boundary: boundary,
 		})
+		response.Buffer.Release() // of an attempt before
 		response, endpointID = resp, g.EndpointID
 		if err == nil {
 			e.finishLedgerRecord(h, LedgerResponse{Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body})
--- a/brsetting/table.go
+++ b/brsetting/table.go
@@ -96,7 +96,7 @@
 			Description: "Maximum number of requests that wait at the entry for a grant at the same time.",
 			parse:       intParser(1, 1_000_000, func(s *Settings) *int { return &s.EntryBufferRequests })},
 		{Name: "entry_buffer_bytes", Default: "64MiB", Unit: "bytes", Accepted: "at least `max_body_bytes`, at most 64GiB",
-			Description: "Maximum total size of the request bodies that the entry buffers at the same time; that of requests that are still arriving has the same limit of its own, at least 5 times `max_body_bytes`.",
+			Description: "Maximum total size of the request bodies that the entry buffers at the same time; requests that are still arriving have the same limit of their own, at least 5 times `max_body_bytes`, and so have responses of services, at least 40MiB.",
 			parse:       bytesParser(kib, 64*gib, func(s *Settings) *int64 { return &s.EntryBufferBytes })},
 		{Name: "max_connections", Default: "20000", Unit: "connections", Accepted: "16 to 1000000",
 			Description: "Maximum number of connections of each listener. Above it, one without a request gives way to a new one. Links between daemons don't count.",
