--- a/brdaemon/listen.go
+++ b/brdaemon/listen.go
@@ -2,16 +2,21 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"bramleyroute/brbuffer"
+	"bramleyroute/brdispatch"
 	"bramleyroute/brengine"
 	"bramleyroute/brerror"
 	"bramleyroute/brpeer"
 	"bramleyroute/brserver"
+	"bramleyroute/brsetting"
 	"bramleyroute/brtunnel"
 	"bramleyroute/brwire"
 
@@ -21,13 +26,28 @@
 const (
 	// maxAnnounceBytes limits the body of an endpoint's announcement.
 	maxAnnounceBytes = 1 << 20
+	// maxAnnounceTime is the time in which it must have arrived.
+	maxAnnounceTime = 10 * time.Second
 	// headerTimeout limits the time from the first byte of a request header to its end.
 	headerTimeout = 10 * time.Second
 	// idleTimeout is the time after which a connection without a request may be closed.
 	// Responses state it.
 	idleTimeout = 2 * time.Minute
+	// arrivingBodies is the number of bodies of the largest size that fit into the limit of
+	// requests that arrive: a completion takes up to four times its size until it is held.
+	arrivingBodies = 5
 )
 
+// bufferBytes returns the limit of the memory of all requests that arrive.
+func bufferBytes(s brsetting.Settings) int {
+	return int(max(s.EntryBufferBytes, arrivingBodies*s.MaxBodyBytes))
+}
+
+// responseBytes returns the limit of the memory of the services' responses.
+func responseBytes(s brsetting.Settings) int {
+	return int(max(s.EntryBufferBytes, arrivingBodies*brdispatch.DefaultMaxResponseBytes))
+}
+
 // listeners are the open listeners of a daemon; caller and operator may be nil.
 type listeners struct{ caller, peer, operator net.Listener }
 
@@ -111,6 +131,7 @@
 	limits := brserver.Limits{HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	s := brserver.New(brserver.Config{
 		Handler: h, Limits: func() brserver.Limits { return limits }, StateKeepAlive: true, Log: log, Clock: d.clock,
+		Buffers: d.buffers, MaxConns: d.settings.MaxConnections,
 	})
 	d.servers = append(d.servers, s)
 	d.wg.Go(func() {
@@ -129,8 +150,13 @@
 		return
 	}
 	var a brwire.Announce
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnounceBytes)).Decode(&a); err != nil {
-		http.Error(w, "announcement: "+err.Error(), http.StatusBadRequest)
+	if err := d.readAnnounce(w, r, &a); err != nil {
+		status := http.StatusBadRequest
+		if errors.Is(err, brbuffer.ErrNoRoom) {
+			w.Header().Set("Retry-After", strconv.FormatFloat(brbuffer.RetryAfter.Seconds(), 'f', 2, 64))
+			status = http.StatusServiceUnavailable
+		}
+		http.Error(w, "announcement: "+err.Error(), status)
 		return
 	}
 	if err := checkAnnounce(a); err != nil {
@@ -144,6 +170,16 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// readAnnounce reads an announcement. Errors include those of brbuffer.
+func (d *Daemon) readAnnounce(w http.ResponseWriter, r *http.Request, a *brwire.Announce) error {
+	body, err := d.buffers.Read(w, r, brbuffer.Options{Limit: maxAnnounceBytes, Deadline: d.clock.Now().Add(maxAnnounceTime)})
+	if err != nil {
+		return err
+	}
+	defer body.Release()
+	return json.NewDecoder(body.Reader()).Decode(a)
+}
+
 func checkAnnounce(a brwire.Announce) error {
 	for _, f := range []struct{ name, value string }{
 		{"endpoint_id", a.EndpointID}, {"address", a.Address}, {"model", a.Model}, {"version", a.Version}, {"region", a.Region}, {"incarnation", a.Incarnation},
--- a/brentry/service.go
+++ b/brentry/service.go
@@ -17,18 +17,20 @@
 // requests.
 func (e *Entry) serveService(w http.ResponseWriter, r *http.Request) {
 	defer e.countCaller()()
-	h, err := e.admitService(r)
+	h, err := e.admitService(w, r)
 	if err != nil {
 		e.refuse(w, r.Header.Get(brengine.HeaderRequestID), err)
 		return
 	}
 	var response brdispatch.Response
+	defer func() { response.Buffer.Release() }()
 	var endpointID string
 	stored, err := e.serveHeld(r.Context(), h, func(ctx context.Context, g brwire.Grant, boundary func() error) (brdispatch.Result, error) {
 		resp, res, err := e.client.Call(ctx, brdispatch.Call{
 			RequestID: h.submit.RequestID, Address: g.Address, Method: r.Method, Path: servicePath(r), Route: h.submit.Route,
 			Header: r.Header, Body: h.body, Timeout: stuckTimeout(h.admission.Route), Boundary: boundary,
 		})
+		response.Buffer.Release() // of an attempt before
 		response, endpointID = resp, g.EndpointID
 		if err == nil {
 			e.finishLedgerRecord(h, LedgerResponse{Status: resp.Status, ContentType: resp.Header.Get("Content-Type"), Body: resp.Body})
@@ -52,11 +54,12 @@
 }
 
 // admitService validates a call of a plain service and returns the held request.
-func (e *Entry) admitService(r *http.Request) (*heldRequest, error) {
-	key, body, err := e.readAuthorized(r)
+func (e *Entry) admitService(w http.ResponseWriter, r *http.Request) (*heldRequest, error) {
+	key, buffer, body, err := e.readAuthorized(w, r)
 	if err != nil {
 		return nil, err
 	}
+	defer buffer.Release() // a held request counts in Config.MaxHeldBytes
 	name, route := r.PathValue("name"), r.Header.Get(brengine.HeaderRoute)
 	if len(route) > maxNameLength {
 		return nil, brerror.New(brerror.InvalidRequest, "must not be longer than %d bytes", maxNameLength).WithField(brengine.HeaderRoute)
--- a/brplace/evacuation.go
+++ b/brplace/evacuation.go
@@ -42,6 +42,10 @@
 	}
 	e.evacuated = evacuated
 	s.forgetOutcomes(e)
+	if !evacuated {
+		// It may have turned cold shortly before, of which the news may still be on its way.
+		s.presumeCold(e, s.now.Add(e.cold.limit.Duration))
+	}
 	if e.hasShares() {
 		// Its former shares may belong to others by now.
 		e.bucket, e.slotUse.share = brlimit.Bucket{}, 0
