brentry: dial an address that nothing takes in TestLostPathIsReported

The test closed a server and dialed its port. Once in a run of the package, the server of the test's own fixture got the port in between, so that the request was served (Outcome:ran, where a refused dial was wanted). brtest.FreeAddress has an address that stays free; what is checked is the same. go test ./brentry -run TestLost -count=5 passes.

--- a/brentry/lost_test.go
+++ b/brentry/lost_test.go
@@ -11,6 +11,7 @@
 	"bramleyroute/brengine"
 	"bramleyroute/brentry"
 	"bramleyroute/brfake"
+	"bramleyroute/brtest"
 	"bramleyroute/brwire"
 )
 
@@ -91,11 +92,11 @@
 		dialed     bool // whether connections to the endpoint can be opened
 	}{{"dial and path failed", true, false}, {"dial failed", false, false}, {"connection and path lost", true, true}, {"connection lost", false, true}} {
 		for _, path := range []string{brengine.PathCompletions, brengine.PathServices + "m/a"} {
-			endpoint := httptest.NewServer(http.HandlerFunc(crash))
-			t.Cleanup(endpoint.Close)
-			address := endpoint.Listener.Addr().String()
-			if !test.dialed {
-				endpoint.Close()
+			address := brtest.FreeAddress(t)
+			if test.dialed {
+				endpoint := httptest.NewServer(http.HandlerFunc(crash))
+				t.Cleanup(endpoint.Close)
+				address = endpoint.Listener.Addr().String()
 			}
 			f := newFixture(t, brfake.Config{}, brentry.Config{}, func(f *fixture) {
 				f.Submit = func(_ context.Context, s brwire.Submit) error { return f.grant(s, 1, address) }
