--- a/brplace/cold.go
+++ b/brplace/cold.go
@@ -244,8 +244,9 @@
 	}
 }
 
-// updateCold counts the cold endpoints and sets the end of presumptions. An endpoint that has shown a sign of life since
-// then has started before that, and is cold for at most the usual time from now on.
+// updateCold counts the cold endpoints of v and sets the end of presumptions. An endpoint that
+// has shown a sign of life since then has started before that, and is cold for at most the
+// usual time from now on.
 func (s *State) updateCold(v *service) {
 	for _, e := range v.endpoints {
 		c := &e.cold
