brplace: rejected requests of a large fleet return while they can be in time

Cause: calls refused at once came back after 0.5 s, late, and took the place of others. Change: back within half of the time that is left, at random.

--- a/brplace/admission.go
+++ b/brplace/admission.go
@@ -26,6 +26,11 @@
 	// calls are due.
 	slackWeight = 0.05
 
+	// minReturnDelay is the least upper bound of the time after which a rejected request may
+	// come back, and minReturnPart the shortest time relative to that bound.
+	minReturnDelay = 50 * time.Millisecond
+	minReturnPart  = 0.3
+
 	// admissionRecovery is the part of what a daemon rejects that it admits again in a
 	// second. It makes the parts that the daemons admit alike.
 	admissionRecovery = 0.2
@@ -122,3 +127,11 @@
 	}
 	return s.cfg.Random() < part
 }
+
+// returnDelay returns a random time, at most half of slack if that isn't too short, after which
+// a rejected request may come back. Those that are rejected together don't meet, and can
+// still be in time: later they would take the place of others that can.
+func (s *State) returnDelay(slack time.Duration) time.Duration {
+	longest := max(minReturnDelay, slack/2)
+	return time.Duration((minReturnPart + (1-minReturnPart)*s.cfg.Random()) * float64(longest))
+}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -48,7 +48,7 @@
 	}
 	if !s.admits(v, &r) {
 		v.rates.rejected++
-		s.reject(&r, OverCapacity, s.retryDelay())
+		s.reject(&r, OverCapacity, s.returnDelay(r.FirstByteDue.Sub(s.now)-workMargin*v.rates.work))
 		return
 	}
 	if len(v.queue) == 0 {
@@ -62,10 +62,19 @@
 	position := slices.Index(v.queue, &r)
 	if position >= 0 && time.Duration(position+1)*v.startInterval > s.patience(v, &r) {
 		v.queue = slices.Delete(v.queue, position, position+1)
-		s.reject(&r, Overload, s.retryDelay())
+		s.reject(&r, Overload, s.overloadDelay(&r))
 	}
 }
 
+// overloadDelay returns the time after which r may be sent again if it is rejected when it
+// arrives. In a large fleet it can then still be in time.
+func (s *State) overloadDelay(r *Request) time.Duration {
+	if s.large() {
+		return s.returnDelay(r.FirstByteDue.Sub(s.now))
+	}
+	return s.retryDelay()
+}
+
 // patience returns how long r may be expected to wait when it arrives. In a large fleet that
 // is until its first byte is due, unless it is of the most urgent rank: a late one hardly finds a
 // slot there, and its caller has more of a rejection at once.
