--- a/brplace/admission.go
+++ b/brplace/admission.go
@@ -16,7 +16,7 @@
 
 	// queueFraction is the part of the time that calls may wait at an endpoint and still be
 	// in time, which they wait on average when the endpoints are full.
-	queueFraction = 0.33
+	queueFraction = 0.5
 
 	// rejectedWeight is the weight of a call in the moving average of the part that endpoints
 	// reject.
