--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -21,6 +21,9 @@
 	// minFlowRequests is the number of completed requests within flowMemory from which on
 	// the work of a service is known.
 	minFlowRequests = 20
+	// minWork is the least work of a service. Requests that last less are hardly ever seen
+	// running.
+	minWork = time.Millisecond
 
 	// callDurationWeight is the weight of a new value in the moving average of durations.
 	callDurationWeight = 0.05
@@ -114,10 +117,10 @@
 		v.rates = rates{duration: v.rates.duration, rejected: v.rates.rejected}
 		return
 	}
-	slotTime := time.Duration(busy / ended * float64(time.Second))
+	slotTime := max(minWork, time.Duration(busy/ended*float64(time.Second)))
 	v.rates.work = slotTime
 	if v.rates.duration > 0 {
-		v.rates.work = min(slotTime, v.rates.duration)
+		v.rates.work = max(minWork, min(slotTime, v.rates.duration))
 	}
 	v.rates.decide = !shared && s.large() && s.countsStale(v)
 	if !v.rates.decide {
