--- a/brbuffer/body_test.go
+++ b/brbuffer/body_test.go
@@ -97,3 +97,17 @@
 		})
 	}
 }
+
+// TestReserveAfterRelease guards against a reservation for a connection that was closed
+// meanwhile: nobody releases it, and it has no owner that could give way.
+func TestReserveAfterRelease(t *testing.T) {
+	b := New(Config{Bytes: 64 << 10})
+	h := b.Open(func() {})
+	h.Release()
+	if err := h.Reserve(40 << 10); !errors.Is(err, ErrNoRoom) {
+		t.Errorf("error %v after Release, want ErrNoRoom", err)
+	}
+	if used := b.Stats().HeldBytes; used != 0 {
+		t.Errorf("%d bytes are held, want 0", used)
+	}
+}
--- a/brbuffer/budget.go
+++ b/brbuffer/budget.go
@@ -129,6 +129,10 @@
 func (h *Holder) tryReserve(n int) (Verdict, <-chan struct{}) {
 	b := h.budget
 	b.mu.Lock()
+	if b.holders[h.id] == nil { // released, as its connection was closed meanwhile
+		b.mu.Unlock()
+		return Gone, nil
+	}
 	verdict, ids := b.state.Reserve(b.cfg.Clock.Now(), h.id, n)
 	var evicted []*Holder
 	for _, id := range ids {
--- a/brconcurrency/estimator.go
+++ b/brconcurrency/estimator.go
@@ -14,9 +14,14 @@
 	unitHalfLife = time.Second
 	// minCount is the weight of the responses from which on a level says something.
 	minCount = 6.0
-	// minGain is the part of the highest throughput of all levels that a lower level must
-	// reach for the endpoint to be limited to it.
-	minGain = 0.9
+	// keptThroughput is the part of the highest throughput of all levels that a level must reach
+	// for an endpoint to be filled up to it. An engine whose requests only share its speed has
+	// about the same throughput at all levels, and is better filled.
+	keptThroughput = 0.75
+	// probeInterval is the least time between two times of probeTime for which an endpoint that is
+	// always busy is limited to comparedLevel, so that probes cost little of its throughput.
+	probeInterval = 15 * time.Second
+	probeTime     = time.Second
 	// minShare is the smallest part of its slots that an endpoint is limited to. Below it, the
 	// estimate of a few responses could close an endpoint that is only slow.
 	minShare = 1.0 / 3
@@ -40,6 +45,8 @@
 	levels  [levels]decayed
 	recent  decayed   // over all levels, with unitHalfLife
 	updated time.Time // of levels and recent
+	// probedAt is the begin of the last probe; see Estimator.Limit.
+	probedAt time.Time
 }
 
 // New returns an Estimator that knows nothing.
@@ -63,6 +70,9 @@
 	delete(e.endpoints, id)
 	delete(e.own, id)
 	delete(e.countedAt, id)
+	for _, r := range e.peers {
+		delete(r, id)
+	}
 }
 
 // Observe counts a complete response of an endpoint with the given number of slots. Active is
@@ -140,13 +150,13 @@
 }
 
 // Limit returns the number of requests at once that an endpoint with the given number of slots
-// takes well: up to the first load level at which its throughput is within minGain of the highest
-// one. It is slots while nothing is known of a higher level.
+// takes well: up to the last load level at which its throughput is at least keptThroughput of the
+// highest one. It is slots while nothing is known of a higher level.
 //
 // Once an endpoint is limited, the counts of the higher levels lose their weight, until a few
 // requests try them again. In the same way an endpoint that has been busy for long is limited to
-// comparedLevel for a few requests, since without their times it can't be told from one that
-// would serve more with less to do.
+// comparedLevel for a moment from time to time, since without such requests it can't be told from
+// one that would serve more with less to do.
 func (e *Estimator) Limit(now time.Time, id string, slots int) int {
 	x := e.endpoints[id]
 	if x == nil {
@@ -154,17 +164,36 @@
 	}
 	x.decay(now)
 	highest, best := x.best()
-	if highest > comparedLevel && !x.compared() {
+	if highest > comparedLevel && x.probes(now) {
 		return slotsUpTo(comparedLevel, slots)
 	}
-	for i, l := range x.levels[:max(0, highest)] {
-		if l.count >= minCount && l.throughput() >= minGain*best {
-			return slotsUpTo(i, slots)
+	for i := highest; i >= 0; i-- {
+		l := x.levels[i]
+		if l.count < minCount || l.throughput() < keptThroughput*best {
+			continue
+		}
+		if i == highest {
+			return slots
 		}
+		return slotsUpTo(i, slots)
 	}
 	return slots
 }
 
+// probes reports whether requests at comparedLevel are to be tried now.
+func (x *estimate) probes(now time.Time) bool {
+	switch age := now.Sub(x.probedAt); {
+	case x.compared():
+		return false
+	case age < probeTime:
+		return true
+	case age < probeInterval:
+		return false
+	}
+	x.probedAt = now
+	return true
+}
+
 // best returns the highest load level with counts, or -1, and the highest throughput of all.
 func (x *estimate) best() (level int, throughput float64) {
 	level = -1
--- a/brplace/customer.go
+++ b/brplace/customer.go
@@ -21,7 +21,7 @@
 // daemons of a large fleet have few waiting requests that they could order instead. Requests of
 // more urgent ranks find room, so that the order of the ranks stays.
 func (s *State) exceedsShare(v *service, r *Request) bool {
-	return r.beyondShare && s.congested(v, r) && s.cfg.Random() >= s.beyondShare[r.Customer]
+	return r.beyondShare && !r.resent() && s.congested(v, r) && s.cfg.Random() >= s.beyondShare[r.Customer]
 }
 
 // congested reports whether fewer slots are free for the rank of r than congestedFraction of all.
--- a/brplace/demand.go
+++ b/brplace/demand.go
@@ -84,7 +84,7 @@
 	if need := s.urgentNeed(v, r); need < lowNeed*reserved {
 		reserved = need
 	}
-	if s.large() && s.now.After(r.FirstByteDue) {
+	if s.large() && s.now.After(r.FirstByteDue) && !r.resent() {
 		reserved += perRank
 	}
 	return reserved
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -56,6 +56,9 @@
 	beyondShare bool
 }
 
+// resent reports whether r was sent to an endpoint before.
+func (r *Request) resent() bool { return len(r.ExcludedEndpoints) > 0 }
+
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
 // LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, ConcurrencyReported,
 // SharesCompared, FleetChanged, DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
--- a/brplace/flow.go
+++ b/brplace/flow.go
@@ -62,6 +62,6 @@
 func (f *flow) estimate(work time.Duration, ratio float64, window int) {
 	requests := f.ended*flowMemory.Seconds() + priorRequests
 	slotTime := ratio*f.busy*flowMemory.Seconds() + priorRequests*work.Seconds()
-	f.work = time.Duration(slotTime / requests * float64(time.Second))
+	f.work = max(minWork, time.Duration(slotTime/requests*float64(time.Second)))
 	f.capacity = float64(window) / f.work.Seconds()
 }
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -194,7 +194,7 @@
 		}
 		return Paused, pause + s.spread()
 	}
-	if reason == Cold {
+	if reason == Cold && !r.resent() {
 		// A response that is late is worth less than one of another try soon.
 		remaining = min(remaining, r.FirstByteDue.Sub(s.now))
 	}
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -86,9 +86,10 @@
 
 // patience returns how long r may be expected to wait when it arrives. In a large fleet that
 // is until its first byte is due, unless it is of the most urgent rank: a late one hardly finds a
-// slot there, and its caller has more of a rejection at once.
+// slot there, and its caller has more of a rejection at once. A request that was sent before
+// waits as long as it may: its caller may have a part of the response already.
 func (s *State) patience(v *service, r *Request) time.Duration {
-	if s.large() && r.Rank > v.urgentRank {
+	if s.large() && r.Rank > v.urgentRank && !r.resent() {
 		return min(r.MaxQueueTime, r.FirstByteDue.Sub(s.now))
 	}
 	return r.MaxQueueTime
--- a/brplace/rates_test.go
+++ b/brplace/rates_test.go
@@ -122,3 +122,61 @@
 		}
 	}
 }
+
+// TestResentRequestsWait guards against requests that were sent to an endpoint before, and may
+// have a part of their response, but are rejected at once in a large fleet because their first byte
+// is due already, or because their customer is beyond its share.
+func TestResentRequestsWait(t *testing.T) {
+	s := New(Config{Daemon: "d0", Random: func() float64 { return 0.5 }})
+	s.Step(start, FleetChanged{daemonIDs(fullChoiceDaemons + 1)})
+	for _, id := range []string{"e0", "e1"} {
+		s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Slots: 1}})
+	}
+	submit := func(id uint64, rank int, customer string, due time.Duration, excluded ...string) []Effect {
+		return s.Step(start, Submit{Request{
+			ID: id, Service: "s", Rank: rank, Stream: true, Customer: customer, FirstByteDue: start.Add(due),
+			Deadline: start.Add(20 * time.Second), MaxQueueTime: 10 * time.Second, ExcludedEndpoints: excluded,
+		}})
+	}
+	for id := range uint64(6) {
+		submit(id, 0, "", time.Second)
+	}
+	s.Step(start, SharesCompared{Beyond: map[string]float64{"hot": 0.1}})
+	for name, effects := range map[string][]Effect{
+		"late":         submit(10, 1, "", -time.Millisecond, "e0"),
+		"beyond share": submit(11, 0, "hot", time.Second, "e0"),
+	} {
+		if len(effects) > 0 {
+			t.Errorf("%s: %v, want the request to wait", name, effects)
+		}
+	}
+}
+
+// TestFleetThatGrowsAgain guards against flows that take the requests of the time in which a fleet
+// was small for those of a moment, so that calls are placed and rejected by rates that never were.
+func TestFleetThatGrowsAgain(t *testing.T) {
+	const peers = 30
+	now, ended := start, uint64(100)
+	s := New(Config{Daemon: "d0", Random: func() float64 { return 0.5 }})
+	s.Step(now, EndpointChanged{Endpoint{ID: "e", Service: "s", Slots: 6}})
+	run := func(daemons int, d time.Duration) {
+		s.Step(now, FleetChanged{daemonIDs(daemons)})
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(replayTick)
+			if now.Sub(start)%time.Second == 0 {
+				ended++
+				for i := 1; i < peers; i++ {
+					s.Step(now, PeerReported{daemonIDs(peers)[i], Report{"e": {Ended: ended}}})
+				}
+			}
+			s.Step(now, Tick{})
+		}
+	}
+	run(peers, 20*time.Second)
+	run(fullChoiceDaemons, 100*time.Second)
+	run(peers, 2*time.Second)
+	// Each daemon completes one request per second; the moving average follows single reports.
+	if got := s.endpoints["e"].flow.ended; got > 2*peers {
+		t.Errorf("%.0f requests per second, want about %d", got, peers)
+	}
+}
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -282,9 +282,7 @@
 			continue
 		}
 		e.others.add(u)
-		if s.large() {
-			e.flow.recordReport(daemon, u.Ended, old != nil)
-		}
+		e.flow.recordReport(daemon, u.Ended-u.Failed, old != nil)
 		prev, known := old[id]
 		if u.EventInterval != prev.EventInterval {
 			e.eventInterval = movingAverage(e.eventInterval, u.EventInterval, eventIntervalWeight)
@@ -398,7 +396,10 @@
 	for _, f := range s.inflight {
 		s.checkStalled(f)
 	}
-	elapsed := s.now.Sub(s.tickedAt)
+	elapsed := time.Duration(0)
+	if !s.tickedAt.IsZero() {
+		elapsed = s.now.Sub(s.tickedAt)
+	}
 	s.tickedAt = s.now
 	s.recordAge()
 	for _, v := range s.services {
