--- a/brbuffer/body.go
+++ b/brbuffer/body.go
@@ -137,11 +137,11 @@
 	return &x.body, nil
 }
 
-// ReadFrom reads a body from source, of which no read may block for ever. Its length is
+// Collect reads a body from source, of which no read may block for ever. Its length is
 // stated, or -1 if it isn't known. The function interrupt must end a read from source; it is
 // called when the body has to give way. The caller must call Release of the result. Errors are
 // those of Read and of source.
-func (b *Budget) ReadFrom(source io.Reader, stated, limit int64, interrupt func()) (*Body, error) {
+func (b *Budget) Collect(source io.Reader, stated, limit int64, interrupt func()) (*Body, error) {
 	if stated > limit {
 		b.countError(ErrTooLarge)
 		return nil, ErrTooLarge
--- a/brdispatch/call.go
+++ b/brdispatch/call.go
@@ -135,7 +135,7 @@
 	if resp.Body == http.NoBody {
 		stated = 0
 	}
-	buffer, err := c.Responses.ReadFrom(resp.Body, stated, int64(limit), func() { _ = cn.Close() })
+	buffer, err := c.Responses.Collect(resp.Body, stated, int64(limit), func() { _ = cn.Close() })
 	if errors.Is(err, brbuffer.ErrTooLarge) {
 		err = tooLong
 	}
