--- a/brcore/core.go
+++ b/brcore/core.go
@@ -165,14 +165,31 @@
 }
 
 func (c *Core) propose(ctx context.Context, cmd Command) (Verdict, error) {
+	data, err := encodeCommand(cmd)
+	if err != nil {
+		return 0, err
+	}
+	return callReplicas(ctx, c, callPropose, data, c.localPropose)
+}
+
+// encodeCommand returns an error with the code TooLarge for a command beyond the size of a
+// proposal.
+func encodeCommand(cmd Command) ([]byte, error) {
 	data, err := brwire.Encode(cmd)
 	if err != nil {
-		return 0, fmt.Errorf("brcore: encode command: %w", err)
+		return nil, fmt.Errorf("brcore: encode command: %w", err)
 	}
 	if len(data) > brcontrol.MaxProposalBytes {
-		return 0, brerror.New(brerror.TooLarge, "command of %d bytes exceeds %d", len(data), brcontrol.MaxProposalBytes)
+		return nil, brerror.New(brerror.TooLarge, "command of %d bytes exceeds %d", len(data), brcontrol.MaxProposalBytes)
 	}
-	return callReplicas(ctx, c, callPropose, data, c.localPropose)
+	return data, nil
+}
+
+// CheckDocumentSize returns an error if PutDocument refuses the document because of its
+// size.
+func CheckDocumentSize(version uint64, body []byte) error {
+	_, err := encodeCommand(Command{Document: &Document{Version: version, Body: body}})
+	return err
 }
 
 // callReplicas executes a call at this daemon's replica, or, if that fails, at the
--- a/brpolicy/policy.go
+++ b/brpolicy/policy.go
@@ -1,10 +1,6 @@
 package brpolicy
 
-import (
-	"fmt"
-	"strings"
-	"time"
-)
+import "time"
 
 // RetryMode says whether a request whose outcome is unknown may be retried.
 type RetryMode uint8
@@ -86,77 +82,3 @@
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
-
-// Check returns an error describing the first fault found in a policy, or nil.
-func (p Policy) Check() error {
-	services := map[string]bool{}
-	for _, s := range p.Services {
-		services[s.Name] = true
-		if err := s.check(); err != nil {
-			return fmt.Errorf("brpolicy: service %q: %w", s.Name, err)
-		}
-	}
-	routeNames := map[string]string{}
-	for _, r := range p.Routes {
-		if err := r.check(services); err != nil {
-			return fmt.Errorf("brpolicy: route %q: %w", r.Name, err)
-		}
-		key := r.Host + r.Prefix
-		if other, ok := routeNames[key]; ok {
-			return fmt.Errorf("brpolicy: routes %q and %q have the same host and prefix", other, r.Name)
-		}
-		routeNames[key] = r.Name
-	}
-	keyOwners := map[string]string{}
-	for _, c := range p.Customers {
-		for _, k := range c.Keys {
-			if other, ok := keyOwners[k]; ok && other != c.Name {
-				return fmt.Errorf("brpolicy: customers %q and %q share a key", other, c.Name)
-			}
-			keyOwners[k] = c.Name
-		}
-	}
-	return nil
-}
-
-// check validates a service.
-func (s Service) check() error {
-	if !(s.ColdRate >= 0) { // true for NaN
-		return fmt.Errorf("rate %v of a cold endpoint is negative", s.ColdRate)
-	}
-	if s.ColdStart < 0 {
-		return fmt.Errorf("cold start of %v is negative", s.ColdStart)
-	}
-	return nil
-}
-
-// maxWeight is the largest weight of a service. A float64 holds the sum of all weights of
-// a route exactly.
-const maxWeight = 1_000_000_000
-
-// check validates a route. The keys of services are the services of the policy.
-func (r Route) check(services map[string]bool) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return fmt.Errorf("prefix %q doesn't begin and end with a slash", r.Prefix)
-	}
-	if r.Timeout <= 0 {
-		return fmt.Errorf("timeout %v isn't positive", r.Timeout)
-	}
-	weight := 0
-	for _, t := range r.Targets {
-		if !services[t.Service] {
-			return fmt.Errorf("unknown service %q", t.Service)
-		}
-		if t.Weight < 0 {
-			return fmt.Errorf("negative weight of service %q", t.Service)
-		}
-		if t.Weight > maxWeight {
-			return fmt.Errorf("weight %d of service %q, want at most %d", t.Weight, t.Service, maxWeight)
-		}
-		weight += t.Weight
-	}
-	if weight == 0 {
-		return fmt.Errorf("weights add up to 0")
-	}
-	return nil
-}
