brctl: check a document with places, warnings and the revision

config check printed the problems that a daemon found, without lines, and needed a daemon. Exit code 7 is new, for warnings without errors.

go test ./brcheck ./brctl passes; FuzzDocument, 330117 executions in 10 s with -fuzzminimizetime 10x -parallel 2, passes.

--- a/brctl/config.go
+++ b/brctl/config.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 
+	"bramleyroute/brcheck"
 	"bramleyroute/brconfig"
 	"bramleyroute/broperator"
 )
@@ -14,9 +15,15 @@
 	config := a.kingpin.Command("config", "Read and change the configuration.")
 	a.add(config.Command("get", "Print the configuration as JSON. Its revision goes to standard error, or with --output=json around the document."), a.configGet)
 
-	check := config.Command("check", "Check a configuration without changing anything.")
+	check := config.Command("check", "Check a configuration without changing anything, and show the differences from the one in force. Exit code 0 if nothing is found, 7 for warnings, 4 for errors, 5 if no daemon can be asked.")
 	checkFile := check.Arg("file", "JSON file; - is standard input.").Required().String()
-	a.add(check, func(ctx context.Context, c client) error { return a.configCheck(ctx, c, *checkFile) })
+	offline := check.Flag("offline", "Ask no daemon: check by the rules of this build of bramleyctl, and show no differences.").Bool()
+	a.add(check, func(ctx context.Context, c client) error {
+		if *offline {
+			return a.configCheck(ctx, *checkFile, checkOffline)
+		}
+		return a.configCheck(ctx, *checkFile, c.checkInForce)
+	})
 
 	diff := config.Command("diff", "Show what a configuration would change.")
 	diffFile := diff.Arg("file", "JSON file; - is standard input.").Required().String()
@@ -75,23 +82,61 @@
 	return read[brconfig.Document, broperator.Problems](ctx, c, "POST", broperator.PathConfigCheck, doc)
 }
 
-func (a *App) configCheck(ctx context.Context, c client, file string) error {
-	p, err := a.problems(ctx, c, file)
+// configCheck prints the findings of this build, completed by the function complete.
+func (a *App) configCheck(ctx context.Context, file string, complete func(context.Context, brcheck.Report, []byte) (brcheck.Report, error)) error {
+	data, err := a.readFile(file)
 	if err != nil {
 		return err
 	}
-	err = a.print(p.Problems, func(g *tableWriter) {
-		if len(p.Problems) == 0 {
-			g.row("no problems")
-		}
-		for _, x := range p.Problems {
-			g.row(x.Field, x.Message)
-		}
-	})
-	if err == nil && len(p.Problems) > 0 {
-		return exitCodeError{ExitInvalid}
+	report, incomplete := complete(ctx, brcheck.Report{Findings: brcheck.Document(data)}, data)
+	if a.output == outputJSON {
+		err = a.printJSON(report)
+	} else {
+		err = report.WriteText(a.out, file)
+	}
+	code := report.ExitCode()
+	switch {
+	case err != nil:
+		return err
+	case incomplete != nil && code != ExitInvalid:
+		return incomplete
+	case incomplete != nil:
+		fmt.Fprintln(a.errOut, "bramleyctl:", incomplete)
+	}
+	if code != ExitOK {
+		return exitCodeError{code}
+	}
+	return nil
+}
+
+func checkOffline(_ context.Context, r brcheck.Report, _ []byte) (brcheck.Report, error) {
+	return r, nil
+}
+
+// checkInForce replaces the errors of this build by those of a daemon, because the daemon's
+// release determines what is valid, and adds the differences from the configuration in force.
+func (c client) checkInForce(ctx context.Context, r brcheck.Report, data []byte) (brcheck.Report, error) {
+	doc, err := brconfig.Parse(data)
+	if err != nil {
+		return r, nil // is among the findings; daemons can't check it
+	}
+	conf, err := read[broperator.Empty, broperator.Config](ctx, c, "GET", broperator.PathConfig, broperator.Empty{})
+	if err != nil {
+		return r, err
+	}
+	p, err := read[brconfig.Document, broperator.Problems](ctx, c, "POST", broperator.PathConfigCheck, doc)
+	if err != nil {
+		return r, err
+	}
+	places := brcheck.FindPlaces(data)
+	r = r.WithoutProblems()
+	for _, x := range p.Problems {
+		r.Findings = append(r.Findings, brcheck.Finding{Severity: brcheck.Error, Path: x.Field, Line: places.Line(x.Field), Message: x.Message})
 	}
-	return err
+	r.Sort()
+	r.Revision = &conf.Revision
+	r.Changes = brcheck.DocumentDifferences(conf.Document, doc)
+	return r, nil
 }
 
 func (a *App) configDiff(ctx context.Context, c client, file string) error {
--- a/brctl/exit.go
+++ b/brctl/exit.go
@@ -17,6 +17,7 @@
 	ExitInvalid     = 4 // refused as invalid; the same command will be refused again
 	ExitUnavailable = 5 // not run; it may be sent again later
 	ExitUnknown     = 6 // may have run; the same command must be sent again, with its command ID
+	ExitWarnings    = 7 // a configuration is valid, but a check has warnings
 )
 
 // ExitCodes describes the exit codes, for the help and the reference page.
@@ -29,6 +30,7 @@
 		"4  refused as invalid; the message names the field",
 		"5  unavailable and not run: try again later",
 		"6  outcome unknown: send the command again, with the same --command-id if it has one",
+		"7  the checked configuration is valid, but has entries without effect or contradictions",
 	}
 }
 
