--- a/brpolicy/policy_test.go
+++ b/brpolicy/policy_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// TestManyFaults guards against an error that leaves faults out without saying so, or that
+// grows with the lengths of names.
+func TestManyFaults(t *testing.T) {
+	p := validPolicy()
+	p.Routes[0].Name = strings.Repeat("n", 1<<20)
+	p.Routes[0].Timeout = 0
+	for range maxJoinedFaults {
+		p.Routes = append(p.Routes, p.Routes[0])
+	}
+	err := p.Check()
+	if n := len(p.Faults()); n != 2*maxJoinedFaults+1 {
+		t.Errorf("%d faults, want a timeout for each route and a prefix for each repeated one", n)
+	}
+	if text := err.Error(); !strings.Contains(text, "21 more faults") || len(text) > 1<<14 {
+		t.Errorf("error of %d bytes ends with %q", len(text), text[max(0, len(text)-100):])
+	}
+}
+
 // TestRoute guards against matching a request to a route with a shorter prefix than
 // the longest match, or to a route of another host.
 func TestRoute(t *testing.T) {
