brplace, brmemory: bound the tokens outstanding at an endpoint by its memory

Cause: endpoints crash when they hold more than their memory. Placement counted requests against slots only, and reports of other daemons are late. Change: brmemory estimates what the others hold from their reports, leaves a margin for what no report shows yet, and divides the memory among the daemons while more than 0.4 of it is outstanding. A request that is larger than the memory is rejected (too_large).

--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -115,7 +115,7 @@
 		if len(found) == limit {
 			break
 		}
-		if !e.usable(s.now) || !eligible(e, r) || !hasRoom(e, r) || skipSlow && s.tooSlow(e, r) {
+		if !e.usable(s.now) || !eligible(e, r) || !hasRoom(e, r) || !s.hasMemory(v, e, r) || skipSlow && s.tooSlow(e, r) {
 			continue
 		}
 		found = append(found, e)
@@ -267,6 +267,7 @@
 func (s *State) place(r *Request, e *endpoint) {
 	unqueued := e.active() < e.Slots && e.pendingPrompt() == 0
 	e.own.Active++
+	e.memory.own += r.tokens()
 	s.service(r.Service).countRunning(r, 1)
 	e.own.PendingPromptTokens += r.PromptTokens
 	if e.limit.Limited {
--- a/brplace/endpoint.go
+++ b/brplace/endpoint.go
@@ -59,6 +59,7 @@
 	cold           coldUse
 	flow           flow
 	learned        learned
+	memory         memoryUse
 }
 
 // usageSum is the sum of the usage by other daemons.
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -43,6 +43,7 @@
 	Rank              int    // 0 is the most urgent
 	Stream            bool
 	PromptTokens      int           // prompt length in tokens
+	OutputTokens      int           // expected length of the response in tokens
 	ExpectedEvents    float64       // expected number of events of a streamed response
 	FirstByteDue      time.Time     // time by which the first response byte is due
 	Deadline          time.Time     // time until which the caller waits
@@ -58,7 +59,7 @@
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
 // LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, ConcurrencyReported,
-// SharesCompared, FleetChanged, DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
+// MemoryLimitsChanged, SharesCompared, FleetChanged, DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
--- a/brplace/limit.go
+++ b/brplace/limit.go
@@ -104,6 +104,7 @@
 	s.daemons = slices.Clone(ids)
 	for _, v := range s.services {
 		v.sharesStale = true
+		v.memory.parts = nil
 	}
 }
 
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -32,6 +32,11 @@
 	v.urgentRank = min(v.urgentRank, r.Rank)
 	v.demand.record(r.Rank)
 	r.short, r.queuedAt = v.isShort(&r), s.now
+	if s.tooLarge(&r) {
+		s.reject(&r, TooLarge, maxRetryAfter)
+		return
+	}
+	v.memory.sizes = v.memory.sizes.Add(s.now, r.PromptTokens, r.OutputTokens)
 	if s.onlyEvacuated(v, &r) {
 		s.reject(&r, Evacuated, s.retryDelay())
 		return
--- a/brplace/rates.go
+++ b/brplace/rates.go
@@ -184,15 +184,15 @@
 // time fill the endpoints to the same expected wait (basic load interpretation).
 func (s *State) chooseByRates(v *service, r *Request) *endpoint {
 	if s.cfg.Random() < probeFraction {
-		if all := s.rateCandidates(v.endpoints, r); len(all) > 0 {
+		if all := s.rateCandidates(v, v.endpoints, r); len(all) > 0 {
 			return all[int(s.cfg.Random()*float64(len(all)))]
 		}
 		return nil
 	}
 	inTime := s.endpointsInTime(v, r.FirstByteDue.Sub(s.now))
-	candidates := s.rateCandidates(inTime, r)
+	candidates := s.rateCandidates(v, inTime, r)
 	if len(candidates) == 0 {
-		candidates = s.rateCandidates(v.endpoints, r)
+		candidates = s.rateCandidates(v, v.endpoints, r)
 	}
 	if len(candidates) == 0 {
 		return nil
@@ -234,10 +234,10 @@
 }
 
 // rateCandidates returns the first preferredEndpoints of those that may run r now.
-func (s *State) rateCandidates(endpoints []*endpoint, r *Request) []*endpoint {
+func (s *State) rateCandidates(v *service, endpoints []*endpoint, r *Request) []*endpoint {
 	var candidates []*endpoint
 	for _, e := range endpoints {
-		if len(candidates) < preferredEndpoints && e.usable(s.now) && eligible(e, r) {
+		if len(candidates) < preferredEndpoints && e.usable(s.now) && eligible(e, r) && s.hasMemory(v, e, r) {
 			candidates = append(candidates, e)
 		}
 	}
--- a/brplace/replay_test.go
+++ b/brplace/replay_test.go
@@ -36,6 +36,8 @@
 	observe            func(r *replayRun, daemon int, q *replayStream, e Effect) // may be nil
 	cold               *coldReplay
 	customers          customerReplay
+	memory             int  // of an endpoint in tokens; 0 for no count of what it holds
+	limitMemory        bool // the daemons know it
 }
 
 const (
@@ -131,7 +133,9 @@
 	pairs    map[[2]int]bool                // of a daemon and an endpoint that it has used
 	reported []map[reportKind]time.Duration // times of the last reports on dispatch, by daemon
 	usage    customerUsage
-	longest  int // greatest number of streams waiting at an endpoint
+	longest  int   // greatest number of streams waiting at an endpoint
+	held     []int // tokens outstanding, by endpoint
+	overfull int   // dispatches that took an endpoint beyond its memory
 }
 
 // onTime returns the fraction of the streams of a rank that began in time.
@@ -143,7 +147,7 @@
 func (r *replayRun) part() float64 { return r.earned / r.owed }
 
 func (f fleetReplay) run() *replayRun {
-	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
+	r := &replayRun{fleetReplay: f, rng: rand.New(rand.NewPCG(1, 2)), running: make([]int, f.endpoints), queues: make([][]*replayStream, f.endpoints), held: make([]int, f.endpoints), index: map[string]int{}, pairs: map[[2]int]bool{}}
 	for d := range f.daemons {
 		s := New(Config{Daemon: fmt.Sprint("d", d), FailureDomain: fmt.Sprint("z", replayZone(d)), Random: r.rng.Float64})
 		if !f.fullChoice {
@@ -154,6 +158,9 @@
 			r.index[id] = e
 			s.Step(start, EndpointChanged{Endpoint{ID: id, Service: "s", Zone: fmt.Sprint("z", replayZone(e)), Slots: f.slots}})
 		}
+		if f.limitMemory {
+			s.Step(start, MemoryLimitsChanged{map[string]int{"s": f.memory}})
+		}
 		f.cold.prepare(r, s, d)
 		r.states = append(r.states, s)
 		r.waiting = append(r.waiting, map[uint64]*replayStream{})
@@ -224,7 +231,7 @@
 			due = at.Add(k.deadline)
 		}
 		r.step(q.daemon, Submit{Request{
-			Customer: customerName(q.customer), ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call || r.byCounts, PromptTokens: prompt, ExpectedEvents: expected,
+			Customer: customerName(q.customer), ID: q.id, Service: "s", Rank: k.rank, Stream: !k.call || r.byCounts, PromptTokens: prompt, ExpectedEvents: expected, OutputTokens: int(k.events * tokensPerEvent),
 			FirstByteDue: due, Deadline: at.Add(k.deadline), MaxQueueTime: k.callerTimeout() * 6 / 10,
 		}})
 		r.arrive(k)
@@ -257,6 +264,9 @@
 				continue
 			}
 			r.queues[i] = append(r.queues[i], q)
+			if r.held[i] += q.tokens(); r.held[i] > r.memory {
+				r.overfull++
+			}
 			r.serve(i)
 			r.longest = max(r.longest, len(r.queues[i]))
 			r.reportDispatch(daemon)
@@ -289,6 +299,7 @@
 	q := r.queues[i][0]
 	r.queues[i] = r.queues[i][1:]
 	if r.now-q.arrived > q.kind.callerTimeout() {
+		r.held[i] -= q.tokens()
 		r.step(q.daemon, Ended{ID: q.id, Result: Inconclusive})
 		r.serve(i)
 		return
@@ -354,10 +365,14 @@
 // end frees the slot of a stream at an endpoint.
 func (r *replayRun) end(i int, q *replayStream, interval time.Duration) {
 	r.running[i]--
+	r.held[i] -= q.tokens()
 	r.step(q.daemon, Ended{ID: q.id, Result: Succeeded, EventInterval: interval})
 	r.serve(i)
 }
 
+// tokens returns the memory that q occupies at its end.
+func (q *replayStream) tokens() int { return q.prompt + int(q.events*tokensPerEvent) }
+
 // logNormal returns a random factor of mean 1.
 func (r *replayRun) logNormal() float64 {
 	return math.Exp(r.spread*r.rng.NormFloat64() - r.spread*r.spread/2)
--- a/brplace/state.go
+++ b/brplace/state.go
@@ -23,14 +23,15 @@
 
 // State is the placement state of one daemon. It isn't safe for concurrent use.
 type State struct {
-	cfg       Config
-	endpoints map[string]*endpoint
-	services  map[string]*service
-	inflight  map[uint64]*inflightRequest
-	limits    map[string]*endpointLimit // by endpoint ID
-	estimator *brconcurrency.Estimator  // nil without Config.LearnConcurrency
-	cold      coldState
-	peers     map[string]Report
+	cfg          Config
+	endpoints    map[string]*endpoint
+	services     map[string]*service
+	inflight     map[uint64]*inflightRequest
+	limits       map[string]*endpointLimit // by endpoint ID
+	estimator    *brconcurrency.Estimator  // nil without Config.LearnConcurrency
+	cold         coldState
+	memoryLimits map[string]int // memory of an endpoint in tokens, by service; see MemoryLimitsChanged
+	peers        map[string]Report
 	// partitionedPeers holds the daemons that have lost their direct path to the endpoints.
 	partitionedPeers map[string]bool
 	evacuated        []string             // failure domains
@@ -63,6 +64,7 @@
 	borrows       bool          // this daemon may use slots of others; see State.mayBorrow
 	rates         rates
 	demand        demand
+	memory        serviceMemory
 	fastestUnit   time.Duration // shortest learned.unit of its endpoints; 0 if none is known
 }
 
@@ -136,6 +138,8 @@
 		s.setPeerPartitioned(e)
 	case DomainsEvacuated:
 		s.evacuate(e)
+	case MemoryLimitsChanged:
+		s.setMemoryLimits(e.Tokens)
 	case SharesCompared:
 		s.setBeyondShare(e.Beyond)
 	case PathLost:
@@ -204,8 +208,11 @@
 		e = &endpoint{Endpoint: announced, affinityHash: float64(xxhash.Sum64String(s.cfg.Daemon+"/"+announced.ID)) / (1 << 64)}
 		s.endpoints[announced.ID] = e
 		s.attach(e)
-		for _, r := range s.peers {
+		for daemon, r := range s.peers {
 			e.others.add(r[announced.ID])
+			if u, ok := r[announced.ID]; ok {
+				s.recordHeld(e, daemon, u)
+			}
 		}
 	case e.Service != announced.Service:
 		s.forgetOutcomes(e)
@@ -227,6 +234,7 @@
 	v.endpoints = append(v.endpoints, e)
 	slices.SortFunc(v.endpoints, s.comparePreference)
 	v.sharesStale = v.sharesStale || e.hasShares()
+	v.memory.parts = nil
 	s.countCold(v)
 }
 
@@ -251,6 +259,7 @@
 	v := s.service(e.Service)
 	v.endpoints = slices.DeleteFunc(v.endpoints, func(x *endpoint) bool { return x == e })
 	v.sharesStale = v.sharesStale || e.hasShares()
+	v.memory.parts = nil
 	s.countCold(v)
 }
 
@@ -272,6 +281,9 @@
 	for id, u := range old {
 		if e := s.endpoints[id]; e != nil {
 			e.others.remove(u)
+			if _, ok := r[id]; !ok {
+				e.memory.forgetHeld(daemon)
+			}
 		}
 	}
 	freed := map[*service]bool{}
@@ -282,6 +294,7 @@
 			continue
 		}
 		e.others.add(u)
+		s.recordHeld(e, daemon, u)
 		if s.large() {
 			e.flow.recordReport(daemon, u.Ended, old != nil)
 		}
@@ -356,6 +369,7 @@
 	delete(s.inflight, ev.ID)
 	e, v := f.endpoint, s.service(f.request.Service)
 	e.own.Active--
+	e.memory.own -= f.request.tokens()
 	v.countRunning(&f.request, -1)
 	e.lastEnded = s.now
 	s.recordSlot(e, ev.Result)
@@ -404,6 +418,7 @@
 	for _, v := range s.services {
 		v.updateStatistics()
 		s.updateLearned(v)
+		s.updateMemory(v)
 		s.expire(v)
 		s.updateCold(v)
 		s.updateBrittle(v)
