--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -48,7 +48,9 @@
 	LearnConcurrency bool
 	// ShareByCustomer is as in brproxy.Config.
 	ShareByCustomer bool
-	Quota           brquota.Config
+	// LimitMemory is as in brproxy.Config.
+	LimitMemory bool
+	Quota       brquota.Config
 	// QuotaSlackTokens is as in brproxy.Config.
 	QuotaSlackTokens float64
 	// DecodePolicy decodes a policy document sent by an operator.
@@ -127,7 +129,7 @@
 	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
-		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, LimitMemory: cfg.LimitMemory, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -40,6 +40,9 @@
 	// ShareByCustomer says that requests of customers which receive more than their share of
 	// the fleet come after those of the others of the same rank.
 	ShareByCustomer bool
+	// LimitMemory says that the tokens which the fleet has outstanding at an endpoint are
+	// bounded by the memory of its engine.
+	LimitMemory bool
 	// QuotaSlackTokens is the number of tokens by which a customer with a quota in
 	// tokens may exceed its limit in any window of time.
 	QuotaSlackTokens float64
@@ -174,6 +177,9 @@
 	p.mu.Lock()
 	p.limiter.SetLimits(limits)
 	p.step(brplace.ColdLimitsChanged{Limits: coldLimits(t.Policy())})
+	if p.cfg.LimitMemory {
+		p.step(brplace.MemoryLimitsChanged{Tokens: memoryLimits(t.Policy())})
+	}
 	p.mu.Unlock()
 	if p.table.Swap(t) == nil {
 		close(p.policySet)
@@ -192,6 +198,17 @@
 	return limits
 }
 
+// memoryLimits returns the memory of the engines in tokens, by service.
+func memoryLimits(policy brpolicy.Policy) map[string]int {
+	limits := map[string]int{}
+	for _, s := range policy.Services {
+		if s.Engine != nil && s.Engine.KVCapacity > 0 {
+			limits[s.Name] = s.Engine.KVCapacity
+		}
+	}
+	return limits
+}
+
 // Table returns the policy in force, or nil.
 func (p *Proxy) Table() *brpolicy.Table { return p.table.Load() }
 
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -340,7 +340,7 @@
 func (p *Proxy) placementRequest(q *request) brplace.Request {
 	r := brplace.Request{
 		Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
-		PromptTokens: q.call.PromptTokens, ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
+		PromptTokens: q.call.PromptTokens, OutputTokens: int(q.expectedOutput()), ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
 		FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
 	}
 	r.MaxQueueTime = q.callerWait(p.cfg.Clock.Now())
@@ -371,18 +371,27 @@
 	return q.route.RetryMode == brpolicy.Resumable && q.lastEventID != ""
 }
 
-// expectedEvents returns the expected number of events of the response, based on
-// the caller's estimate of its length or else on typicalOutputFraction.
-func (p *Proxy) expectedEvents(q *request) float64 {
-	tokens := float64(q.call.OutputTokensHint)
-	if tokens == 0 {
-		tokens = typicalOutputFraction * float64(q.call.MaxOutputTokens)
+// expectedOutput returns the expected number of tokens of the response, based on the
+// caller's estimate of its length, up to the stated maximum, or else on
+// typicalOutputFraction.
+func (q *request) expectedOutput() float64 {
+	hint, most := q.call.OutputTokensHint, q.call.MaxOutputTokens
+	switch {
+	case hint == 0:
+		return typicalOutputFraction * float64(most)
+	case most > 0:
+		return float64(min(hint, most))
 	}
+	return float64(hint)
+}
+
+// expectedEvents returns the expected number of events of the response.
+func (p *Proxy) expectedEvents(q *request) float64 {
 	tokensPerEvent := 1
 	if s := p.table.Load().Service(q.service); s != nil && s.Engine != nil {
 		tokensPerEvent = max(1, s.Engine.TokensPerEvent)
 	}
-	return tokens / float64(tokensPerEvent)
+	return q.expectedOutput() / float64(tokensPerEvent)
 }
 
 // typicalOutputFraction is the typical length of a response as a fraction of its
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -19,6 +19,7 @@
 	Quarantined  atomic.Uint64 // requests held back because of a part of their prompt
 	Evacuated    atomic.Uint64 // requests refused because of an evacuation; also in Rejected
 	RefusedCold  atomic.Uint64 // requests refused because endpoints are cold; also in Rejected
+	TooLarge     atomic.Uint64 // requests refused since they exceed the memory of an endpoint; also in Rejected
 	OverQuota    atomic.Uint64 // requests refused by the quota; also in Rejected
 	Denied       atomic.Uint64 // requests denied as malformed, too large, without a route or with an unknown key
 }
@@ -30,6 +31,8 @@
 		s.Evacuated.Add(1)
 	case brplace.Cold:
 		s.RefusedCold.Add(1)
+	case brplace.TooLarge:
+		s.TooLarge.Add(1)
 	}
 }
 
@@ -58,6 +61,14 @@
 	return p.placement.Limited()
 }
 
+// MemoryInUse returns the largest part of the memory of an endpoint that is outstanding there,
+// as brplace.State.MemoryInUse does.
+func (p *Proxy) MemoryInUse() float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.placement.MemoryInUse()
+}
+
 // Waiting returns the number of requests waiting for a dispatch.
 func (p *Proxy) Waiting() int {
 	p.mu.Lock()
