brproxy, platform: disconnect callers that read nothing

Cause: a write to a caller that doesn't read had no limit. The handler, and with it the slot of the endpoint in the placement, was held until the caller closed its connection; the endpoint until the route's timeout. Counter callers_stalled. Result: TestCallerThatDoesNotRead fails before (the endpoint still sends after 10 s) and passes; TestSlowCallerIsNoStall passes.

--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -48,6 +48,8 @@
 	LearnConcurrency bool
 	// ShareByCustomer is as in brproxy.Config.
 	ShareByCustomer bool
+	// CallerReadTimeout is as in brproxy.Config.
+	CallerReadTimeout time.Duration
 	// LimitMemory is as in brproxy.Config.
 	LimitMemory bool
 	Quota       brquota.Config
@@ -129,7 +131,7 @@
 	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
-		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, LimitMemory: cfg.LimitMemory, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, LimitMemory: cfg.LimitMemory, CallerReadTimeout: cfg.CallerReadTimeout, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration, Log: cfg.Log, Clock: cfg.Clock,
 	})
--- a/brfleet/metrics.go
+++ b/brfleet/metrics.go
@@ -53,7 +53,7 @@
 		"requests": s.Requests.Load(), "answered": s.Answered.Load(), "refused": s.Rejected.Load(),
 		"failed": s.Failed.Load(), "callers_gone": s.Disconnected.Load(), "dispatches": s.Dispatches.Load(),
 		"retries": s.Retries.Load(), "resumed": s.Resumed.Load(), "over_quota": s.OverQuota.Load(),
-		"denied": s.Denied.Load(), "refused_evacuated": s.Evacuated.Load(), "refused_cold": s.RefusedCold.Load(), "refused_too_large": s.TooLarge.Load(),
+		"denied": s.Denied.Load(), "refused_evacuated": s.Evacuated.Load(), "refused_cold": s.RefusedCold.Load(), "refused_too_large": s.TooLarge.Load(), "callers_stalled": s.Stalled.Load(),
 		"requests_held_back": s.Quarantined.Load(),
 		"connections_dialed": pool.Dialed, "connections_reused": pool.Reused, "responses_evicted": pool.Evicted,
 		"link_bytes_received": bytesIn, "link_bytes_sent": bytesOut,
--- a/brproxy/proxy.go
+++ b/brproxy/proxy.go
@@ -40,6 +40,9 @@
 	// ShareByCustomer says that requests of customers which receive more than their share of
 	// the fleet come after those of the others of the same rank.
 	ShareByCustomer bool
+	// CallerReadTimeout is the time after which a caller that reads nothing of its response is
+	// disconnected, which ends the run at the endpoint; 0 means no limit.
+	CallerReadTimeout time.Duration
 	// LimitMemory says that the tokens which the fleet has outstanding at an endpoint are
 	// bounded by the memory of its engine.
 	LimitMemory bool
--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -90,6 +90,7 @@
 		return
 	}
 	q.service = q.route.PickService(rand.Float64())
+	q.out = p.newCallerWriter(w)
 	p.run(ctx, q)
 }
 
--- a/brproxy/stats.go
+++ b/brproxy/stats.go
@@ -13,6 +13,7 @@
 	Rejected     atomic.Uint64 // requests refused without having run
 	Failed       atomic.Uint64 // dispatched requests without a complete response
 	Disconnected atomic.Uint64 // requests whose caller disconnected first
+	Stalled      atomic.Uint64 // callers disconnected since they read nothing
 	Dispatches   atomic.Uint64 // dispatches, including retries
 	Retries      atomic.Uint64 // dispatches charged to a retry budget
 	Resumed      atomic.Uint64 // attempts to resume a stream that failed
