brproxy: don't refuse a request for a guess at its output

Cause: without a caller's estimate the expected output is a tenth of the stated maximum. Callers that state a huge maximum would be refused as too_large although their requests fit. Change: the guess is bounded by the memory that the prompt leaves. Result: TestTooLargeForMemory (brproxy) failed for a request without estimate, passes.

--- a/brproxy/request.go
+++ b/brproxy/request.go
@@ -341,7 +341,7 @@
 func (p *Proxy) placementRequest(q *request) brplace.Request {
 	r := brplace.Request{
 		Service: q.service, Rank: q.route.Rank, Stream: q.route.Stream,
-		PromptTokens: q.call.PromptTokens, OutputTokens: int(q.expectedOutput()), ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
+		PromptTokens: q.call.PromptTokens, OutputTokens: p.outputTokens(q), ExpectedEvents: p.expectedEvents(q), ExcludedEndpoints: q.tried,
 		FirstByteDue: q.arrived.Add(q.route.FirstByteTarget), Deadline: q.deadline,
 	}
 	r.MaxQueueTime = q.callerWait(p.cfg.Clock.Now())
@@ -386,6 +386,18 @@
 	return float64(hint)
 }
 
+// outputTokens returns the expected number of tokens of the response, for the memory that it
+// needs. Without an estimate of the caller it is a guess, by which the request isn't taken to be
+// too large for an endpoint.
+func (p *Proxy) outputTokens(q *request) int {
+	tokens := int(q.expectedOutput())
+	s := p.table.Load().Service(q.service)
+	if q.call.OutputTokensHint > 0 || s == nil || s.Engine == nil || s.Engine.KVCapacity <= 0 {
+		return tokens
+	}
+	return min(tokens, max(0, s.Engine.KVCapacity-q.call.PromptTokens))
+}
+
 // expectedEvents returns the expected number of events of the response.
 func (p *Proxy) expectedEvents(q *request) float64 {
 	tokensPerEvent := 1
