--- a/brconcurrency/estimator.go
+++ b/brconcurrency/estimator.go
@@ -7,9 +7,9 @@
 
 const (
 	// halfLife is the time in which the counts of a load level lose half of their weight, and
-	// unitHalfLife that in which those for the present time of a unit of work do. An endpoint that turns slow should
-	// be noticed within seconds, while a level that the limit keeps an endpoint from should
-	// not be tried again at once.
+	// unitHalfLife that in which those for the present time of a unit of work do. An endpoint
+	// that turns slow should be noticed within seconds, while a level that the limit keeps an
+	// endpoint from should not be tried again at once.
 	halfLife     = 3 * time.Second
 	unitHalfLife = time.Second
 	// minCount is the weight of the responses from which on a level says something.
--- a/brfair/share.go
+++ b/brfair/share.go
@@ -9,12 +9,12 @@
 
 const (
 	// sharedPart is the part of what all customers receive that is divided into shares. When
-	// all places of a service are in use, callers wait long before anything is refused, so that the one who
-	// takes more than the others has to leave some room already then.
+	// all slots of a service are in use, callers wait long before anything is refused, so that
+	// a customer that takes more than the others has to leave some room already then.
 	sharedPart = 0.8
-	// shareMargin is the factor by which a customer must exceed its share to be beyond it. It is more
-	// than 1/sharedPart, so that nobody is where all receive alike, and covers how much averages over
-	// a few seconds of requests of unlike sizes vary.
+	// shareMargin is the factor by which a customer must exceed its share to be beyond it. It
+	// is more than 1/sharedPart, so that nobody is where all receive alike, and covers how much
+	// averages over a few seconds of requests of unlike sizes vary.
 	shareMargin = 1.5
 )
 
--- a/brfleet/fleet.go
+++ b/brfleet/fleet.go
@@ -144,7 +144,8 @@
 	}
 	f.proxy = brproxy.New(brproxy.Config{
 		Dialect: cfg.Dialect, Pool: f.pool, Daemon: cfg.ID, FailureDomain: cfg.FailureDomain,
-		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, LimitMemory: cfg.LimitMemory, CallerReadTimeout: cfg.CallerReadTimeout, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
+		LearnConcurrency: cfg.LearnConcurrency, ShareByCustomer: cfg.ShareByCustomer, LimitMemory: cfg.LimitMemory,
+		CallerReadTimeout: cfg.CallerReadTimeout, Quota: cfg.Quota, QuotaSlackTokens: cfg.QuotaSlackTokens, SelectVersion: f.chooseVersion,
 		ReportsChanged: f.scheduleReport, OnResult: f.countResult, OnLeaving: f.endpointLeaving, OnLimit: f.publishLimit, OnPause: f.publishPause, OnEvidence: f.evidence.add, PathWorks: f.pathWorks,
 		OnFirstByte: f.metrics.firstByte.RecordDuration,
 		Buffers:     f.cfg.Buffers, MaxConns: cfg.MaxCallers, Log: cfg.Log, Clock: cfg.Clock,
--- a/brplace/event.go
+++ b/brplace/event.go
@@ -61,8 +61,9 @@
 func (r *Request) resent() bool { return len(r.ExcludedEndpoints) > 0 }
 
 // Event is one of EndpointChanged, EndpointLost, EndpointPaused, EndpointFailed, LimitObserved,
-// LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost, PeerPartitioned, ConcurrencyReported,
-// MemoryLimitsChanged, SharesCompared, FleetChanged, DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
+// LimitPublished, ColdLimitsChanged, ColdAnnounced, FleetJoined, PeerReported, PeerLost,
+// PeerPartitioned, ConcurrencyReported, MemoryLimitsChanged, SharesCompared, FleetChanged,
+// DomainsEvacuated, PathLost, Submit, Cancel, FirstByte, Progressed, Ended and Tick.
 type Event interface{ event() }
 
 // EndpointChanged adds an endpoint or updates its description.
--- a/brplace/queue.go
+++ b/brplace/queue.go
@@ -114,7 +114,8 @@
 }
 
 // before reports whether r precedes q in the queue. Requests are ordered by queueRank,
-// then those of customers within their share before the others, then those not yet past FirstByteDue before those past it, then by FirstByteDue.
+// then those of customers within their share before the others, then those not yet past
+// FirstByteDue before those past it, then by FirstByteDue.
 func before(now time.Time, r, q *Request) bool {
 	if r.queueRank() != q.queueRank() {
 		return r.queueRank() < q.queueRank()
