--- a/brplace/cold_test.go
+++ b/brplace/cold_test.go
@@ -129,33 +129,46 @@
 // take, and against urgent streams that suffer for it. A replay in which the daemons don't
 // know that endpoints are cold is the one to compare with.
 func TestColdReturn(t *testing.T) {
-	for _, test := range []struct {
-		daemons, endpoints, cut int
-		again                   bool
-	}{
+	for _, test := range []coldReturn{
 		{11, 24, 0, false}, {11, 24, 3, false}, {11, 24, 0, true},
 		{64, 78, 0, false}, {64, 78, 16, false}, {64, 78, 0, true},
-		{200, 156, 0, false}, {200, 156, 50, true},
+		{200, 156, 0, false},
 	} {
-		t.Run(fmt.Sprintf("daemons=%d/cut=%d/again=%v", test.daemons, test.cut, test.again), func(t *testing.T) {
-			t.Parallel()
-			replay := coldReplay{limit: ColdLimit{Rate: 9.3, Duration: 3 * time.Second}, again: test.again, cut: test.cut}
-			before, unknown := replay.run(test.daemons, test.endpoints, 2)
-			replay.announce = true
-			after, c := replay.run(test.daemons, test.endpoints, 2)
-			t.Logf("most in a second %d, %.1f allowed, %d crashed, %v; not told: %d, %d, %v",
-				c.most, c.allowed(), len(c.crashed), after, unknown.most, len(unknown.crashed), before)
-			if len(c.crashed) > 0 || c.most == 0 {
-				t.Errorf("an endpoint got %d requests in a second, %d crashed; want at most %.1f, and some in use", c.most, len(c.crashed), c.allowed())
-			}
-			if after.onTime(0) < before.onTime(0)-0.02 || after.part() < before.part()-0.02 {
-				t.Errorf("%.3f of the urgent streams on time, %.3f of the worth earned; want at least %.3f and %.3f, less 0.02",
-					after.onTime(0), after.part(), before.onTime(0), before.part())
-			}
-		})
+		test.check(t)
 	}
 }
 
+// TestColdAgainInCutFleet is the same for endpoints that turn cold without a start in a large
+// fleet of which a quarter is cut off, so that many daemons hear of it late.
+func TestColdAgainInCutFleet(t *testing.T) {
+	coldReturn{200, 156, 50, true}.check(t)
+}
+
+// coldReturn is a case of TestColdReturn.
+type coldReturn struct {
+	daemons, endpoints, cut int
+	again                   bool // the endpoints turn cold without a start
+}
+
+func (test coldReturn) check(t *testing.T) {
+	t.Run(fmt.Sprintf("daemons=%d/cut=%d/again=%v", test.daemons, test.cut, test.again), func(t *testing.T) {
+		t.Parallel()
+		replay := coldReplay{limit: ColdLimit{Rate: 9.3, Duration: 3 * time.Second}, again: test.again, cut: test.cut}
+		before, unknown := replay.run(test.daemons, test.endpoints, 2)
+		replay.announce = true
+		after, c := replay.run(test.daemons, test.endpoints, 2)
+		t.Logf("most in a second %d, %.1f allowed, %d crashed, %v; not told: %d, %d, %v",
+			c.most, c.allowed(), len(c.crashed), after, unknown.most, len(unknown.crashed), before)
+		if len(c.crashed) > 0 || c.most == 0 {
+			t.Errorf("an endpoint got %d requests in a second, %d crashed; want at most %.1f, and some in use", c.most, len(c.crashed), c.allowed())
+		}
+		if after.onTime(0) < before.onTime(0)-0.02 || after.part() < before.part()-0.02 {
+			t.Errorf("%.3f of the urgent streams on time, %.3f of the worth earned; want at least %.3f and %.3f, less 0.02",
+				after.onTime(0), after.part(), before.onTime(0), before.part())
+		}
+	})
+}
+
 // TestAllReturnCold guards against a service that serves little of what its endpoints take
 // when all of them return cold at once, against requests that wait for nothing, and against
 // callers that all return at once.
