--- a/brentry/completion.go
+++ b/brentry/completion.go
@@ -157,8 +157,8 @@
 	return h, c, nil
 }
 
-// readAuthorized reads the bearer key and the body of r, which the caller must release. It returns an error if the
-// entry doesn't accept work.
+// readAuthorized reads the bearer key and the body of r, which the caller must release. It
+// returns an error if the entry doesn't accept work.
 func (e *Entry) readAuthorized(w http.ResponseWriter, r *http.Request) (key string, buffer *brbuffer.Body, body []byte, err error) {
 	if err := e.acceptsWork(); err != nil {
 		return "", nil, nil, err
--- a/brplace/choose.go
+++ b/brplace/choose.go
@@ -160,8 +160,8 @@
 }
 
 // slots returns the number of slots of the usable endpoints of a service, and how
-// many of them are free. An endpoint with a limit, or a cold one, counts with the one request that this
-// daemon may send to it at a time.
+// many of them are free. An endpoint with a limit, or a cold one, counts with the one
+// request that this daemon may send to it at a time.
 func (s *State) slots(v *service) (total, free int) {
 	for _, e := range v.endpoints {
 		if !e.usable(s.now) {
