--- a/review/standin2/world/caller.go
+++ b/review/standin2/world/caller.go
@@ -33,7 +33,7 @@
 		<-tick.C
 		d := w.Daemons[i%len(w.Daemons)]
 		wg.Go(func() {
-			a := Answer{ID: fmt.Sprintf("r%06d", i), Daemon: d.Name, SentAt: time.Now()}
+			a := Answer{ID: fmt.Sprintf("%s%06d", path[1:2], i), Daemon: d.Name, SentAt: time.Now()}
 			r, err := http.NewRequest("POST", "http://"+d.Front()+path, strings.NewReader("hello"))
 			Must(err)
 			r.Host = "shop.example"
