--- a/review/standin2/world/caller.go
+++ b/review/standin2/world/caller.go
@@ -21,8 +21,8 @@
 }
 
 // Load sends perSecond requests a second with the given path and key to the daemons in turn
-// until ctx ends, and returns the answers.
-func (w *World) Load(ctx context.Context, perSecond int, path, key string, deadline time.Duration) []Answer {
+// until ctx ends, and returns the answers. The header holds names and values of further fields.
+func (w *World) Load(ctx context.Context, perSecond int, path, key string, deadline time.Duration, header ...string) []Answer {
 	var mu sync.Mutex
 	var answers []Answer
 	var wg sync.WaitGroup
@@ -40,6 +40,9 @@
 			r.Header.Set("X-Bramleyroute-Request-Id", a.ID)
 			r.Header.Set("X-Bramleyroute-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 			r.Header.Set("Api-Key", key)
+			for k := 0; k+1 < len(header); k += 2 {
+				r.Header.Set(header[k], header[k+1])
+			}
 			res, err := c.Do(r)
 			if err == nil {
 				var b []byte
