--- a/review/standin2/cmd/manyfields/main.go
+++ b/review/standin2/cmd/manyfields/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command manyfields is the case of review/8: callers whose request headers have many short
+// Command manyfields is the case of review/7: callers whose request headers have many short
 // fields, inside max_header_bytes, and whose chunked bodies stop just short of their end.
 package main
 
--- a/review/standin2/cmd/secondrollout/main.go
+++ b/review/standin2/cmd/secondrollout/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command secondrollout is the case of review/7: a bad version is rolled back, and before its
+// Command secondrollout is the case of review/9: a bad version is rolled back, and before its
 // endpoints have left, a rollout of another version of the service is ordered.
 package main
 
--- a/review/standin2/cmd/stopshort/main.go
+++ b/review/standin2/cmd/stopshort/main.go
@@ -1,6 +1,6 @@
 //go:build review
 
-// Command stopshort is the case of review/9: many callers whose chunked bodies stop just short
+// Command stopshort is the case of review/8: many callers whose chunked bodies stop just short
 // of their end, and ordinary callers beside them.
 package main
 
