--- a/review/standin2/world/world.go
+++ b/review/standin2/world/world.go
@@ -15,6 +15,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -61,6 +62,13 @@
 	record, err := os.Create(path)
 	Must(err)
 	w := &World{Dir: dir, MemoryMB: 134, record: record, begun: time.Now()}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		w.Logf("%v: the case ends without a verdict", <-signals)
+		w.End(2)
+	}()
+	Current = w
 	for {
 		w.Net = fmt.Sprintf("127.%d.%d.", 20+rand.IntN(200), rand.IntN(250))
 		l, err := net.Listen("tcp", w.Net+"1:"+strconv.Itoa(ControlPort))
@@ -71,11 +79,16 @@
 	}
 }
 
+// Current is the world of this process, or nil.
+var Current *World
+
 // Must ends the program with the exit code 2, that of a case that could not run.
 func Must(err error) {
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "could not run:", err)
-		killAll()
+		if Current != nil {
+			Current.End(2)
+		}
 		os.Exit(2)
 	}
 }
